--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Local fleet, workload, history checker and benchmark."""
--- /dev/null
+++ b/bulrushloom/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance, read from YAML."""
--- /dev/null
+++ b/bulrushloom/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic decision objects; also a library that other programs embed."""
--- /dev/null
+++ b/bulrushloom/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Spread and freshness of the rules."""
--- /dev/null
+++ b/bulrushloom/coordination/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Detection and replacement of a failed primary."""
--- /dev/null
+++ b/bulrushloom/coordination/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide rate and burst of client accounts."""
--- /dev/null
+++ b/bulrushloom/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live instances and the owners of targets."""
--- /dev/null
+++ b/bulrushloom/coordination/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Fair queueing between client accounts."""
--- /dev/null
+++ b/bulrushloom/coordination/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Majority acknowledgement of writes."""
--- /dev/null
+++ b/bulrushloom/coordination/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and backoff."""
--- /dev/null
+++ b/bulrushloom/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target that serves a statement."""
--- /dev/null
+++ b/bulrushloom/coordination/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Session tokens and log positions."""
--- /dev/null
+++ b/bulrushloom/databases/__init__.py
@@ -0,0 +1,1 @@
+"""Clients and connection pools of database servers."""
--- /dev/null
+++ b/bulrushloom/directories/exceptions.py
@@ -0,0 +1,5 @@
+"""Exceptions of the directory client."""
+
+
+class DirectoryUnavailable(ConnectionError):
+    """Report a directory call without an answer."""
--- /dev/null
+++ b/bulrushloom/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/bulrushloom/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Composition of one running instance."""
--- /dev/null
+++ b/bulrushloom/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, one module each."""
--- /dev/null
+++ b/bulrushloom/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Signed message transport between instances."""
--- /dev/null
+++ b/bulrushloom/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' rules file."""
--- /dev/null
+++ b/bulrushloom/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the service-level burn report."""
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the core protocol and its checker."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: store, directory and database servers."""
