--- /dev/null
+++ b/bulrushloom/coordination/membership/base.py
@@ -0,0 +1,105 @@
+"""Live instances and the owners of targets."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from bulrushloom.coordination.membership.utils import rendezvous_order
+from bulrushloom.directories.base import InstanceEntry
+from bulrushloom.rules.base import TargetRule
+
+# An instance that failed to answer is passed over for this long, unless it is heard.
+UNREACHABLE_PERIOD = timedelta(seconds=2)
+
+# Instances that watch one group: one for each target of a group of three.
+WATCHERS_PER_GROUP = 3
+
+
+class InstanceTable:
+    """Combine the platform's lagging list with local evidence of reachability."""
+
+    def __init__(self, own: InstanceEntry):
+        self.own = own
+        self.instance_by_name: dict[str, InstanceEntry] = {own.name: own}
+        self._unreachable_until_by_name: dict[str, timedelta] = {}
+        self._draining: set[str] = set()
+        self._owners_by_target: dict[str, list[str]] = {}
+
+    def update(self, entries: Iterable[InstanceEntry]) -> None:
+        """Replace the list; the own entry always stays in it."""
+        instance_by_name = {entry.name: entry for entry in entries}
+        instance_by_name[self.own.name] = self.own
+        self._draining &= set(instance_by_name)
+        if instance_by_name != self.instance_by_name:
+            self.instance_by_name = instance_by_name
+            self._owners_by_target.clear()
+
+    def set_draining(self, name: str, draining: bool) -> None:
+        """Note what an instance says about itself, ahead of the platform's list."""
+        if draining == (name in self._draining):
+            return
+        if draining:
+            self._draining.add(name)
+        else:
+            self._draining.discard(name)
+        self._owners_by_target.clear()
+
+    def mark_unreachable(self, name: str, now: timedelta) -> None:
+        """Pass over ``name`` for ``UNREACHABLE_PERIOD``."""
+        self._unreachable_until_by_name[name] = now + UNREACHABLE_PERIOD
+
+    def mark_reachable(self, name: str) -> None:
+        """Use ``name`` again: a message from it has arrived."""
+        self._unreachable_until_by_name.pop(name, None)
+
+    def is_reachable(self, name: str, now: timedelta) -> bool:
+        """Return whether nothing speaks against sending to ``name``."""
+        until = self._unreachable_until_by_name.get(name)
+        return until is None or now >= until
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the platform or the instance itself says it is leaving."""
+        return name in self._draining or self.instance_by_name[name].leaving
+
+    def owners(self, target: TargetRule) -> list[str]:
+        """Return all instances in the order in which they own ``target``.
+
+        Instances in the failure domain of the target come first; those that are
+        leaving come last, so that an instance alone in the fleet still serves.
+        """
+        order = self._owners_by_target.get(target.name)
+        if order is None:
+            order = self._compute_owners(target)
+            self._owners_by_target[target.name] = order
+        return order
+
+    def reachable_owner(self, target: TargetRule, now: timedelta) -> str | None:
+        """Return the first owner that nothing speaks against."""
+        for name in self.owners(target):
+            if self.is_reachable(name, now):
+                return name
+        return None
+
+    def watchers(self, targets: Iterable[TargetRule], now: timedelta) -> list[str]:
+        """Return the watchers of a group in rank order: the owners of its targets.
+
+        An owner that cannot be reached is replaced by the next one, so that a group
+        keeps its watchers while the platform's list lags.
+        """
+        owners = (self.reachable_owner(target, now) for target in targets)
+        return list(dict.fromkeys(name for name in owners if name is not None))
+
+    def by_domain(self, domain: str) -> list[InstanceEntry]:
+        """Return the listed instances of one failure domain."""
+        return [
+            entry for entry in self.instance_by_name.values() if entry.domain == domain
+        ]
+
+    def _compute_owners(self, target: TargetRule) -> list[str]:
+        order = rendezvous_order(target.name, self.instance_by_name)
+        return sorted(
+            order,
+            key=lambda name: (
+                self.is_leaving(name),
+                self.instance_by_name[name].domain != target.domain,
+            ),
+        )
--- /dev/null
+++ b/bulrushloom/instance/coordinator.py
@@ -0,0 +1,150 @@
+"""The task that owns the node and carries out its effects."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from bulrushloom.coordination.base import (
+    Effect,
+    LogEntry,
+    ReadKey,
+    SendMessage,
+    SwapKey,
+)
+from bulrushloom.coordination.configuration.base import RulesChanged
+from bulrushloom.coordination.configuration.view import ConfigurationView
+from bulrushloom.core.clock import Clock
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.core.tasks import MailboxTask
+from bulrushloom.instance.base import Complete, Outcome
+from bulrushloom.instance.executor import TargetExecutor
+from bulrushloom.instance.frontend import CallerSubmit, Frontend, StatusRequest
+from bulrushloom.instance.node import Admit, Node
+from bulrushloom.instance.platform import DirectoryTask, StoreTask
+from bulrushloom.instance.status import node_status
+from bulrushloom.peers.base import MessageReceived, PeerTransport
+
+TICK_INTERVAL = timedelta(milliseconds=20)
+
+# Interval between reads of the platform's list of instances.
+DIRECTORY_INTERVAL = timedelta(seconds=2)
+
+
+class Drain(NamedTuple):
+    """Message to the coordinator: begin the graceful shutdown."""
+
+
+class IsIdle(NamedTuple):
+    """Message to the coordinator: tell whether no work is open."""
+
+    future: "Future[bool]"
+
+
+class Edges(NamedTuple):
+    """Name the edges that carry out the effects of the node."""
+
+    transport: PeerTransport
+    executor: TargetExecutor
+    store: StoreTask
+    directory: DirectoryTask
+    frontend: Frontend
+    log: Callable[[LogEntry], None]
+
+
+class Coordinator(MailboxTask):
+    """Give messages to the node, one at a time, and carry out what it decides."""
+
+    def __init__(self, node: Node, clock: Clock):
+        super().__init__("coordinator", clock, TICK_INTERVAL)
+        self._node = node
+        self._edges: Edges | None = None
+        self._future_by_id: dict[str, Future[Outcome | Refusal]] = {}
+        self._next_directory_at = timedelta()
+
+    def connect(self, edges: Edges) -> None:
+        """Set the edges, before ``start``."""
+        self._edges = edges
+
+    @property
+    def edges(self) -> Edges:
+        """Return the edges; ``connect`` was called before."""
+        assert self._edges is not None
+        return self._edges
+
+    def handle(self, message: Any, now: timedelta) -> None:
+        """Handle one message of an edge."""
+        if isinstance(message, MessageReceived):
+            self._carry_out(self._node.handle(message.sender, message.message, now))
+        elif isinstance(message, CallerSubmit):
+            self._submit(message, now)
+        elif isinstance(message, StatusRequest):
+            message.future.set_result(node_status(self._node, now))
+        elif isinstance(message, IsIdle):
+            message.future.set_result(self._node.is_idle)
+        elif isinstance(message, Drain):
+            self._carry_out(self._node.drain(now))
+        else:
+            self._carry_out(self._node.handle(self._node.own, message, now))
+
+    def tick(self, now: timedelta) -> None:
+        """Let the node do what is due and publish the state of the rules."""
+        self._carry_out(self._node.tick(now))
+        if now >= self._next_directory_at:
+            self._next_directory_at = now + DIRECTORY_INTERVAL
+            self.edges.directory.refresh(self._own_entry())
+        self._publish(now)
+
+    def failed(self, error: Exception) -> None:
+        """Log an unexpected exception; the task goes on."""
+        entry = LogEntry("coordinator_failed", {"error": repr(error)})
+        self.edges.log(entry)
+
+    def _own_entry(self) -> Any:
+        return self._node.table.own._replace(leaving=self._node.draining)
+
+    def _publish(self, now: timedelta) -> None:
+        tracker = self._node.tracker
+        view = ConfigurationView(tracker.rules, tracker.assured_at)
+        self.edges.frontend.configuration = view
+
+    def _submit(self, message: CallerSubmit, now: timedelta) -> None:
+        request_id = message.submit.request_id
+        self._future_by_id[request_id] = message.future
+        try:
+            admit = Admit(message.account, message.submit)
+            self._carry_out(self._node.handle(self._node.own, admit, now))
+        except Exception as error:
+            self.failed(error)
+            refusal = Refusal(ErrorKind.INTERNAL, "the request could not be started")
+            self._complete(Complete(request_id, refusal))
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendMessage):
+                self.edges.transport.send(effect.recipient, effect.message)
+            elif isinstance(effect, Complete):
+                self._complete(effect)
+            elif isinstance(effect, ReadKey | SwapKey):
+                self.edges.store.submit(effect)
+            elif isinstance(effect, RulesChanged):
+                self._rules_changed()
+            elif isinstance(effect, LogEntry):
+                self.edges.log(effect)
+            else:
+                self._call_target(effect)
+
+    def _call_target(self, effect: Any) -> None:
+        rule = self._node.rules.target_by_name.get(effect.target)
+        if rule is not None:
+            self.edges.executor.submit(effect, rule)
+
+    def _rules_changed(self) -> None:
+        rules = self._node.rules
+        self.edges.executor.update_targets(rules.target_by_name)
+        self._publish(self.clock.monotonic())
+
+    def _complete(self, effect: Complete) -> None:
+        future = self._future_by_id.pop(effect.request_id, None)
+        if future is not None:
+            future.set_result(effect.result)
--- /dev/null
+++ b/bulrushloom/instance/executor.py
@@ -0,0 +1,209 @@
+"""Blocking calls to targets, on a pool of threads."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from typing import Any
+
+from bulrushloom.coordination.base import Effect
+from bulrushloom.coordination.failover.base import (
+    FenceFailed,
+    Fenced,
+    FenceRefused,
+    FenceServer,
+    Followed,
+    FollowFailed,
+    FollowPrimary,
+    PollStatus,
+    Promoted,
+    PromoteFailed,
+    PromoteServer,
+    StatusFailed,
+    StatusReceived,
+)
+from bulrushloom.coordination.replication.base import (
+    AwaitAnswered,
+    AwaitFailed,
+    AwaitHeld,
+)
+from bulrushloom.core.clock import Clock
+from bulrushloom.databases.base import DatabaseServer
+from bulrushloom.databases.exceptions import (
+    DatabaseError,
+    RefusalReason,
+    ServerUnreachable,
+    StatementRefused,
+)
+from bulrushloom.databases.pool import ConnectionPool
+from bulrushloom.instance.base import Executed, RunBegin, RunEnd, RunStatement
+from bulrushloom.instance.owner import connection_limit
+from bulrushloom.rules.base import TargetRule
+
+STATEMENT_THREADS = 48
+CONTROL_THREADS = 24
+
+Post = Callable[[Any], None]
+MakeServer = Callable[[str], DatabaseServer]
+
+
+class _Endpoint:
+    """Hold the sockets of one target and the connections of its transactions."""
+
+    def __init__(self, rule: TargetRule, server: DatabaseServer):
+        self.rule = rule
+        self.server = server
+        self.pool = ConnectionPool(server, connection_limit(rule))
+        self.connection_by_handle: dict[str, str] = {}
+
+    def close(self) -> None:
+        self.pool.close()
+        self.server.close()
+
+
+class TargetExecutor:
+    """Carry out the effects that call targets and post their results.
+
+    Statements and control calls have threads of their own, so that slow statements
+    do not delay failure detection.
+    """
+
+    def __init__(self, make_server: MakeServer, clock: Clock, post: Post):
+        self._make_server = make_server
+        self._clock = clock
+        self._post = post
+        self._endpoint_by_target: dict[str, _Endpoint] = {}
+        self._address_by_target: dict[str, str] = {}
+        self._statements = ThreadPoolExecutor(STATEMENT_THREADS, "statement")
+        self._control = ThreadPoolExecutor(CONTROL_THREADS, "control")
+
+    def update_targets(self, rules: dict[str, TargetRule]) -> None:
+        """Use the addresses of a new version of the rules; from one thread only."""
+        self._address_by_target = {name: rule.address for name, rule in rules.items()}
+        for name, endpoint in list(self._endpoint_by_target.items()):
+            rule = rules.get(name)
+            if rule is None or rule.address != endpoint.rule.address:
+                del self._endpoint_by_target[name]
+                self._control.submit(endpoint.close)
+
+    def submit(self, effect: Effect, rule: TargetRule) -> None:
+        """Start the call that ``effect`` describes; from one thread only."""
+        endpoint = self._endpoint_by_target.get(rule.name)
+        if endpoint is None:
+            endpoint = _Endpoint(rule, self._make_server(rule.address))
+            self._endpoint_by_target[rule.name] = endpoint
+        if isinstance(effect, RunStatement | RunBegin | RunEnd):
+            self._statements.submit(self._run, effect, endpoint)
+        else:
+            self._control.submit(self._call, effect, endpoint)
+
+    def close(self) -> None:
+        """Finish running calls and close all sockets."""
+        self._statements.shutdown()
+        self._control.shutdown()
+        for endpoint in self._endpoint_by_target.values():
+            endpoint.close()
+
+    def _run(self, effect: RunStatement | RunBegin | RunEnd, at: _Endpoint) -> None:
+        started = self._clock.monotonic()
+        result: Any
+        try:
+            if isinstance(effect, RunStatement):
+                result = self._run_statement(effect, at)
+            elif isinstance(effect, RunBegin):
+                result = self._run_begin(effect, at)
+            else:
+                result = self._run_end(effect, at)
+        except Exception as error:
+            result = error
+        duration = self._clock.monotonic() - started
+        self._post(Executed(effect.target, effect.request_id, result, duration))
+
+    def _run_statement(self, effect: RunStatement, at: _Endpoint) -> Any:
+        if not effect.handle:
+            with at.pool.connection() as connection:
+                return at.server.execute(connection, effect.work)
+        return at.server.execute(_held(at, effect.handle), effect.work)
+
+    def _run_begin(self, effect: RunBegin, at: _Endpoint) -> None:
+        connection = at.pool.acquire()
+        try:
+            at.server.begin(connection, effect.term)
+        except DatabaseError:
+            at.pool.discard(connection)
+            raise
+        at.connection_by_handle[effect.handle] = connection
+
+    def _run_end(self, effect: RunEnd, at: _Endpoint) -> Any:
+        connection = at.connection_by_handle.pop(effect.handle, None)
+        if connection is None:
+            raise _no_transaction(effect.handle)
+        try:
+            if effect.commit:
+                result = at.server.commit(connection, effect.term)
+            else:
+                result = at.server.rollback(connection)
+        except Exception:
+            # The server rolls back what is open on a closed connection.
+            at.pool.discard(connection)
+            raise
+        at.pool.release(connection)
+        return result
+
+    def _call(self, effect: Effect, at: _Endpoint) -> None:
+        self._post(self._control_result(effect, at))
+
+    def _control_result(self, effect: Effect, at: _Endpoint) -> Effect:
+        server = at.server
+        if isinstance(effect, PollStatus):
+            try:
+                return StatusReceived(effect.target, server.status())
+            except DatabaseError as error:
+                return StatusFailed(effect.target, str(error))
+        if isinstance(effect, AwaitHeld):
+            try:
+                status = server.status(effect.position, effect.wait)
+                return AwaitAnswered(effect.target, status)
+            except DatabaseError as error:
+                return AwaitFailed(effect.target, str(error))
+        if isinstance(effect, FenceServer):
+            return _fence(effect, server)
+        if isinstance(effect, PromoteServer):
+            try:
+                status = server.promote(effect.term, effect.candidate)
+                return Promoted(effect.target, effect.term, status)
+            except DatabaseError as error:
+                return PromoteFailed(effect.target, effect.term, str(error))
+        if isinstance(effect, FollowPrimary):
+            return self._follow(effect, server)
+        raise TypeError(f"no call for {type(effect).__name__}")
+
+    def _follow(self, effect: FollowPrimary, server: DatabaseServer) -> Effect:
+        address = self._address_by_target.get(effect.primary, "")
+        try:
+            status = server.follow(effect.term, address)
+            return Followed(effect.target, effect.term, status)
+        except DatabaseError as error:
+            return FollowFailed(effect.target, effect.term, str(error))
+
+
+def _fence(effect: FenceServer, server: DatabaseServer) -> Effect:
+    try:
+        status = server.fence(effect.term, effect.candidate)
+        return Fenced(effect.target, effect.term, status)
+    except (StatementRefused, ServerUnreachable) as error:
+        return FenceRefused(effect.target, effect.term, str(error))
+    except DatabaseError as error:
+        return FenceFailed(effect.target, effect.term, str(error))
+
+
+def _held(at: _Endpoint, handle: str) -> str:
+    connection = at.connection_by_handle.get(handle)
+    if connection is None:
+        raise _no_transaction(handle)
+    return connection
+
+
+def _no_transaction(handle: str) -> StatementRefused:
+    return StatementRefused(
+        RefusalReason.NO_TRANSACTION, f"transaction {handle} has no connection"
+    )
--- /dev/null
+++ b/bulrushloom/instance/frontend.py
@@ -0,0 +1,236 @@
+"""Checks of caller requests, before the coordinator sees them."""
+
+import itertools
+from collections.abc import Callable
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from bulrushloom.coordination.configuration.view import ConfigurationView
+from bulrushloom.coordination.sessions.tokens import SessionCodec, SessionToken
+from bulrushloom.core.clock import Clock
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.core.exceptions import BadSignature
+from bulrushloom.core.signing import Signer
+from bulrushloom.gateway.base import (
+    BeginAnswer,
+    BeginRequest,
+    CallerAnswer,
+    CallerRequest,
+    EndAnswer,
+    EndRequest,
+    QueryAnswer,
+    QueryRequest,
+    RequestHandler,
+)
+from bulrushloom.instance.base import (
+    Begin,
+    End,
+    EntryRequest,
+    Outcome,
+    Statement,
+    Submit,
+    TransactionRef,
+)
+from bulrushloom.instance.utils import classify_statement
+from bulrushloom.rules.base import RuleSet
+
+MAX_TRANSACTION_ID_BYTES = 1024
+
+
+class CallerSubmit(NamedTuple):
+    """Message to the coordinator: run ``submit`` and end ``future``."""
+
+    account: str
+    submit: Submit
+    future: "Future[Outcome | Refusal]"
+
+
+class StatusRequest(NamedTuple):
+    """Message to the coordinator: give the instance's own view."""
+
+    future: "Future[dict[str, Any]]"
+
+
+Post = Callable[[Any], None]
+
+
+class Frontend(RequestHandler):
+    """Authenticate callers, check requests and translate answers.
+
+    Runs on gateway threads; it reads the configuration through an immutable view
+    that the coordinator replaces.
+    """
+
+    def __init__(
+        self,
+        post: Post,
+        clock: Clock,
+        secret: str,
+        request_prefix: str,
+        request_timeout: timedelta,
+    ):
+        self._post = post
+        self._clock = clock
+        self._sessions = SessionCodec(secret)
+        self._transactions = Signer(secret, "transaction")
+        self._request_ids = (f"{request_prefix}.{n}" for n in itertools.count(1))
+        self._request_timeout = request_timeout
+        self.configuration = ConfigurationView()
+        self.draining = False
+
+    def authenticate(self, key: str) -> str | Refusal:
+        """Return the account of ``key``; refuse one that may be withdrawn."""
+        configuration = self.configuration
+        if not configuration.rules.version:
+            return Refusal(ErrorKind.NOT_READY, "the rules are not known yet")
+        return configuration.find_account(key, self._clock.monotonic())
+
+    def readiness(self) -> Refusal | None:
+        """Return why the instance takes no new work, or ``None`` when ready."""
+        if self.draining:
+            return Refusal(ErrorKind.DRAINING, "the instance is shutting down")
+        if not self.configuration.rules.version:
+            return Refusal(ErrorKind.NOT_READY, "the rules are not known yet")
+        return None
+
+    def status(self) -> dict[str, Any]:
+        """Return the instance's own view as JSON values."""
+        future: Future[dict[str, Any]] = Future()
+        self._post(StatusRequest(future))
+        return future.result(self._request_timeout.total_seconds())
+
+    def submit(self, request: CallerRequest) -> "Future[CallerAnswer | Refusal]":
+        """Check the request and hand it to the coordinator."""
+        answered: Future[CallerAnswer | Refusal] = Future()
+        checked = self._check(request)
+        if isinstance(checked, Refusal):
+            answered.set_result(checked)
+            return answered
+        token, entry_request = checked
+        future: Future[Outcome | Refusal] = Future()
+        future.add_done_callback(
+            lambda done: answered.set_result(self._answer(request, token, done))
+        )
+        deadline = self._clock.monotonic() + self._request_timeout
+        submit = Submit(next(self._request_ids), entry_request, deadline)
+        self._post(CallerSubmit(request.account, submit, future))
+        return answered
+
+    def _check(
+        self, request: CallerRequest
+    ) -> tuple[SessionToken, EntryRequest] | Refusal:
+        token = self._session(request.account, request.session)
+        if isinstance(token, Refusal):
+            return token
+        if isinstance(request, EndRequest):
+            transaction = self._transaction(request.account, request.transaction)
+            if isinstance(transaction, Refusal):
+                return transaction
+            end = End(
+                request.account,
+                transaction.database,
+                transaction.group,
+                transaction,
+                request.commit,
+            )
+            return token, end
+        rules = self.configuration.rules
+        group = _group_of(rules, request.database, request.account)
+        if isinstance(group, Refusal):
+            return group
+        no_room = self._sessions.check_room(token, group)
+        if no_room is not None:
+            return no_room
+        if isinstance(request, BeginRequest):
+            return token, Begin(request.account, request.database, group)
+        statement = self._statement(request, token, group, rules)
+        return statement if isinstance(statement, Refusal) else (token, statement)
+
+    def _statement(
+        self, request: QueryRequest, token: SessionToken, group: str, rules: RuleSet
+    ) -> Statement | Refusal:
+        read_only = classify_statement(request.sql)
+        if isinstance(read_only, Refusal):
+            return read_only
+        transaction = None
+        if request.transaction is not None:
+            found = self._transaction(request.account, request.transaction)
+            if isinstance(found, Refusal):
+                return found
+            if found.database != request.database:
+                return Refusal(
+                    ErrorKind.BAD_REQUEST, "the transaction is of another database"
+                )
+            transaction = found
+        max_age = request.max_age
+        if max_age is None:
+            max_age = rules.account_by_name[request.account].max_age
+        return Statement(
+            request.account,
+            request.database,
+            group,
+            request.sql,
+            request.params,
+            read_only,
+            token.position(group),
+            max_age,
+            transaction,
+            request.idempotency_key or "",
+        )
+
+    def _session(self, account: str, text: str | None) -> SessionToken | Refusal:
+        if text is None:
+            return SessionToken(account)
+        return self._sessions.decode(text, account)
+
+    def _transaction(self, account: str, text: str) -> TransactionRef | Refusal:
+        unknown = Refusal(ErrorKind.TRANSACTION_UNKNOWN, "no such transaction")
+        if len(text) > MAX_TRANSACTION_ID_BYTES:
+            return unknown
+        try:
+            transaction = TransactionRef(*self._transactions.loads(text))
+        except (BadSignature, TypeError):
+            return unknown
+        # Another account's identifier is answered like one that does not exist.
+        return transaction if transaction.account == account else unknown
+
+    def _answer(
+        self,
+        request: CallerRequest,
+        token: SessionToken,
+        done: "Future[Outcome | Refusal]",
+    ) -> CallerAnswer | Refusal:
+        outcome = done.result()
+        if isinstance(outcome, Refusal):
+            return outcome
+        if outcome.write_position is not None:
+            token = token.touch(outcome.group, outcome.write_position)
+        session = self._sessions.encode(token)
+        if isinstance(session, Refusal):
+            # The room for the position was checked before the statement ran.
+            return Refusal(ErrorKind.INTERNAL, session.message)
+        if isinstance(request, BeginRequest) and outcome.transaction is not None:
+            identifier = self._transactions.dumps(list(outcome.transaction))
+            return BeginAnswer(identifier, session)
+        if isinstance(request, EndRequest):
+            return EndAnswer("committed" if request.commit else "rolled_back", session)
+        return QueryAnswer(
+            outcome.columns,
+            outcome.rows,
+            outcome.row_count,
+            session,
+            outcome.target,
+            outcome.role,
+        )
+
+
+def _group_of(rules: RuleSet, database: str, account: str) -> str | Refusal:
+    group = rules.group_by_database.get(database)
+    if group is None:
+        return Refusal(ErrorKind.UNKNOWN_DATABASE, f"no database {database!r}")
+    if account not in rules.accounts_by_database.get(database, frozenset()):
+        return Refusal(
+            ErrorKind.FORBIDDEN, f"the account may not use database {database!r}"
+        )
+    return group
--- /dev/null
+++ b/bulrushloom/instance/node.py
@@ -0,0 +1,379 @@
+"""All decision objects of one instance, joined into one."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from bulrushloom.coordination.base import (
+    DecisionPart,
+    Effect,
+    KeySwapped,
+    KeyValue,
+    Message,
+    SendMessage,
+    StoreFailed,
+)
+from bulrushloom.coordination.configuration.base import (
+    RULES_KEY,
+    Ping,
+    Pong,
+    RulesChanged,
+    RulesRequest,
+    RulesText,
+)
+from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
+from bulrushloom.coordination.failover.base import (
+    FailoverPolicy,
+    FenceFailed,
+    Fenced,
+    FenceRefused,
+    Followed,
+    FollowFailed,
+    Promoted,
+    PromoteFailed,
+    StatusFailed,
+    StatusReceived,
+    WatcherReport,
+)
+from bulrushloom.coordination.limits.base import (
+    AccountLimit,
+    Member,
+    RateClient,
+    ShareGrant,
+    ShareRefused,
+    TokenGranted,
+    TokenRefused,
+)
+from bulrushloom.coordination.limits.holder import ShareHolder
+from bulrushloom.coordination.membership.base import InstanceTable
+from bulrushloom.coordination.queueing.base import SlotQueue
+from bulrushloom.coordination.replication.base import AwaitAnswered, AwaitFailed
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.instance.base import Complete, End, Executed, Submit
+from bulrushloom.instance.failures import Failure
+from bulrushloom.instance.groups import GROUP_RETENTION, WatchedGroup
+from bulrushloom.instance.messages import (
+    GroupView,
+    GroupViewRequest,
+    StatementAnswer,
+    StatementRequest,
+    TransactionAnswer,
+    TransactionRequest,
+)
+from bulrushloom.instance.owner import error_answer
+from bulrushloom.instance.platform import DirectoryFailed, InstancesListed
+from bulrushloom.instance.router import StatementRouter
+from bulrushloom.instance.views import ViewCache
+from bulrushloom.peers.base import MessageUndelivered, PeerLost
+from bulrushloom.rules.base import RuleSet
+
+# The watchers of all groups are computed anew this often; a change of the list of
+# instances or of the rules does it at once.
+WATCH_INTERVAL = timedelta(seconds=1)
+
+MakeQueue = Callable[[], SlotQueue]
+
+
+class Admit(NamedTuple):
+    """Ask for a token of ``account``, then run ``submit``."""
+
+    account: str
+    submit: Submit
+
+
+class NodeParts(NamedTuple):
+    """Name the parts that a node is made of."""
+
+    table: InstanceTable
+    views: ViewCache
+    router: StatementRouter
+    tracker: ConfigurationTracker
+    rate_client: RateClient
+    share_holder: ShareHolder
+
+
+_GROUP_OBSERVATIONS = (
+    StatusReceived,
+    StatusFailed,
+    Fenced,
+    FenceRefused,
+    FenceFailed,
+    Promoted,
+    PromoteFailed,
+    Followed,
+    FollowFailed,
+    AwaitAnswered,
+    AwaitFailed,
+)
+
+
+class Node(DecisionPart):
+    """Route messages between the decision objects of one instance.
+
+    Effects that only concern other parts of the same instance are carried out
+    inside; the caller carries out those that ``handle`` and ``tick`` return.
+    """
+
+    def __init__(
+        self,
+        parts: NodeParts,
+        policy: FailoverPolicy,
+        make_queue: MakeQueue,
+    ):
+        self.table = parts.table
+        self.tracker = parts.tracker
+        self.router = parts.router
+        self.share_holder = parts.share_holder
+        self.group_by_name: dict[str, WatchedGroup] = {}
+        self.draining = False
+        self._views = parts.views
+        self._rate_client = parts.rate_client
+        self._policy = policy
+        self._make_queue = make_queue
+        self._submit_by_id: dict[str, Submit] = {}
+        self._next_watch_at = timedelta()
+        self._routes = self._build_routes()
+
+    @property
+    def own(self) -> str:
+        """Return the name of this instance."""
+        return self.table.own.name
+
+    @property
+    def rules(self) -> RuleSet:
+        """Return the rules in force."""
+        return self.tracker.rules
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request and no transaction is open here."""
+        idle = all(group.is_idle for group in self.group_by_name.values())
+        return idle and not len(self.router) and not self._submit_by_id
+
+    def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
+        """Handle a message of a peer, an edge or the own instance."""
+        if sender != self.own:
+            self.table.mark_reachable(sender)
+        return self._settle(self._dispatch(sender, message, now), now)
+
+    def tick(self, now: timedelta) -> list[Effect]:
+        """Let every part do what is due."""
+        effects = self.tracker.tick(now)
+        effects += self.share_holder.tick(now)
+        effects += self._rate_client.tick(now)
+        effects += self.router.tick(now)
+        if now >= self._next_watch_at:
+            self._watch(now)
+        for group in list(self.group_by_name.values()):
+            effects += group.tick(now)
+        return self._settle(effects, now)
+
+    def drain(self, now: timedelta) -> list[Effect]:
+        """Take no new ownership; work that is open goes on."""
+        self.draining = True
+        self.tracker.draining = True
+        for group in self.group_by_name.values():
+            group.drain()
+        return self._settle(self.share_holder.drain(now), now)
+
+    def _build_routes(
+        self,
+    ) -> dict[type, Callable[[str, Any, timedelta], list[Effect]]]:
+        router, tracker = self.router.handle, self.tracker.handle
+        routes: dict[type, Callable[[str, Any, timedelta], list[Effect]]] = {
+            Admit: self._admit,
+            StatementAnswer: router,
+            TransactionAnswer: router,
+            GroupView: router,
+            MessageUndelivered: self._undelivered,
+            PeerLost: self._peer_lost,
+            StatementRequest: self._request,
+            TransactionRequest: self._request,
+            GroupViewRequest: self._view_request,
+            WatcherReport: self._report,
+            Executed: self._executed,
+            Ping: self._ping,
+            Pong: self._ping,
+            RulesRequest: tracker,
+            RulesText: tracker,
+            KeyValue: self._store_answer,
+            KeySwapped: self._store_answer,
+            StoreFailed: self._store_answer,
+            InstancesListed: self._instances_listed,
+            DirectoryFailed: lambda sender, message, now: [],
+            ShareGrant: self._rate_client.handle,
+            ShareRefused: self._rate_client.handle,
+        }
+        routes.update(dict.fromkeys(_GROUP_OBSERVATIONS, self._observe))
+        return routes
+
+    def _dispatch(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
+        route = self._routes.get(type(message), self.share_holder.handle)
+        return route(sender, message, now)
+
+    def _settle(self, effects: list[Effect], now: timedelta) -> list[Effect]:
+        """Carry out the effects inside the instance and return the others."""
+        outside: list[Effect] = []
+        todo = list(effects)
+        while todo:
+            effect = todo.pop(0)
+            if isinstance(effect, SendMessage) and effect.recipient == self.own:
+                todo += self._dispatch(self.own, effect.message, now)
+            elif isinstance(effect, TokenGranted):
+                submit = self._submit_by_id.pop(effect.request_id, None)
+                if submit is not None:
+                    todo += self.router.handle(self.own, submit, now)
+            elif isinstance(effect, TokenRefused):
+                if self._submit_by_id.pop(effect.request_id, None) is not None:
+                    outside.append(_rate_limited(effect))
+            elif isinstance(effect, RulesChanged):
+                self._apply_rules(now)
+                outside.append(effect)
+            else:
+                outside.append(effect)
+        return outside
+
+    def _admit(self, sender: str, message: Admit, now: timedelta) -> list[Effect]:
+        submit = message.submit
+        if isinstance(submit.request, End):
+            # Ending a transaction frees a connection; it takes no token.
+            return self.router.handle(sender, submit, now)
+        self._submit_by_id[submit.request_id] = submit
+        return self._rate_client.acquire(submit.request_id, message.account, now)
+
+    def _undelivered(
+        self, sender: str, message: MessageUndelivered, now: timedelta
+    ) -> list[Effect]:
+        self.table.mark_unreachable(message.recipient, now)
+        return self.router.handle(sender, message, now)
+
+    def _peer_lost(self, sender: str, message: PeerLost, now: timedelta) -> list[Effect]:
+        self.table.mark_unreachable(message.peer, now)
+        return self.router.handle(sender, message, now)
+
+    def _request(
+        self,
+        sender: str,
+        message: StatementRequest | TransactionRequest,
+        now: timedelta,
+    ) -> list[Effect]:
+        rule = self.rules.target_by_name.get(message.target)
+        if rule is None:
+            return [SendMessage(sender, _unknown_target(message))]
+        group = self._group(rule.group, now)
+        return group.request(sender, message, rule, now, self.draining)
+
+    def _view_request(
+        self, sender: str, message: GroupViewRequest, now: timedelta
+    ) -> list[Effect]:
+        if message.group not in self.rules.targets_by_group:
+            return []
+        return self._group(message.group, now).answer_view(sender, message, now)
+
+    def _report(
+        self, sender: str, message: WatcherReport, now: timedelta
+    ) -> list[Effect]:
+        group = self.group_by_name.get(message.group)
+        return [] if group is None else group.observe(sender, message, now)
+
+    def _observe(self, sender: str, message: Any, now: timedelta) -> list[Effect]:
+        group = self._group_of(message.target)
+        return [] if group is None else group.observe(sender, message, now)
+
+    def _executed(self, sender: str, message: Executed, now: timedelta) -> list[Effect]:
+        group = self._group_of(message.target)
+        return [] if group is None else group.executed(message, now)
+
+    def _ping(self, sender: str, message: Ping | Pong, now: timedelta) -> list[Effect]:
+        self.table.set_draining(sender, message.draining)
+        return self.tracker.handle(sender, message, now)
+
+    def _store_answer(
+        self, sender: str, message: KeyValue | KeySwapped | StoreFailed, now: timedelta
+    ) -> list[Effect]:
+        if message.key == RULES_KEY:
+            return self.tracker.handle(sender, message, now)
+        return self.share_holder.handle(sender, message, now)
+
+    def _instances_listed(
+        self, sender: str, message: InstancesListed, now: timedelta
+    ) -> list[Effect]:
+        self.table.update(message.entries)
+        instances = self.table.instance_by_name
+        domain_by_name = {name: entry.domain for name, entry in instances.items()}
+        effects = self.tracker.update_instances(domain_by_name, now)
+        effects += self._update_members(now)
+        self._watch(now)
+        return effects
+
+    def _update_members(self, now: timedelta) -> list[Effect]:
+        members_by_domain: dict[str, list[Member]] = {}
+        for entry in self.table.instance_by_name.values():
+            member = Member(entry.name, entry.incarnation)
+            members_by_domain.setdefault(entry.domain, []).append(member)
+        own_domain = members_by_domain[self.table.own.domain]
+        names = [member.name for member in own_domain]
+        effects = self.share_holder.update_instances(members_by_domain, now)
+        self._rate_client.update_instances(names, now)
+        return effects
+
+    def _apply_rules(self, now: timedelta) -> None:
+        rules = self.rules
+        self._views.update_rules(rules)
+        self.router.update_rules(rules)
+        limit_by_account = {
+            account.name: AccountLimit(account.rate, float(account.burst))
+            for account in rules.account_by_name.values()
+        }
+        self.share_holder.update_accounts(
+            limit_by_account, len(rules.domain_by_name), now
+        )
+        self._rate_client.update_accounts(limit_by_account, now)
+        self._watch(now)
+
+    def _watch(self, now: timedelta) -> None:
+        """Watch the groups that this instance is responsible for, and no others."""
+        self._next_watch_at = now + WATCH_INTERVAL
+        for name, targets in self.rules.targets_by_group.items():
+            watchers = self.table.watchers(targets, now)
+            if self.own in watchers:
+                self._group(name, now).used_at = now
+            group = self.group_by_name.get(name)
+            if group is not None:
+                group.update(targets, watchers)
+        for name, group in list(self.group_by_name.items()):
+            unused = group.is_idle and now - group.used_at > GROUP_RETENTION
+            if unused or name not in self.rules.targets_by_group:
+                del self.group_by_name[name]
+
+    def _group(self, name: str, now: timedelta) -> WatchedGroup:
+        group = self.group_by_name.get(name)
+        if group is None:
+            group = WatchedGroup(
+                name,
+                self.own,
+                f"{self.own}.{self.table.own.incarnation}",
+                self._policy,
+                self._make_queue,
+            )
+            targets = self.rules.targets_by_group[name]
+            group.update(targets, self.table.watchers(targets, now))
+            group.used_at = now
+            self.group_by_name[name] = group
+        return group
+
+    def _group_of(self, target: str) -> WatchedGroup | None:
+        rule = self.rules.target_by_name.get(target)
+        return None if rule is None else self.group_by_name.get(rule.group)
+
+
+def _rate_limited(effect: TokenRefused) -> Complete:
+    refusal = Refusal(
+        ErrorKind.RATE_LIMITED, "the account is over its rate", effect.retry_after
+    )
+    return Complete(effect.request_id, refusal)
+
+
+def _unknown_target(message: StatementRequest | TransactionRequest) -> Message:
+    failure = Failure(ErrorKind.NO_TARGET, f"no target {message.target!r} here", True)
+    return error_answer(message, failure)
--- /dev/null
+++ b/bulrushloom/instance/router.py
@@ -0,0 +1,441 @@
+"""The entry's side of a request: choose a target and follow the request."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from bulrushloom.coordination.base import DecisionPart, Effect, Message, SendMessage
+from bulrushloom.coordination.membership.base import InstanceTable
+from bulrushloom.coordination.retries.base import RetryPolicy
+from bulrushloom.coordination.routing.base import ReadNeed, ReadPolicy
+from bulrushloom.coordination.sessions.base import ORIGIN
+from bulrushloom.core.clock import milliseconds
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.instance.base import (
+    Begin,
+    Complete,
+    End,
+    Outcome,
+    Statement,
+    Submit,
+    TransactionRef,
+)
+from bulrushloom.instance.messages import (
+    GroupView,
+    StatementAnswer,
+    StatementRequest,
+    TransactionAnswer,
+    TransactionRequest,
+)
+from bulrushloom.instance.views import ViewCache
+from bulrushloom.peers.base import MessageUndelivered, PeerLost
+from bulrushloom.rules.base import EMPTY_RULES, RuleSet
+
+# A read that has no answer after this long is tried at another target.
+READ_ATTEMPT_TIMEOUT = timedelta(seconds=1)
+
+# A request without a usable target is tried again after this long.
+PARK_INTERVAL = timedelta(milliseconds=100)
+
+# An idempotent write is sent again after this long without an answer.
+WRITE_ATTEMPT_TIMEOUT = timedelta(seconds=2)
+
+
+class _Pending:
+    """Follow one request; ``attempt`` numbers the messages sent for it."""
+
+    def __init__(self, submit: Submit):
+        self.request_id = submit.request_id
+        self.request = submit.request
+        self.deadline = submit.deadline
+        self.attempt = 0
+        self.owner = ""
+        self.target = ""
+        self.sent_at: timedelta | None = None
+        self.maybe_run = False
+        self.tried: set[str] = set()
+        self.wake_at: timedelta | None = None
+        self.last_refusal = Refusal(ErrorKind.NO_TARGET, "no target can serve it now")
+
+    @property
+    def group(self) -> str:
+        """Return the group that the request goes to."""
+        return self.request.group
+
+    @property
+    def is_read(self) -> bool:
+        """Return whether the request may be repeated freely."""
+        request = self.request
+        return (
+            isinstance(request, Statement)
+            and request.read_only
+            and request.transaction is None
+        )
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether it may be sent again although it may have run.
+
+        The database recognizes the repeat of a write with an idempotency key, and a
+        transaction whose opening was not answered is rolled back when idle.
+        """
+        request = self.request
+        if isinstance(request, Begin) or self.is_read:
+            return True
+        return (
+            isinstance(request, Statement)
+            and request.transaction is None
+            and bool(request.idempotency_key)
+        )
+
+    @property
+    def in_transaction(self) -> bool:
+        """Return whether the request belongs to an open transaction."""
+        return isinstance(self.request, End) or (
+            isinstance(self.request, Statement) and self.request.transaction is not None
+        )
+
+
+class _Choice(NamedTuple):
+    """Name where the next attempt goes."""
+
+    target: str
+    owner: str
+
+
+class StatementRouter(DecisionPart):
+    """Send each request to the owner of a suitable target and return its answer.
+
+    A request is sent again only if it has certainly not run, if it is a read, or if
+    it carries an idempotency key that the database records with the write.
+    """
+
+    def __init__(
+        self,
+        table: InstanceTable,
+        views: ViewCache,
+        read_policy: ReadPolicy,
+        retries: RetryPolicy,
+    ):
+        self._table = table
+        self._views = views
+        self._read_policy = read_policy
+        self._retries = retries
+        self._rules = EMPTY_RULES
+        self._pending_by_id: dict[str, _Pending] = {}
+        self._request_by_attempt: dict[str, str] = {}
+        self._in_flight_by_target: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending_by_id)
+
+    def update_rules(self, rules: RuleSet) -> None:
+        """Use a new version of the rules."""
+        self._rules = rules
+
+    def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
+        """Handle a submitted request, an answer or a delivery failure."""
+        if isinstance(message, Submit):
+            return self._submit(message, now)
+        if isinstance(message, StatementAnswer):
+            return self._statement_answer(sender, message, now)
+        if isinstance(message, TransactionAnswer):
+            return self._transaction_answer(message, now)
+        if isinstance(message, MessageUndelivered):
+            return self._undelivered(message, now)
+        if isinstance(message, PeerLost):
+            return self._peer_lost(message, now)
+        if isinstance(message, GroupView):
+            return self._view_changed(message, now)
+        raise TypeError(f"the router does not accept {type(message).__name__}")
+
+    def tick(self, now: timedelta) -> list[Effect]:
+        """End requests at their deadline and repeat those that are due."""
+        effects: list[Effect] = []
+        for pending in list(self._pending_by_id.values()):
+            if now >= pending.deadline:
+                effects += self._expire(pending)
+            elif pending.wake_at is not None and now >= pending.wake_at:
+                effects += self._attempt(pending, now)
+            elif pending.sent_at is not None:
+                effects += self._check_attempt(pending, now)
+        return effects
+
+    def _submit(self, submit: Submit, now: timedelta) -> list[Effect]:
+        pending = _Pending(submit)
+        self._pending_by_id[submit.request_id] = pending
+        self._retries.request_started(now)
+        return self._attempt(pending, now)
+
+    def _attempt(self, pending: _Pending, now: timedelta) -> list[Effect]:
+        pending.wake_at = None
+        request = pending.request
+        if not isinstance(request, Begin) and request.transaction is not None:
+            transaction = request.transaction
+            return self._send(
+                pending, _Choice(transaction.target, transaction.owner), now
+            )
+        effects = self._views.refresh(pending.group, now)
+        choice = self._choose(pending, now)
+        if choice is None:
+            self._views.invalidate(pending.group)
+            return effects + self._park(pending, now)
+        return effects + self._send(pending, choice, now)
+
+    def _choose(self, pending: _Pending, now: timedelta) -> _Choice | None:
+        for target in self._targets(pending):
+            if target in pending.tried:
+                continue
+            rule = self._rules.target_by_name.get(target)
+            if rule is None or rule.leaving:
+                continue
+            owner = self._table.reachable_owner(rule, now)
+            if owner is not None:
+                return _Choice(target, owner)
+        pending.tried.clear()
+        return None
+
+    def _targets(self, pending: _Pending) -> list[str]:
+        request = pending.request
+        candidates = self._views.candidates(pending.group, self._in_flight_by_target)
+        if pending.is_read and isinstance(request, Statement):
+            need = ReadNeed(
+                self._table.own.domain, request.min_position, request.max_age
+            )
+            return self._read_policy.order(candidates, need)
+        return [candidate.target for candidate in candidates if candidate.is_primary]
+
+    def _park(self, pending: _Pending, now: timedelta) -> list[Effect]:
+        pending.sent_at = None
+        pending.wake_at = now + PARK_INTERVAL
+        return []
+
+    def _send(self, pending: _Pending, choice: _Choice, now: timedelta) -> list[Effect]:
+        pending.attempt += 1
+        pending.target = choice.target
+        pending.owner = choice.owner
+        pending.sent_at = now
+        attempt_id = f"{pending.request_id}.{pending.attempt}"
+        self._request_by_attempt[attempt_id] = pending.request_id
+        self._count(choice.target, 1)
+        message = self._message(pending, attempt_id, now)
+        return [SendMessage(choice.owner, message)]
+
+    def _message(self, pending: _Pending, attempt_id: str, now: timedelta) -> Message:
+        request = pending.request
+        timeout_ms = max(1, milliseconds(pending.deadline - now))
+        if isinstance(request, Begin):
+            return TransactionRequest(
+                attempt_id,
+                request.account,
+                request.database,
+                pending.target,
+                "begin",
+                "",
+                timeout_ms,
+            )
+        if isinstance(request, End):
+            return TransactionRequest(
+                attempt_id,
+                request.account,
+                request.database,
+                pending.target,
+                "commit" if request.commit else "rollback",
+                request.transaction.handle,
+                timeout_ms,
+            )
+        handle = request.transaction.handle if request.transaction else ""
+        return StatementRequest(
+            attempt_id,
+            request.account,
+            request.database,
+            pending.target,
+            request.sql,
+            request.params,
+            pending.is_read,
+            request.min_position if pending.is_read else ORIGIN,
+            milliseconds(request.max_age) if pending.is_read else -1,
+            timeout_ms,
+            handle,
+            request.idempotency_key,
+        )
+
+    def _take_attempt(self, attempt_id: str) -> _Pending | None:
+        """Return the request that an answer belongs to, once for each attempt."""
+        request_id = self._request_by_attempt.pop(attempt_id, None)
+        if request_id is None:
+            return None
+        pending = self._pending_by_id.get(request_id)
+        if pending is None:
+            return None
+        if attempt_id == f"{pending.request_id}.{pending.attempt}":
+            pending.sent_at = None
+            self._count(pending.target, -1)
+        return pending
+
+    def _statement_answer(
+        self, sender: str, answer: StatementAnswer, now: timedelta
+    ) -> list[Effect]:
+        pending = self._take_attempt(answer.request_id)
+        if pending is None:
+            return []
+        if not answer.error:
+            return self._complete(pending, self._outcome(pending, answer))
+        refusal = Refusal(ErrorKind(answer.error), answer.error_message)
+        return self._refused(pending, refusal, answer.retry_elsewhere, now)
+
+    def _refused(
+        self, pending: _Pending, refusal: Refusal, elsewhere: bool, now: timedelta
+    ) -> list[Effect]:
+        if pending.sent_at is not None:
+            # A later attempt is under way; only its answer decides.
+            return []
+        if refusal.kind is ErrorKind.OUTCOME_UNKNOWN and pending.is_repeatable:
+            pending.maybe_run = True
+            self._views.invalidate(pending.group)
+            return self._park(pending, now)
+        if not elsewhere or pending.in_transaction:
+            return self._complete(pending, refusal)
+        return self._retry(pending, refusal, now)
+
+    def _retry(
+        self, pending: _Pending, refusal: Refusal, now: timedelta
+    ) -> list[Effect]:
+        pending.last_refusal = refusal
+        pending.tried.add(pending.target)
+        if not pending.is_read:
+            # The view is out of date or the primary is being replaced.
+            self._views.invalidate(pending.group)
+            pending.tried.clear()
+            return self._park(pending, now)
+        if pending.attempt > 1 and not self._retries.allows_retry(now):
+            return self._park(pending, now)
+        return self._attempt(pending, now)
+
+    def _outcome(self, pending: _Pending, answer: StatementAnswer) -> Outcome:
+        wrote = not pending.is_read and not pending.in_transaction
+        return Outcome(
+            answer.columns,
+            answer.rows,
+            answer.row_count,
+            pending.group,
+            answer.position if wrote else None,
+            pending.target,
+            answer.role,
+            None,
+        )
+
+    def _transaction_answer(
+        self, answer: TransactionAnswer, now: timedelta
+    ) -> list[Effect]:
+        pending = self._take_attempt(answer.request_id)
+        if pending is None:
+            return []
+        if answer.error:
+            refusal = Refusal(ErrorKind(answer.error), answer.error_message)
+            return self._refused(pending, refusal, refusal.answer.retryable, now)
+        request = pending.request
+        committed = isinstance(request, End) and request.commit
+        return self._complete(
+            pending,
+            Outcome(
+                [],
+                [],
+                0,
+                pending.group,
+                answer.position if committed else None,
+                pending.target,
+                "primary",
+                self._opened(pending, answer),
+            ),
+        )
+
+    def _opened(
+        self, pending: _Pending, answer: TransactionAnswer
+    ) -> TransactionRef | None:
+        request = pending.request
+        if not isinstance(request, Begin):
+            return None
+        return TransactionRef(
+            request.account,
+            request.database,
+            request.group,
+            pending.target,
+            pending.owner,
+            answer.transaction,
+        )
+
+    def _undelivered(self, message: MessageUndelivered, now: timedelta) -> list[Effect]:
+        request = message.message
+        if not isinstance(request, StatementRequest | TransactionRequest):
+            return []
+        pending = self._take_attempt(request.request_id)
+        if pending is None or pending.sent_at is not None:
+            return []
+        refusal = Refusal(
+            ErrorKind.NO_TARGET, f"owner of {pending.target} refused the connection"
+        )
+        if pending.in_transaction:
+            return self._complete(pending, refusal)
+        pending.last_refusal = refusal
+        return self._attempt(pending, now)
+
+    def _peer_lost(self, lost: PeerLost, now: timedelta) -> list[Effect]:
+        effects: list[Effect] = []
+        for pending in list(self._pending_by_id.values()):
+            if pending.sent_at is None or pending.owner != lost.peer:
+                continue
+            if pending.is_repeatable:
+                effects += self._abandon_attempt(pending, now)
+        return effects
+
+    def _abandon_attempt(self, pending: _Pending, now: timedelta) -> list[Effect]:
+        """Try again without the answer; only for requests that may be repeated."""
+        pending.maybe_run = True
+        self._count(pending.target, -1)
+        pending.sent_at = None
+        if pending.is_read:
+            pending.tried.add(pending.target)
+        else:
+            self._views.invalidate(pending.group)
+        if not self._retries.allows_retry(now):
+            return self._park(pending, now)
+        return self._attempt(pending, now)
+
+    def _check_attempt(self, pending: _Pending, now: timedelta) -> list[Effect]:
+        if pending.sent_at is None:
+            return []
+        timeout = READ_ATTEMPT_TIMEOUT if pending.is_read else WRITE_ATTEMPT_TIMEOUT
+        if pending.is_repeatable and now - pending.sent_at >= timeout:
+            return self._abandon_attempt(pending, now)
+        return []
+
+    def _expire(self, pending: _Pending) -> list[Effect]:
+        if pending.sent_at is not None:
+            self._count(pending.target, -1)
+            pending.maybe_run = True
+        return self._complete(pending, pending.last_refusal)
+
+    def _complete(self, pending: _Pending, result: Outcome | Refusal) -> list[Effect]:
+        del self._pending_by_id[pending.request_id]
+        if isinstance(result, Refusal) and pending.maybe_run:
+            # An earlier attempt may have run, whatever the last one says.
+            result = Refusal(
+                ErrorKind.OUTCOME_UNKNOWN,
+                f"no answer from {pending.target}; the statement may have run",
+            )
+        for attempt in range(1, pending.attempt + 1):
+            self._request_by_attempt.pop(f"{pending.request_id}.{attempt}", None)
+        return [Complete(pending.request_id, result)]
+
+    def _view_changed(self, view: GroupView, now: timedelta) -> list[Effect]:
+        if not self._views.update(view, now):
+            return []
+        effects: list[Effect] = []
+        for pending in list(self._pending_by_id.values()):
+            if pending.wake_at is not None and pending.group == view.group:
+                effects += self._attempt(pending, now)
+        return effects
+
+    def _count(self, target: str, change: int) -> None:
+        total = self._in_flight_by_target.get(target, 0) + change
+        self._in_flight_by_target[target] = max(0, total)
