Add stand-ins for the platform and HTTP clients for them

The product needs a store, a directory and database servers to run against. NotSent and NoAnswer in core.exceptions separate a request that never left from one without a usable answer. StoreRefused and DirectoryRefused tell that a call was answered but not carried out.

--- a/bulrushloom/core/exceptions.py
+++ b/bulrushloom/core/exceptions.py
@@ -11,3 +11,11 @@
 
 class BadSignature(ValueError):
     """Report a signed value that was forged, truncated or has expired."""
+
+
+class NotSent(ConnectionError):
+    """Report a request that never left, because no connection was made."""
+
+
+class NoAnswer(ConnectionError):
+    """Report a request that may have arrived and got no usable answer."""
--- /dev/null
+++ b/bulrushloom/directories/http.py
@@ -0,0 +1,60 @@
+"""HTTP client of the platform's list of instances."""
+
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+
+from bulrushloom.core.exceptions import NoAnswer, NotSent
+from bulrushloom.core.http import JsonClient
+from bulrushloom.directories.base import InstanceDirectory, InstanceEntry
+from bulrushloom.directories.exceptions import DirectoryRefused, DirectoryUnavailable
+
+CALL_TIMEOUT = timedelta(seconds=2)
+
+_ENTRIES = TypeAdapter(dict[str, list[InstanceEntry]])
+
+
+class HttpInstanceDirectory(InstanceDirectory):
+    """Call the directory at ``address`` (``host:port``); thread-safe.
+
+    ``origin`` (``instance/domain``) names the caller. A call that the directory
+    turned down raises ``DirectoryRefused``.
+    """
+
+    def __init__(self, address: str, origin: str, timeout: timedelta = CALL_TIMEOUT):
+        self._client = JsonClient(address, origin)
+        self._timeout = timeout
+
+    def instances(self) -> list[InstanceEntry]:
+        """Return the live and leaving instances, as of some seconds ago."""
+        value = self._call("GET", "/instances")
+        try:
+            return _ENTRIES.validate_python(value)["instances"]
+        except (KeyError, ValidationError) as error:
+            raise DirectoryUnavailable(f"malformed answer: {error!r}") from error
+
+    def register(self, entry: InstanceEntry) -> None:
+        """Add or renew the own entry; it expires unless renewed."""
+        self._call("POST", "/register", entry._asdict())
+
+    def deregister(self, name: str, incarnation: str) -> None:
+        """Remove the own entry."""
+        body = {"name": name, "incarnation": incarnation}
+        self._call("POST", "/deregister", body)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._client.close()
+
+    def _call(self, method: str, path: str, body: Any = None) -> Any:
+        try:
+            answer = self._client.call(method, path, self._timeout, body)
+        except (NotSent, NoAnswer) as error:
+            raise DirectoryUnavailable(str(error)) from error
+        if HTTPStatus.BAD_REQUEST <= answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise DirectoryRefused(answer.reason)
+        if answer.status != HTTPStatus.OK:
+            raise DirectoryUnavailable(answer.reason)
+        return answer.value
--- a/bulrushloom/stores/exceptions.py
+++ b/bulrushloom/stores/exceptions.py
@@ -3,3 +3,7 @@
 
 class StoreUnavailable(ConnectionError):
     """Report a store call without an answer."""
+
+
+class StoreRefused(StoreUnavailable):
+    """Report a call that the store answered but did not carry out."""
--- /dev/null
+++ b/standins/database/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a replicated database server."""
--- /dev/null
+++ b/standins/database/app.py
@@ -0,0 +1,347 @@
+"""HTTP interface of the database server stand-in."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
+from typing import Annotated, Any
+
+from annotated_types import Ge, Le, MaxLen, MinLen
+from pydantic import ConfigDict, TypeAdapter, with_config
+from typing_extensions import NotRequired, TypedDict
+
+from bulrushloom.coordination.sessions.base import LogPosition
+from bulrushloom.databases.exceptions import RefusalReason, StatementRefused
+from standins.base import Answer, Request, Standin, ok
+from standins.database.replication import Replication, ship
+from standins.database.sessions import Session
+from standins.database.state import GroupSettings, ServerState
+from standins.database.statements import Statement, Statements
+from standins.faults import CommonFaults, Count, Faults, Milliseconds
+from standins.utils import BadRequest, DropConnection, parse_body
+
+MAX_POLL_MS = 60_000
+
+Number = Annotated[int, Ge(0), Le(2**62)]
+Term = Annotated[int, Ge(1), Le(2**62)]
+Position = Annotated[list[Number], MinLen(2), MaxLen(2)]
+Name = Annotated[str, MinLen(1), MaxLen(200)]
+Parameter = Annotated[int, Ge(-(2**63)), Le(2**63 - 1)] | float | str | bool | None
+PollTime = Annotated[int, Ge(0), Le(MAX_POLL_MS)]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class DatabaseFaults(CommonFaults, total=False):
+    """Add capacity, replication faults and refused connections.
+
+    ``queue`` bounds the statements that wait for one of the ``slots``. A replica
+    receives entries ``ship_lag_ms`` late and applies them ``lag_ms`` after that.
+    """
+
+    slots: Annotated[int, Ge(1), Le(1000)]
+    queue: Count
+    connections: Count
+    connect_ms: Milliseconds
+    service_ms: Milliseconds
+    lock_timeout_ms: Milliseconds
+    transaction_idle_ms: Milliseconds
+    lag_ms: Milliseconds
+    ship_lag_ms: Milliseconds
+    pause_replication: bool
+    refuse_connections: bool
+
+
+DEFAULTS: dict[str, Any] = {
+    "slots": 3,
+    "queue": 32,
+    "connections": 40,
+    "connect_ms": 10,
+    "service_ms": 0,
+    "lock_timeout_ms": 2_000,
+    # Longer than the idle limit of 30 s that the product itself applies.
+    "transaction_idle_ms": 35_000,
+    "lag_ms": 0,
+    "ship_lag_ms": 0,
+    "pause_replication": False,
+    "refuse_connections": False,
+}
+
+
+@with_config(ConfigDict(extra="forbid"))
+class IdempotencyBody(TypedDict):
+    """Identify a write."""
+
+    account: str
+    key: str
+    request_hash: str
+
+
+@with_config(ConfigDict(extra="forbid"))
+class ExecuteBody(TypedDict):
+    """Describe one statement on a connection."""
+
+    connection: str
+    sql: str
+    params: list[Parameter]
+    term: Term
+    read_only: bool
+    min_position: Position
+    max_age_ms: Number | None
+    wait_ms: PollTime
+    idempotency: IdempotencyBody | None
+
+
+@with_config(ConfigDict(extra="forbid"))
+class ConnectionBody(TypedDict):
+    """Name a connection."""
+
+    connection: str
+
+
+@with_config(ConfigDict(extra="forbid"))
+class TransactionBody(TypedDict):
+    """Name a connection and the term of its transaction."""
+
+    connection: str
+    term: Term
+
+
+@with_config(ConfigDict(extra="forbid"))
+class StatusBody(TypedDict):
+    """Wait until ``position`` is held."""
+
+    position: NotRequired[Position | None]
+    wait_ms: NotRequired[PollTime]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class CandidateBody(TypedDict):
+    """Name a term and its candidate."""
+
+    term: Term
+    candidate: Name
+
+
+@with_config(ConfigDict(extra="forbid"))
+class FollowBody(TypedDict):
+    """Name a term and the address of its primary."""
+
+    term: Term
+    primary: Name
+
+
+@with_config(ConfigDict(extra="forbid"))
+class ReplicateBody(TypedDict):
+    """Ask for the entries after ``previous``."""
+
+    term: Term
+    previous: Position
+    ship_lag_ms: Milliseconds
+
+
+_FAULTS = TypeAdapter(DatabaseFaults)
+_EXECUTE = TypeAdapter(ExecuteBody)
+_CONNECTION = TypeAdapter(ConnectionBody)
+_TRANSACTION = TypeAdapter(TransactionBody)
+_STATUS = TypeAdapter(StatusBody)
+_CANDIDATE = TypeAdapter(CandidateBody)
+_FOLLOW = TypeAdapter(FollowBody)
+_REPLICATE = TypeAdapter(ReplicateBody)
+_EMPTY = TypeAdapter(dict[str, str])
+
+
+def group_settings(
+    name: str, group: str, domain: str, peers: str, primary: bool
+) -> GroupSettings:
+    """Read ``peers`` (``name=host:port,...``); the own name may be among them."""
+    address_by_peer = {}
+    for item in filter(None, peers.split(",")):
+        peer, separator, address = item.partition("=")
+        if not separator or not address.rpartition(":")[2].isdigit():
+            raise ValueError(f"peers: {item!r} is not name=host:port")
+        if peer != name:
+            address_by_peer[peer] = address
+    return GroupSettings(name, group, domain, address_by_peer, primary)
+
+
+class DatabaseStandin(Standin):
+    """Serve one database server of a group."""
+
+    def __init__(self, settings: GroupSettings, schema: str = ""):
+        super().__init__(Faults(_FAULTS, DEFAULTS))
+        self.state = ServerState(settings, schema)
+        self._statements = Statements(self.state, self.faults)
+        self._replication = Replication(self.state, self.faults)
+        self.handler_by_route = {
+            ("GET", "/status"): self._status,
+            ("POST", "/status"): self._status,
+            ("POST", "/connect"): self._connect,
+            ("POST", "/disconnect"): self._disconnect,
+            ("POST", "/execute"): self._execute,
+            ("POST", "/begin"): self._begin,
+            ("POST", "/commit"): self._commit,
+            ("POST", "/rollback"): self._rollback,
+            ("POST", "/fence"): self._fence,
+            ("POST", "/promote"): self._promote,
+            ("POST", "/follow"): self._follow,
+            ("POST", "/replicate"): self._replicate,
+        }
+
+    def start(self, address: str) -> None:
+        """Start replication."""
+        self.state.address = address
+        self._replication.start()
+
+    def close(self) -> None:
+        """Wake all waiting requests and end replication."""
+        with self.state.changed:
+            self.state.closed = True
+            self.state.changed.notify_all()
+        self._replication.close()
+
+    def socket_closed(self, port: int) -> None:
+        """Close the connections of a socket; their transactions are rolled back."""
+        with self.state.changed:
+            for session in self.state.sessions.on_port(port):
+                self.state.close_session(session)
+
+    def faults_changed(self) -> None:
+        """Let waiting threads see the new settings."""
+        with self.state.changed:
+            self.state.changed.notify_all()
+
+    def bad_request(self, reason: str) -> Answer:
+        """Return the answer to input that is not understood."""
+        refusal = RefusalReason.BAD_REQUEST.value
+        return Answer(HTTPStatus.BAD_REQUEST, {"refused": refusal, "error": reason})
+
+    def _answer(self, environ: dict[str, Any]) -> Answer:
+        try:
+            return super()._answer(environ)
+        except StatementRefused as error:
+            self.faults.count(f"refused_{error.reason.value}")
+            value = {"refused": error.reason.value, "error": str(error)}
+            return Answer(HTTPStatus.CONFLICT, value)
+
+    def _connect(self, request: Request) -> Answer:
+        parse_body(_EMPTY, request.body)
+        if self.faults["refuse_connections"]:
+            self.faults.count("connections_refused")
+            raise DropConnection("connections are refused")
+        with self.state.changed:
+            session = self.state.sessions.open(request.port, self.faults["connections"])
+        self.faults.count("connect")
+        time.sleep(self.faults["connect_ms"] / 1000)
+        return ok({"connection": session.id})
+
+    def _disconnect(self, request: Request) -> Answer:
+        body = parse_body(_CONNECTION, request.body)
+        with self.state.changed:
+            session = self.state.sessions.find(body["connection"], request.port)
+            self.state.close_session(session)
+        return ok({})
+
+    def _execute(self, request: Request) -> Answer:
+        body = parse_body(_EXECUTE, request.body)
+        with self._using(body["connection"], request.port) as session:
+            self.faults.count("execute")
+            value, committed = self._statements.execute(session, _statement(body))
+        if committed:
+            self.faults.after_write()
+        return ok(value)
+
+    def _begin(self, request: Request) -> Answer:
+        body = parse_body(_TRANSACTION, request.body)
+        with self._using(body["connection"], request.port) as session:
+            self.faults.count("begin")
+            self._statements.begin(session, body["term"])
+        return ok({})
+
+    def _commit(self, request: Request) -> Answer:
+        body = parse_body(_TRANSACTION, request.body)
+        with self._using(body["connection"], request.port) as session:
+            self.faults.count("commit")
+            position = self._statements.commit(session, body["term"])
+        self.faults.after_write()
+        return ok({"position": list(position)})
+
+    def _rollback(self, request: Request) -> Answer:
+        body = parse_body(_CONNECTION, request.body)
+        with self._using(body["connection"], request.port) as session:
+            self.faults.count("rollback")
+            self._statements.rollback(session)
+        return ok({})
+
+    def _status(self, request: Request) -> Answer:
+        body = parse_body(_STATUS, request.body)
+        self.faults.count("status")
+        position = body.get("position")
+        deadline = time.monotonic() + body.get("wait_ms", 0) / 1000
+        with self.state.changed:
+            while position and self.state.log.position < LogPosition(*position):
+                remaining = deadline - time.monotonic()
+                if remaining <= 0 or self.state.closed:
+                    break
+                self.state.changed.wait(remaining)
+            return ok(self.state.status())
+
+    def _fence(self, request: Request) -> Answer:
+        body = parse_body(_CANDIDATE, request.body)
+        self.faults.count("fence")
+        with self.state.changed:
+            self.state.fence(body["term"], body["candidate"])
+            return ok(self.state.status())
+
+    def _promote(self, request: Request) -> Answer:
+        body = parse_body(_CANDIDATE, request.body)
+        self.faults.count("promote")
+        with self.state.changed:
+            self.state.promote(body["term"], body["candidate"])
+            return ok(self.state.status())
+
+    def _follow(self, request: Request) -> Answer:
+        body = parse_body(_FOLLOW, request.body)
+        if not body["primary"].rpartition(":")[2].isdigit():
+            raise BadRequest("primary: not host:port")
+        self.faults.count("follow")
+        with self.state.changed:
+            self.state.follow(body["term"], body["primary"])
+            return ok(self.state.status())
+
+    def _replicate(self, request: Request) -> Answer:
+        body = parse_body(_REPLICATE, request.body)
+        if self.faults["pause_replication"]:
+            raise DropConnection("replication is paused")
+        previous = LogPosition(*body["previous"])
+        lag = body["ship_lag_ms"] / 1000
+        return ok(ship(self.state, body["term"], previous, lag))
+
+    @contextmanager
+    def _using(self, connection: str, port: int) -> Iterator[Session]:
+        """Let one request at a time use a connection."""
+        with self.state.changed:
+            session = self.state.sessions.find(connection, port)
+            if session.busy:
+                message = "another request is using the connection"
+                raise StatementRefused(RefusalReason.BAD_REQUEST, message)
+            session.busy = True
+        try:
+            yield session
+        finally:
+            with self.state.changed:
+                session.busy = False
+                session.last_used = time.monotonic()
+
+
+def _statement(body: dict[str, Any]) -> Statement:
+    max_age = body["max_age_ms"]
+    return Statement(
+        body["sql"],
+        body["params"],
+        body["term"],
+        body["read_only"],
+        LogPosition(*body["min_position"]),
+        None if max_age is None else max_age / 1000,
+        body["wait_ms"] / 1000,
+        body["idempotency"],
+    )
--- /dev/null
+++ b/standins/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's list of instances."""
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,108 @@
+"""Faults that are switched on and off over HTTP."""
+
+import random
+import threading
+import time
+from collections import Counter
+from typing import Annotated, Any
+
+from annotated_types import Ge, Le
+from pydantic import ConfigDict, TypeAdapter, with_config
+from typing_extensions import TypedDict
+
+from standins.utils import DropConnection, parse_body
+
+Count = Annotated[int, Ge(0), Le(10**9)]
+Milliseconds = Annotated[int, Ge(0), Le(3_600_000)]
+Share = Annotated[float, Ge(0.0), Le(1.0)]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class CommonFaults(TypedDict, total=False):
+    """Settings of every stand-in.
+
+    ``outage`` closes connections without an answer. ``lose_answers`` loses the
+    answers of that many writes after they took effect, ``lose_rate`` loses a share
+    of them, drawn from ``lose_seed``. ``cut`` lists sender names or domains whose
+    requests are dropped after ``cut_hold_ms``.
+    """
+
+    outage: bool
+    slow_ms: Milliseconds
+    lose_answers: Count
+    lose_rate: Share
+    lose_seed: Count
+    cut: list[str]
+    cut_hold_ms: Milliseconds
+
+
+COMMON_DEFAULTS: dict[str, Any] = {
+    "outage": False,
+    "slow_ms": 0,
+    "lose_answers": 0,
+    "lose_rate": 0.0,
+    "lose_seed": 0,
+    "cut": [],
+    "cut_hold_ms": 0,
+}
+
+
+class Faults:
+    """Hold the settings and the call counts of one stand-in; thread-safe."""
+
+    def __init__(self, adapter: TypeAdapter[Any], defaults: dict[str, Any]):
+        self._adapter = adapter
+        self._setting_by_name = COMMON_DEFAULTS | defaults
+        self._lock = threading.Lock()
+        self._calls: Counter[str] = Counter()
+        self._random = random.Random(0)
+
+    def __getitem__(self, name: str) -> Any:
+        return self._setting_by_name[name]
+
+    def count(self, kind: str) -> None:
+        """Count one event of ``kind``."""
+        with self._lock:
+            self._calls[kind] += 1
+
+    def update(self, body: bytes) -> None:
+        """Change the settings named in the JSON ``body``; keep the others."""
+        changes = parse_body(self._adapter, body)
+        with self._lock:
+            self._setting_by_name = self._setting_by_name | changes
+            if "lose_seed" in changes:
+                self._random.seed(changes["lose_seed"])
+
+    def shown(self) -> dict[str, Any]:
+        """Return settings and counts as JSON values."""
+        with self._lock:
+            return {
+                "faults": dict(self._setting_by_name),
+                "calls": dict(self._calls),
+            }
+
+    def before(self, sender: str) -> None:
+        """Apply cut, outage and slowness to a request of ``sender``."""
+        cut = self["cut"]
+        if cut and (sender in cut or any(part in cut for part in sender.split("/"))):
+            self.count("cut")
+            time.sleep(self["cut_hold_ms"] / 1000)
+            raise DropConnection("sender is cut off")
+        if self["outage"]:
+            self.count("outage")
+            raise DropConnection("outage")
+        if self["slow_ms"]:
+            time.sleep(self["slow_ms"] / 1000)
+
+    def after_write(self) -> None:
+        """Drop the connection if the answer of this write is to be lost."""
+        with self._lock:
+            lost = self._setting_by_name["lose_answers"] > 0
+            if lost:
+                self._setting_by_name["lose_answers"] -= 1
+            elif self._setting_by_name["lose_rate"]:
+                lost = self._random.random() < self._setting_by_name["lose_rate"]
+            if lost:
+                self._calls["lost_answers"] += 1
+        if lost:
+            raise DropConnection("answer lost")
--- /dev/null
+++ b/standins/store/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform's configuration store."""
--- /dev/null
+++ b/standins/store/app.py
@@ -0,0 +1,174 @@
+"""HTTP interface of the store stand-in."""
+
+import threading
+import time
+from collections import deque
+from http import HTTPStatus
+from typing import Annotated, Any
+
+import orjson
+from annotated_types import Ge, Le, MaxLen, MinLen
+from pydantic import ConfigDict, TypeAdapter, with_config
+from typing_extensions import NotRequired, TypedDict
+
+from standins.base import Answer, Request, Standin, ok
+from standins.faults import CommonFaults, Count, Faults
+from standins.store.keys import Item, KeySpace
+from standins.utils import BadRequest, parse_body, query_integer
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WATCH_MS = 60_000
+
+Key = Annotated[str, MinLen(1), MaxLen(500)]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class StoreFaults(CommonFaults, total=False):
+    """Add caps on calls per second; 0 means no cap."""
+
+    reads_per_s: Count
+    writes_per_s: Count
+
+
+@with_config(ConfigDict(extra="forbid"))
+class SwapBody(TypedDict):
+    """Describe a compare-and-swap."""
+
+    key: Key
+    version: Annotated[int, Ge(0)]
+    value: Any
+    lease: NotRequired[str]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class GrantBody(TypedDict):
+    """Describe a new lease."""
+
+    ttl_ms: Annotated[int, Ge(1), Le(3_600_000)]
+
+
+@with_config(ConfigDict(extra="forbid"))
+class KeepAliveBody(TypedDict):
+    """Name the lease to renew."""
+
+    lease: str
+
+
+_FAULTS = TypeAdapter(StoreFaults)
+_SWAP = TypeAdapter(SwapBody)
+_GRANT = TypeAdapter(GrantBody)
+_KEEP_ALIVE = TypeAdapter(KeepAliveBody)
+
+
+class CallRate:
+    """Admit at most a given number of calls within any second."""
+
+    def __init__(self) -> None:
+        self._times: deque[float] = deque()
+        self._lock = threading.Lock()
+
+    def admit(self, cap: int) -> bool:
+        """Return whether a call fits under ``cap`` and count it if so."""
+        if not cap:
+            return True
+        now = time.monotonic()
+        with self._lock:
+            while self._times and self._times[0] <= now - 1:
+                self._times.popleft()
+            if len(self._times) >= cap:
+                return False
+            self._times.append(now)
+            return True
+
+
+class StoreStandin(Standin):
+    """Serve get, compare-and-swap, watch and leases."""
+
+    def __init__(self) -> None:
+        super().__init__(Faults(_FAULTS, {"reads_per_s": 0, "writes_per_s": 0}))
+        self.keys = KeySpace()
+        self._reads = CallRate()
+        self._writes = CallRate()
+        self.handler_by_route = {
+            ("GET", "/keys"): self._get,
+            ("GET", "/watch"): self._watch,
+            ("POST", "/swap"): self._swap,
+            ("POST", "/leases"): self._grant,
+            ("POST", "/leases/keep"): self._keep_alive,
+        }
+
+    def close(self) -> None:
+        """Wake all watchers."""
+        self.keys.close()
+
+    def _get(self, request: Request) -> Answer:
+        key = _key(request)
+        if not self._reads.admit(self.faults["reads_per_s"]):
+            return self._too_many()
+        self.faults.count("get")
+        return ok(_shown(self.keys.get(key)))
+
+    def _watch(self, request: Request) -> Answer:
+        key = _key(request)
+        version = query_integer(request.query, "version", 0, 10**15)
+        timeout = query_integer(request.query, "timeout_ms", 0, MAX_WATCH_MS)
+        if not self._reads.admit(self.faults["reads_per_s"]):
+            return self._too_many()
+        self.faults.count("watch")
+        return ok(_shown(self.keys.watch(key, version, timeout / 1000)))
+
+    def _swap(self, request: Request) -> Answer:
+        body = parse_body(_SWAP, request.body)
+        if len(orjson.dumps(body["value"])) > MAX_VALUE_BYTES:
+            raise BadRequest(f"value: larger than {MAX_VALUE_BYTES} bytes")
+        if not self._writes.admit(self.faults["writes_per_s"]):
+            return self._too_many()
+        self.faults.count("swap")
+        try:
+            swapped, item = self.keys.swap(
+                body["key"], body["version"], body["value"], body.get("lease", "")
+            )
+        except KeyError:
+            return _no_lease()
+        self.faults.after_write()
+        return ok({"swapped": swapped} | _shown(item))
+
+    def _grant(self, request: Request) -> Answer:
+        body = parse_body(_GRANT, request.body)
+        if not self._writes.admit(self.faults["writes_per_s"]):
+            return self._too_many()
+        self.faults.count("grant")
+        lease = self.keys.grant(body["ttl_ms"] / 1000)
+        self.faults.after_write()
+        return ok({"lease": lease})
+
+    def _keep_alive(self, request: Request) -> Answer:
+        body = parse_body(_KEEP_ALIVE, request.body)
+        if not self._writes.admit(self.faults["writes_per_s"]):
+            return self._too_many()
+        self.faults.count("keep_alive")
+        if not self.keys.keep_alive(body["lease"]):
+            return _no_lease()
+        self.faults.after_write()
+        return ok({})
+
+    def _too_many(self) -> Answer:
+        self.faults.count("too_many_requests")
+        return Answer(
+            HTTPStatus.TOO_MANY_REQUESTS, {"error": "too many calls per second"}
+        )
+
+
+def _key(request: Request) -> str:
+    key = request.query.get("key", "")
+    if not 1 <= len(key) <= 500:
+        raise BadRequest("key: must have 1 to 500 characters")
+    return key
+
+
+def _shown(item: Item) -> dict[str, Any]:
+    return {"version": item.version, "value": item.value}
+
+
+def _no_lease() -> Answer:
+    return Answer(HTTPStatus.NOT_FOUND, {"error": "lease: expired or unknown"})
--- /dev/null
+++ b/standins/utils.py
@@ -0,0 +1,50 @@
+"""Request validation and HTTP server details shared by the stand-ins."""
+
+import errno
+from typing import Any
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+
+
+class BadRequest(ValueError):
+    """Report a request that the stand-in cannot understand."""
+
+
+class DropConnection(BrokenPipeError):
+    """Make the HTTP server close the socket without an answer.
+
+    cheroot closes a connection silently when the handler raises a socket error
+    with this number.
+    """
+
+    def __init__(self, reason: str):
+        super().__init__(errno.EPIPE, reason)
+
+
+def parse_body(adapter: TypeAdapter[Any], body: bytes) -> Any:
+    """Decode and check a JSON body; raise ``BadRequest`` with the reason."""
+    try:
+        return adapter.validate_python(orjson.loads(body or b"{}"), strict=True)
+    except orjson.JSONDecodeError as error:
+        raise BadRequest(f"body is not JSON: {error}") from error
+    except ValidationError as error:
+        raise BadRequest(_first_reason(error)) from error
+
+
+def _first_reason(error: ValidationError) -> str:
+    first = error.errors(include_url=False, include_input=False)[0]
+    field = ".".join(str(part) for part in first["loc"]) or "body"
+    return f"{field}: {first['msg']}"
+
+
+def query_integer(query: dict[str, str], name: str, default: int, limit: int) -> int:
+    """Return an integer between 0 and ``limit`` from the query string."""
+    text = query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit()) or len(text) > 18:
+        raise BadRequest(f"{name}: not a whole number")
+    if int(text) > limit:
+        raise BadRequest(f"{name}: greater than {limit}")
+    return int(text)
