--- /dev/null
+++ b/bulrushloom/coordination/configuration/utils.py
@@ -0,0 +1,41 @@
+"""Text packing and instance ranking for the configuration spread."""
+
+import base64
+import zlib
+from collections.abc import Iterable
+
+import xxhash
+
+# Upper bound of a store value.
+MAX_UNPACKED_BYTES = 1_000_000
+
+
+def pack_text(text: str) -> str:
+    """Return ``text`` compressed with zlib and encoded with base64."""
+    return base64.b64encode(zlib.compress(text.encode(), 6)).decode()
+
+
+def unpack_text(packed: str) -> str:
+    """Return the text of ``pack_text``; raise ``ValueError`` if it is malformed.
+
+    The output is bounded, so that a small message cannot expand without limit.
+    """
+    try:
+        decompressor = zlib.decompressobj()
+        data = decompressor.decompress(
+            base64.b64decode(packed, validate=True), MAX_UNPACKED_BYTES + 1
+        )
+    except zlib.error as error:
+        raise ValueError(f"rules text cannot be decompressed: {error}") from error
+    if len(data) > MAX_UNPACKED_BYTES:
+        raise ValueError(f"rules text exceeds {MAX_UNPACKED_BYTES} bytes")
+    if not decompressor.eof:
+        raise ValueError("rules text is truncated")
+    return data.decode()
+
+
+def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
+    """Return ``names`` by descending random weight for ``key``."""
+    return sorted(
+        names, key=lambda name: (xxhash.xxh64_intdigest(f"{key}|{name}".encode()), name)
+    )
--- /dev/null
+++ b/bulrushloom/rules/lines.py
@@ -0,0 +1,160 @@
+"""Syntax of a single line of the rules file."""
+
+import re
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from bulrushloom.rules.values import (
+    parse_address,
+    parse_count,
+    parse_digest,
+    parse_duration,
+    parse_name,
+    parse_rate,
+)
+
+MAX_LINE_LENGTH = 1000
+
+_COMMENT = re.compile(r"\s*[\w.@-]+(?: [\w.@-]+)*\s*:\s*\S.*")
+
+Reader = Callable[[str], Any]
+
+
+class Problem(NamedTuple):
+    """Name a fault: line number from 1 (0 for the whole file), rule word, reason."""
+
+    line: int
+    word: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line of text."""
+        place = f"line {self.line}" if self.line else "file"
+        return (
+            f"{place}: {self.word}: {self.reason}"
+            if self.word
+            else (f"{place}: {self.reason}")
+        )
+
+
+class RuleSyntax(NamedTuple):
+    """Describe a rule word: positional arguments, required and optional options."""
+
+    arguments: dict[str, Reader]
+    required: dict[str, Reader]
+    optional: dict[str, Reader]
+
+
+class RuleLine(NamedTuple):
+    """Hold one checked line; ``value_by_name`` mixes arguments and options."""
+
+    line: int
+    word: str
+    value_by_name: dict[str, Any]
+
+
+SYNTAX_BY_WORD = {
+    "domain": RuleSyntax({"name": parse_name}, {"region": parse_name}, {}),
+    "group": RuleSyntax({"name": parse_name}, {}, {}),
+    "target": RuleSyntax(
+        {"name": parse_name},
+        {
+            "group": parse_name,
+            "domain": parse_name,
+            "address": parse_address,
+            "slots": parse_count,
+            "connections": parse_count,
+        },
+        {},
+    ),
+    "database": RuleSyntax({"name": parse_name}, {"group": parse_name}, {}),
+    "account": RuleSyntax(
+        {"name": parse_name},
+        {"rate": parse_rate, "burst": parse_count},
+        {"max_age": parse_duration},
+    ),
+    "key": RuleSyntax(
+        {"account": parse_name, "digest": parse_digest},
+        {},
+        {"offline": parse_duration},
+    ),
+    "withdraw": RuleSyntax({"digest": parse_digest}, {}, {}),
+    "allow": RuleSyntax({"account": parse_name, "database": parse_name}, {}, {}),
+    "leaving": RuleSyntax({"target": parse_name}, {}, {}),
+}
+
+
+def is_blank(line: str) -> bool:
+    """Return whether a line is empty or a whole-line comment."""
+    return not line.strip() or line.lstrip().startswith("#")
+
+
+def split_line(line: str) -> tuple[list[str], str | None]:
+    """Return the words before the comment, and the comment or ``None``."""
+    rule, mark, comment = line.partition("#")
+    return rule.split(), comment.strip() if mark else None
+
+
+def parse_line(number: int, line: str) -> RuleLine | list[Problem]:
+    """Check the syntax of one line that is not blank."""
+    words, comment = split_line(line)
+    word = words[0] if words else ""
+    shown = word if word in SYNTAX_BY_WORD else ""
+    reasons = _line_reasons(line, comment)
+    value_by_name: dict[str, Any] = {}
+    if shown:
+        reasons += _read_values(SYNTAX_BY_WORD[word], words[1:], value_by_name)
+    else:
+        reasons.append(f"unknown rule word {word[:40]!r}")
+    if reasons:
+        return [Problem(number, shown, reason) for reason in reasons]
+    return RuleLine(number, word, value_by_name)
+
+
+def _line_reasons(line: str, comment: str | None) -> list[str]:
+    reasons = []
+    if len(line) > MAX_LINE_LENGTH:
+        reasons.append(f"the line is longer than {MAX_LINE_LENGTH} characters")
+    if not line.isprintable() and not line.replace("\t", " ").isprintable():
+        reasons.append("the line holds a control character")
+    if comment is None:
+        reasons.append("the comment '# who: why' is missing")
+    elif not _COMMENT.fullmatch(comment):
+        reasons.append("the comment does not have the form '# who: why'")
+    return reasons
+
+
+def _read_values(
+    syntax: RuleSyntax, words: list[str], value_by_name: dict[str, Any]
+) -> list[str]:
+    arguments = [word for word in words if "=" not in word]
+    options = [word.partition("=") for word in words if "=" in word]
+    names = list(syntax.arguments)
+    reasons = []
+    if len(arguments) != len(names):
+        expected = " ".join(name.upper() for name in names)
+        reasons.append(f"expects the arguments {expected}, got {len(arguments)}")
+    for name, text in zip(names, arguments, strict=False):
+        reasons += _read_value(name, syntax.arguments[name], text, value_by_name)
+    readers = syntax.required | syntax.optional
+    given = set()
+    for name, _, text in options:
+        if name not in readers:
+            reasons.append(f"unknown option {name[:40]!r}")
+        elif name in given:
+            reasons.append(f"option {name} is given twice")
+        else:
+            reasons += _read_value(name, readers[name], text, value_by_name)
+        given.add(name)
+    missing = [name for name in syntax.required if name not in given]
+    return reasons + [f"option {name}= is missing" for name in missing]
+
+
+def _read_value(
+    name: str, reader: Reader, text: str, value_by_name: dict[str, Any]
+) -> list[str]:
+    try:
+        value_by_name[name] = reader(text)
+    except ValueError as error:
+        return [f"{name} {text[:80]!r} {error}"]
+    return []
