--- /dev/null
+++ b/bulrushloom/coordination/failover/planning.py
@@ -0,0 +1,147 @@
+"""What a group with a serving primary still needs: followers and planned rounds."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from bulrushloom.coordination.failover.base import FailoverPolicy
+from bulrushloom.coordination.failover.rounds import (
+    RoundKind,
+    is_rejoin_term,
+    may_rejoin,
+)
+from bulrushloom.coordination.failover.servers import ServerRecord, ServerTable
+
+
+class _Wish(NamedTuple):
+    kind: RoundKind
+    since: timedelta
+
+
+class PlannedRounds:
+    """Time planned rounds: by rank, and ever later while they do not help."""
+
+    def __init__(self, policy: FailoverPolicy):
+        self._policy = policy
+        self._wish: _Wish | None = None
+        self._started = 0
+
+    @property
+    def is_insistent(self) -> bool:
+        """Tell whether earlier moves left the primary where it was."""
+        return self._started > self._policy.kept_moves
+
+    def due(
+        self,
+        table: ServerTable,
+        primary: ServerRecord,
+        term: int,
+        rank: int | None,
+        now: timedelta,
+    ) -> RoundKind | None:
+        """Return the planned round whose time has come."""
+        kind = wanted_round(table, primary, term, now)
+        if kind is None:
+            self._wish, self._started = None, 0
+            return None
+        if self._wish is None or self._wish.kind is not kind:
+            self._wish = _Wish(kind, now)
+        if rank is None or now - self._wish.since < self._delay(kind, rank):
+            return None
+        return kind
+
+    def count_start(self) -> None:
+        """Count a round that starts now."""
+        self._started += 1
+
+    def restart(self) -> None:
+        """Measure the delay anew, from the next time that a round is wanted."""
+        self._wish = None
+
+    def _delay(self, kind: RoundKind, rank: int) -> timedelta:
+        delay = rank * self._policy.rank_delay
+        if kind is RoundKind.REGROUP:
+            delay += self._policy.quiet_time
+        growth = 2 ** min(self._started, 8) - 1
+        return delay + min(
+            growth * self._policy.quiet_time, self._policy.max_planned_delay
+        )
+
+
+def wanted_round(
+    table: ServerTable, primary: ServerRecord, term: int, now: timedelta
+) -> RoundKind | None:
+    """Return the planned round that the group needs, if any.
+
+    A leaving primary is moved. A server in a higher term than the primary's refuses
+    its log, and one without a log may only return in a rejoin term: both need a new
+    term, granted by all.
+    """
+    if primary.target.leaving and any(not r.target.leaving for r in table.records):
+        return RoundKind.MOVE
+    reachable = table.reachable(now)
+    others = [record for record in reachable if record is not primary]
+    if any(record.status and record.status.term > term for record in others):
+        return RoundKind.REGROUP
+    if len(reachable) == len(table.record_by_target) and any(
+        not record.has_log and not _awaits_rejoin(record, term) for record in others
+    ):
+        return RoundKind.REGROUP
+    return None
+
+
+def can_start(
+    kind: RoundKind, table: ServerTable, primary: ServerRecord, now: timedelta
+) -> bool:
+    """Tell whether a planned round would succeed without a long interruption."""
+    reachable = [record for record in table.reachable(now) if record.has_log]
+    if len(reachable) < table.majority:
+        return False
+    if kind is RoundKind.REGROUP:
+        return True
+    term = primary.status.term if primary.status is not None else 0
+    return any(
+        record.status is not None and record.status.held.term == term
+        for record in reachable
+        if not record.target.leaving
+    )
+
+
+def servers_to_redirect(
+    table: ServerTable,
+    primary: ServerRecord,
+    term: int,
+    policy: FailoverPolicy,
+    now: timedelta,
+) -> list[ServerRecord]:
+    """Return the servers to be told to follow the primary of ``term`` now."""
+    return [
+        record
+        for record in table.reachable(now)
+        if record is not primary
+        and _is_astray(record, term, policy, now)
+        and (record.has_log or may_rejoin(record, term, table, now))
+        and (
+            record.followed_at is None
+            or now - record.followed_at >= policy.poll_interval
+        )
+    ]
+
+
+def _awaits_rejoin(record: ServerRecord, term: int) -> bool:
+    return (
+        record.status is not None
+        and record.status.term == term
+        and is_rejoin_term(term)
+    )
+
+
+def _is_astray(
+    record: ServerRecord, term: int, policy: FailoverPolicy, now: timedelta
+) -> bool:
+    """Tell whether a server does not replicate from the primary of ``term``."""
+    status = record.status
+    if status is None or record.seen_at is None or status.term > term:
+        return False
+    if status.term < term or status.held.term < term or status.primary_heard is None:
+        return True
+    return status.primary_heard + (now - record.seen_at) > policy.heard_within
--- /dev/null
+++ b/bulrushloom/coordination/failover/servers.py
@@ -0,0 +1,182 @@
+"""What one watcher knows about the servers of its group."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from bulrushloom.coordination.failover.base import (
+    FailoverPolicy,
+    GroupTarget,
+    ServerState,
+    has_no_log,
+    is_serving,
+    majority_of,
+)
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.databases.base import ServerStatus
+
+
+class ServerRecord:
+    """Hold the last status of one server and the polls it has missed."""
+
+    def __init__(self, target: GroupTarget):
+        self.target = target
+        self.status: ServerStatus | None = None
+        self.seen_at: timedelta | None = None
+        self.missed = 0
+        self.polled_at: timedelta | None = None
+        self.poll_open = False
+        self.followed_at: timedelta | None = None
+
+    @property
+    def has_log(self) -> bool:
+        """Tell whether the server was last seen with a log."""
+        return self.status is not None and not has_no_log(self.status)
+
+
+class ServerTable:
+    """Keep the records of a group's servers, in the order of the rules."""
+
+    def __init__(self, policy: FailoverPolicy):
+        self._policy = policy
+        self._resumed_at = timedelta()
+        self.highest_term = 0
+        self.record_by_target: dict[str, ServerRecord] = {}
+
+    def update(self, targets: Sequence[GroupTarget]) -> None:
+        """Replace the list of servers; known ones keep their record."""
+        old = self.record_by_target
+        self.record_by_target = {
+            target.name: old.get(target.name) or ServerRecord(target)
+            for target in targets
+        }
+        for target in targets:
+            self.record_by_target[target.name].target = target
+
+    @property
+    def records(self) -> list[ServerRecord]:
+        """Return all records in the order of the rules."""
+        return list(self.record_by_target.values())
+
+    @property
+    def majority(self) -> int:
+        """Return how many servers make a majority of the group."""
+        return majority_of(len(self.record_by_target))
+
+    def resume(self, now: timedelta) -> None:
+        """Discount silence before ``now``, during which the watcher was paused."""
+        self._resumed_at = now
+        for record in self.records:
+            record.missed = 0
+            record.poll_open = False
+
+    def answered(self, name: str, status: ServerStatus, now: timedelta) -> bool:
+        """Take a status; return whether it is news.
+
+        A status of a lower term than one seen before was delayed, except that a
+        server without a log has lost its term as well.
+        """
+        record = self.record_by_target.get(name)
+        if record is None:
+            return False
+        if record.status is not None and _is_outdated(status, record.status):
+            return False
+        self.highest_term = max(self.highest_term, status.term)
+        record.status, record.seen_at = status, now
+        record.missed, record.poll_open = 0, False
+        return True
+
+    def failed(self, name: str) -> None:
+        """Count a poll without an answer."""
+        record = self.record_by_target.get(name)
+        if record is not None:
+            record.missed += 1
+            record.poll_open = False
+
+    def due_polls(self, now: timedelta) -> list[str]:
+        """Return the servers to poll now and count polls that are still open."""
+        due = [
+            record
+            for record in self.records
+            if record.polled_at is None
+            or now - record.polled_at >= self._policy.poll_interval
+        ]
+        for record in due:
+            if record.poll_open:
+                record.missed += 1
+            record.polled_at, record.poll_open = now, True
+        return [record.target.name for record in due]
+
+    def silence(self, record: ServerRecord, now: timedelta) -> timedelta:
+        """Return how long the server has not answered while this watcher ran."""
+        since = self._resumed_at
+        if record.seen_at is not None:
+            since = max(since, record.seen_at)
+        return now - since
+
+    def is_reachable(self, record: ServerRecord, now: timedelta) -> bool:
+        """Tell whether the server answered and is not suspected."""
+        return (
+            record.seen_at is not None
+            and record.missed < self._policy.missed_polls
+            and self.silence(record, now) < self._policy.silence
+        )
+
+    def is_fresh(self, record: ServerRecord, now: timedelta) -> bool:
+        """Tell whether the status is recent, whether or not the watcher was paused."""
+        return record.seen_at is not None and now - record.seen_at < (
+            self._policy.silence
+        )
+
+    def reachable(self, now: timedelta) -> list[ServerRecord]:
+        """Return the records of the servers that answer."""
+        return [record for record in self.records if self.is_reachable(record, now)]
+
+    def find_serving(self, min_term: int) -> ServerRecord | None:
+        """Return the primary of the highest term, unless below ``min_term``."""
+        serving = [
+            record
+            for record in self.records
+            if record.status is not None
+            and is_serving(record.status)
+            and record.status.term >= min_term
+        ]
+        return max(serving, key=_term_of, default=None)
+
+    def count_hearing(self, term: int, now: timedelta) -> int:
+        """Return how many servers heard lately from a primary of ``term`` or later."""
+        return sum(self._hears(record, term, now) for record in self.reachable(now))
+
+    def _hears(self, record: ServerRecord, term: int, now: timedelta) -> bool:
+        status = record.status
+        if status is None or record.seen_at is None or status.primary_heard is None:
+            return False
+        heard = status.primary_heard + (now - record.seen_at)
+        return status.term >= term and heard <= self._policy.heard_within
+
+    def states(self, now: timedelta) -> dict[str, ServerState]:
+        """Return the public view of all servers."""
+        return {
+            name: ServerState(
+                record.status or Missing("no answer so far"),
+                record.seen_at,
+                self.is_reachable(record, now),
+            )
+            for name, record in self.record_by_target.items()
+        }
+
+
+def _is_outdated(status: ServerStatus, known: ServerStatus) -> bool:
+    """Tell whether a status was sent before the one that is known.
+
+    Terms only grow, and entries of a server's current term are never discarded; a
+    server that lost its log starts over.
+    """
+    if has_no_log(status) or has_no_log(known):
+        return False
+    if status.term != known.term:
+        return status.term < known.term
+    return known.held.term == known.term and status.held < known.held
+
+
+def _term_of(record: ServerRecord) -> int:
+    return record.status.term if record.status is not None else 0
--- /dev/null
+++ b/bulrushloom/coordination/failover/suspicion.py
@@ -0,0 +1,95 @@
+"""Decide when a watcher that misses the primary may start a round."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from bulrushloom.coordination.failover.base import (
+    FailoverPolicy,
+    WatcherReport,
+    is_serving,
+)
+from bulrushloom.coordination.failover.servers import ServerRecord, ServerTable
+
+
+class _Report(NamedTuple):
+    received_at: timedelta
+    report: WatcherReport
+
+
+class Suspicion:
+    """Weigh the watcher's own view against the servers and the other watchers."""
+
+    def __init__(self, policy: FailoverPolicy):
+        self._policy = policy
+        self._since = timedelta()
+        self._delay = policy.silence
+        self._report_by_watcher: dict[str, _Report] = {}
+
+    def begin(self, now: timedelta, delay: timedelta) -> None:
+        """Start to suspect; ``delay`` comes before the turn of the first rank."""
+        self._since, self._delay = now, delay
+
+    def add_report(self, sender: str, report: WatcherReport, now: timedelta) -> None:
+        """Keep the newest report of another watcher."""
+        self._report_by_watcher[sender] = _Report(now, report)
+
+    def turn(self, rank: int) -> timedelta:
+        """Return when the watcher of ``rank`` may act."""
+        return self._since + self._delay + rank * self._policy.rank_delay
+
+    def obstacle(
+        self,
+        table: ServerTable,
+        primary: ServerRecord | None,
+        term: int,
+        watchers: Sequence[str],
+        now: timedelta,
+    ) -> str | None:
+        """Return why no promotion may start now, or ``None``.
+
+        A round without a quorum in reach would only raise the term of the servers
+        that it reaches and so cut them off from a working primary.
+        """
+        reachable = table.reachable(now)
+        with_log = sum(record.has_log for record in reachable)
+        if with_log < table.majority and len(reachable) < len(table.records):
+            return f"{with_log} servers with a log answer, {table.majority} needed"
+        if primary is not None and _says_it_serves_no_more(primary, table, now):
+            return None
+        if table.count_hearing(term, now) < table.majority:
+            return None
+        if self._may_override(table, primary, term, watchers, now):
+            return None
+        return "a majority of the servers hear the primary"
+
+    def _may_override(
+        self,
+        table: ServerTable,
+        primary: ServerRecord | None,
+        term: int,
+        watchers: Sequence[str],
+        now: timedelta,
+    ) -> bool:
+        silence = now - self._since
+        if primary is not None:
+            silence = table.silence(primary, now)
+        if silence < self._policy.override_after:
+            return False
+        return not any(
+            item.report.reachable
+            and item.report.term >= term
+            and now - item.received_at <= self._policy.heard_within
+            for watcher, item in self._report_by_watcher.items()
+            if watcher in watchers
+        )
+
+
+def _says_it_serves_no_more(
+    primary: ServerRecord, table: ServerTable, now: timedelta
+) -> bool:
+    return (
+        primary.status is not None
+        and table.is_reachable(primary, now)
+        and not is_serving(primary.status)
+    )
