--- a/bulrushloom/conf/base.py
+++ b/bulrushloom/conf/base.py
@@ -22,3 +22,4 @@
     request_timeout_ms: int
     drain_timeout_ms: int
     poll_interval_ms: int
+    fault_injection: bool
--- a/bulrushloom/conf/loader.py
+++ b/bulrushloom/conf/loader.py
@@ -43,6 +43,7 @@
     request_timeout_ms: NotRequired[Milliseconds]
     drain_timeout_ms: NotRequired[Milliseconds]
     poll_interval_ms: NotRequired[Milliseconds]
+    fault_injection: NotRequired[Annotated[bool, Field(strict=True)]]
 
 
 DEFAULTS: dict[str, Any] = {
@@ -52,6 +53,8 @@
     "request_timeout_ms": 5_000,
     "drain_timeout_ms": 25_000,
     "poll_interval_ms": 500,
+    # Opens an interface for failure tests on the peer address; never in production.
+    "fault_injection": False,
 }
 
 _SETTINGS_FILE = TypeAdapter(SettingsFile)
--- a/bulrushloom/coordination/configuration/assurance.py
+++ b/bulrushloom/coordination/configuration/assurance.py
@@ -23,13 +23,13 @@
 
     def __init__(self, domain: str):
         self._domain = domain
-        self._assured_at: timedelta | None = None
+        self.assured_at: timedelta | None = None
         self._outage_at_by_domain: dict[str, timedelta] = {}
 
     def confirm(self, moment: timedelta) -> None:
         """Record that no newer version existed at ``moment``."""
-        if self._assured_at is None or moment > self._assured_at:
-            self._assured_at = moment
+        if self.assured_at is None or moment > self.assured_at:
+            self.assured_at = moment
 
     def report_outage(self, domain: str, moment: timedelta) -> None:
         """Record that a reader of ``domain`` could not reach the store."""
@@ -58,7 +58,7 @@
 
     def age(self, now: timedelta) -> timedelta | None:
         """Return the time since the latest proof or ``None`` without one."""
-        return None if self._assured_at is None else now - self._assured_at
+        return None if self.assured_at is None else now - self.assured_at
 
     def outage_ages(self, now: timedelta) -> Mapping[str, timedelta]:
         """Return the ages of the outage reports that can still matter."""
--- a/bulrushloom/coordination/configuration/tracker.py
+++ b/bulrushloom/coordination/configuration/tracker.py
@@ -17,7 +17,6 @@
 )
 from bulrushloom.coordination.configuration.assurance import (
     FRESH_FOR,
-    STALE_GRACE,
     Assurance,
 )
 from bulrushloom.coordination.configuration.base import (
@@ -35,10 +34,10 @@
     Topology,
 )
 from bulrushloom.coordination.configuration.utils import pack_text, unpack_text
+from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.core.clock import milliseconds
-from bulrushloom.core.errors import ErrorKind, Refusal
-from bulrushloom.rules.base import EMPTY_RULES, KeyRule, RuleSet
-from bulrushloom.rules.keys import find_key
+from bulrushloom.core.errors import Refusal
+from bulrushloom.rules.base import EMPTY_RULES, RuleSet
 from bulrushloom.rules.parser import parse_rules
 
 PING_INTERVAL = timedelta(seconds=1)
@@ -99,6 +98,11 @@
         """Return the instances that announced that they drain."""
         return frozenset(self._draining_peers)
 
+    @property
+    def view(self) -> ConfigurationView:
+        """Return an immutable snapshot for other threads."""
+        return ConfigurationView(self.rules, self._assurance.assured_at)
+
     def is_fresh(self, now: timedelta) -> bool:
         """Return whether no newer version existed 3 s ago or later."""
         age = self._assurance.age(now)
@@ -106,12 +110,11 @@
 
     def find_account(self, presented: str, now: timedelta) -> str | Refusal:
         """Return the account of a presented key or why the key is refused."""
-        rule = find_key(self.rules, presented)
-        return self._check_key(rule, now)
+        return self.view.find_account(presented, now)
 
     def key_allowed(self, digest: str, now: timedelta) -> str | Refusal:
         """Return the account of the key with ``digest`` or why it is refused."""
-        return self._check_key(self.rules.key_by_digest.get(digest), now)
+        return self.view.check_key(self.rules.key_by_digest.get(digest), now)
 
     def update_instances(
         self, domain_by_name: Mapping[str, str], now: timedelta
@@ -160,18 +163,6 @@
     def _domains(self) -> frozenset[str]:
         return frozenset(self.rules.domain_by_name) or self._topology.domains
 
-    def _check_key(self, rule: KeyRule | None, now: timedelta) -> str | Refusal:
-        if rule is None:
-            return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
-        age = self._assurance.age(now)
-        limit = FRESH_FOR + max(STALE_GRACE, rule.offline)
-        if age is None or age > limit:
-            return Refusal(
-                ErrorKind.CONFIGURATION_STALE,
-                "this instance cannot tell whether the key was withdrawn",
-            )
-        return rule.account
-
     def _read_if_due(self, now: timedelta) -> list[Effect]:
         if not (self._topology.is_reader or self._substitutes(now)):
             return []
--- a/bulrushloom/instance/coordinator.py
+++ b/bulrushloom/instance/coordinator.py
@@ -13,15 +13,22 @@
     SwapKey,
 )
 from bulrushloom.coordination.configuration.base import RulesChanged
-from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.core.clock import Clock
 from bulrushloom.core.errors import ErrorKind, Refusal
 from bulrushloom.core.tasks import MailboxTask
-from bulrushloom.instance.base import Complete, Outcome
+from bulrushloom.databases.exceptions import ServerUnreachable
+from bulrushloom.instance.base import (
+    Complete,
+    Executed,
+    Outcome,
+    RunBegin,
+    RunEnd,
+    RunStatement,
+)
 from bulrushloom.instance.executor import TargetExecutor
 from bulrushloom.instance.frontend import CallerSubmit, Frontend, StatusRequest
 from bulrushloom.instance.node import Admit, Node
-from bulrushloom.instance.platform import DirectoryTask, StoreTask
+from bulrushloom.instance.platform import DirectoryTask, InstancesListed, StoreTask
 from bulrushloom.instance.status import node_status
 from bulrushloom.peers.base import MessageReceived, PeerTransport
 
@@ -84,6 +91,9 @@
             message.future.set_result(self._node.is_idle)
         elif isinstance(message, Drain):
             self._carry_out(self._node.drain(now))
+        elif isinstance(message, InstancesListed):
+            self._carry_out(self._node.handle(self._node.own, message, now))
+            self._update_peers()
         else:
             self._carry_out(self._node.handle(self._node.own, message, now))
 
@@ -93,7 +103,7 @@
         if now >= self._next_directory_at:
             self._next_directory_at = now + DIRECTORY_INTERVAL
             self.edges.directory.refresh(self._own_entry())
-        self._publish(now)
+        self._publish()
 
     def failed(self, error: Exception) -> None:
         """Log an unexpected exception; the task goes on."""
@@ -103,10 +113,18 @@
     def _own_entry(self) -> Any:
         return self._node.table.own._replace(leaving=self._node.draining)
 
-    def _publish(self, now: timedelta) -> None:
-        tracker = self._node.tracker
-        view = ConfigurationView(tracker.rules, tracker.assured_at)
-        self.edges.frontend.configuration = view
+    def _update_peers(self) -> None:
+        entries = self._node.table.instance_by_name.values()
+        self.edges.transport.update_peers(
+            {
+                entry.name: entry.address
+                for entry in entries
+                if entry.name != self._node.own
+            }
+        )
+
+    def _publish(self) -> None:
+        self.edges.frontend.configuration = self._node.tracker.view
 
     def _submit(self, message: CallerSubmit, now: timedelta) -> None:
         request_id = message.submit.request_id
@@ -138,11 +156,15 @@
         rule = self._node.rules.target_by_name.get(effect.target)
         if rule is not None:
             self.edges.executor.submit(effect, rule)
+        elif isinstance(effect, RunStatement | RunBegin | RunEnd):
+            error = ServerUnreachable(f"target {effect.target} is no longer declared")
+            executed = Executed(effect.target, effect.request_id, error, timedelta())
+            self.post(executed)
 
     def _rules_changed(self) -> None:
         rules = self._node.rules
         self.edges.executor.update_targets(rules.target_by_name)
-        self._publish(self.clock.monotonic())
+        self._publish()
 
     def _complete(self, effect: Complete) -> None:
         future = self._future_by_id.pop(effect.request_id, None)
--- a/bulrushloom/instance/executor.py
+++ b/bulrushloom/instance/executor.py
@@ -7,8 +7,8 @@
 
 from bulrushloom.coordination.base import Effect
 from bulrushloom.coordination.failover.base import (
-    FenceFailed,
     Fenced,
+    FenceFailed,
     FenceRefused,
     FenceServer,
     Followed,
@@ -26,6 +26,7 @@
     AwaitFailed,
     AwaitHeld,
 )
+from bulrushloom.coordination.sessions.base import LogPosition
 from bulrushloom.core.clock import Clock
 from bulrushloom.databases.base import DatabaseServer
 from bulrushloom.databases.exceptions import (
@@ -42,6 +43,9 @@
 STATEMENT_THREADS = 48
 CONTROL_THREADS = 24
 
+# Longest wait for a connection that another statement of this owner uses.
+POOL_TIMEOUT = timedelta(seconds=1)
+
 Post = Callable[[Any], None]
 MakeServer = Callable[[str], DatabaseServer]
 
@@ -105,12 +109,12 @@
 
     def _run(self, effect: RunStatement | RunBegin | RunEnd, at: _Endpoint) -> None:
         started = self._clock.monotonic()
-        result: Any
+        result: Any = None
         try:
             if isinstance(effect, RunStatement):
                 result = self._run_statement(effect, at)
             elif isinstance(effect, RunBegin):
-                result = self._run_begin(effect, at)
+                self._run_begin(effect, at)
             else:
                 result = self._run_end(effect, at)
         except Exception as error:
@@ -120,12 +124,12 @@
 
     def _run_statement(self, effect: RunStatement, at: _Endpoint) -> Any:
         if not effect.handle:
-            with at.pool.connection() as connection:
+            with at.pool.connection(POOL_TIMEOUT) as connection:
                 return at.server.execute(connection, effect.work)
         return at.server.execute(_held(at, effect.handle), effect.work)
 
     def _run_begin(self, effect: RunBegin, at: _Endpoint) -> None:
-        connection = at.pool.acquire()
+        connection = at.pool.acquire(POOL_TIMEOUT)
         try:
             at.server.begin(connection, effect.term)
         except DatabaseError:
@@ -138,16 +142,21 @@
         if connection is None:
             raise _no_transaction(effect.handle)
         try:
-            if effect.commit:
-                result = at.server.commit(connection, effect.term)
-            else:
-                result = at.server.rollback(connection)
+            position = self._finish(effect, connection, at.server)
         except Exception:
             # The server rolls back what is open on a closed connection.
             at.pool.discard(connection)
             raise
         at.pool.release(connection)
-        return result
+        return position
+
+    def _finish(
+        self, effect: RunEnd, connection: str, server: DatabaseServer
+    ) -> LogPosition | None:
+        if effect.commit:
+            return server.commit(connection, effect.term)
+        server.rollback(connection)
+        return None
 
     def _call(self, effect: Effect, at: _Endpoint) -> None:
         self._post(self._control_result(effect, at))
--- a/bulrushloom/instance/groups.py
+++ b/bulrushloom/instance/groups.py
@@ -139,7 +139,9 @@
             if status.age is not None and server.seen_at is not None:
                 age_ms = milliseconds(status.age)
             servers.append(
-                ServerView(target, server.reachable, status.term, status.applied, age_ms)
+                ServerView(
+                    target, server.reachable, status.term, status.applied, age_ms
+                )
             )
         primary = "" if isinstance(state.primary, Missing) else state.primary
         return GroupView(self.group, state.term, primary, servers)
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -24,8 +24,8 @@
 from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
 from bulrushloom.coordination.failover.base import (
     FailoverPolicy,
-    FenceFailed,
     Fenced,
+    FenceFailed,
     FenceRefused,
     Followed,
     FollowFailed,
@@ -247,7 +247,9 @@
         self.table.mark_unreachable(message.recipient, now)
         return self.router.handle(sender, message, now)
 
-    def _peer_lost(self, sender: str, message: PeerLost, now: timedelta) -> list[Effect]:
+    def _peer_lost(
+        self, sender: str, message: PeerLost, now: timedelta
+    ) -> list[Effect]:
         self.table.mark_unreachable(message.peer, now)
         return self.router.handle(sender, message, now)
 
--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -439,7 +439,9 @@
         effects: list[Effect] = []
         if isinstance(job.request, StatementRequest):
             effects = self._statement_ended(job.request, failure, now)
-        return effects + self._reply(request_id, error_answer(job.request, failure), now)
+        return effects + self._reply(
+            request_id, error_answer(job.request, failure), now
+        )
 
     def _refuse(self, job: _Job, failure: Failure) -> Effect:
         return SendMessage(job.sender, error_answer(job.request, failure))
--- /dev/null
+++ b/bulrushloom/instance/runtime.py
@@ -0,0 +1,174 @@
+"""Start, run and stop one instance."""
+
+import os
+import random
+import secrets
+import signal
+import threading
+import time
+from concurrent.futures import Future
+from contextlib import ExitStack
+from datetime import timedelta
+from types import FrameType
+
+from bulrushloom.conf.base import Settings
+from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
+from bulrushloom.coordination.failover.base import FailoverPolicy
+from bulrushloom.coordination.limits.client import ShareClient
+from bulrushloom.coordination.limits.holder import ShareHolder
+from bulrushloom.coordination.membership.base import InstanceTable
+from bulrushloom.coordination.queueing.fair import FairQueue
+from bulrushloom.coordination.retries.policies import BudgetedRetries
+from bulrushloom.coordination.routing.policies import FreshReplicaPolicy
+from bulrushloom.core.clock import Clock, SystemClock
+from bulrushloom.core.requests import RequestLimits
+from bulrushloom.core.servers import ServerOptions
+from bulrushloom.databases.http import HttpDatabaseServer
+from bulrushloom.directories.base import InstanceEntry
+from bulrushloom.directories.http import HttpInstanceDirectory
+from bulrushloom.gateway.server import GatewayServer, create_server
+from bulrushloom.instance.coordinator import Coordinator, Drain, Edges, IsIdle
+from bulrushloom.instance.executor import TargetExecutor
+from bulrushloom.instance.frontend import Frontend
+from bulrushloom.instance.node import Node, NodeParts
+from bulrushloom.instance.platform import DirectoryTask, StoreTask
+from bulrushloom.instance.protocol import peer_codec
+from bulrushloom.instance.router import StatementRouter
+from bulrushloom.instance.views import ViewCache
+from bulrushloom.peers.http import HTTPPeerTransport, TransportOptions, parse_address
+from bulrushloom.stores.http import HttpConfigurationStore
+from bulrushloom.telemetry.logs import log_entry, open_log
+
+# A draining instance still accepts for this long, until the balancer has noticed.
+BALANCER_NOTICE = timedelta(seconds=1)
+
+IDLE_CHECK_INTERVAL = timedelta(milliseconds=50)
+
+
+class Instance:
+    """Own all tasks and sockets of one instance."""
+
+    def __init__(self, settings: Settings, clock: Clock):
+        self.settings = settings
+        self._clock = clock
+        self._stack = ExitStack()
+        self._incarnation = secrets.token_hex(6)
+        self._own = InstanceEntry(
+            settings.name,
+            settings.domain,
+            settings.peer_address,
+            self._incarnation,
+            False,
+        )
+        self._node = self._build_node()
+        self._coordinator = Coordinator(self._node, clock)
+        self._frontend = Frontend(
+            self._coordinator.post,
+            clock,
+            settings.fleet_secret,
+            f"{settings.name}.{self._incarnation}",
+            timedelta(milliseconds=settings.request_timeout_ms),
+        )
+        self._transport = self._build_transport()
+        self._gateway = self._build_gateway()
+
+    def start(self) -> None:
+        """Open all sockets and start all tasks."""
+        settings, post = self.settings, self._coordinator.post
+        origin = f"{settings.name}/{settings.domain}"
+        store = HttpConfigurationStore(settings.store_address, origin)
+        directory = HttpInstanceDirectory(settings.directory_address, origin)
+        edges = Edges(
+            self._transport,
+            TargetExecutor(
+                lambda address: HttpDatabaseServer(address, origin), self._clock, post
+            ),
+            StoreTask(store, post),
+            DirectoryTask(directory, post),
+            self._frontend,
+            log_entry,
+        )
+        self._coordinator.connect(edges)
+        # Closed in reverse order: callers first, the platform last.
+        self._stack.callback(edges.store.close)
+        self._stack.callback(edges.directory.close, self._own)
+        self._stack.callback(edges.executor.close)
+        self._stack.callback(self._transport.close)
+        self._stack.callback(self._coordinator.close)
+        self._transport.start(post)
+        self._coordinator.start()
+        self._gateway.open()
+
+    def drain(self) -> None:
+        """Take no new work, finish what is open, then close everything."""
+        deadline = self._clock.monotonic() + timedelta(
+            milliseconds=self.settings.drain_timeout_ms
+        )
+        self._frontend.draining = True
+        self._coordinator.post(Drain())
+        time.sleep(BALANCER_NOTICE.total_seconds())
+        self._gateway.close(deadline - self._clock.monotonic())
+        while self._clock.monotonic() < deadline and not self._is_idle():
+            time.sleep(IDLE_CHECK_INTERVAL.total_seconds())
+        self._stack.close()
+
+    def _is_idle(self) -> bool:
+        future: Future[bool] = Future()
+        self._coordinator.post(IsIdle(future))
+        return future.result()
+
+    def _build_node(self) -> Node:
+        settings = self.settings
+        source = random.Random(secrets.randbits(64))
+        table = InstanceTable(self._own)
+        views = ViewCache(table)
+        retries = BudgetedRetries()
+        router = StatementRouter(table, views, FreshReplicaPolicy(), retries)
+        tracker = ConfigurationTracker(settings.name, settings.domain, source)
+        client = ShareClient(settings.name, settings.domain, self._incarnation)
+        holder = ShareHolder(settings.name, settings.domain, self._incarnation)
+        policy = FailoverPolicy(
+            poll_interval=timedelta(milliseconds=settings.poll_interval_ms)
+        )
+        parts = NodeParts(table, views, router, tracker, client, holder)
+        return Node(parts, policy, FairQueue)
+
+    def _build_transport(self) -> HTTPPeerTransport:
+        settings = self.settings
+        return HTTPPeerTransport(
+            settings.name,
+            settings.domain,
+            self._incarnation,
+            settings.fleet_secret,
+            settings.peer_address,
+            self._clock,
+            peer_codec(),
+            status=self._frontend.status,
+            options=TransportOptions(fault_injection=settings.fault_injection),
+        )
+
+    def _build_gateway(self) -> GatewayServer:
+        settings = self.settings
+        options = ServerOptions(
+            threads=settings.gateway_threads,
+            limits=RequestLimits(body_bytes=settings.max_body_bytes),
+        )
+        address = parse_address(settings.caller_address)
+        return create_server(self._frontend, address, options)
+
+
+def run_instance(settings: Settings) -> None:
+    """Run an instance until SIGTERM or SIGINT, then drain it."""
+    open_log(settings.log_path)
+    stopped = threading.Event()
+
+    def stop(signum: int, frame: FrameType | None) -> None:
+        stopped.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    instance = Instance(settings, SystemClock())
+    instance.start()
+    print(f"listening {settings.caller_address} pid {os.getpid()}", flush=True)
+    stopped.wait()
+    instance.drain()
