--- /dev/null
+++ b/bulrushloom/coordination/limits/buckets.py
@@ -0,0 +1,210 @@
+"""Token bucket of one account at a share holder, with its outstanding tokens."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from math import floor
+
+from bulrushloom.coordination.limits.base import Settlement
+
+# (instance, incarnation, sequence) of the request that a grant or loan answers.
+GrantKey = tuple[str, str, int]
+
+
+class Lot:
+    """Hold tokens that were borrowed with one loan."""
+
+    def __init__(
+        self,
+        lender: str,
+        sequence: int,
+        tokens: float,
+        taken: timedelta,
+        expires: timedelta,
+    ):
+        self.lender = lender
+        self.sequence = sequence
+        self.total = tokens
+        self.remaining = tokens
+        self.taken = taken
+        self.expires = expires
+        self.spent = 0.0
+        self.returned = 0.0
+        self.changed = False
+
+    def settlement(self, account: str) -> Settlement:
+        """Return the report that the lender needs."""
+        self.changed = False
+        return Settlement(self.sequence, account, self.spent, self.returned)
+
+    @property
+    def settled(self) -> bool:
+        """Return whether the lender has been told about every token."""
+        return not self.changed and self.total - self.spent - self.returned <= 1e-9
+
+    def give_back(self) -> None:
+        """Return what remains to the lender."""
+        if self.remaining > 0:
+            self.returned += self.remaining
+            self.remaining = 0.0
+            self.changed = True
+
+
+class Part:
+    """Hold what one grant took from the bucket (no lot) or from one lot."""
+
+    def __init__(self, lot: Lot | None, amount: float):
+        self.lot = lot
+        self.amount = amount
+
+
+class Outstanding:
+    """Track one grant or loan; each part comes from the bucket or from a lot."""
+
+    def __init__(self, parts: list[Part], expires: timedelta):
+        self.parts = parts
+        self.expires = expires
+        self.total = sum(part.amount for part in parts)
+        self.spent = 0.0
+        self.returned = 0.0
+
+    def report(self, spent: float, returned: float) -> tuple[float, float]:
+        """Raise the totals as reported; return by how much each one rose."""
+        new_spent = min(max(spent, self.spent), self.total - self.returned)
+        spent_rise, self.spent = new_spent - self.spent, new_spent
+        new_returned = min(max(returned, self.returned), self.total - self.spent)
+        returned_rise, self.returned = new_returned - self.returned, new_returned
+        return spent_rise, returned_rise
+
+    def take(self, amount: float, last: bool) -> Iterator[tuple[Lot | None, float]]:
+        """Remove ``amount`` from the first or the last parts and yield the pieces."""
+        parts = list(reversed(self.parts)) if last else self.parts
+        for part in parts:
+            piece = min(amount, part.amount)
+            part.amount -= piece
+            amount -= piece
+            if piece > 0:
+                yield part.lot, piece
+
+
+class ShareBucket:
+    """Hold a domain's part of an account's tokens.
+
+    The level plus the outstanding tokens never exceeds ``burst``, so that all
+    instances together spend at most ``rate * W + burst`` in a window ``W``: a token
+    counts as outstanding until it is reported spent or can no longer be spent.
+    """
+
+    def __init__(self, rate: float, burst: float, now: timedelta):
+        self.rate = rate
+        self.burst = burst
+        self.level = 0.0
+        self.outstanding = 0.0
+        self.lots: list[Lot] = []
+        self._updated = now
+        self._outstanding_by_key: dict[GrantKey, Outstanding] = {}
+
+    @property
+    def active(self) -> bool:
+        """Return whether expiries have to be followed."""
+        return bool(self._outstanding_by_key or self.lots)
+
+    def resize(self, rate: float, burst: float, now: timedelta) -> None:
+        """Change the limits; the level never exceeds the new burst."""
+        self.advance(now)
+        self.rate = rate
+        self.burst = burst
+        self.level = max(0.0, min(self.level, burst - self.outstanding))
+
+    def advance(self, now: timedelta) -> None:
+        """Refill, then forget what has expired."""
+        # Refilling before expiry can only lose tokens, never add any.
+        elapsed = (now - self._updated).total_seconds()
+        self._updated = now
+        room = max(0.0, self.burst - self.outstanding)
+        self.level = min(self.level + self.rate * elapsed, max(room, 0.0))
+        expired = [k for k, o in self._outstanding_by_key.items() if o.expires <= now]
+        for key in expired:
+            self._forget(key)
+        if any(lot.expires <= now for lot in self.lots):
+            self.lots = [lot for lot in self.lots if lot.expires > now]
+
+    def available(self) -> float:
+        """Return the tokens at hand, borrowed ones included."""
+        return self.level + self.borrowed()
+
+    def borrowed(self) -> float:
+        """Return the borrowed tokens at hand."""
+        return sum(lot.remaining for lot in self.lots)
+
+    def grant(
+        self, key: GrantKey, count: int, expires: timedelta
+    ) -> tuple[int, timedelta]:
+        """Grant up to ``count`` whole tokens; return how many and their expiry."""
+        tokens = min(count, floor(self.available()))
+        if tokens < 1 or key in self._outstanding_by_key:
+            return 0, expires
+        own = min(float(tokens), self.level)
+        parts = [Part(None, own)] if own > 0 else []
+        missing = tokens - own
+        for lot in self.lots:
+            piece = min(missing, lot.remaining)
+            if piece > 0:
+                lot.remaining -= piece
+                missing -= piece
+                expires = min(expires, lot.expires)
+                parts.insert(0, Part(lot, piece))
+        # Rounding can leave a remainder far below one token; the bucket owes it.
+        self.level -= own + missing
+        self.outstanding += own
+        self._outstanding_by_key[key] = Outstanding(parts, expires)
+        return tokens, expires
+
+    def lend(self, key: GrantKey, tokens: float, expires: timedelta) -> float:
+        """Debit up to ``tokens`` for a loan and return the amount."""
+        amount = min(tokens, self.level)
+        if amount <= 0 or key in self._outstanding_by_key:
+            return 0.0
+        self.level -= amount
+        self.outstanding += amount
+        self._outstanding_by_key[key] = Outstanding([Part(None, amount)], expires)
+        return amount
+
+    def reserve(self, key: GrantKey, amount: float, expires: timedelta) -> None:
+        """Count tokens of an earlier holder as outstanding until they expire."""
+        self.outstanding += amount
+        self._outstanding_by_key[key] = Outstanding([Part(None, amount)], expires)
+
+    def settle(self, key: GrantKey, spent: float, returned: float) -> None:
+        """Take note of spent and returned tokens of a grant or loan."""
+        outstanding = self._outstanding_by_key.get(key)
+        if outstanding is None:
+            return
+        spent_rise, returned_rise = outstanding.report(spent, returned)
+        for lot, piece in outstanding.take(spent_rise, last=False):
+            self._spend(lot, piece)
+        for lot, piece in outstanding.take(returned_rise, last=True):
+            self._take_back(lot, piece)
+        if outstanding.total - outstanding.spent - outstanding.returned <= 1e-9:
+            self._forget(key)
+
+    def _spend(self, lot: Lot | None, piece: float) -> None:
+        if lot is None:
+            self.outstanding -= piece
+        else:
+            lot.spent += piece
+            lot.changed = True
+
+    def _take_back(self, lot: Lot | None, piece: float) -> None:
+        if lot is None:
+            self.outstanding -= piece
+            self.level += piece
+        else:
+            lot.remaining += piece
+
+    def _forget(self, key: GrantKey) -> None:
+        outstanding = self._outstanding_by_key.pop(key)
+        self.outstanding -= sum(
+            part.amount for part in outstanding.parts if part.lot is None
+        )
+        if not self._outstanding_by_key:
+            self.outstanding = 0.0
--- /dev/null
+++ b/bulrushloom/coordination/limits/desk.py
@@ -0,0 +1,276 @@
+"""Grants and loans of a share holder while it has authority."""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from math import ceil, floor
+from typing import NamedTuple
+
+from bulrushloom.coordination.base import Effect, SendMessage
+from bulrushloom.coordination.limits.base import (
+    AccountDemand,
+    AccountGrant,
+    AccountLimit,
+    BucketLevel,
+    LoanItem,
+    ShareGrant,
+    ShareRequest,
+    TokenLoan,
+    TokenLoanRequest,
+)
+from bulrushloom.coordination.limits.buckets import GrantKey, ShareBucket
+from bulrushloom.coordination.limits.utils import whole_milliseconds
+
+# Demand that cannot be met at once waits this long before it is answered with what
+# there is; it is below the time that a caller waits for a token.
+DEMAND_WAIT = timedelta(milliseconds=250)
+DEFAULT_RETRY = timedelta(seconds=1)
+MAX_RETRY = timedelta(seconds=30)
+# Requests are remembered for longer than their grants live.
+REQUEST_MEMORY = timedelta(seconds=3)
+
+
+class PendingDemand(NamedTuple):
+    """Hold demand that waits for tokens."""
+
+    key: GrantKey
+    waiting: int
+    until: timedelta
+
+
+class TokenDesk:
+    """Grant tokens to entries and lend them to holders of other domains."""
+
+    def __init__(self, domain: str, shard: int):
+        self._domain = domain
+        self._shard = shard
+        self.bucket_by_account: dict[str, ShareBucket] = {}
+        self.pending_by_account: dict[str, deque[PendingDemand]] = {}
+        # Tokens demanded by callers since the last reading of the demand.
+        self.demanded_by_account: dict[str, int] = {}
+        self._handled_at_by_key: dict[GrantKey, timedelta] = {}
+        self._pruned_at = timedelta()
+
+    def clear(self) -> None:
+        """Forget every token; what was granted before expires by itself."""
+        self.bucket_by_account.clear()
+        self.pending_by_account.clear()
+        self.demanded_by_account.clear()
+        self._handled_at_by_key.clear()
+
+    def update_accounts(
+        self,
+        limit_by_account: Mapping[str, AccountLimit],
+        parts: int,
+        now: timedelta,
+        blocked_until: timedelta,
+    ) -> None:
+        """Set the domain's part of each account; a new bucket starts empty.
+
+        It refills from ``blocked_until``, when tokens of an earlier bucket of the
+        account have expired.
+        """
+        for account, limit in limit_by_account.items():
+            rate, burst = limit.rate / parts, limit.burst / parts
+            bucket = self.bucket_by_account.get(account)
+            if bucket is None:
+                bucket = ShareBucket(rate, burst, now)
+                self.bucket_by_account[account] = bucket
+                if blocked_until > now:
+                    bucket.reserve(("", "", 0), burst, blocked_until)
+            else:
+                bucket.resize(rate, burst, now)
+        for account in list(self.bucket_by_account):
+            if account not in limit_by_account:
+                del self.bucket_by_account[account]
+                self.pending_by_account.pop(account, None)
+
+    def levels(self, now: timedelta) -> list[BucketLevel]:
+        """Return the own tokens of every account."""
+        levels = []
+        for account, bucket in self.bucket_by_account.items():
+            bucket.advance(now)
+            levels.append(BucketLevel(account, bucket.level, bucket.outstanding))
+        return levels
+
+    def take_over(
+        self, levels: Iterable[BucketLevel], key: GrantKey, expires: timedelta
+    ) -> None:
+        """Start with the buckets of the previous holder."""
+        for level in levels:
+            bucket = self.bucket_by_account.get(level.account)
+            if bucket is None:
+                continue
+            if level.outstanding > 0:
+                bucket.reserve(key, level.outstanding, expires)
+            bucket.level = max(0.0, min(level.level, bucket.burst - bucket.outstanding))
+
+    def handle_request(
+        self, sender: str, request: ShareRequest, until: timedelta, now: timedelta
+    ) -> list[Effect]:
+        """Settle, then grant what can be granted at once, and acknowledge."""
+        self._settle(sender, request, now)
+        key = (sender, request.incarnation, request.sequence)
+        grants = []
+        if self._is_new(key, now):
+            for demand in request.demands:
+                grants += self._demand(key, demand, until, now)
+        if not request.demands:
+            return []
+        answer = ShareGrant(
+            self._domain, self._shard, request.incarnation, request.sequence, grants
+        )
+        return [SendMessage(sender, answer)]
+
+    def handle_loan_request(
+        self, sender: str, request: TokenLoanRequest, until: timedelta, now: timedelta
+    ) -> list[Effect]:
+        """Settle, then lend what the own entries do not need."""
+        self._settle(sender, request, now)
+        key = (sender, request.incarnation, request.sequence)
+        loans = []
+        if self._is_new(key, now):
+            for demand in request.demands:
+                tokens = self._lend(key, demand.account, demand.tokens, until, now)
+                if tokens > 0:
+                    lifetime = whole_milliseconds(until - now)
+                    loans.append(LoanItem(demand.account, tokens, lifetime))
+        answer = TokenLoan(
+            self._domain, self._shard, request.incarnation, request.sequence, "", loans
+        )
+        return [SendMessage(sender, answer)]
+
+    def tick(self, until: timedelta | None, now: timedelta) -> list[Effect]:
+        """Serve waiting demand and answer demand that has waited long enough."""
+        grants_by_client: dict[tuple[str, str], list[AccountGrant]] = {}
+        for account in list(self.pending_by_account):
+            for key, grant in self._serve(account, until, now):
+                grants_by_client.setdefault(key[:2], []).append(grant)
+        for bucket in self.bucket_by_account.values():
+            if bucket.active:
+                bucket.advance(now)
+        self._prune(now)
+        return [
+            SendMessage(
+                client,
+                ShareGrant(self._domain, self._shard, incarnation, 0, grants),
+            )
+            for (client, incarnation), grants in grants_by_client.items()
+        ]
+
+    def waiting(self, account: str) -> int:
+        """Return how many tokens callers wait for."""
+        pending = self.pending_by_account.get(account, ())
+        return sum(demand.waiting for demand in pending)
+
+    def unmet(self, account: str) -> float:
+        """Return how many tokens callers wait for beyond those at hand."""
+        waiting = self.waiting(account)
+        if not waiting:
+            return 0.0
+        return max(0.0, waiting - self.bucket_by_account[account].available())
+
+    def _settle(
+        self, sender: str, request: ShareRequest | TokenLoanRequest, now: timedelta
+    ) -> None:
+        for settlement in request.settlements:
+            bucket = self.bucket_by_account.get(settlement.account)
+            if bucket is not None:
+                bucket.advance(now)
+                key = (sender, request.incarnation, settlement.sequence)
+                bucket.settle(key, settlement.spent, settlement.returned)
+
+    def _demand(
+        self, key: GrantKey, demand: AccountDemand, until: timedelta, now: timedelta
+    ) -> list[AccountGrant]:
+        account = demand.account
+        bucket = self.bucket_by_account.get(account)
+        if bucket is None:
+            retry = whole_milliseconds(DEFAULT_RETRY)
+            return [AccountGrant(key[2], account, 0, 0, retry)]
+        bucket.advance(now)
+        self.demanded_by_account[account] = (
+            self.demanded_by_account.get(account, 0) + demand.waiting
+        )
+        queue = self.pending_by_account.get(account)
+        can_serve = bucket.available() >= 1 and until > now
+        if demand.waiting and (queue or not can_serve):
+            pending = PendingDemand(key, demand.waiting, now + DEMAND_WAIT)
+            self.pending_by_account.setdefault(account, deque()).append(pending)
+            return []
+        ahead = 0 if queue else self._ahead(bucket, demand)
+        self.demanded_by_account[account] += ahead
+        return [self._grant(key, account, demand.waiting + ahead, until, now)]
+
+    @staticmethod
+    def _ahead(bucket: ShareBucket, demand: AccountDemand) -> int:
+        # Tokens given ahead lie idle at an entry and could be missed by others, so
+        # at least half of the burst stays here.
+        spare = bucket.available() - demand.waiting - bucket.burst / 2
+        return max(0, min(demand.ahead, floor(spare / 4)))
+
+    def _grant(
+        self, key: GrantKey, account: str, count: int, until: timedelta, now: timedelta
+    ) -> AccountGrant:
+        bucket = self.bucket_by_account[account]
+        tokens, expires = bucket.grant(key, count, until) if count else (0, until)
+        lifetime = whole_milliseconds(expires - now)
+        return AccountGrant(key[2], account, tokens, lifetime, self._retry(account))
+
+    def _retry(self, account: str) -> int:
+        """Return in milliseconds when the waiting callers could be served."""
+        bucket = self.bucket_by_account[account]
+        if bucket.rate <= 0:
+            return whole_milliseconds(MAX_RETRY)
+        missing = ceil(self.unmet(account)) + 1
+        delay = timedelta(seconds=min(30.0, missing / bucket.rate))
+        return whole_milliseconds(delay)
+
+    def _serve(
+        self, account: str, until: timedelta | None, now: timedelta
+    ) -> list[tuple[GrantKey, AccountGrant]]:
+        queue = self.pending_by_account[account]
+        bucket = self.bucket_by_account[account]
+        bucket.advance(now)
+        served = []
+        while queue:
+            demand = queue[0]
+            can_grant = until is not None and until > now and bucket.available() >= 1
+            if not can_grant and demand.until > now:
+                break
+            queue.popleft()
+            count = demand.waiting if can_grant else 0
+            grant = self._grant(demand.key, account, count, until or now, now)
+            served.append((demand.key, grant))
+        if not queue:
+            del self.pending_by_account[account]
+        return served
+
+    def _lend(
+        self,
+        key: GrantKey,
+        account: str,
+        tokens: float,
+        until: timedelta,
+        now: timedelta,
+    ) -> float:
+        bucket = self.bucket_by_account.get(account)
+        if bucket is None or self.pending_by_account.get(account):
+            return 0.0
+        bucket.advance(now)
+        return bucket.lend(key, tokens, until) if until > now else 0.0
+
+    def _is_new(self, key: GrantKey, now: timedelta) -> bool:
+        if key in self._handled_at_by_key:
+            return False
+        self._handled_at_by_key[key] = now
+        return True
+
+    def _prune(self, now: timedelta) -> None:
+        if now - self._pruned_at < REQUEST_MEMORY:
+            return
+        self._pruned_at = now
+        oldest = now - REQUEST_MEMORY
+        self._handled_at_by_key = {
+            key: at for key, at in self._handled_at_by_key.items() if at > oldest
+        }
--- /dev/null
+++ b/bulrushloom/coordination/limits/electorate.py
@@ -0,0 +1,153 @@
+"""Acknowledgement of a share holder by the members of its electorate."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from bulrushloom.coordination.base import Effect, SendMessage
+from bulrushloom.coordination.limits.base import (
+    HolderAck,
+    HolderHeartbeat,
+    Member,
+    SealAnswer,
+    SealRequest,
+)
+
+# How long a confirmation counts, from the sending of the heartbeat.
+AUTHORITY = timedelta(seconds=1)
+HEARTBEAT_INTERVAL = timedelta(milliseconds=200)
+# A member that heard the holder this recently refuses to seal its epoch, so that a
+# candidate that is cut off from a healthy holder cannot stop it.
+SEAL_REFUSAL = timedelta(seconds=1.5)
+
+
+class Elector:
+    """Confirm holders until their epoch is sealed."""
+
+    def __init__(self, domain: str, shard: int, incarnation: str):
+        self._domain = domain
+        self._shard = shard
+        self._incarnation = incarnation
+        self.sealed_epoch = 0
+        self.known_epoch = 0
+        self.known_holder = ""
+        self.heard_at: timedelta | None = None
+
+    def heartbeat(
+        self, sender: str, message: HolderHeartbeat, now: timedelta
+    ) -> HolderAck:
+        """Confirm the sender as holder unless its epoch is sealed."""
+        accepted = message.epoch > self.sealed_epoch
+        if accepted and message.epoch >= self.known_epoch:
+            self.known_epoch = message.epoch
+            self.known_holder = sender
+            self.heard_at = now
+        return HolderAck(
+            self._domain,
+            self._shard,
+            message.epoch,
+            message.sequence,
+            self._incarnation,
+            accepted,
+        )
+
+    def seal(self, message: SealRequest, now: timedelta) -> SealAnswer:
+        """Promise to confirm no epoch up to the given one any more."""
+        hears_holder = (
+            self.heard_at is not None
+            and self.known_epoch >= message.epoch
+            and now - self.heard_at < SEAL_REFUSAL
+        )
+        if not hears_holder:
+            self.sealed_epoch = max(self.sealed_epoch, message.epoch)
+        sealed = self.sealed_epoch >= message.epoch
+        return SealAnswer(
+            self._domain, self._shard, message.epoch, self._incarnation, sealed
+        )
+
+
+class Tenure:
+    """Prove the authority of a holder in one epoch by its electorate's answers.
+
+    While a change of the electorate is being written, the old and the new one must
+    both confirm the holder, because either may be the one that a successor seals.
+    """
+
+    def __init__(
+        self, domain: str, shard: int, epoch: int, electorate: Iterable[Member]
+    ):
+        self._domain = domain
+        self._shard = shard
+        self.epoch = epoch
+        self.electorate = list(electorate)
+        self.proposed: list[Member] | None = None
+        self.refused = False
+        self._sequence = 0
+        self._sent_at: timedelta | None = None
+        self._sent_at_by_sequence: dict[int, timedelta] = {}
+        self._confirmed_by_member: dict[Member, timedelta] = {}
+
+    def adopt_proposed(self) -> None:
+        """Go on as the next epoch with the proposed electorate."""
+        self.epoch += 1
+        self.electorate = self.proposed or self.electorate
+        self.proposed = None
+        # Earlier confirmations stay valid: a member that seals the new epoch refuses
+        # the old one too, and the successor waits until both have expired.
+        self._sent_at = None
+
+    def heartbeats(self, recipients: Iterable[str], now: timedelta) -> list[Effect]:
+        """Return the heartbeats that are due."""
+        if self._sent_at is not None and now - self._sent_at < HEARTBEAT_INTERVAL:
+            return []
+        self._sent_at = now
+        self._sequence += 1
+        self._sent_at_by_sequence[self._sequence] = now
+        for sequence in list(self._sent_at_by_sequence):
+            if self._sent_at_by_sequence[sequence] <= now - AUTHORITY:
+                del self._sent_at_by_sequence[sequence]
+        message = HolderHeartbeat(self._domain, self._shard, self.epoch, self._sequence)
+        return [SendMessage(name, message) for name in recipients]
+
+    def confirm(self, sender: str, ack: HolderAck) -> None:
+        """Count an answer to a heartbeat of this epoch."""
+        if ack.epoch != self.epoch:
+            return
+        if not ack.accepted:
+            self.refused = True
+            return
+        sent_at = self._sent_at_by_sequence.get(ack.sequence)
+        if sent_at is None:
+            return
+        member = Member(sender, ack.incarnation)
+        previous = self._confirmed_by_member.get(member, sent_at)
+        self._confirmed_by_member[member] = max(previous, sent_at)
+
+    def authority_until(self) -> timedelta | None:
+        """Return when the authority ends, or ``None`` if it was never confirmed."""
+        ends = self._majority_until(self.electorate)
+        if ends is None or self.proposed is None:
+            return ends
+        proposed_ends = self._majority_until(self.proposed)
+        return None if proposed_ends is None else min(ends, proposed_ends)
+
+    def majority_confirmed(self, members: list[Member], now: timedelta) -> bool:
+        """Return whether a majority of ``members`` confirms the holder now."""
+        until = self._majority_until(members)
+        return until is not None and until > now
+
+    def _majority_until(self, members: list[Member]) -> timedelta | None:
+        confirmed = sorted(
+            (
+                self._confirmed_by_member[member]
+                for member in members
+                if member in self._confirmed_by_member
+            ),
+            reverse=True,
+        )
+        needed = majority(members)
+        return confirmed[needed - 1] + AUTHORITY if len(confirmed) >= needed else None
+
+
+def majority(members: list[Member]) -> int:
+    """Return how many of ``members`` make a majority."""
+    return len(members) // 2 + 1
--- /dev/null
+++ b/bulrushloom/coordination/limits/holder.py
@@ -0,0 +1,258 @@
+"""Share holder: candidate, member of the electorate and holder of one share."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from typing import Any
+
+from bulrushloom.coordination.base import (
+    DecisionPart,
+    Effect,
+    KeySwapped,
+    KeyValue,
+    LogEntry,
+    Message,
+    SendMessage,
+    StoreFailed,
+)
+from bulrushloom.coordination.limits.base import (
+    AccountLimit,
+    HolderAck,
+    HolderHeartbeat,
+    Member,
+    SealAnswer,
+    SealRequest,
+    ShareGrant,
+    ShareHandover,
+    ShareRefused,
+    ShareRequest,
+    TokenLoan,
+    TokenLoanRequest,
+)
+from bulrushloom.coordination.limits.desk import TokenDesk
+from bulrushloom.coordination.limits.electorate import AUTHORITY, Elector
+from bulrushloom.coordination.limits.loans import Borrower
+from bulrushloom.coordination.limits.succession import Succession
+from bulrushloom.coordination.limits.utils import share_subject
+
+
+class ShareHolder(DecisionPart):
+    """Take part in holding the token buckets of one domain and shard.
+
+    Every instance of the domain runs this object for every shard. Messages that it
+    sends to its own instance's name are delivered locally.
+    """
+
+    def __init__(self, name: str, incarnation: str, domain: str, shard: int = 0):
+        self.member = Member(name, incarnation)
+        self.domain = domain
+        self.shard = shard
+        self.key = share_subject(domain, shard)
+        self._limit_by_account: dict[str, AccountLimit] = {}
+        self._parts = 1
+        self._desk = TokenDesk(domain, shard)
+        self._borrower = Borrower(domain, shard, incarnation, self._desk)
+        self._elector = Elector(domain, shard, incarnation)
+        self._succession = Succession(self.member, domain, shard, self._elector)
+        self._in_tenure = False
+        self._handover: tuple[ShareHandover, str] | None = None
+        self._handover_sent = 0
+
+    @property
+    def state(self) -> str:
+        """Return the state of the chart ``holder.yaml``."""
+        return self._succession.machine.state
+
+    @property
+    def epoch(self) -> int:
+        """Return the newest epoch that this instance knows."""
+        tenure = self._succession.tenure
+        return max(self._elector.known_epoch, tenure.epoch if tenure else 0)
+
+    def known_holder(self, now: timedelta) -> str:
+        """Return the name of the holder as far as this instance knows."""
+        if self._succession.authority_until(now) is not None:
+            return self.member.name
+        known = self._elector.known_holder
+        return known if known != self.member.name else ""
+
+    def update_instances(
+        self,
+        members: Iterable[Member],
+        candidates_by_domain: Mapping[str, Iterable[str]],
+        now: timedelta,
+    ) -> list[Effect]:
+        """Replace the live instances.
+
+        ``members`` are those of the own domain, the own one included unless it is
+        leaving. ``candidates_by_domain`` names, for each other domain, its holder
+        or the instances to try, the most likely one first.
+        """
+        self._succession.update_members(members, now)
+        self._borrower.update_lenders(candidates_by_domain)
+        return []
+
+    def update_accounts(
+        self, limit_by_account: Mapping[str, AccountLimit], domains: int, now: timedelta
+    ) -> list[Effect]:
+        """Replace the accounts of this shard and the number of domains."""
+        self._limit_by_account = dict(limit_by_account)
+        self._parts = domains
+        if self._in_tenure:
+            self._desk.update_accounts(
+                self._limit_by_account, domains, now, now + AUTHORITY
+            )
+        return []
+
+    def drain(self, now: timedelta) -> list[Effect]:
+        """Stop granting for good and hand the epoch to the next instance."""
+        if self.state == "retired":
+            return []
+        until = self._succession.authority_until(now)
+        version = self._succession.version
+        tenure = self._succession.tenure
+        self._succession.retire()
+        heir = self._succession.heir()
+        if until is None or tenure is None or not heir or not self._in_tenure:
+            self._stop()
+            return []
+        lifetime = -((now - until) // timedelta(milliseconds=1))
+        message = ShareHandover(
+            self.domain,
+            self.shard,
+            tenure.epoch,
+            version,
+            lifetime,
+            self._desk.levels(now),
+        )
+        self._stop()
+        self._handover = (message, heir)
+        return [*self._send_handover(), self._log("share_handed_over", heir=heir)]
+
+    def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
+        """Handle a message of a peer, the store or the own instance."""
+        if isinstance(message, ShareRequest):
+            return self._handle_request(sender, message, now)
+        if isinstance(message, TokenLoanRequest):
+            return self._handle_loan_request(sender, message, now)
+        if isinstance(message, TokenLoan):
+            self._borrower.handle_loan(sender, message, now)
+            return []
+        if isinstance(message, HolderHeartbeat):
+            return self._handle_heartbeat(sender, message, now)
+        if isinstance(message, SealRequest):
+            return [SendMessage(sender, self._elector.seal(message, now))]
+        return self._handle_succession(sender, message, now)
+
+    def tick(self, now: timedelta) -> list[Effect]:
+        """Follow the succession, then serve waiting demand and borrow."""
+        effects = self._succession.tick(now)
+        effects += self._follow_tenure(now)
+        if self._handover is not None:
+            effects += self._send_handover()
+        if self._in_tenure:
+            until = self._succession.authority_until(now)
+            if until is not None:
+                effects += self._borrower.tick(now)
+            effects += self._desk.tick(until, now)
+        return effects
+
+    def _handle_succession(
+        self, sender: str, message: Any, now: timedelta
+    ) -> list[Effect]:
+        if isinstance(message, HolderAck):
+            self._succession.handle_ack(sender, message)
+            return []
+        if isinstance(message, SealAnswer):
+            effects = self._succession.handle_seal(sender, message, now)
+        elif isinstance(message, ShareHandover):
+            effects = self._succession.handle_handover(message, now)
+        elif isinstance(message, KeyValue) and message.key == self.key:
+            effects = self._succession.handle_value(message, now)
+        elif isinstance(message, KeySwapped) and message.key == self.key:
+            effects = self._succession.handle_swapped(message, now)
+        elif isinstance(message, StoreFailed) and message.key == self.key:
+            effects = self._succession.handle_failure(now)
+        else:
+            return []
+        return effects + self._follow_tenure(now)
+
+    def _handle_heartbeat(
+        self, sender: str, message: HolderHeartbeat, now: timedelta
+    ) -> list[Effect]:
+        ack = self._elector.heartbeat(sender, message, now)
+        effects: list[Effect] = [SendMessage(sender, ack)]
+        if sender != self.member.name and ack.accepted:
+            self._succession.heard_epoch(message.epoch, now)
+            effects += self._follow_tenure(now)
+        return effects
+
+    def _handle_request(
+        self, sender: str, request: ShareRequest, now: timedelta
+    ) -> list[Effect]:
+        until = self._succession.authority_until(now)
+        if until is not None and self._in_tenure:
+            return self._desk.handle_request(sender, request, until, now)
+        refusal = ShareRefused(
+            self.domain,
+            self.shard,
+            request.incarnation,
+            request.sequence,
+            self.known_holder(now),
+        )
+        return [SendMessage(sender, refusal)]
+
+    def _handle_loan_request(
+        self, sender: str, request: TokenLoanRequest, now: timedelta
+    ) -> list[Effect]:
+        until = self._succession.authority_until(now)
+        if until is not None and self._in_tenure:
+            return self._desk.handle_loan_request(sender, request, until, now)
+        # Naming itself tells the borrower to look elsewhere for a while.
+        holder = self.known_holder(now) or self.member.name
+        refusal = TokenLoan(
+            self.domain, self.shard, request.incarnation, request.sequence, holder, []
+        )
+        return [SendMessage(sender, refusal)]
+
+    def _follow_tenure(self, now: timedelta) -> list[Effect]:
+        """Start or stop granting as the succession has decided."""
+        holding = self._succession.holding
+        if holding and not self._in_tenure:
+            return self._start(now)
+        if not holding and self._in_tenure:
+            self._stop()
+            return [self._log("share_lost")]
+        return []
+
+    def _start(self, now: timedelta) -> list[Effect]:
+        self._in_tenure = True
+        self._desk.update_accounts(self._limit_by_account, self._parts, now, now)
+        inherited = self._succession.take_inherited()
+        if inherited is not None:
+            handover, received = inherited
+            expires = received + timedelta(milliseconds=handover.lifetime_ms)
+            self._desk.take_over(handover.buckets, ("", "", handover.epoch), expires)
+        return [self._log("share_held")]
+
+    def _stop(self) -> None:
+        self._in_tenure = False
+        self._desk.clear()
+        self._borrower.clear()
+
+    def _send_handover(self) -> list[Effect]:
+        """Repeat the handover a few times, because any copy may be lost."""
+        message, heir = self._handover or (None, "")
+        self._handover_sent += 1
+        if message is None or self._elector.known_epoch > message.epoch:
+            self._handover = None
+            return []
+        if self._handover_sent >= 10:
+            self._handover = None
+        return [SendMessage(heir, message)]
+
+    def _log(self, event: str, **fields: Any) -> Effect:
+        fields |= {"domain": self.domain, "shard": self.shard, "epoch": self.epoch}
+        return LogEntry(event, fields)
+
+
+__all__ = ["ShareGrant", "ShareHolder"]
--- /dev/null
+++ b/bulrushloom/coordination/limits/loans.py
@@ -0,0 +1,198 @@
+"""Loans that a share holder takes from the holders of other domains."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from bulrushloom.coordination.base import Effect, SendMessage
+from bulrushloom.coordination.limits.base import (
+    Settlement,
+    TokenDemand,
+    TokenLoan,
+    TokenLoanRequest,
+)
+from bulrushloom.coordination.limits.buckets import Lot, ShareBucket
+from bulrushloom.coordination.limits.desk import TokenDesk
+from bulrushloom.coordination.limits.finder import HolderFinder
+
+# A lender that has not answered by then is skipped for a while.
+ANSWER_TIMEOUT = timedelta(milliseconds=100)
+# Borrowed tokens that nobody needs go back after this time.
+IDLE_LOT = timedelta(milliseconds=150)
+DEMAND_INTERVAL = timedelta(milliseconds=100)
+# Share of the newest reading in the average demand.
+DEMAND_WEIGHT = 0.4
+# Tokens are borrowed ahead of demand for this time.
+AHEAD = timedelta(milliseconds=200)
+# Lenders may have less than an equal part of what is missing, so each one is asked
+# for more than that.
+ASK_FACTOR = 2.0
+
+
+class LoanInFlight:
+    """Remember one request to a lender."""
+
+    def __init__(self, lender: str, sent: timedelta, tokens: dict[str, float]):
+        self.lender = lender
+        self.sent = sent
+        self.tokens_by_account = tokens
+
+
+class Borrower:
+    """Borrow tokens in proportion to unmet and expected demand."""
+
+    def __init__(self, domain: str, shard: int, incarnation: str, desk: TokenDesk):
+        self._domain = domain
+        self._shard = shard
+        self._incarnation = incarnation
+        self._desk = desk
+        self._sequence = 0
+        self._finder_by_domain: dict[str, HolderFinder] = {}
+        self._in_flight_by_sequence: dict[int, LoanInFlight] = {}
+        self._demand_by_account: dict[str, float] = {}
+        self._demand_read_at = timedelta()
+
+    def clear(self) -> None:
+        """Forget requests in flight; sequences are never used again."""
+        self._in_flight_by_sequence.clear()
+        self._demand_by_account.clear()
+
+    def update_lenders(self, candidates_by_domain: Mapping[str, Iterable[str]]) -> None:
+        """Replace the instances that may hold the shares of other domains."""
+        for domain in list(self._finder_by_domain):
+            if domain not in candidates_by_domain:
+                del self._finder_by_domain[domain]
+        for domain, names in candidates_by_domain.items():
+            self._finder_by_domain.setdefault(domain, HolderFinder()).update(names)
+
+    def handle_loan(self, sender: str, loan: TokenLoan, now: timedelta) -> None:
+        """Credit the tokens of a loan once, unless they have expired."""
+        request = self._in_flight_by_sequence.get(loan.sequence)
+        if loan.incarnation != self._incarnation or request is None:
+            return
+        if request.lender != sender:
+            return
+        del self._in_flight_by_sequence[loan.sequence]
+        self._note_answer(sender, loan, now)
+        for item in loan.loans:
+            bucket = self._desk.bucket_by_account.get(item.account)
+            expires = request.sent + timedelta(milliseconds=item.lifetime_ms)
+            if bucket is not None and expires > now:
+                lot = Lot(sender, loan.sequence, item.tokens, now, expires)
+                bucket.lots.append(lot)
+
+    def tick(self, now: timedelta) -> list[Effect]:
+        """Return what nobody needs, report what was spent and ask for more."""
+        self._time_out(now)
+        self._read_demand(now)
+        settlements = self._settlements(now)
+        demands = self._demands(now)
+        effects: list[Effect] = []
+        for lender in sorted(settlements.keys() | demands.keys()):
+            effects.append(
+                self._request(
+                    lender, demands.get(lender, {}), settlements.get(lender, []), now
+                )
+            )
+        return effects
+
+    def _request(
+        self,
+        lender: str,
+        tokens_by_account: dict[str, float],
+        settlements: list[Settlement],
+        now: timedelta,
+    ) -> Effect:
+        self._sequence += 1
+        if tokens_by_account:
+            self._in_flight_by_sequence[self._sequence] = LoanInFlight(
+                lender, now, tokens_by_account
+            )
+        demands = [TokenDemand(*item) for item in tokens_by_account.items()]
+        request = TokenLoanRequest(
+            self._domain,
+            self._shard,
+            self._incarnation,
+            self._sequence,
+            demands,
+            settlements,
+        )
+        return SendMessage(lender, request)
+
+    def _note_answer(self, sender: str, loan: TokenLoan, now: timedelta) -> None:
+        finder = self._finder_by_domain.get(loan.domain)
+        if finder is None:
+            return
+        if loan.holder:
+            finder.refused(sender, loan.holder, now)
+        else:
+            finder.answered(sender)
+
+    def _time_out(self, now: timedelta) -> None:
+        for sequence, request in list(self._in_flight_by_sequence.items()):
+            if now - request.sent < ANSWER_TIMEOUT:
+                continue
+            del self._in_flight_by_sequence[sequence]
+            for finder in self._finder_by_domain.values():
+                finder.silent(request.lender, now)
+
+    def _read_demand(self, now: timedelta) -> None:
+        elapsed = now - self._demand_read_at
+        if elapsed < DEMAND_INTERVAL:
+            return
+        self._demand_read_at = now
+        demanded = self._desk.demanded_by_account
+        for account in self._demand_by_account.keys() | demanded.keys():
+            reading = demanded.get(account, 0) / elapsed.total_seconds()
+            previous = self._demand_by_account.get(account, 0.0)
+            average = previous + DEMAND_WEIGHT * (reading - previous)
+            self._demand_by_account[account] = average
+            if average < 0.01:
+                del self._demand_by_account[account]
+        demanded.clear()
+
+    def _settlements(self, now: timedelta) -> dict[str, list[Settlement]]:
+        settlements_by_lender: dict[str, list[Settlement]] = {}
+        for account, bucket in self._desk.bucket_by_account.items():
+            if not bucket.lots:
+                continue
+            idle = not self._desk.pending_by_account.get(account)
+            for lot in bucket.lots:
+                if idle and now - lot.taken >= IDLE_LOT:
+                    lot.give_back()
+                if lot.changed:
+                    settlements_by_lender.setdefault(lot.lender, []).append(
+                        lot.settlement(account)
+                    )
+            bucket.lots = [lot for lot in bucket.lots if not lot.settled]
+        return settlements_by_lender
+
+    def _demands(self, now: timedelta) -> dict[str, dict[str, float]]:
+        lenders = {finder.locate(now) for finder in self._finder_by_domain.values()}
+        lenders.discard("")
+        tokens_by_lender: dict[str, dict[str, float]] = {}
+        if not lenders:
+            return tokens_by_lender
+        accounts = self._demand_by_account.keys() | self._desk.pending_by_account.keys()
+        for account in sorted(accounts):
+            bucket = self._desk.bucket_by_account.get(account)
+            wanted = self._wanted(account, bucket) if bucket is not None else 0.0
+            if wanted <= 0:
+                continue
+            each = min(wanted, wanted * ASK_FACTOR / len(lenders))
+            for lender in lenders - self._asked(account):
+                tokens_by_lender.setdefault(lender, {})[account] = each
+        return tokens_by_lender
+
+    def _wanted(self, account: str, bucket: ShareBucket) -> float:
+        """Return what callers wait for plus what the near future needs."""
+        demand = self._demand_by_account.get(account, 0.0)
+        ahead = max(0.0, demand - bucket.rate) * AHEAD.total_seconds()
+        spare = max(0.0, bucket.available() - self._desk.waiting(account))
+        return self._desk.unmet(account) + max(0.0, ahead - spare)
+
+    def _asked(self, account: str) -> set[str]:
+        return {
+            request.lender
+            for request in self._in_flight_by_sequence.values()
+            if account in request.tokens_by_account
+        }
--- /dev/null
+++ b/bulrushloom/coordination/limits/presence.py
@@ -0,0 +1,74 @@
+"""Live instances of a domain: rank order, electorate and absences."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from bulrushloom.coordination.limits.base import Member
+from bulrushloom.coordination.limits.electorate import majority
+from bulrushloom.coordination.limits.utils import rendezvous_order
+
+# Heartbeats to more members than this would exceed the control traffic of a node
+# in a domain of more than a hundred instances.
+ELECTORATE_SIZE = 7
+GONE = timedelta(seconds=30)
+# After a gap in the clock readings, absences are counted anew, because the instance
+# list may have changed in between.
+PAUSE = timedelta(seconds=5)
+
+
+class Presence:
+    """Rank the live instances and time the absence of others."""
+
+    def __init__(self, subject: str):
+        self._subject = subject
+        self.ranked: list[Member] = []
+        self._since: timedelta | None = None
+        self._absent_from_by_member: dict[Member, timedelta] = {}
+        self._ticked_at: timedelta | None = None
+
+    def update(self, members: Iterable[Member], now: timedelta) -> None:
+        """Replace the live instances."""
+        member_by_name = {member.name: member for member in members}
+        order = rendezvous_order(member_by_name, self._subject)
+        previous = set(self.ranked)
+        self.ranked = [member_by_name[name] for name in order]
+        if self._since is None:
+            self._since = now
+        live = set(self.ranked)
+        for member in previous - live:
+            self._absent_from_by_member[member] = now
+        for member in live:
+            self._absent_from_by_member.pop(member, None)
+
+    def tick(self, now: timedelta) -> None:
+        """Count absences anew after a pause of this instance."""
+        if self._ticked_at is not None and now - self._ticked_at > PAUSE:
+            self._since = now
+            self._absent_from_by_member.clear()
+        self._ticked_at = now
+
+    def rank(self, member: Member) -> int:
+        """Return the place of ``member`` in the order; the last one if absent."""
+        if member in self.ranked:
+            return self.ranked.index(member)
+        return len(self.ranked)
+
+    def is_candidate(self, member: Member) -> bool:
+        """Return whether ``member`` is among those that may hold the share."""
+        return member in self.ranked[:ELECTORATE_SIZE]
+
+    def electorate(self, member: Member) -> list[Member]:
+        """Return the electorate that ``member`` would have as holder."""
+        members = self.ranked[:ELECTORATE_SIZE]
+        return members if member in members else [member, *members][:ELECTORATE_SIZE]
+
+    def majority_gone(self, members: list[Member], now: timedelta) -> bool:
+        """Return whether a majority has been off the list for long enough."""
+        gone = sum(self._gone(member, now) for member in members)
+        return gone >= majority(members)
+
+    def _gone(self, member: Member, now: timedelta) -> bool:
+        if self._since is None or member in self.ranked:
+            return False
+        since = self._absent_from_by_member.get(member, self._since)
+        return now - since >= GONE
--- /dev/null
+++ b/bulrushloom/coordination/limits/succession.py
@@ -0,0 +1,388 @@
+"""Succession of share holders: silence, seal, epoch record and tenure."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Any
+
+from bulrushloom.coordination.base import (
+    Effect,
+    KeySwapped,
+    KeyValue,
+    LogEntry,
+    ReadKey,
+    SendMessage,
+    SwapKey,
+)
+from bulrushloom.coordination.limits.base import (
+    HolderAck,
+    Member,
+    SealAnswer,
+    SealRequest,
+    ShareHandover,
+    ShareRecord,
+)
+from bulrushloom.coordination.limits.electorate import (
+    AUTHORITY,
+    Elector,
+    Tenure,
+    majority,
+)
+from bulrushloom.coordination.limits.presence import Presence
+from bulrushloom.coordination.limits.records import (
+    record_from_json,
+    record_to_json,
+)
+from bulrushloom.coordination.limits.utils import share_subject
+from bulrushloom.core.statecharts import StateMachine, load_chart
+
+SILENCE = timedelta(seconds=2)
+RANK_DELAY = timedelta(seconds=1)
+# A starting instance listens for a holder before it looks at the record.
+START_DELAY = timedelta(seconds=1)
+RETRY_DELAY = timedelta(seconds=1)
+STORE_RETRY = timedelta(milliseconds=500)
+# A store call that was not answered at all is given up after this time.
+STORE_TIMEOUT = timedelta(seconds=5)
+SEAL_TIMEOUT = timedelta(seconds=1)
+SEAL_REPEAT = timedelta(milliseconds=200)
+# Instances that vanish and come back do not change the electorate at once.
+RESIZE_DELAY = timedelta(seconds=1)
+HOLDING_STATES = frozenset({"holding", "resizing", "checking_resize"})
+TENURE_STATES = HOLDING_STATES | {"waiting"}
+
+
+class Succession:
+    """Decide whether this instance holds the share, and in which epoch."""
+
+    def __init__(self, member: Member, domain: str, shard: int, elector: Elector):
+        self.machine = StateMachine(load_chart(__package__, "holder.yaml"))
+        self.tenure: Tenure | None = None
+        self.version = 0
+        self._member = member
+        self._domain = domain
+        self._shard = shard
+        self._key = share_subject(domain, shard)
+        self._elector = elector
+        self._presence = Presence(self._key)
+        self._record: ShareRecord | None = None
+        self._claim: ShareRecord | None = None
+        self._sealed_by: set[Member] = set()
+        self._unsealed = False
+        self._entered = timedelta()
+        self._next_try: timedelta | None = None
+        self._ready_at = timedelta()
+        self._seal_sent = timedelta()
+        self._inherited: tuple[ShareHandover, timedelta] | None = None
+        self._resize_from: timedelta | None = None
+        self._confirmed_at = timedelta()
+
+    @property
+    def holding(self) -> bool:
+        """Return whether the instance holds the share, subject to its authority."""
+        return self.machine.state in HOLDING_STATES
+
+    def authority_until(self, now: timedelta) -> timedelta | None:
+        """Return when the authority to grant ends, or ``None`` without any."""
+        if not self.holding or self.tenure is None:
+            return None
+        until = self.tenure.authority_until()
+        return until if until is not None and until > now else None
+
+    def update_members(self, members: Iterable[Member], now: timedelta) -> None:
+        """Replace the live instances of the domain."""
+        self._presence.update(members, now)
+        if self._next_try is None:
+            delay = START_DELAY + self._presence.rank(self._member) * RANK_DELAY
+            self._next_try = now + delay
+
+    def heir(self) -> str:
+        """Return the name of the first other instance in rank order."""
+        names = [m.name for m in self._presence.ranked if m != self._member]
+        return names[0] if names else ""
+
+    def take_inherited(self) -> tuple[ShareHandover, timedelta] | None:
+        """Return the handover that this tenure began with, and when it came."""
+        inherited, self._inherited = self._inherited, None
+        return inherited
+
+    def retire(self) -> None:
+        """Never hold the share again."""
+        self.machine.send("drain")
+        self.tenure = None
+
+    def heard_epoch(self, epoch: int, now: timedelta) -> None:
+        """Step back when another instance is confirmed as holder."""
+        own = self.tenure.epoch if self.tenure is not None else 0
+        if self.machine.state in TENURE_STATES and epoch > own:
+            self._step_down("superseded", now)
+        self._delay_try(now)
+
+    def handle_ack(self, sender: str, ack: HolderAck) -> None:
+        """Count a confirmation."""
+        if self.tenure is not None:
+            self.tenure.confirm(sender, ack)
+
+    def handle_handover(self, message: ShareHandover, now: timedelta) -> list[Effect]:
+        """Claim the next epoch at once; the sender has stopped granting."""
+        if self.machine.state != "watching":
+            return []
+        self.machine.send("handover")
+        self.version = message.version
+        self._unsealed = False
+        self._inherited = (message, now)
+        self._ready_at = now
+        return self._write_claim(message.epoch + 1, now)
+
+    def handle_value(self, message: KeyValue, now: timedelta) -> list[Effect]:
+        """Use the stored record in the state that asked for it."""
+        state = self.machine.state
+        record = record_from_json(message.value)
+        if state == "reading":
+            self.version = message.version
+            if record is None and message.value is not None:
+                self._step_down("fail", now)
+                return [self._log("share_record_malformed")]
+            return self._use_record(record, now)
+        if state in ("checking_claim", "checking_resize"):
+            return self._check(message.version, record, now)
+        return []
+
+    def handle_swapped(self, message: KeySwapped, now: timedelta) -> list[Effect]:
+        """Go on after the record was written, or make way for the winner."""
+        state = self.machine.state
+        if state not in ("claiming", "resizing"):
+            return []
+        if message.swapped:
+            self.version = message.version
+            return self._written("swapped", now)
+        # An earlier try of the same write may have won without an answer.
+        return self._unknown(now)
+
+    def handle_failure(self, now: timedelta) -> list[Effect]:
+        """Find out later whether a write took effect."""
+        state = self.machine.state
+        if state == "reading":
+            self._step_down("fail", now)
+        elif state in ("claiming", "resizing"):
+            self.machine.send("unknown")
+            self._entered = now - STORE_TIMEOUT + STORE_RETRY
+        elif state in ("checking_claim", "checking_resize"):
+            self._entered = now - STORE_TIMEOUT + STORE_RETRY
+        return []
+
+    def handle_seal(
+        self, sender: str, answer: SealAnswer, now: timedelta
+    ) -> list[Effect]:
+        """Count the members that have sealed the old epoch."""
+        record = self._record
+        if self.machine.state != "sealing" or record is None:
+            return []
+        if answer.epoch != record.epoch:
+            return []
+        if not answer.sealed:
+            self._step_down("fail", now)
+            return []
+        member = Member(sender, answer.incarnation)
+        if member in record.electorate:
+            self._sealed_by.add(member)
+        if len(self._sealed_by) < majority(record.electorate):
+            return []
+        return self._seal_done(now)
+
+    def tick(self, now: timedelta) -> list[Effect]:
+        """Do what the current state has due."""
+        self._presence.tick(now)
+        state = self.machine.state
+        if state == "watching":
+            return self._watch(now)
+        if state == "sealing":
+            return self._seal(now)
+        if state in TENURE_STATES:
+            return self._hold(now)
+        if state in ("reading", "claiming") and now - self._entered >= STORE_TIMEOUT:
+            return self.handle_failure(now)
+        if state == "checking_claim":
+            return self._read_back(now)
+        return []
+
+    def _watch(self, now: timedelta) -> list[Effect]:
+        if self._next_try is None or now < self._next_try:
+            return []
+        if not self._presence.is_candidate(self._member):
+            self._next_try = now + SILENCE
+            return []
+        self.machine.send("silence")
+        self._entered = now
+        return [ReadKey(self._key)]
+
+    def _use_record(self, record: ShareRecord | None, now: timedelta) -> list[Effect]:
+        if record is None:
+            self._unsealed = False
+            self.machine.send("absent")
+            self._ready_at = now
+            return self._write_claim(1, now)
+        self.machine.send("record")
+        self._record = record
+        self._sealed_by = set()
+        self._unsealed = False
+        self._entered = now
+        self._seal_sent = now - SEAL_REPEAT
+        return self._seal(now)
+
+    def _seal(self, now: timedelta) -> list[Effect]:
+        record = self._record
+        assert record is not None
+        if self._presence.majority_gone(record.electorate, now):
+            # Without a seal, a member could come back while a write is repeated.
+            self._unsealed = True
+            return self._seal_done(now)
+        if now - self._entered >= SEAL_TIMEOUT:
+            self._step_down("fail", now)
+            return []
+        if now - self._seal_sent < SEAL_REPEAT:
+            return []
+        self._seal_sent = now
+        request = SealRequest(self._domain, self._shard, record.epoch)
+        effects: list[Effect] = []
+        for member in record.electorate:
+            if member.name != self._member.name:
+                effects.append(SendMessage(member.name, request))
+        own = self._elector.seal(request, now)
+        return effects + self.handle_seal(self._member.name, own, now)
+
+    def _seal_done(self, now: timedelta) -> list[Effect]:
+        assert self._record is not None
+        self.machine.send("sealed")
+        # A member that has sealed may have confirmed the old holder just before,
+        # and the tokens of the old epoch expire with that confirmation.
+        self._ready_at = now + AUTHORITY
+        self._inherited = None
+        return self._write_claim(self._record.epoch + 1, now)
+
+    def _write_claim(self, epoch: int, now: timedelta) -> list[Effect]:
+        electorate = self._presence.electorate(self._member)
+        self._claim = ShareRecord(epoch, self._member, electorate)
+        return self._swap(now)
+
+    def _swap(self, now: timedelta) -> list[Effect]:
+        assert self._claim is not None
+        self._entered = now
+        return [SwapKey(self._key, self.version, record_to_json(self._claim))]
+
+    def _written(self, event: str, now: timedelta) -> list[Effect]:
+        resized = self.machine.state in ("resizing", "checking_resize")
+        self.machine.send(event)
+        assert self._claim is not None
+        self._entered = now
+        self._confirmed_at = now
+        if resized and self.tenure is not None:
+            self.tenure.adopt_proposed()
+        else:
+            self.tenure = Tenure(
+                self._domain, self._shard, self._claim.epoch, self._claim.electorate
+            )
+        return [self._log("share_epoch_written"), *self._hold(now)]
+
+    def _unknown(self, now: timedelta) -> list[Effect]:
+        self.machine.send("unknown")
+        self._entered = now
+        return [ReadKey(self._key)]
+
+    def _read_back(self, now: timedelta) -> list[Effect]:
+        if now - self._entered < STORE_TIMEOUT:
+            return []
+        self._entered = now
+        return [ReadKey(self._key)]
+
+    def _check(
+        self, version: int, record: ShareRecord | None, now: timedelta
+    ) -> list[Effect]:
+        if record == self._claim:
+            self.version = version
+            return self._written("ours", now)
+        if version == self.version and not self._unsealed:
+            self.machine.send("unchanged")
+            return self._swap(now)
+        self._step_down("lost", now)
+        return []
+
+    def _hold(self, now: timedelta) -> list[Effect]:
+        tenure = self.tenure
+        assert tenure is not None
+        if self.machine.state == "waiting" and now >= self._ready_at:
+            self.machine.send("ready")
+        if tenure.majority_confirmed(tenure.electorate, now):
+            self._confirmed_at = now
+        if self._hopeless(now):
+            self._step_down("superseded", now)
+            return []
+        recipients = {m.name for m in tenure.electorate}
+        recipients |= {m.name for m in self._presence.electorate(self._member)}
+        effects = self._send_heartbeats(recipients, now)
+        if self.machine.state == "holding":
+            return effects + self._resize(now)
+        if self.machine.state == "checking_resize":
+            return effects + self._read_back(now)
+        if self.machine.state == "resizing" and now - self._entered >= STORE_TIMEOUT:
+            self.handle_failure(now)
+        return effects
+
+    def _send_heartbeats(self, recipients: set[str], now: timedelta) -> list[Effect]:
+        """Send the heartbeats that are due and answer the own one at once."""
+        assert self.tenure is not None
+        effects: list[Effect] = []
+        for name, heartbeat in self.tenure.heartbeats(sorted(recipients), now):
+            if name == self._member.name:
+                ack = self._elector.heartbeat(name, heartbeat, now)
+                self.tenure.confirm(name, ack)
+            else:
+                effects.append(SendMessage(name, heartbeat))
+        return effects
+
+    def _hopeless(self, now: timedelta) -> bool:
+        """Return whether this epoch cannot be confirmed any more."""
+        tenure = self.tenure
+        assert tenure is not None
+        if now - self._confirmed_at < SILENCE:
+            return False
+        gone = self._presence.majority_gone(tenure.electorate, now)
+        return tenure.refused or gone
+
+    def _resize(self, now: timedelta) -> list[Effect]:
+        tenure = self.tenure
+        assert tenure is not None
+        wanted = self._presence.electorate(self._member)
+        if set(wanted) == set(tenure.electorate):
+            self._resize_from = None
+            return []
+        if self._resize_from is None:
+            self._resize_from = now + RESIZE_DELAY
+        if now < self._resize_from or not tenure.majority_confirmed(wanted, now):
+            return []
+        self._resize_from = None
+        tenure.proposed = wanted
+        self.machine.send("resize")
+        self._claim = ShareRecord(tenure.epoch + 1, self._member, wanted)
+        return self._swap(now)
+
+    def _step_down(self, event: str, now: timedelta) -> None:
+        self.machine.send(event)
+        self.tenure = None
+        self._claim = None
+        self._inherited = None
+        self._resize_from = None
+        rank = self._presence.rank(self._member)
+        self._next_try = now + RETRY_DELAY + rank * RANK_DELAY
+
+    def _delay_try(self, now: timedelta) -> None:
+        rank = self._presence.rank(self._member)
+        self._next_try = now + SILENCE + rank * RANK_DELAY
+
+    def _log(self, event: str) -> Effect:
+        epoch = self.tenure.epoch if self.tenure is not None else 0
+        fields: dict[str, Any] = {
+            "domain": self._domain,
+            "shard": self._shard,
+            "epoch": epoch,
+        }
+        return LogEntry(event, fields)
