Add peer transport and caller gateway

Change: bulrushloom.core.servers wraps cheroot so that requests are collected in the selector without a thread; bulrushloom.peers has the codec, envelopes, outboxes, fault injection and HTTPPeerTransport; bulrushloom.gateway checks caller requests and maps refusals to the table of error kinds.

--- /dev/null
+++ b/bulrushloom/gateway/server.py
@@ -0,0 +1,195 @@
+"""Caller HTTP interface as a WSGI application on a cheroot server."""
+
+import re
+import time
+import traceback
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+
+import eliot
+import orjson
+
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.core.servers import BufferedServer, ServerOptions, StartResponse
+from bulrushloom.gateway import bodies
+from bulrushloom.gateway.base import CallerAnswer, CallerRequest, RequestHandler
+
+# Far above every request deadline: it only ends a wait for a handler that broke its
+# promise, so that the thread is not lost.
+ANSWER_LIMIT = timedelta(seconds=120)
+_END = re.compile(r"/v1/transactions/([\x21-\x2e\x30-\x7e]{1,1024})/(commit|rollback)")
+_GET_PATHS = frozenset(("/healthz", "/readyz"))
+_POST_PATHS = frozenset(("/v1/query", "/v1/transactions"))
+_STATUS_LINE = {status: f"{status.value} {status.phrase}" for status in HTTPStatus}
+
+# A thread waits for each running statement, most of which wait for replication.
+DEFAULT_OPTIONS = ServerOptions(threads=64)
+
+# Receives the account (empty if unknown), the error kind or "ok", and the duration.
+Observe = Callable[[str, str, timedelta], None]
+
+
+class GatewayApplication:
+    """Check caller requests, hand them to the handler and render its answers."""
+
+    def __init__(self, handler: RequestHandler, observe: Observe | None = None):
+        self._handler = handler
+        self._observe = observe
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if path in _GET_PATHS and environ["REQUEST_METHOD"] in ("GET", "HEAD"):
+            status, body, headers = self._health(path)
+        else:
+            status, body, headers = self._serve(environ, path)
+        headers.append(("Content-Type", "application/json"))
+        headers.append(("Content-Length", str(len(body))))
+        start_response(_STATUS_LINE[status], headers)
+        return () if environ["REQUEST_METHOD"] == "HEAD" else (body,)
+
+    def _health(self, path: str) -> tuple[HTTPStatus, bytes, list[tuple[str, str]]]:
+        reason = None
+        if path == "/readyz":
+            try:
+                reason = self._handler.readiness()
+            except Exception as error:
+                reason = _internal(error, "")
+        if reason is None:
+            return HTTPStatus.OK, b'{"state":"ok"}', []
+        body = orjson.dumps(reason.body())
+        return HTTPStatus.SERVICE_UNAVAILABLE, body, []
+
+    def _serve(
+        self, environ: dict[str, Any], path: str
+    ) -> tuple[HTTPStatus, bytes, list[tuple[str, str]]]:
+        begun = time.monotonic()
+        account, answer = self._answer(environ, path)
+        try:
+            status, body = _render(answer)
+        except TypeError as error:
+            answer = _internal(error, "")
+            status, body = _render(answer)
+        if self._observe is not None:
+            outcome = answer.kind.value if isinstance(answer, Refusal) else "ok"
+            elapsed = timedelta(seconds=time.monotonic() - begun)
+            self._observe(account, outcome, elapsed)
+        return status, body, _extra_headers(answer, path)
+
+    def _answer(
+        self, environ: dict[str, Any], path: str
+    ) -> tuple[str, CallerAnswer | Refusal]:
+        refusal = _check_route(environ, path)
+        if refusal is not None:
+            return "", refusal
+        # The key leaves ``environ`` so that nothing later can quote it.
+        key = bodies.parse_key(environ.pop("HTTP_AUTHORIZATION", None))
+        if isinstance(key, Refusal):
+            return "", key
+        try:
+            account = self._handler.authenticate(key)
+        except Exception as error:
+            return "", _internal(error, key)
+        if isinstance(account, Refusal):
+            return "", account
+        return account, self._run(environ, path, account, key)
+
+    def _run(
+        self, environ: dict[str, Any], path: str, account: str, key: str
+    ) -> CallerAnswer | Refusal:
+        try:
+            request = _parse_request(environ, path, account)
+            if isinstance(request, Refusal):
+                return request
+            future = self._handler.submit(request)
+            return future.result(ANSWER_LIMIT.total_seconds())
+        except Exception as error:
+            return _internal(error, key)
+
+
+class GatewayServer(BufferedServer):
+    """Serve callers; ``open``, ``begin_drain`` and ``close`` come from the base."""
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        address: tuple[str, int],
+        options: ServerOptions,
+        observe: Observe | None,
+    ):
+        application = GatewayApplication(handler, observe)
+        super().__init__(address, application, options, "gateway")
+
+
+def create_server(
+    handler: RequestHandler,
+    address: tuple[str, int],
+    options: ServerOptions = DEFAULT_OPTIONS,
+    observe: Observe | None = None,
+) -> GatewayServer:
+    """Return the server of the caller address; it is not open yet."""
+    return GatewayServer(handler, address, options, observe)
+
+
+def _check_route(environ: dict[str, Any], path: str) -> Refusal | None:
+    known = path in _GET_PATHS or path in _POST_PATHS or _END.fullmatch(path)
+    if not known:
+        return Refusal(ErrorKind.NOT_FOUND, "no such path")
+    if path in _GET_PATHS or environ["REQUEST_METHOD"] != "POST":
+        return Refusal(ErrorKind.METHOD_NOT_ALLOWED, f"use {_allowed(path)}")
+    if environ["QUERY_STRING"]:
+        return Refusal(ErrorKind.BAD_REQUEST, "a query string is not supported")
+    return None
+
+
+def _allowed(path: str) -> str:
+    return "GET, HEAD" if path in _GET_PATHS else "POST"
+
+
+def _parse_request(
+    environ: dict[str, Any], path: str, account: str
+) -> CallerRequest | Refusal:
+    body = environ["wsgi.input"].read()
+    if path == "/v1/query":
+        idempotency_key = environ.get("HTTP_IDEMPOTENCY_KEY")
+        return bodies.parse_query(body, account, idempotency_key)
+    if path == "/v1/transactions":
+        return bodies.parse_begin(body, account)
+    match = _END.fullmatch(path)
+    assert match is not None
+    return bodies.parse_end(body, account, match[1], match[2] == "commit")
+
+
+def _render(answer: CallerAnswer | Refusal) -> tuple[HTTPStatus, bytes]:
+    if isinstance(answer, Refusal):
+        return answer.answer.status, orjson.dumps(answer.body())
+    return HTTPStatus.OK, orjson.dumps(answer._asdict())
+
+
+def _extra_headers(answer: CallerAnswer | Refusal, path: str) -> list[tuple[str, str]]:
+    if not isinstance(answer, Refusal):
+        return []
+    if answer.kind is ErrorKind.METHOD_NOT_ALLOWED:
+        return [("Allow", _allowed(path))]
+    if answer.kind is ErrorKind.UNAUTHENTICATED:
+        return [("WWW-Authenticate", "Bearer")]
+    return []
+
+
+def _internal(error: Exception, key: str) -> Refusal:
+    """Log an unexpected exception and return its refusal.
+
+    The text of an exception may quote a request, so only its type and the places
+    that it passed are logged, and the key is removed even from those.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    places = [f"{frame.name}:{frame.lineno}" for frame in frames]
+    text = " ".join([type(error).__name__, *places])
+    if key:
+        text = text.replace(key, "[key]")
+    eliot.log_message("gateway.internal_error", error=text)
+    return Refusal(ErrorKind.INTERNAL, "unexpected failure; the request may have run")
--- /dev/null
+++ b/tests/gateway/test_server.py
@@ -0,0 +1,160 @@
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.core.requests import RequestLimits
+from bulrushloom.gateway.base import BeginRequest, EndRequest, QueryRequest
+from tests.gateway.builders import (
+    BODY,
+    KEY,
+    Caller,
+    FakeHandler,
+    request_bytes,
+    serving,
+)
+
+
+@pytest.fixture(scope="module")
+def shared():
+    handler = FakeHandler()
+    with serving(handler, limits=RequestLimits(body_bytes=4096)) as server:
+        yield handler, server
+
+
+@pytest.fixture
+def gateway(shared):
+    handler, server = shared
+    handler.requests.clear()
+    handler.error = handler.not_ready = None
+    with Caller(server) as caller:
+        yield handler, caller
+
+
+def test_query_is_parsed_and_answered(gateway):
+    handler, caller = gateway
+    body = BODY | {"session": "s", "max_age_ms": 500}
+    status, headers, answer = caller.ask(body=body, headers={"Idempotency-Key": "i1"})
+    assert (status, answer["rows"], answer["role"]) == (200, [[1]], "replica")
+    assert "connection" not in headers
+    age = timedelta(milliseconds=500)
+    expected = QueryRequest(
+        "hotel-orders", "orders", "SELECT 1", BODY["params"], "s", age, None, "i1"
+    )
+    assert handler.requests == [expected]
+
+
+def test_transaction_routes(gateway):
+    handler, caller = gateway
+    begin = {"database": "orders"}
+    assert caller.ask(path="/v1/transactions", body=begin)[2]["transaction"] == "tx-1"
+    assert caller.ask(path="/v1/transactions/t.1/commit", body=b"")[0] == 200
+    assert caller.ask(path="/v1/transactions/t.1/rollback", body={"session": "s"})[0]
+    assert handler.requests == [
+        BeginRequest("hotel-orders", "orders", None),
+        EndRequest("hotel-orders", "t.1", True, None),
+        EndRequest("hotel-orders", "t.1", False, "s"),
+    ]
+
+
+BAD_BODIES = [
+    b"",
+    b"{",
+    b"[]",
+    b"\xff\xfe",
+    b'{"database": "orders", "sql": "\xff", "params": []}',
+    b'{"database": "orders", "sql": "a", "params": [' + b"[" * 1500,
+    b'{"database": "orders", "sql": "a", "params": [NaN]}',
+    b'{"database": "orders", "sql": "a", "params": [1e999]}',
+    {"database": "orders"},
+    BODY | {"params": [[1]]},
+    BODY | {"params": [{"a": 1}]},
+    BODY | {"params": [2**63]},
+    b'{"database": "orders", "sql": "a", "params": [18446744073709551616]}',
+    BODY | {"params": "x"},
+    BODY | {"database": 1},
+    BODY | {"database": ""},
+    BODY | {"sql": None},
+    BODY | {"max_age_ms": -1},
+    BODY | {"max_age_ms": "5"},
+    BODY | {"max_age_ms": True},
+    BODY | {"session": "s" * 1025},
+    BODY | {"extra": 1},
+]
+
+
+@pytest.mark.parametrize("body", BAD_BODIES, ids=range(len(BAD_BODIES)))
+def test_bad_body_is_refused_and_nothing_runs(gateway, body):
+    handler, caller = gateway
+    status, _, answer = caller.ask(body=body)
+    assert status == 400
+    assert answer["error"]["kind"] == "bad_request"
+    assert answer["error"]["ran"] == "no"
+    assert handler.requests == []
+    assert caller.ask()[0] == 200, "the connection stays usable"
+
+
+BAD_REQUESTS = [
+    (request_bytes(key=None), 401, "unauthenticated"),
+    (request_bytes(key="wrong"), 401, "unauthenticated"),
+    (request_bytes(key="two words"), 401, "unauthenticated"),
+    (request_bytes(key="k" * 300), 401, "unauthenticated"),
+    (request_bytes(key=None, headers={"Authorization": "Basic x"}), 401, None),
+    (request_bytes(headers={"authorization": "Bearer x"}), 400, "bad_request"),
+    (request_bytes(headers={"content-length": "3"}), 400, "bad_request"),
+    (request_bytes(headers={"Transfer-Encoding": "chunked"}), 400, "bad_request"),
+    (request_bytes(headers={"Idempotency-Key": "i" * 200}), 400, "bad_request"),
+    (request_bytes(headers={"X": "y" * 9000}), 400, "bad_request"),
+    (request_bytes(headers={f"X-{i}": "y" for i in range(70)}), 400, "bad_request"),
+    (request_bytes(headers={"bad name": "y"}), 400, "bad_request"),
+    (request_bytes(headers={"X": "a\x00b"}), 400, "bad_request"),
+    (request_bytes(body=b"x" * 5000), 413, "body_too_large"),
+    (request_bytes(method="GET"), 405, "method_not_allowed"),
+    (request_bytes(path="/healthz"), 405, "method_not_allowed"),
+    (request_bytes(path="/v2/query"), 404, "not_found"),
+    (request_bytes(path="/v1/transactions//commit"), 404, "not_found"),
+    (request_bytes(path="/v1/query?a=1"), 400, "bad_request"),
+    (b"POST /v1/query HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, "bad_request"),
+    (b"POST /v1/query HTTP/1.1\r\nContent-Length: +5\r\n\r\n", 400, "bad_request"),
+    (b"POST /v1/query HTTP/2.0\r\n\r\n", 400, "bad_request"),
+    (b"hello\r\n\r\n", 400, "bad_request"),
+    (b"GET /" + b"a" * 20_000, 400, "bad_request"),
+    (b"GET /healthz HTTP/1.1\nHost: x\n\r\n\r\n", 400, "bad_request"),
+]
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "kind"), BAD_REQUESTS, ids=range(len(BAD_REQUESTS))
+)
+def test_bad_request_is_refused_and_nothing_runs(gateway, data, status, kind):
+    handler, caller = gateway
+    caller.send(data)
+    got, _, answer = caller.receive()
+    assert got == status
+    assert kind is None or answer["error"]["kind"] == kind
+    assert handler.requests == []
+
+
+def test_header_with_underscore_does_not_replace_another(gateway):
+    handler, caller = gateway
+    caller.ask(headers={"Idempotency-Key": "real", "Idempotency_Key": "forged"})
+    assert handler.requests[0].idempotency_key == "real"
+
+
+def test_health_and_readiness_need_no_key(gateway):
+    handler, caller = gateway
+    handler.not_ready = Refusal(ErrorKind.NOT_READY, "no rules yet")
+    assert caller.ask("GET", "/healthz", b"", None)[0] == 200
+    status, _, body = caller.ask("GET", "/readyz", b"", None)
+    assert (status, body["error"]["message"]) == (503, "no rules yet")
+    handler.not_ready = None
+    assert caller.ask("GET", "/readyz", b"", None)[0] == 200
+
+
+def test_unexpected_exception_is_internal_and_hides_the_key(gateway, capfd):
+    handler, caller = gateway
+    handler.error = ValueError(f"broken by {KEY}")
+    status, _, answer = caller.ask()
+    assert (status, answer["error"]["ran"]) == (500, "unknown")
+    assert KEY not in str(answer)
+    assert KEY not in "".join(capfd.readouterr())
--- /dev/null
+++ b/tests/peers/test_envelopes.py
@@ -0,0 +1,86 @@
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bulrushloom.core.clock import ManualClock
+from bulrushloom.peers.envelopes import (
+    REPLAY_WINDOW,
+    Envelope,
+    EnvelopeChecker,
+    calendar_milliseconds,
+    from_environ,
+    to_headers,
+)
+from tests.peers.builders import SECRET
+
+
+def envelope(clock, sequence=1, **changes):
+    sent = calendar_milliseconds(clock)
+    return Envelope("a", "d", "a-1", "b", sequence, sent)._replace(**changes)
+
+
+def check(checker, item, secret=SECRET, body=b"[]"):
+    return checker.check(item, item.signature(secret, b"[]"), body)
+
+
+def test_headers_round_trip():
+    item = envelope(ManualClock())
+    headers = to_headers(item, "sig")
+    environ = {f"HTTP_{k.upper().replace('-', '_')}": v for k, v in headers.items()}
+    assert from_environ(environ) == (item, "sig")
+    for name in environ:
+        if name != "HTTP_CONTENT_TYPE":
+            assert from_environ(environ | {name: ""}).reason
+    assert from_environ(environ | {"HTTP_X_PEER_SEQUENCE": "1x"}).reason
+
+
+def test_forged_batches_are_refused_and_leave_the_window_alone():
+    clock = ManualClock()
+    checker = EnvelopeChecker("b", SECRET, clock)
+    item = envelope(clock)
+    assert check(checker, item, secret="other") == "wrong signature"
+    assert check(checker, item, body=b"[1]") == "wrong signature"
+    assert check(checker, envelope(clock, recipient="c")) == "another recipient"
+    assert check(checker, item) == ""
+
+
+def test_signature_covers_every_field():
+    item = envelope(ManualClock())
+    signatures = {item.signature(SECRET, b"")}
+    for field, value in item._asdict().items():
+        changed = item._replace(**{field: value + type(value)(1)})
+        signatures.add(changed.signature(SECRET, b""))
+    assert len(signatures) == len(item) + 1
+
+
+def test_age_is_bounded_in_both_directions():
+    clock = ManualClock()
+    checker = EnvelopeChecker("b", SECRET, clock)
+    item = envelope(clock)
+    future = envelope(clock, sent_ms=item.sent_ms + 30_001)
+    assert "future" in check(checker, future)
+    clock.advance(timedelta(milliseconds=30_001))
+    assert "too long ago" in check(checker, item)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.integers(1, 2 * REPLAY_WINDOW), max_size=60))
+def test_no_sequence_number_is_accepted_twice(sequences):
+    clock = ManualClock()
+    checker = EnvelopeChecker("b", SECRET, clock)
+    accepted = [n for n in sequences if not check(checker, envelope(clock, n))]
+    assert len(accepted) == len(set(accepted))
+    highest = 0
+    for number in sequences:
+        if number > highest:
+            assert number in accepted, "a higher number is always accepted"
+        highest = max(highest, number)
+
+
+def test_new_incarnation_starts_again():
+    clock = ManualClock()
+    checker = EnvelopeChecker("b", SECRET, clock)
+    assert check(checker, envelope(clock, 5)) == ""
+    assert check(checker, envelope(clock, 5)) == "repeated sequence number"
+    assert check(checker, envelope(clock, 5, incarnation="a-2")) == ""
