--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -51,6 +51,8 @@
         with ThreadPoolExecutor(8) as executor:
             list(executor.map(self.start_entry, self.entry_names))
             list(executor.map(self._wait, list(self.process_by_name.values())))
+        for name in self.target_names:
+            self.fault(name, slots=self.plan.slots, connections=self.plan.connections)
         self.rules_path.write_text(self.rules_text())
         self.apply_rules()
         self.wait_ready()
@@ -274,8 +276,6 @@
                 f"--group={group}",
                 f"--domain={domain}",
                 f"--peers={peers}",
-                f"--slots={self.plan.slots}",
-                f"--connections={self.plan.connections}",
             ],
             self.directory,
         )
@@ -284,7 +284,7 @@
         domain = self.plan.domains[index % len(self.plan.domains)]
         name = f"{domain}-{index // len(self.plan.domains) + 1}"
         caller, peer = processes.free_ports(2)
-        settings = {
+        settings: dict[str, Any] = {
             "name": name,
             "domain": domain,
             "caller_address": f"127.0.0.1:{caller}",
--- a/bulrushloom/coordination/limits/base.py
+++ b/bulrushloom/coordination/limits/base.py
@@ -1,6 +1,7 @@
 """Messages, data types and interface of the fleet-wide rate limits."""
 
 from abc import abstractmethod
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -214,3 +215,13 @@
     @abstractmethod
     def acquire(self, request_id: str, account: str, now: timedelta) -> list[Effect]:
         """Ask for one token; the decision may follow from ``handle`` or ``tick``."""
+
+    def update_instances(
+        self, names_by_domain: Mapping[str, Iterable[str]], now: timedelta
+    ) -> list[Effect]:
+        """Replace the live instances of all domains, the own one included."""
+        return []
+
+    def peer_lost(self, name: str, now: timedelta) -> list[Effect]:
+        """Ask another instance at once for what was asked of a lost one."""
+        return []
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -37,14 +37,23 @@
 )
 from bulrushloom.coordination.limits.base import (
     AccountLimit,
+    HolderAck,
+    HolderHeartbeat,
     Member,
     RateClient,
+    SealAnswer,
+    SealRequest,
     ShareGrant,
+    ShareHandover,
     ShareRefused,
+    ShareRequest,
     TokenGranted,
+    TokenLoan,
+    TokenLoanRequest,
     TokenRefused,
 )
 from bulrushloom.coordination.limits.holder import ShareHolder
+from bulrushloom.coordination.limits.utils import shard_of, share_subject
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.queueing.base import SlotQueue
 from bulrushloom.coordination.replication.base import AwaitAnswered, AwaitFailed
@@ -89,7 +98,7 @@
     router: StatementRouter
     tracker: ConfigurationTracker
     rate_client: RateClient
-    share_holder: ShareHolder
+    share_holders: list[ShareHolder]
 
 
 _GROUP_OBSERVATIONS = (
@@ -107,6 +116,18 @@
 )
 
 
+_HOLDER_MESSAGES = (
+    ShareRequest,
+    HolderHeartbeat,
+    HolderAck,
+    SealRequest,
+    SealAnswer,
+    ShareHandover,
+    TokenLoanRequest,
+    TokenLoan,
+)
+
+
 class Node(DecisionPart):
     """Route messages between the decision objects of one instance.
 
@@ -123,11 +144,12 @@
         self.table = parts.table
         self.tracker = parts.tracker
         self.router = parts.router
-        self.share_holder = parts.share_holder
+        self.share_holders = parts.share_holders
         self.group_by_name: dict[str, WatchedGroup] = {}
         self.draining = False
         self._views = parts.views
         self._rate_client = parts.rate_client
+        self._holder_by_key = {holder.key: holder for holder in parts.share_holders}
         self._policy = policy
         self._make_queue = make_queue
         self._submit_by_id: dict[str, Submit] = {}
@@ -159,7 +181,8 @@
     def tick(self, now: timedelta) -> list[Effect]:
         """Let every part do what is due."""
         effects = self.tracker.tick(now)
-        effects += self.share_holder.tick(now)
+        for holder in self.share_holders:
+            effects += holder.tick(now)
         effects += self._rate_client.tick(now)
         effects += self.router.tick(now)
         if now >= self._next_watch_at:
@@ -174,7 +197,10 @@
         self.tracker.draining = True
         for group in self.group_by_name.values():
             group.drain()
-        return self._settle(self.share_holder.drain(now), now)
+        effects: list[Effect] = []
+        for holder in self.share_holders:
+            effects += holder.drain(now)
+        return self._settle(effects, now)
 
     def _build_routes(
         self,
@@ -205,11 +231,11 @@
             ShareRefused: self._rate_client.handle,
         }
         routes.update(dict.fromkeys(_GROUP_OBSERVATIONS, self._observe))
+        routes.update(dict.fromkeys(_HOLDER_MESSAGES, self._share_message))
         return routes
 
     def _dispatch(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
-        route = self._routes.get(type(message), self.share_holder.handle)
-        return route(sender, message, now)
+        return self._routes[type(message)](sender, message, now)
 
     def _settle(self, effects: list[Effect], now: timedelta) -> list[Effect]:
         """Carry out the effects inside the instance and return the others."""
@@ -227,7 +253,7 @@
                 if self._submit_by_id.pop(effect.request_id, None) is not None:
                     outside.append(_rate_limited(effect))
             elif isinstance(effect, RulesChanged):
-                self._apply_rules(now)
+                todo += self._apply_rules(now)
                 outside.append(effect)
             else:
                 outside.append(effect)
@@ -245,13 +271,15 @@
         self, sender: str, message: MessageUndelivered, now: timedelta
     ) -> list[Effect]:
         self.table.mark_unreachable(message.recipient, now)
-        return self.router.handle(sender, message, now)
+        effects = self._rate_client.peer_lost(message.recipient, now)
+        return effects + self.router.handle(sender, message, now)
 
     def _peer_lost(
         self, sender: str, message: PeerLost, now: timedelta
     ) -> list[Effect]:
         self.table.mark_unreachable(message.peer, now)
-        return self.router.handle(sender, message, now)
+        effects = self._rate_client.peer_lost(message.peer, now)
+        return effects + self.router.handle(sender, message, now)
 
     def _request(
         self,
@@ -295,7 +323,15 @@
     ) -> list[Effect]:
         if message.key == RULES_KEY:
             return self.tracker.handle(sender, message, now)
-        return self.share_holder.handle(sender, message, now)
+        holder = self._holder_by_key.get(message.key)
+        return [] if holder is None else holder.handle(sender, message, now)
+
+    def _share_message(self, sender: str, message: Any, now: timedelta) -> list[Effect]:
+        # A loan answers a holder of this domain but names that of the lender.
+        is_loan = isinstance(message, TokenLoan)
+        domain = self.table.own.domain if is_loan else message.domain
+        holder = self._holder_by_key.get(share_subject(domain, message.shard))
+        return [] if holder is None else holder.handle(sender, message, now)
 
     def _instances_listed(
         self, sender: str, message: InstancesListed, now: timedelta
@@ -309,17 +345,19 @@
         return effects
 
     def _update_members(self, now: timedelta) -> list[Effect]:
-        members_by_domain: dict[str, list[Member]] = {}
+        names_by_domain: dict[str, list[str]] = {}
+        members = []
         for entry in self.table.instance_by_name.values():
-            member = Member(entry.name, entry.incarnation)
-            members_by_domain.setdefault(entry.domain, []).append(member)
-        own_domain = members_by_domain[self.table.own.domain]
-        names = [member.name for member in own_domain]
-        effects = self.share_holder.update_instances(members_by_domain, now)
-        self._rate_client.update_instances(names, now)
+            names_by_domain.setdefault(entry.domain, []).append(entry.name)
+            if entry.domain == self.table.own.domain and not entry.leaving:
+                members.append(Member(entry.name, entry.incarnation))
+        effects = self._rate_client.update_instances(names_by_domain, now)
+        del names_by_domain[self.table.own.domain]
+        for holder in self.share_holders:
+            effects += holder.update_instances(members, names_by_domain, now)
         return effects
 
-    def _apply_rules(self, now: timedelta) -> None:
+    def _apply_rules(self, now: timedelta) -> list[Effect]:
         rules = self.rules
         self._views.update_rules(rules)
         self.router.update_rules(rules)
@@ -327,11 +365,17 @@
             account.name: AccountLimit(account.rate, float(account.burst))
             for account in rules.account_by_name.values()
         }
-        self.share_holder.update_accounts(
-            limit_by_account, len(rules.domain_by_name), now
-        )
-        self._rate_client.update_accounts(limit_by_account, now)
+        domains = max(1, len(rules.domain_by_name))
+        effects: list[Effect] = []
+        for holder in self.share_holders:
+            own_shard = {
+                name: limit
+                for name, limit in limit_by_account.items()
+                if shard_of(name, len(self.share_holders)) == holder.shard
+            }
+            effects += holder.update_accounts(own_shard, domains, now)
         self._watch(now)
+        return effects
 
     def _watch(self, now: timedelta) -> None:
         """Watch the groups that this instance is responsible for, and no others."""
--- a/bulrushloom/instance/runtime.py
+++ b/bulrushloom/instance/runtime.py
@@ -11,14 +11,17 @@
 from datetime import timedelta
 from types import FrameType
 
+import eliot
+
 from bulrushloom.conf.base import Settings
+from bulrushloom.coordination.base import LogEntry
 from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
 from bulrushloom.coordination.failover.base import FailoverPolicy
 from bulrushloom.coordination.limits.client import ShareClient
 from bulrushloom.coordination.limits.holder import ShareHolder
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.queueing.fair import FairQueue
-from bulrushloom.coordination.retries.policies import BudgetedRetries
+from bulrushloom.coordination.retries.budgets import BudgetedRetries
 from bulrushloom.coordination.routing.policies import FreshReplicaPolicy
 from bulrushloom.core.clock import Clock, SystemClock
 from bulrushloom.core.requests import RequestLimits
@@ -37,11 +40,16 @@
 from bulrushloom.instance.views import ViewCache
 from bulrushloom.peers.http import HTTPPeerTransport, TransportOptions, parse_address
 from bulrushloom.stores.http import HttpConfigurationStore
-from bulrushloom.telemetry.logs import log_entry, open_log
 
 # A draining instance still accepts for this long, until the balancer has noticed.
 BALANCER_NOTICE = timedelta(seconds=1)
 
+# Share holders in each domain; all instances must use the same number.
+SHARDS_PER_DOMAIN = 4
+
+# Statements of one account that wait for a slot of one target.
+QUEUE_LIMIT_PER_ACCOUNT = 256
+
 IDLE_CHECK_INTERVAL = timedelta(milliseconds=50)
 
 
@@ -86,7 +94,7 @@
             StoreTask(store, post),
             DirectoryTask(directory, post),
             self._frontend,
-            log_entry,
+            _log_entry,
         )
         self._coordinator.connect(edges)
         # Closed in reverse order: callers first, the platform last.
@@ -125,13 +133,14 @@
         retries = BudgetedRetries()
         router = StatementRouter(table, views, FreshReplicaPolicy(), retries)
         tracker = ConfigurationTracker(settings.name, settings.domain, source)
-        client = ShareClient(settings.name, settings.domain, self._incarnation)
-        holder = ShareHolder(settings.name, settings.domain, self._incarnation)
+        member = (settings.name, self._incarnation, settings.domain)
+        client = ShareClient(*member, shards=SHARDS_PER_DOMAIN)
+        holders = [ShareHolder(*member, shard) for shard in range(SHARDS_PER_DOMAIN)]
         policy = FailoverPolicy(
             poll_interval=timedelta(milliseconds=settings.poll_interval_ms)
         )
-        parts = NodeParts(table, views, router, tracker, client, holder)
-        return Node(parts, policy, FairQueue)
+        parts = NodeParts(table, views, router, tracker, client, holders)
+        return Node(parts, policy, lambda: FairQueue(QUEUE_LIMIT_PER_ACCOUNT))
 
     def _build_transport(self) -> HTTPPeerTransport:
         settings = self.settings
@@ -159,7 +168,16 @@
 
 def run_instance(settings: Settings) -> None:
     """Run an instance until SIGTERM or SIGINT, then drain it."""
-    open_log(settings.log_path)
+    with open(settings.log_path, "a") as log:
+        eliot.to_file(log)
+        _run(settings)
+
+
+def _log_entry(entry: LogEntry) -> None:
+    eliot.log_message(message_type=entry.event, **entry.fields)
+
+
+def _run(settings: Settings) -> None:
     stopped = threading.Event()
 
     def stop(signum: int, frame: FrameType | None) -> None:
--- a/bulrushloom/instance/status.py
+++ b/bulrushloom/instance/status.py
@@ -19,7 +19,7 @@
         "fresh": node.tracker.is_fresh(now),
         "draining": node.draining,
         "requests": len(node.router),
-        "share": node.share_holder.state,
+        "shares": {holder.key: holder.state for holder in node.share_holders},
         "instances": {
             name: node.table.is_reachable(name, now)
             for name in sorted(node.table.instance_by_name)
