Add command line: serve, rules, status, keys

Commands are read in full before they run, because fire reports left-over options only after the call.

--- a/bulrushloom/coordination/configuration/topology.py
+++ b/bulrushloom/coordination/configuration/topology.py
@@ -14,7 +14,7 @@
 CHILDREN = 8
 RANDOM_PEERS = 2
 # Readers of other domains that a reader asks each round.
-REMOTE_READERS = 3
+REMOTE_READERS = 2
 
 
 class Topology:
--- a/bulrushloom/management/__init__.py
+++ b/bulrushloom/management/__init__.py
@@ -1,6 +1,52 @@
 """Command line of bulrushloom."""
 
+import sys
+from collections.abc import Sequence
+from typing import Any, TextIO
 
-def main() -> None:
-    """Run the command named on the command line."""
-    raise SystemExit("bulrushloom: no command is available yet")
+import fire
+
+from bulrushloom.management.base import PreparedCommand, run_prepared
+from bulrushloom.management.commands.keys import KeysCommands
+from bulrushloom.management.commands.rules import RulesCommands
+from bulrushloom.management.commands.serve import serve
+from bulrushloom.management.commands.status import status
+from bulrushloom.management.exceptions import CommandError
+
+
+class Commands:
+    """Run and operate bulrushloom, a database proxy with session consistency."""
+
+    def __init__(self) -> None:
+        self.serve = serve
+        self.rules = RulesCommands()
+        self.keys = KeysCommands()
+        self.status = status
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command named on the command line.
+
+    Exit with status 2 for bad arguments, settings or rules and with status 1 for
+    other failures; the reason is on standard error.
+    """
+    # The default display starts a pager process.
+    fire.core.Display = _display
+    command = None if arguments is None else list(arguments)
+    result = fire.Fire(Commands(), command, "bulrushloom", serialize=_hide_prepared)
+    if not isinstance(result, PreparedCommand):
+        return
+    try:
+        run_prepared(result)
+    except CommandError as error:
+        for line in str(error).splitlines():
+            print(f"bulrushloom: {line}", file=sys.stderr)
+        raise SystemExit(error.status) from error
+
+
+def _hide_prepared(result: Any) -> Any:
+    return None if isinstance(result, PreparedCommand) else result
+
+
+def _display(lines: list[str], out: TextIO) -> None:
+    out.write("\n".join(lines) + "\n")
--- /dev/null
+++ b/bulrushloom/management/commands/keys.py
@@ -0,0 +1,15 @@
+"""Commands ``keys``."""
+
+from bulrushloom.management.base import prepared
+from bulrushloom.rules.keys import new_key
+
+
+class KeysCommands:
+    """Make keys for callers."""
+
+    @prepared
+    def new(self) -> None:
+        """Print a new random key for the caller and its digest for the rules file."""
+        key = new_key()
+        print(f"key for the caller:    {key.key}")
+        print(f"digest for the rules:  {key.digest}")
--- /dev/null
+++ b/bulrushloom/management/commands/serve.py
@@ -0,0 +1,17 @@
+"""Command ``serve``."""
+
+from bulrushloom.management.base import prepared
+from bulrushloom.management.utils import read_settings
+
+
+@prepared
+def serve(settings: str) -> None:
+    """Run one instance until SIGTERM.
+
+    Args:
+        settings: YAML file with the settings of the instance.
+    """
+    checked = read_settings(settings)
+    from bulrushloom.instance.runtime import run_instance
+
+    run_instance(checked)
