--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -29,8 +29,10 @@
 ) -> None:
     """Serve one server of a group; ``peers`` is ``name=host:port,...``.
 
-    The first of ``peers`` is the primary of term 1 unless ``primary`` is given.
-    ``schema`` names a file of SQL that every server of the group starts with.
+    With ``primary`` the server starts as the primary of term 1; the others find it
+    among their peers. ``schema`` names a file of SQL that every server starts with.
+    A stopped server has lost its grants and its log and must not be started again
+    as a member of the same group.
     """
     text = ""
     if schema:
--- a/standins/base.py
+++ b/standins/base.py
@@ -21,8 +21,11 @@
 # Idle keep-alive sockets stay open, as those of a database server do.
 IDLE_TIMEOUT_S = 3600
 KEEP_ALIVE_SOCKETS = 10_000
+# A server that is told to stop notices it within this time.
+POLL_S = 0.05
 MAX_BODY_BYTES = 4 * 1024 * 1024
 RECORDED_REQUESTS = 5000
+RECORDED_BYTES = 32 * 1024 * 1024
 
 
 class Request(NamedTuple):
@@ -46,6 +49,30 @@
 Handler = Callable[[Request], Answer]
 
 
+class Recorder:
+    """Keep the bytes of the last requests, within a limit; thread-safe."""
+
+    def __init__(self) -> None:
+        self._requests: deque[bytes] = deque()
+        self._bytes = 0
+        self._lock = threading.Lock()
+
+    def add(self, request: bytes) -> None:
+        """Keep one more request and forget the oldest ones beyond the limits."""
+        with self._lock:
+            self._requests.append(request)
+            self._bytes += len(request)
+            while (
+                len(self._requests) > RECORDED_REQUESTS or self._bytes > RECORDED_BYTES
+            ):
+                self._bytes -= len(self._requests.popleft())
+
+    def last(self, count: int) -> list[bytes]:
+        """Return up to ``count`` requests, the newest last."""
+        with self._lock:
+            return list(self._requests)[-count:] if count else []
+
+
 def ok(value: Any) -> Answer:
     """Return an answer with status 200."""
     return Answer(HTTPStatus.OK, value)
@@ -56,7 +83,7 @@
 
     def __init__(self, faults: Faults):
         self.faults = faults
-        self.received: deque[bytes] = deque(maxlen=RECORDED_REQUESTS)
+        self.recorder = Recorder()
         self.handler_by_route: dict[tuple[str, str], Handler] = {}
 
     def close(self) -> None:
@@ -116,8 +143,8 @@
             last = query_integer(query, "last", RECORDED_REQUESTS, RECORDED_REQUESTS)
         except BadRequest as error:
             return "text/plain", HTTPStatus.BAD_REQUEST, str(error).encode()
-        recorded = list(self.received)[-last:] if last else []
-        return "application/octet-stream", HTTPStatus.OK, b"\n".join(recorded)
+        recorded = b"\n".join(self.recorder.last(last))
+        return "application/octet-stream", HTTPStatus.OK, recorded
 
 
 def _request(environ: dict[str, Any]) -> Request:
@@ -160,7 +187,7 @@
     def communicate(self) -> bool:
         keep_open = super().communicate()
         if self._recording.recorded:
-            self.server.wsgi_app.received.append(bytes(self._recording.recorded))
+            self.server.wsgi_app.recorder.add(bytes(self._recording.recorded))
             self._recording.recorded.clear()
         return keep_open
 
@@ -184,6 +211,7 @@
         )
         self._server.ConnectionClass = _RecordingConnection
         self._server.keep_alive_conn_limit = KEEP_ALIVE_SOCKETS
+        self._server.expiration_interval = POLL_S
         self._server.prepare()
         self.address = "{}:{}".format(*self._server.bind_addr)
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
