--- a/bulrushloom/management/utils.py
+++ b/bulrushloom/management/utils.py
@@ -63,16 +63,16 @@
 
 def open_store(address: str) -> ConfigurationStore:
     """Return a client of the store at ``address``."""
-    from bulrushloom.stores.http import HTTPConfigurationStore
+    from bulrushloom.stores.http import HttpConfigurationStore
 
-    return HTTPConfigurationStore(address, PLATFORM_TIMEOUT, SENDER)
+    return HttpConfigurationStore(address, SENDER, PLATFORM_TIMEOUT)
 
 
 def open_directory(address: str) -> InstanceDirectory:
     """Return a client of the directory at ``address``."""
-    from bulrushloom.directories.http import HTTPInstanceDirectory
+    from bulrushloom.directories.http import HttpInstanceDirectory
 
-    return HTTPInstanceDirectory(address, PLATFORM_TIMEOUT, SENDER)
+    return HttpInstanceDirectory(address, SENDER, PLATFORM_TIMEOUT)
 
 
 def _checked_address(option: str, address: str) -> str:
