--- /dev/null
+++ b/tests/instance/test_owner.py
@@ -0,0 +1,231 @@
+"""Failures guarded against: mixed transactions, doubled runs, false outcomes."""
+
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.coordination.base import SendMessage, effects_of
+from bulrushloom.coordination.queueing.fair import FairQueue
+from bulrushloom.coordination.sessions.base import LogPosition
+from bulrushloom.databases.base import Rows
+from bulrushloom.databases.exceptions import (
+    AnswerLost,
+    RefusalReason,
+    ServerUnreachable,
+    StatementRefused,
+)
+from bulrushloom.instance.base import Executed, RunBegin, RunEnd, RunStatement
+from bulrushloom.instance.owner import AwaitDurable, TargetOwner
+from tests import builders
+
+ZERO = timedelta()
+POSITION = LogPosition(1, 6)
+ROWS = Rows([], [], 1, POSITION)
+
+
+class OwnerDriver:
+    """Drive the owner of the primary ``orders-a``."""
+
+    def __init__(self):
+        self.owner = TargetOwner(
+            builders.target_rule(slots=2), FairQueue(4), "east-1", "run"
+        )
+        self.owner.update_server(1, True, ZERO)
+
+    def give(self, message, now=ZERO):
+        return self.owner.handle("west-1", message, now)
+
+    def executed(self, request_id, result, now=ZERO):
+        return self.give(Executed("orders-a", request_id, result, ZERO), now)
+
+    def begin(self):
+        """Open a transaction and return its handle."""
+        [run] = effects_of(self.give(builders.transaction_request()), RunBegin)
+        return answer(self.executed("t1.1", None)).transaction
+
+    def end(self, handle, action="commit", request_id="t2.1"):
+        request = builders.transaction_request(action, request_id, transaction=handle)
+        return self.give(request)
+
+
+@pytest.fixture
+def driver():
+    return OwnerDriver()
+
+
+def answer(effects):
+    [message] = effects_of(effects, SendMessage)
+    return message.message
+
+
+def test_write_is_answered_only_when_durable(driver):
+    [run] = effects_of(driver.give(builders.statement_request()), RunStatement)
+    assert run.work.term == 1
+    effects = driver.executed("r1.1", ROWS)
+    [waiting] = effects_of(effects, AwaitDurable)
+    assert waiting.position == POSITION
+    assert not effects_of(effects, SendMessage)
+    assert answer(driver.owner.durable("r1.1", ZERO)).position == POSITION
+
+
+def test_undecided_write_has_an_unknown_outcome(driver):
+    driver.give(builders.statement_request())
+    driver.executed("r1.1", ROWS)
+    refused = answer(driver.owner.undecided("r1.1", "replicas are behind", ZERO))
+    assert refused.error == "outcome_unknown"
+
+
+def test_duplicate_request_runs_once(driver):
+    driver.give(builders.statement_request())
+    assert driver.give(builders.statement_request()) == []
+    driver.executed("r1.1", ROWS)
+    first = answer(driver.owner.durable("r1.1", ZERO))
+    effects = driver.give(builders.statement_request())
+    assert answer(effects) == first
+    assert not effects_of(effects, RunStatement)
+
+
+def test_no_more_statements_run_than_slots(driver):
+    runs = []
+    for number in range(4):
+        request = builders.statement_request(f"r{number}.1")
+        runs += effects_of(driver.give(request), RunStatement)
+    assert len(runs) == 2
+    effects = driver.executed("r0.1", ROWS)
+    assert len(effects_of(effects, RunStatement)) == 1
+
+
+def test_full_queue_is_refused_as_not_run(driver):
+    for number in range(6):
+        driver.give(builders.statement_request(f"r{number}.1"))
+    assert answer(driver.give(builders.statement_request("r9.1"))).error == "overloaded"
+
+
+def test_statement_that_waited_too_long_is_not_run(driver):
+    for number in range(3):
+        driver.give(builders.statement_request(f"r{number}.1"))
+    effects = driver.owner.tick(timedelta(seconds=6))
+    assert answer(effects).error == "overloaded"
+    late = driver.executed("r0.1", ROWS, timedelta(seconds=6))
+    assert not effects_of(late, RunStatement)
+
+
+@pytest.mark.parametrize(
+    ("error", "kind", "elsewhere"),
+    [
+        (ServerUnreachable("x"), "no_target", True),
+        (StatementRefused(RefusalReason.WRONG_TERM, "x"), "no_target", True),
+        (StatementRefused(RefusalReason.SQL_ERROR, "x"), "sql_error", False),
+        (AnswerLost("x"), "outcome_unknown", False),
+        (ValueError("unexpected"), "outcome_unknown", False),
+    ],
+)
+def test_failed_write_says_whether_it_ran(driver, error, kind, elsewhere):
+    driver.give(builders.statement_request())
+    refused = answer(driver.executed("r1.1", error))
+    assert (refused.error, refused.retry_elsewhere) == (kind, elsewhere)
+
+
+def test_read_whose_answer_was_lost_may_run_elsewhere(driver):
+    driver.give(builders.statement_request(read_only=True))
+    refused = answer(driver.executed("r1.1", AnswerLost("x")))
+    assert refused.retry_elsewhere
+
+
+def test_replaced_primary_gives_queued_writes_back(driver):
+    for number in range(3):
+        driver.give(builders.statement_request(f"r{number}.1"))
+    refused = answer(driver.owner.update_server(2, False, ZERO))
+    assert (refused.request_id, refused.retry_elsewhere) == ("r2.1", True)
+
+
+def test_write_to_a_replica_is_refused(driver):
+    driver.owner.update_server(1, False, ZERO)
+    refused = answer(driver.give(builders.statement_request()))
+    assert (refused.error, refused.retry_elsewhere) == ("no_target", True)
+
+
+def test_transaction_runs_one_statement_at_a_time(driver):
+    handle = driver.begin()
+    first = builders.statement_request("r1.1", transaction=handle)
+    [run] = effects_of(driver.give(first), RunStatement)
+    assert run.handle == handle
+    second = builders.statement_request("r2.1", transaction=handle)
+    assert answer(driver.give(second)).error == "transaction_busy"
+    driver.executed("r1.1", ROWS)
+    assert effects_of(driver.give(second._replace(request_id="r3.1")), RunStatement)
+
+
+def test_transaction_of_another_account_is_not_found(driver):
+    handle = driver.begin()
+    foreign = builders.statement_request(transaction=handle, account="other")
+    assert answer(driver.give(foreign)).error == "transaction_lost"
+
+
+def test_commit_is_answered_only_when_durable(driver):
+    handle = driver.begin()
+    [run] = effects_of(driver.end(handle), RunEnd)
+    assert run.commit
+    assert not effects_of(driver.executed("t2.1", POSITION), SendMessage)
+    assert answer(driver.owner.durable("t2.1", ZERO)).position == POSITION
+    again = answer(driver.end(handle, request_id="t3.1"))
+    assert again.error == "transaction_unknown"
+
+
+def test_commit_whose_answer_was_lost_stays_unknown(driver):
+    handle = driver.begin()
+    driver.end(handle)
+    lost = driver.executed("t2.1", AnswerLost("x"))
+    assert answer(lost).error == "outcome_unknown"
+    again = answer(driver.end(handle, request_id="t3.1"))
+    assert again.error == "outcome_unknown"
+
+
+def test_commit_at_an_owner_that_lost_the_transaction_is_unknown(driver):
+    assert answer(driver.end("older-run.7")).error == "outcome_unknown"
+
+
+def test_refused_commit_is_a_lost_transaction(driver):
+    handle = driver.begin()
+    driver.end(handle)
+    refused = StatementRefused(RefusalReason.WRONG_TERM, "x")
+    assert answer(driver.executed("t2.1", refused)).error == "transaction_lost"
+
+
+def test_failed_statement_closes_the_connection_of_its_transaction(driver):
+    handle = driver.begin()
+    driver.give(builders.statement_request(transaction=handle))
+    effects = driver.executed("r1.1", AnswerLost("x"))
+    assert answer(effects).error == "transaction_lost"
+    [end] = effects_of(effects, RunEnd)
+    assert (end.handle, end.commit) == (handle, False)
+    driver.executed(end.request_id, None)
+    assert driver.owner.is_idle
+
+
+def test_idle_transaction_is_rolled_back(driver):
+    handle = driver.begin()
+    late = timedelta(seconds=31)
+    [end] = effects_of(driver.owner.tick(late), RunEnd)
+    assert (end.handle, end.commit) == (handle, False)
+    driver.executed(end.request_id, None, late)
+    request = builders.statement_request(transaction=handle)
+    assert answer(driver.give(request, late)).error == "transaction_lost"
+
+
+def test_transactions_leave_connections_for_statements(driver):
+    opened = 0
+    for number in range(40):
+        request = builders.transaction_request(request_id=f"t{number}.1")
+        opened += len(effects_of(driver.give(request), RunBegin))
+    assert opened == 14
+
+
+def test_draining_owner_finishes_transactions_and_takes_no_others(driver):
+    handle = driver.begin()
+    driver.owner.drain()
+    assert answer(driver.give(builders.statement_request())).error == "draining"
+    begin = builders.transaction_request(request_id="t5.1")
+    assert answer(driver.give(begin)).error == "draining"
+    inside = builders.statement_request("r7.1", transaction=handle)
+    assert effects_of(driver.give(inside), RunStatement)
