--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -149,6 +149,26 @@
         if response.status != 200:
             raise RuntimeError(f"{name}: {response.status} {response.data!r}")
 
+    def calls(self, name: str) -> dict[str, int]:
+        """Return the call counts of a stand-in."""
+        url = f"{self.process_by_name[name].url}/faults"
+        counts: dict[str, int] = orjson.loads(
+            self.http.request("GET", url, timeout=5).data
+        )["calls"]
+        return counts
+
+    def received(self, name: str) -> bytes:
+        """Return the last requests that a stand-in received, as raw bytes."""
+        url = f"{self.process_by_name[name].url}/received"
+        return self.http.request("GET", url, timeout=30).data
+
+    def store_version(self) -> int:
+        """Return the version of the rules in the store."""
+        url = f"{self.process_by_name['store'].url}/keys?key=config/rules"
+        return int(
+            orjson.loads(self.http.request("GET", url, timeout=5).data)["version"]
+        )
+
     def status(self, entry: str) -> dict[str, Any]:
         """Return the view of one instance."""
         url = f"{self.process_by_name[entry].url}/v1/status"
