--- a/bulrushloom/coordination/configuration/tracker.py
+++ b/bulrushloom/coordination/configuration/tracker.py
@@ -75,7 +75,7 @@
         self._assurance = Assurance(domain)
         self._reading = StoreReading()
         self._packed = ""
-        self._broken_version = 0
+        self._broken_version = -1
         self._next_ping_at = timedelta()
         self._sent_at_by_exchange: dict[tuple[str, int], timedelta] = {}
         self._newer_by_peer: dict[str, int] = {}
@@ -172,6 +172,10 @@
             )
         return rule.account
 
+    def _is_newer(self, version: int) -> bool:
+        """Return whether ``version`` is to replace the one in force."""
+        return version > self.version and version != self._broken_version
+
     def _read_if_due(self, now: timedelta) -> list[Effect]:
         if not (self._topology.is_reader or self._substitutes(now)):
             return []
@@ -189,15 +193,13 @@
         return age is None or age > SUBSTITUTE_AGE + place * SUBSTITUTE_STEP
 
     def _handle_value(self, message: KeyValue, now: timedelta) -> list[Effect]:
-        if message.version > max(self.version, self._broken_version):
-            effects = self._adopt(message.version, _stored_text(message.value), now)
-        else:
-            effects = []
-        newest = message.version == max(self.version, self._broken_version)
-        same = message.version == self._broken_version or (
-            _stored_text(message.value) == self.text
-        )
-        usable = newest and (same or message.version == 0)
+        effects: list[Effect] = []
+        text = _stored_text(message.value)
+        if self._is_newer(message.version):
+            effects = self._adopt(message.version, text, now)
+        # A store that lost its data can give a known version to another text.
+        same = message.version == self.version and text in (self.text, None)
+        usable = same or message.version == self._broken_version > self.version
         moment = self._reading.finish(usable)
         if usable and moment is not None:
             self._assurance.confirm(moment)
@@ -215,13 +217,11 @@
 
     def _adopt(self, version: int, text: str | None, now: timedelta) -> list[Effect]:
         """Put a newer version in force unless its text is broken."""
-        parsed = ["the value holds no text"] if text is None else None
-        rules = parsed or parse_rules(text or "", version)
-        if text is None or not isinstance(rules, RuleSet):
-            self._broken_version = version
-            problems = [str(problem) for problem in rules[:MAX_LOGGED_PROBLEMS]]
-            fields = {"version": version, "problems": problems}
-            return [LogEntry("rules_broken", fields)]
+        if text is None:
+            return self._refuse(version, ["the value holds no text"])
+        rules = parse_rules(text, version)
+        if not isinstance(rules, RuleSet):
+            return self._refuse(version, [str(problem) for problem in rules])
         self.rules = rules
         self.text = text
         self._packed = ""
@@ -238,6 +238,12 @@
         recipients = self._topology.push_recipients(self._source)
         return effects + self._pings(recipients, now)
 
+    def _refuse(self, version: int, problems: list[str]) -> list[Effect]:
+        """Keep the version in force and report why ``version`` cannot replace it."""
+        self._broken_version = version
+        fields = {"version": version, "problems": problems[:MAX_LOGGED_PROBLEMS]}
+        return [LogEntry("rules_broken", fields)]
+
     def _ping_if_due(self, now: timedelta) -> list[Effect]:
         if now < self._next_ping_at:
             return []
@@ -280,7 +286,7 @@
         effects = self._hear(sender, pong.version, pong.draining, now)
         sent_at = self._sent_at_by_exchange.pop((sender, pong.exchange), None)
         # Proofs of a newer version say nothing about the own one.
-        if sent_at is None or pong.version > max(self.version, self._broken_version):
+        if sent_at is None or self._is_newer(pong.version):
             return effects
         if pong.assured_age_ms >= 0:
             age = timedelta(milliseconds=pong.assured_age_ms)
@@ -300,7 +306,7 @@
             self._draining_peers.add(sender)
         else:
             self._draining_peers.discard(sender)
-        if version <= max(self.version, self._broken_version):
+        if not self._is_newer(version):
             return []
         self._newer_by_peer[sender] = version
         return self._request_if_due(now)
@@ -327,7 +333,7 @@
     def _handle_text(
         self, sender: str, message: RulesText, now: timedelta
     ) -> list[Effect]:
-        if message.version <= max(self.version, self._broken_version):
+        if not self._is_newer(message.version):
             return []
         try:
             text = unpack_text(message.packed)
