Close two gaps in the proof that no newer rules exist

A broken text in the store confirmed rules that had missed the version before it, and a restarted instance beside an empty store passed on proofs of version 0. A broken, empty or older store now counts as unusable, and an instance speaks for its domain only after it was fresh once.

--- a/bulrushloom/coordination/configuration/assurance.py
+++ b/bulrushloom/coordination/configuration/assurance.py
@@ -13,9 +13,9 @@
 
     There are two proofs. A *confirmation* is a store read that found no newer
     version. An *outage majority* is a majority of the domains, the own one included,
-    whose readers reported the store unreachable. Times are own clock readings,
-    never later than the fact they prove. Raising the own version keeps every proof
-    valid.
+    whose readers reported that the store is unreachable or unusable. Times are own
+    clock readings, never later than the fact they prove. Raising the own version
+    keeps every proof valid.
 
     An outage majority does not see a change that reaches only the minority, while
     the majority has lost both the store and the minority.
--- a/bulrushloom/coordination/configuration/tracker.py
+++ b/bulrushloom/coordination/configuration/tracker.py
@@ -43,7 +43,7 @@
 
 PING_INTERVAL = timedelta(seconds=1)
 # Each level of the tree adds up to one interval to the age of a confirmation, so an
-# instance asks more often once its own is this old.
+# instance asks one parent in between once its own is this old.
 HASTY_AGE = timedelta(seconds=2)
 HASTY_INTERVAL = timedelta(milliseconds=500)
 PONG_LIMIT = timedelta(seconds=3)
@@ -76,7 +76,11 @@
         self._reading = StoreReading()
         self._packed = ""
         self._broken_version = -1
+        # A restarted instance may know less than its former incarnation did. It
+        # speaks for its domain only after it was fresh once.
+        self._vouches = False
         self._next_ping_at = timedelta()
+        self._hasty_ping_at = timedelta()
         self._sent_at_by_exchange: dict[tuple[str, int], timedelta] = {}
         self._newer_by_peer: dict[str, int] = {}
         self._requested_at: timedelta | None = None
@@ -149,7 +153,8 @@
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Read the store, ask peers and repeat requests when due."""
-        if self._reading.is_failing(now):
+        self._vouches = self._vouches or self.is_fresh(now)
+        if self._vouches and self._reading.is_failing(now):
             self._assurance.report_outage(self.domain, now)
         self._assurance.combine_outages(self._domains())
         effects = self._read_if_due(now)
@@ -197,16 +202,20 @@
         text = _stored_text(message.value)
         if self._is_newer(message.version):
             effects = self._adopt(message.version, text, now)
-        # A store that lost its data can give a known version to another text.
-        same = message.version == self.version and text in (self.text, None)
-        usable = same or message.version == self._broken_version > self.version
+        # A store that lost its data can be empty or give a known version to another
+        # text. A broken text says nothing about versions between it and this one.
+        usable = 0 < message.version == self.version and text == self.text
         moment = self._reading.finish(usable)
-        if usable and moment is not None:
-            self._assurance.confirm(moment)
-        if not usable:
+        if usable:
+            self._confirm(moment)
+        elif message.version != self._broken_version:
             effects += self._report_mismatch(message.version)
         return effects
 
+    def _confirm(self, moment: timedelta | None) -> None:
+        if moment is not None:
+            self._assurance.confirm(moment)
+
     def _report_mismatch(self, store_version: int) -> list[Effect]:
         """Log once that the store holds less than, or other than, what is in force."""
         if self._reported_store_version == store_version:
@@ -245,12 +254,18 @@
         return [LogEntry("rules_broken", fields)]
 
     def _ping_if_due(self, now: timedelta) -> list[Effect]:
-        if now < self._next_ping_at:
-            return []
         age = self._assurance.age(now)
-        hasty = age is None or age > HASTY_AGE
-        interval = HASTY_INTERVAL if hasty else PING_INTERVAL
-        self._next_ping_at = now + interval * self._source.uniform(0.9, 1.0)
+        if now < self._next_ping_at:
+            hasty = now >= self._hasty_ping_at and (age is None or age > HASTY_AGE)
+            if not hasty:
+                return []
+            self._hasty_ping_at = self._next_ping_at
+            parents = self._topology.parents()
+            return self._pings(self._source.sample(parents, min(1, len(parents))), now)
+        first = self._next_ping_at == timedelta()
+        spread = self._source.uniform(0.1 if first else 0.9, 1.0)
+        self._next_ping_at = now + PING_INTERVAL * spread
+        self._hasty_ping_at = now + HASTY_INTERVAL
         self._sent_at_by_exchange = {
             exchange: sent_at
             for exchange, sent_at in self._sent_at_by_exchange.items()
@@ -286,7 +301,7 @@
         effects = self._hear(sender, pong.version, pong.draining, now)
         sent_at = self._sent_at_by_exchange.pop((sender, pong.exchange), None)
         # Proofs of a newer version say nothing about the own one.
-        if sent_at is None or self._is_newer(pong.version):
+        if sent_at is None or pong.version > self.version:
             return effects
         if pong.assured_age_ms >= 0:
             age = timedelta(milliseconds=pong.assured_age_ms)
--- a/tests/coordination/configuration/builders.py
+++ b/tests/coordination/configuration/builders.py
@@ -6,6 +6,8 @@
 from collections import Counter
 from datetime import timedelta
 
+import orjson
+
 from bulrushloom.coordination.base import KeyValue, ReadKey, SendMessage, StoreFailed
 from bulrushloom.coordination.configuration.assurance import FRESH_FOR, STALE_GRACE
 from bulrushloom.coordination.configuration.base import RULES_KEY, RulesChanged
@@ -14,6 +16,8 @@
 
 SECOND = timedelta(seconds=1)
 STEP = timedelta(milliseconds=100)
+# Assumed bytes of HTTP request and response headers around one message.
+MESSAGE_OVERHEAD = 450
 STORE_TIMEOUT = timedelta(seconds=1)
 STALE_BOUND = FRESH_FOR + STALE_GRACE
 QUIET_BOUND = 3 * SECOND
@@ -60,7 +64,7 @@
         self.slow_messages = False
         self.next_answer_delay = timedelta()
         self.last_fault_at = -QUIET_BOUND
-        self.sent: Counter = Counter()
+        self.bytes_by_name: Counter = Counter()
         self.reads = 0
         self.written_at = timedelta()
         self.store_version = 1
@@ -159,8 +163,9 @@
                 node.highest = effect.version
 
     def send(self, name: str, effect: SendMessage) -> None:
-        self.sent[name] += 1
-        self.sent[effect.recipient] += 1
+        size = MESSAGE_OVERHEAD + len(orjson.dumps(list(effect.message)))
+        self.bytes_by_name[name] += size
+        self.bytes_by_name[effect.recipient] += size
         copies = 1 + (self.loss > 0 and self.source.random() < 0.2)
         for _ in range(copies):
             if self.source.random() < self.loss:
