Raise the version when the store lost its data

Instances never go back to a lower version, so after the store came back empty a change would not have reached any of them, and applying the same file again would not have written it. The command now reads the versions in force and writes the value until the store's version exceeds them, with at most 10,000 writes.

--- a/bulrushloom/management/applying.py
+++ b/bulrushloom/management/applying.py
@@ -30,6 +30,8 @@
 IN_FORCE_LIMIT = timedelta(seconds=6)
 IN_FORCE_INTERVAL = timedelta(milliseconds=250)
 MAX_SHOWN_CHANGES = 20
+# Swaps that one command may spend on a store that lost its data.
+MAX_RAISING_SWAPS = 10_000
 
 
 class Applied(NamedTuple):
@@ -48,8 +50,10 @@
         store: ConfigurationStore,
         clock: Clock,
         author: str,
+        fleet_version: Callable[[], int] = lambda: 0,
         sleep: Callable[[float], None] = time.sleep,
     ):
+        self._fleet_version = fleet_version
         self._store = store
         self._clock = clock
         self._author = author
@@ -58,15 +62,25 @@
     def apply(self, text: str, base: int | None = None) -> Applied:
         """Write ``text`` if the store's version is ``base`` or, without it, as read.
 
-        Raise ``CommandError`` when another change won, when the store does not
-        answer, or when the outcome stays unknown.
+        Instances never go back to a lower version. If the store lost its data and
+        counts from the start again, the value is written until its version exceeds
+        the highest one in force. Raise ``CommandError`` when another change won,
+        when the store does not answer, or when the outcome stays unknown.
         """
         current = self._read()
         former = read_stored_rules(current.value)
         if base is not None and base != current.version:
             raise _conflict(base, None, current)
-        if former is not None and former["text"] == text:
+        # Read after the store, so that a change in between loses the swap.
+        in_force = self._fleet_version()
+        lost = in_force > current.version
+        if former is not None and former["text"] == text and not lost:
             return Applied(current.version, [], False)
+        if in_force - current.version > MAX_RAISING_SWAPS:
+            raise CommandError(
+                f"instances run version {in_force}, but the store holds version "
+                f"{current.version}; restore the store's data first"
+            )
         changes = diff_rules(former["text"] if former else "", text)
         value = next_stored_rules(
             former,
@@ -79,7 +93,11 @@
         )
         if stored_size(value) > MAX_VALUE_BYTES:
             raise BadInput(f"the rules exceed the store's {MAX_VALUE_BYTES} bytes")
-        return Applied(self._swap(current, former, value), changes, True)
+        version = self._swap(current, former, value)
+        while lost and version <= in_force:
+            value = {**value, "version": version + 1}
+            version = self._swap(StoredValue(version, value), value, value)
+        return Applied(version, changes, True)
 
     def _read(self) -> StoredValue:
         try:
--- a/bulrushloom/management/commands/rules.py
+++ b/bulrushloom/management/commands/rules.py
@@ -17,7 +17,7 @@
 from bulrushloom.management.base import prepared
 from bulrushloom.management.commands.status import fleet_reports
 from bulrushloom.management.exceptions import BadInput, CommandError
-from bulrushloom.management.fleet import HTTPStatusReader, InstanceReport
+from bulrushloom.management.fleet import HTTPStatusReader, InstanceReport, read_fleet
 from bulrushloom.management.utils import (
     check_rules,
     directory_address,
@@ -82,7 +82,10 @@
         directory_at = directory_address(settings, directory)
         name = str(author) if author is not None else getpass.getuser()
         with closing(open_store(store_address(settings, store))) as client:
-            applied = RulesApplier(client, SystemClock(), name).apply(text, base)
+            applier = RulesApplier(
+                client, SystemClock(), name, lambda: _highest_version(directory_at)
+            )
+            applied = applier.apply(text, base)
         _print_applied(applied)
         if directory_at is None:
             print("not waiting: no directory was given")
@@ -151,6 +154,27 @@
     sys.stdout.flush()
 
 
+def _highest_version(address: str | None) -> int:
+    """Return the highest version in force at any instance that answers."""
+    if address is None:
+        return 0
+    with closing(open_directory(address)) as client:
+        with closing(HTTPStatusReader()) as reader:
+            try:
+                reports = read_fleet(client, reader)
+            except DirectoryUnavailable:
+                return 0
+    statuses = [report.status for report in reports]
+    return max(
+        (
+            status["rules_version"]
+            for status in statuses
+            if not isinstance(status, Missing)
+        ),
+        default=0,
+    )
+
+
 def _wait_and_report(address: str, version: int) -> None:
     clock = SystemClock()
     with closing(open_directory(address)) as client:
@@ -178,9 +202,8 @@
     ahead = [report.entry.name for report in reports if report.runs(version + 1)]
     if ahead:
         raise CommandError(
-            f"{len(ahead)} instances run a higher version than {version}; either "
-            "another change followed or the store lost its data, in which case they "
-            "keep their rules until the store's version is higher"
+            f"{len(ahead)} instances run a higher version than {version}: another "
+            "change followed; see 'rules history'"
         )
 
 
