Test the connection pool, the HTTP clients and the stand-in processes

Covers what a lost, malformed or refused answer means to a client, that no connection with an open answer is used again, and a frozen primary that returns after it was replaced.

--- /dev/null
+++ b/tests/core/test_http.py
@@ -0,0 +1,71 @@
+import socket
+import threading
+from contextlib import contextmanager
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.core.exceptions import NoAnswer, NotSent
+from bulrushloom.core.http import JsonClient
+
+TIMEOUT = timedelta(seconds=2)
+
+
+@contextmanager
+def scripted(*answers: bytes):
+    """Answer one request per connection with the given bytes, then close."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def run():
+            for answer in answers:
+                with listener.accept()[0] as client:
+                    client.recv(65536)
+                    client.sendall(answer)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        yield "{}:{}".format(*listener.getsockname())
+        thread.join()
+
+
+def test_refused_connection_sends_nothing():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "{}:{}".format(*listener.getsockname())
+    with pytest.raises(NotSent):
+        JsonClient(address, "one/junction").call("POST", "/x", TIMEOUT, {})
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{}",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+        b"gibberish\r\n\r\n",
+    ],
+)
+def test_incomplete_answer_leaves_the_outcome_open(answer):
+    with scripted(answer) as address:
+        with pytest.raises(NoAnswer):
+            JsonClient(address, "one/junction").call("POST", "/x", TIMEOUT, {})
+
+
+def test_request_is_never_sent_twice():
+    good = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+    redirect = b"HTTP/1.1 307 Moved\r\nLocation: /y\r\nContent-Length: 2\r\n\r\n{}"
+    with scripted(b"", redirect, good) as address:
+        client = JsonClient(address, "one/junction")
+        with pytest.raises(NoAnswer):
+            client.call("POST", "/x", TIMEOUT, {})
+        assert client.call("POST", "/x", TIMEOUT, {}).status == 307
+        assert client.call("POST", "/x", TIMEOUT, {}).status == 200
+        client.close()
+
+
+def test_silent_server_leaves_the_outcome_open():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = "{}:{}".format(*listener.getsockname())
+        client = JsonClient(address, "one/junction")
+        with pytest.raises(NoAnswer):
+            client.call("GET", "/x", timedelta(milliseconds=50))
--- /dev/null
+++ b/tests/databases/test_http.py
@@ -0,0 +1,61 @@
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.databases.exceptions import (
+    AnswerLost,
+    RefusalReason,
+    ServerUnreachable,
+    StatementRefused,
+)
+from bulrushloom.databases.http import HttpDatabaseServer
+from tests.core.test_http import scripted
+
+
+def answer(status: int, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@pytest.mark.parametrize(
+    "status, body",
+    [
+        (200, b"{}"),
+        (200, b"[]"),
+        (200, b'{"connection":1'),
+        (409, b'{"refused":"a reason from the future"}'),
+        (409, b"7"),
+        (500, b"{}"),
+        (503, b'"busy"'),
+    ],
+)
+def test_unusable_answer_leaves_the_outcome_open(status, body):
+    # Taking such an answer as a refusal would claim that a write has not run.
+    with scripted(answer(status, body), answer(status, body)) as address:
+        server = HttpDatabaseServer(address, "one/junction", timedelta(seconds=2))
+        with pytest.raises(AnswerLost):
+            server.connect()
+        with pytest.raises(AnswerLost):
+            server.status()
+
+
+def test_refusal_carries_its_reason():
+    body = b'{"refused":"term_taken","error":"term 3 is taken by one"}'
+    with scripted(answer(409, body)) as address:
+        server = HttpDatabaseServer(address, "one/junction", timedelta(seconds=2))
+        with pytest.raises(StatementRefused, match="taken by one") as caught:
+            server.fence(3, "two")
+        assert caught.value.reason is RefusalReason.TERM_TAKEN
+
+
+def test_closed_port_is_unreachable():
+    server = HttpDatabaseServer("127.0.0.1:1", "one/junction")
+    with pytest.raises(ServerUnreachable):
+        server.connect()
+
+
+def test_unknown_connection_is_refused_without_a_request():
+    server = HttpDatabaseServer("127.0.0.1:1", "one/junction")
+    with pytest.raises(StatementRefused) as caught:
+        server.begin("gone", 1)
+    assert caught.value.reason is RefusalReason.NO_CONNECTION
--- /dev/null
+++ b/tests/standins/test_log.py
@@ -0,0 +1,35 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bulrushloom.coordination.sessions.base import LogPosition
+from standins.database.log import Log, LogEntry
+
+TERMS = st.lists(st.integers(1, 4), max_size=6).map(sorted)
+
+
+def log_of(terms):
+    log = Log()
+    for offset, term in enumerate(terms, start=1):
+        log.append(LogEntry(LogPosition(term, offset), [], [], 0.0))
+    return log
+
+
+def positions(log):
+    return [entry.position for entry in log.after(0, 100)]
+
+
+@settings(derandomize=True, deadline=None)
+@given(TERMS, TERMS, TERMS)
+def test_a_replica_converges_without_discarding_common_entries(common, old, new):
+    # The primary's entries have terms that no other primary of that term wrote.
+    floor = max(common, default=0)
+    primary = log_of(common + [floor + 2 * term + 1 for term in new])
+    replica = log_of(common + [floor + 2 * term for term in old])
+    for _ in range(20):
+        if primary.contains(replica.position):
+            break
+        replica.truncate(primary.common_offset(replica.position))
+        assert len(positions(replica)) >= len(common)
+    for entry in primary.after(replica.position.offset, 100):
+        replica.append(entry)
+    assert positions(replica) == positions(primary)
