--- a/tests/core/test_http.py
+++ b/tests/core/test_http.py
@@ -1,33 +1,15 @@
 import socket
-import threading
-from contextlib import contextmanager
 from datetime import timedelta
 
 import pytest
 
 from bulrushloom.core.exceptions import NoAnswer, NotSent
 from bulrushloom.core.http import JsonClient
+from tests.core.builders import http_answer, scripted
 
 TIMEOUT = timedelta(seconds=2)
 
 
-@contextmanager
-def scripted(*answers: bytes):
-    """Answer one request per connection with the given bytes, then close."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-
-        def run():
-            for answer in answers:
-                with listener.accept()[0] as client:
-                    client.recv(65536)
-                    client.sendall(answer)
-
-        thread = threading.Thread(target=run)
-        thread.start()
-        yield "{}:{}".format(*listener.getsockname())
-        thread.join()
-
-
 def test_refused_connection_sends_nothing():
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = "{}:{}".format(*listener.getsockname())
@@ -52,8 +34,8 @@
 
 
 def test_request_is_never_sent_twice():
-    good = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
-    redirect = b"HTTP/1.1 307 Moved\r\nLocation: /y\r\nContent-Length: 2\r\n\r\n{}"
+    good = http_answer(200, b"{}")
+    redirect = http_answer(307, b"{}", "Location: /y\r\n")
     with scripted(b"", redirect, good) as address:
         client = JsonClient(address, "one/junction")
         with pytest.raises(NoAnswer):
--- a/tests/databases/test_http.py
+++ b/tests/databases/test_http.py
@@ -9,12 +9,7 @@
     StatementRefused,
 )
 from bulrushloom.databases.http import HttpDatabaseServer
-from tests.core.test_http import scripted
-
-
-def answer(status: int, body: bytes) -> bytes:
-    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
+from tests.core.builders import http_answer, scripted
 
 
 @pytest.mark.parametrize(
@@ -31,7 +26,7 @@
 )
 def test_unusable_answer_leaves_the_outcome_open(status, body):
     # Taking such an answer as a refusal would claim that a write has not run.
-    with scripted(answer(status, body), answer(status, body)) as address:
+    with scripted(http_answer(status, body), http_answer(status, body)) as address:
         server = HttpDatabaseServer(address, "one/junction", timedelta(seconds=2))
         with pytest.raises(AnswerLost):
             server.connect()
@@ -41,7 +36,7 @@
 
 def test_refusal_carries_its_reason():
     body = b'{"refused":"term_taken","error":"term 3 is taken by one"}'
-    with scripted(answer(409, body)) as address:
+    with scripted(http_answer(409, body)) as address:
         server = HttpDatabaseServer(address, "one/junction", timedelta(seconds=2))
         with pytest.raises(StatementRefused, match="taken by one") as caught:
             server.fence(3, "two")
--- a/tests/directories/test_http.py
+++ b/tests/directories/test_http.py
@@ -4,8 +4,7 @@
 
 from bulrushloom.directories.exceptions import DirectoryUnavailable
 from bulrushloom.directories.http import HttpInstanceDirectory
-from tests.core.test_http import scripted
-from tests.databases.test_http import answer
+from tests.core.builders import http_answer, scripted
 
 
 @pytest.mark.parametrize(
@@ -13,7 +12,7 @@
     [(200, b"{}"), (200, b'{"instances":[{"name":"one"}]}'), (500, b"{}"), (200, b"")],
 )
 def test_unusable_list_is_unavailable(status, body):
-    with scripted(answer(status, body)) as address:
+    with scripted(http_answer(status, body)) as address:
         directory = HttpInstanceDirectory(address, "one/lyulin", timedelta(seconds=2))
         with pytest.raises(DirectoryUnavailable):
             directory.instances()
--- a/tests/standins/test_log.py
+++ b/tests/standins/test_log.py
@@ -19,12 +19,16 @@
 
 
 @settings(derandomize=True, deadline=None)
-@given(TERMS, TERMS, TERMS)
-def test_a_replica_converges_without_discarding_common_entries(common, old, new):
-    # The primary's entries have terms that no other primary of that term wrote.
-    floor = max(common, default=0)
+@given(TERMS, st.integers(0, 3), TERMS, TERMS)
+def test_a_replica_converges_without_discarding_common_entries(
+    common, surplus, old, new
+):
+    # The replica may hold more entries of the last common term, and entries of
+    # terms that the primary has never seen; the primary's own terms are others.
+    floor = max(common, default=1)
+    unseen = [floor] * surplus + [floor + 2 * term for term in old]
     primary = log_of(common + [floor + 2 * term + 1 for term in new])
-    replica = log_of(common + [floor + 2 * term for term in old])
+    replica = log_of(common + unseen)
     for _ in range(20):
         if primary.contains(replica.position):
             break
