Give small accounts a home domain and bound the control traffic

Messages about an account are exchanged eight times while its bucket fills, at most every 5 ms and at least every 50 ms.

--- a/bulrushloom/coordination/limits/buckets.py
+++ b/bulrushloom/coordination/limits/buckets.py
@@ -6,10 +6,18 @@
 
 from bulrushloom.coordination.limits.base import Settlement
 
+# Loans consist of such pieces of a token. They are exact in binary, so that no error
+# accumulates, and short in a message.
+PIECES_PER_TOKEN = 64
 # (instance, incarnation, sequence) of the request that a grant or loan answers.
 GrantKey = tuple[str, str, int]
 
 
+def whole_pieces(tokens: float) -> float:
+    """Round down to whole pieces of a token."""
+    return floor(tokens * PIECES_PER_TOKEN) / PIECES_PER_TOKEN
+
+
 class Lot:
     """Hold tokens that were borrowed with one loan."""
 
@@ -130,7 +138,7 @@
 
     def available(self) -> float:
         """Return the tokens at hand, borrowed ones included."""
-        return self.level + self.borrowed()
+        return whole_pieces(self.level) + self.borrowed()
 
     def borrowed(self) -> float:
         """Return the borrowed tokens at hand."""
@@ -143,7 +151,7 @@
         tokens = min(count, floor(self.available()))
         if tokens < 1 or key in self._outstanding_by_key:
             return 0, expires
-        own = min(float(tokens), self.level)
+        own = min(float(tokens), whole_pieces(self.level))
         parts = [Part(None, own)] if own > 0 else []
         missing = tokens - own
         for lot in self.lots:
@@ -153,15 +161,14 @@
                 missing -= piece
                 expires = min(expires, lot.expires)
                 parts.insert(0, Part(lot, piece))
-        # Rounding can leave a remainder far below one token; the bucket owes it.
-        self.level -= own + missing
+        self.level -= own
         self.outstanding += own
         self._outstanding_by_key[key] = Outstanding(parts, expires)
         return tokens, expires
 
     def lend(self, key: GrantKey, tokens: float, expires: timedelta) -> float:
         """Debit up to ``tokens`` for a loan and return the amount."""
-        amount = min(tokens, self.level)
+        amount = whole_pieces(min(tokens, self.level))
         if amount <= 0 or key in self._outstanding_by_key:
             return 0.0
         self.level -= amount
--- a/bulrushloom/coordination/limits/desk.py
+++ b/bulrushloom/coordination/limits/desk.py
@@ -18,7 +18,7 @@
     TokenLoan,
     TokenLoanRequest,
 )
-from bulrushloom.coordination.limits.buckets import GrantKey, ShareBucket
+from bulrushloom.coordination.limits.buckets import GrantKey, Lot, ShareBucket
 from bulrushloom.coordination.limits.utils import whole_milliseconds
 
 # Demand that cannot be met at once waits this long before it is answered with what
@@ -46,6 +46,8 @@
         self._shard = shard
         self.bucket_by_account: dict[str, ShareBucket] = {}
         self.pending_by_account: dict[str, deque[PendingDemand]] = {}
+        # Accounts with outstanding or borrowed tokens.
+        self.active_accounts: set[str] = set()
         # Tokens demanded by callers since the last reading of the demand.
         self.demanded_by_account: dict[str, int] = {}
         self._handled_at_by_key: dict[GrantKey, timedelta] = {}
@@ -56,6 +58,7 @@
         self.bucket_by_account.clear()
         self.pending_by_account.clear()
         self.demanded_by_account.clear()
+        self.active_accounts.clear()
         self._handled_at_by_key.clear()
 
     def update_accounts(
@@ -78,12 +81,14 @@
                 self.bucket_by_account[account] = bucket
                 if blocked_until > now:
                     bucket.reserve(("", "", 0), burst, blocked_until)
+                    self.active_accounts.add(account)
             else:
                 bucket.resize(rate, burst, now)
         for account in list(self.bucket_by_account):
             if account not in limit_by_account:
                 del self.bucket_by_account[account]
                 self.pending_by_account.pop(account, None)
+                self.active_accounts.discard(account)
 
     def levels(self, now: timedelta) -> list[BucketLevel]:
         """Return the own tokens of every account."""
@@ -103,6 +108,7 @@
                 continue
             if level.outstanding > 0:
                 bucket.reserve(key, level.outstanding, expires)
+                self.active_accounts.add(level.account)
             bucket.level = max(0.0, min(level.level, bucket.burst - bucket.outstanding))
 
     def handle_request(
@@ -142,14 +148,29 @@
 
     def tick(self, until: timedelta | None, now: timedelta) -> list[Effect]:
         """Serve waiting demand and answer demand that has waited long enough."""
+        for account in list(self.active_accounts):
+            bucket = self.bucket_by_account[account]
+            bucket.advance(now)
+            if not bucket.active:
+                self.active_accounts.discard(account)
+        self._prune(now)
+        return self.serve(list(self.pending_by_account), until, now)
+
+    def credit(self, account: str, lot: Lot) -> None:
+        """Add borrowed tokens."""
+        bucket = self.bucket_by_account.get(account)
+        if bucket is not None:
+            bucket.lots.append(lot)
+            self.active_accounts.add(account)
+
+    def serve(
+        self, accounts: Iterable[str], until: timedelta | None, now: timedelta
+    ) -> list[Effect]:
+        """Serve the waiting demand of some accounts, one message to each entry."""
         grants_by_client: dict[tuple[str, str], list[AccountGrant]] = {}
-        for account in list(self.pending_by_account):
+        for account in accounts:
             for key, grant in self._serve(account, until, now):
                 grants_by_client.setdefault(key[:2], []).append(grant)
-        for bucket in self.bucket_by_account.values():
-            if bucket.active:
-                bucket.advance(now)
-        self._prune(now)
         return [
             SendMessage(
                 client,
@@ -214,6 +235,8 @@
     ) -> AccountGrant:
         bucket = self.bucket_by_account[account]
         tokens, expires = bucket.grant(key, count, until) if count else (0, until)
+        if tokens:
+            self.active_accounts.add(account)
         lifetime = whole_milliseconds(expires - now)
         return AccountGrant(key[2], account, tokens, lifetime, self._retry(account))
 
@@ -229,7 +252,9 @@
     def _serve(
         self, account: str, until: timedelta | None, now: timedelta
     ) -> list[tuple[GrantKey, AccountGrant]]:
-        queue = self.pending_by_account[account]
+        queue = self.pending_by_account.get(account)
+        if queue is None:
+            return []
         bucket = self.bucket_by_account[account]
         bucket.advance(now)
         served = []
@@ -258,7 +283,10 @@
         if bucket is None or self.pending_by_account.get(account):
             return 0.0
         bucket.advance(now)
-        return bucket.lend(key, tokens, until) if until > now else 0.0
+        lent = bucket.lend(key, tokens, until) if until > now else 0.0
+        if lent:
+            self.active_accounts.add(account)
+        return lent
 
     def _is_new(self, key: GrantKey, now: timedelta) -> bool:
         if key in self._handled_at_by_key:
--- a/bulrushloom/coordination/limits/holder.py
+++ b/bulrushloom/coordination/limits/holder.py
@@ -21,7 +21,6 @@
     Member,
     SealAnswer,
     SealRequest,
-    ShareGrant,
     ShareHandover,
     ShareRefused,
     ShareRequest,
@@ -135,8 +134,7 @@
         if isinstance(message, TokenLoanRequest):
             return self._handle_loan_request(sender, message, now)
         if isinstance(message, TokenLoan):
-            self._borrower.handle_loan(sender, message, now)
-            return []
+            return self._handle_loan(sender, message, now)
         if isinstance(message, HolderHeartbeat):
             return self._handle_heartbeat(sender, message, now)
         if isinstance(message, SealRequest):
@@ -191,7 +189,12 @@
     ) -> list[Effect]:
         until = self._succession.authority_until(now)
         if until is not None and self._in_tenure:
-            return self._desk.handle_request(sender, request, until, now)
+            effects = self._desk.handle_request(sender, request, until, now)
+            accounts = {demand.account for demand in request.demands}
+            accounts |= {settlement.account for settlement in request.settlements}
+            # Demand that waits is served by what came back with the settlements.
+            effects += self._desk.serve(sorted(accounts), until, now)
+            return effects + self._borrower.react(sorted(accounts), now)
         refusal = ShareRefused(
             self.domain,
             self.shard,
@@ -201,6 +204,16 @@
         )
         return [SendMessage(sender, refusal)]
 
+    def _handle_loan(
+        self, sender: str, loan: TokenLoan, now: timedelta
+    ) -> list[Effect]:
+        self._borrower.handle_loan(sender, loan, now)
+        if not self._in_tenure:
+            return []
+        accounts = sorted({item.account for item in loan.loans})
+        until = self._succession.authority_until(now)
+        return self._desk.serve(accounts, until, now)
+
     def _handle_loan_request(
         self, sender: str, request: TokenLoanRequest, now: timedelta
     ) -> list[Effect]:
@@ -253,6 +266,3 @@
     def _log(self, event: str, **fields: Any) -> Effect:
         fields |= {"domain": self.domain, "shard": self.shard, "epoch": self.epoch}
         return LogEntry(event, fields)
-
-
-__all__ = ["ShareGrant", "ShareHolder"]
--- a/bulrushloom/coordination/limits/loans.py
+++ b/bulrushloom/coordination/limits/loans.py
@@ -13,11 +13,16 @@
 from bulrushloom.coordination.limits.buckets import Lot, ShareBucket
 from bulrushloom.coordination.limits.desk import TokenDesk
 from bulrushloom.coordination.limits.finder import HolderFinder
+from bulrushloom.coordination.limits.utils import exchange_interval, is_small
 
 # A lender that has not answered by then is skipped for a while.
 ANSWER_TIMEOUT = timedelta(milliseconds=100)
 # Borrowed tokens that nobody needs go back after this time.
 IDLE_LOT = timedelta(milliseconds=150)
+# The home domain of a small account keeps borrowed tokens longer, but gives them
+# back before they expire.
+SMALL_IDLE_LOT = timedelta(milliseconds=500)
+NEGLIGIBLE_DEMAND = 0.01
 DEMAND_INTERVAL = timedelta(milliseconds=100)
 # Share of the newest reading in the average demand.
 DEMAND_WEIGHT = 0.4
@@ -50,11 +55,13 @@
         self._in_flight_by_sequence: dict[int, LoanInFlight] = {}
         self._demand_by_account: dict[str, float] = {}
         self._demand_read_at = timedelta()
+        self._due_by_account: dict[str, timedelta] = {}
 
     def clear(self) -> None:
         """Forget requests in flight; sequences are never used again."""
         self._in_flight_by_sequence.clear()
         self._demand_by_account.clear()
+        self._due_by_account.clear()
 
     def update_lenders(self, candidates_by_domain: Mapping[str, Iterable[str]]) -> None:
         """Replace the instances that may hold the shares of other domains."""
@@ -74,18 +81,38 @@
         del self._in_flight_by_sequence[loan.sequence]
         self._note_answer(sender, loan, now)
         for item in loan.loans:
-            bucket = self._desk.bucket_by_account.get(item.account)
             expires = request.sent + timedelta(milliseconds=item.lifetime_ms)
-            if bucket is not None and expires > now:
+            if expires > now:
                 lot = Lot(sender, loan.sequence, item.tokens, now, expires)
-                bucket.lots.append(lot)
+                self._desk.credit(item.account, lot)
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Return what nobody needs, report what was spent and ask for more."""
         self._time_out(now)
         self._read_demand(now)
-        settlements = self._settlements(now)
-        demands = self._demands(now)
+        pending = self._desk.pending_by_account.keys()
+        return self._exchange(
+            self._desk.active_accounts,
+            sorted(self._demand_by_account.keys() | pending),
+            now,
+        )
+
+    def react(self, accounts: Iterable[str], now: timedelta) -> list[Effect]:
+        """Do the same at once for accounts whose state has just changed."""
+        known = [a for a in accounts if a in self._desk.bucket_by_account]
+        return self._exchange(known, known, now)
+
+    def _exchange(
+        self, settling: Iterable[str], demanding: Iterable[str], now: timedelta
+    ) -> list[Effect]:
+        settlements = self._settlements(self._due(settling, now), now)
+        demands = self._demands(self._due(demanding, now), now)
+        exchanged = {account for asked in demands.values() for account in asked}
+        exchanged |= {item.account for items in settlements.values() for item in items}
+        for account in exchanged:
+            bucket = self._desk.bucket_by_account[account]
+            interval = exchange_interval(bucket.rate, bucket.burst)
+            self._due_by_account[account] = now + interval
         effects: list[Effect] = []
         for lender in sorted(settlements.keys() | demands.keys()):
             effects.append(
@@ -146,18 +173,25 @@
             previous = self._demand_by_account.get(account, 0.0)
             average = previous + DEMAND_WEIGHT * (reading - previous)
             self._demand_by_account[account] = average
-            if average < 0.01:
+            if average < NEGLIGIBLE_DEMAND:
                 del self._demand_by_account[account]
+                self._due_by_account.pop(account, None)
         demanded.clear()
 
-    def _settlements(self, now: timedelta) -> dict[str, list[Settlement]]:
+    def _due(self, accounts: Iterable[str], now: timedelta) -> list[str]:
+        due = self._due_by_account
+        return [a for a in accounts if a not in due or due[a] <= now]
+
+    def _settlements(
+        self, accounts: Iterable[str], now: timedelta
+    ) -> dict[str, list[Settlement]]:
         settlements_by_lender: dict[str, list[Settlement]] = {}
-        for account, bucket in self._desk.bucket_by_account.items():
-            if not bucket.lots:
-                continue
+        for account in accounts:
+            bucket = self._desk.bucket_by_account[account]
             idle = not self._desk.pending_by_account.get(account)
+            keep = SMALL_IDLE_LOT if self._is_small(bucket) else IDLE_LOT
             for lot in bucket.lots:
-                if idle and now - lot.taken >= IDLE_LOT:
+                if idle and now - lot.taken >= keep:
                     lot.give_back()
                 if lot.changed:
                     settlements_by_lender.setdefault(lot.lender, []).append(
@@ -166,29 +200,46 @@
             bucket.lots = [lot for lot in bucket.lots if not lot.settled]
         return settlements_by_lender
 
-    def _demands(self, now: timedelta) -> dict[str, dict[str, float]]:
+    def _demands(
+        self, accounts: Iterable[str], now: timedelta
+    ) -> dict[str, dict[str, float]]:
         lenders = {finder.locate(now) for finder in self._finder_by_domain.values()}
         lenders.discard("")
         tokens_by_lender: dict[str, dict[str, float]] = {}
         if not lenders:
             return tokens_by_lender
-        accounts = self._demand_by_account.keys() | self._desk.pending_by_account.keys()
-        for account in sorted(accounts):
+        for account in accounts:
             bucket = self._desk.bucket_by_account.get(account)
-            wanted = self._wanted(account, bucket) if bucket is not None else 0.0
-            if wanted <= 0:
+            each = self._wanted(account, bucket, len(lenders)) if bucket else 0.0
+            if each <= 0:
                 continue
-            each = min(wanted, wanted * ASK_FACTOR / len(lenders))
             for lender in lenders - self._asked(account):
                 tokens_by_lender.setdefault(lender, {})[account] = each
         return tokens_by_lender
 
-    def _wanted(self, account: str, bucket: ShareBucket) -> float:
-        """Return what callers wait for plus what the near future needs."""
+    def _wanted(self, account: str, bucket: ShareBucket, lenders: int) -> float:
+        """Return what to ask of each lender for waiting and for expected callers."""
         demand = self._demand_by_account.get(account, 0.0)
-        ahead = max(0.0, demand - bucket.rate) * AHEAD.total_seconds()
         spare = max(0.0, bucket.available() - self._desk.waiting(account))
-        return self._desk.unmet(account) + max(0.0, ahead - spare)
+        unmet = self._desk.unmet(account)
+        if self._is_small(bucket):
+            return self._wanted_at_home(bucket, demand, spare, unmet, lenders)
+        ahead = max(0.0, demand - bucket.rate) * AHEAD.total_seconds()
+        wanted = unmet + max(0.0, ahead - spare)
+        return min(wanted, wanted * ASK_FACTOR / lenders)
+
+    @staticmethod
+    def _wanted_at_home(
+        bucket: ShareBucket, demand: float, spare: float, unmet: float, lenders: int
+    ) -> float:
+        """Return the lender's whole part while callers of a small account come."""
+        whole_burst = bucket.burst * (lenders + 1)
+        low = demand > NEGLIGIBLE_DEMAND and spare < whole_burst / 2
+        return bucket.burst if unmet > 0 or low else 0.0
+
+    @staticmethod
+    def _is_small(bucket: ShareBucket) -> bool:
+        return is_small(bucket.burst)
 
     def _asked(self, account: str) -> set[str]:
         return {
--- /dev/null
+++ b/bulrushloom/coordination/limits/requests.py
@@ -0,0 +1,98 @@
+"""Requests of an entry that wait for answers."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from bulrushloom.coordination.limits.base import AccountDemand
+
+# A holder acknowledges a request at once; without an acknowledgement by then, the
+# next instance is asked while the caller still waits.
+ACK_TIMEOUT = timedelta(milliseconds=100)
+# Demand that a holder has not answered by then is asked for again.
+ANSWER_TIMEOUT = timedelta(milliseconds=400)
+# Grants are recognised for this time; later ones have expired.
+REQUEST_MEMORY = timedelta(seconds=1)
+
+
+class Share(NamedTuple):
+    """Name a share and the instance that is asked for it."""
+
+    domain: str
+    shard: int
+    holder: str
+
+
+class SentRequest:
+    """Remember a request until grants for it have expired."""
+
+    def __init__(self, share: Share, sent: timedelta, demands: Iterable[AccountDemand]):
+        self.share = share
+        self.sent = sent
+        self.demand_by_account = {demand.account: demand for demand in demands}
+        self.acknowledged = False
+        # The demand of an abandoned request counts as not asked for any more.
+        self.abandoned = False
+
+
+class RequestTable:
+    """Number the requests and match answers with them."""
+
+    def __init__(self) -> None:
+        self._sequence = 0
+        self._request_by_sequence: dict[int, SentRequest] = {}
+
+    def sent(self, share: Share, demands: list[AccountDemand], now: timedelta) -> int:
+        """Return the sequence of a new request; remember it if it needs answers."""
+        self._sequence += 1
+        if demands:
+            request = SentRequest(share, now, demands)
+            self._request_by_sequence[self._sequence] = request
+        return self._sequence
+
+    def answered(self, sender: str, sequence: int) -> SentRequest | None:
+        """Return the request if ``sender`` is the one that was asked."""
+        request = self._request_by_sequence.get(sequence)
+        return request if request and request.share.holder == sender else None
+
+    def acknowledge(self, sender: str, sequence: int) -> Share | None:
+        """Take note of an acknowledgement and return what it is about."""
+        request = self.answered(sender, sequence)
+        if request is None:
+            return None
+        request.acknowledged = True
+        return request.share
+
+    def refused(self, sender: str, sequence: int) -> SentRequest | None:
+        """Forget a refused request and return it, unless it was abandoned before."""
+        request = self.answered(sender, sequence)
+        if request is None or request.acknowledged:
+            return None
+        del self._request_by_sequence[sequence]
+        return None if request.abandoned else request
+
+    def abandon(self, holder: str) -> list[SentRequest]:
+        """Abandon the unacknowledged requests to ``holder`` and return them."""
+        found = [
+            request
+            for request in self._request_by_sequence.values()
+            if request.share.holder == holder
+            and not request.acknowledged
+            and not request.abandoned
+        ]
+        for request in found:
+            request.abandoned = True
+        return found
+
+    def time_out(self, now: timedelta) -> list[SentRequest]:
+        """Abandon requests that are overdue and return them."""
+        overdue = []
+        for sequence, request in list(self._request_by_sequence.items()):
+            age = now - request.sent
+            limit = ANSWER_TIMEOUT if request.acknowledged else ACK_TIMEOUT
+            if not request.abandoned and age >= limit and request.demand_by_account:
+                request.abandoned = True
+                overdue.append(request)
+            if age >= REQUEST_MEMORY or not request.demand_by_account:
+                del self._request_by_sequence[sequence]
+        return overdue
--- /dev/null
+++ b/bulrushloom/coordination/limits/routes.py
@@ -0,0 +1,96 @@
+"""Choice of the share holder that an entry asks for an account's tokens."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from bulrushloom.coordination.limits.base import AccountLimit
+from bulrushloom.coordination.limits.finder import HolderFinder
+from bulrushloom.coordination.limits.requests import Share
+from bulrushloom.coordination.limits.utils import (
+    MAX_EXCHANGE_INTERVAL,
+    exchange_interval,
+    is_small,
+    rendezvous_order,
+    shard_of,
+    share_subject,
+)
+
+
+class Routes:
+    """Prefer the own domain's holder; a small account has one home domain.
+
+    The tokens of a small account would be scattered over the domains in pieces
+    below one. All entries therefore ask the holder of its home domain, which
+    borrows the other pieces, and any other holder while that one is out of reach.
+    """
+
+    def __init__(self, name: str, domain: str, shards: int):
+        self._name = name
+        self._domain = domain
+        self._shards = shards
+        self._domains = [domain]
+        self._finder_by_share: dict[tuple[str, int], HolderFinder] = {}
+        self._home_by_account: dict[str, str] = {}
+        self._limit_by_account: dict[str, AccountLimit] = {}
+        self._parts = 1
+
+    def update_instances(self, names_by_domain: Mapping[str, Iterable[str]]) -> None:
+        """Replace the live instances of all domains."""
+        others = [domain for domain in names_by_domain if domain != self._domain]
+        self._domains = [self._domain, *rendezvous_order(others, self._name)]
+        for domain, names in names_by_domain.items():
+            known = list(names)
+            for shard in range(self._shards):
+                order = rendezvous_order(known, share_subject(domain, shard))
+                self._finder(domain, shard).update(order)
+        self._choose_homes()
+
+    def update_accounts(
+        self, limit_by_account: Mapping[str, AccountLimit], parts: int
+    ) -> None:
+        """Replace the accounts and the number of domains."""
+        self._limit_by_account = dict(limit_by_account)
+        self._parts = parts
+        self._choose_homes()
+
+    def exchange_interval(self, account: str) -> timedelta:
+        """Return how often the messages about an account are due."""
+        limit = self._limit_by_account.get(account)
+        if limit is None:
+            return MAX_EXCHANGE_INTERVAL
+        return exchange_interval(limit.rate, limit.burst)
+
+    def locate(self, account: str, now: timedelta) -> Share | None:
+        """Return the holder to ask, or ``None`` while nobody is worth asking."""
+        shard = shard_of(account, self._shards)
+        home = self._home_by_account.get(account)
+        domains = self._domains if home is None else [home, *self._domains]
+        for domain in domains:
+            name = self._finder(domain, shard).locate(now)
+            if name:
+                return Share(domain, shard, name)
+        return None
+
+    def answered(self, share: Share) -> None:
+        """Take note that the instance holds the share."""
+        self._finder(share.domain, share.shard).answered(share.holder)
+
+    def refused(self, share: Share, hint: str, now: timedelta) -> None:
+        """Take note that the instance does not hold the share."""
+        self._finder(share.domain, share.shard).refused(share.holder, hint, now)
+
+    def silent(self, name: str, now: timedelta) -> None:
+        """Skip an instance that did not answer."""
+        for finder in self._finder_by_share.values():
+            finder.silent(name, now)
+
+    def _finder(self, domain: str, shard: int) -> HolderFinder:
+        return self._finder_by_share.setdefault((domain, shard), HolderFinder())
+
+    def _choose_homes(self) -> None:
+        domains = sorted(self._domains)
+        self._home_by_account = {
+            account: rendezvous_order(domains, account)[0]
+            for account, limit in self._limit_by_account.items()
+            if is_small(limit.burst / self._parts)
+        }
--- a/bulrushloom/coordination/limits/tokens.py
+++ b/bulrushloom/coordination/limits/tokens.py
@@ -4,14 +4,19 @@
 from datetime import timedelta
 from math import floor
 
-from bulrushloom.coordination.limits.base import Settlement
+from bulrushloom.coordination.limits.base import (
+    AccountDemand,
+    AccountGrant,
+    Settlement,
+)
+from bulrushloom.coordination.limits.requests import Share
 
 # Unused tokens go back after this time, so that they do not starve other entries.
 IDLE_TOKENS = timedelta(milliseconds=100)
-DEMAND_INTERVAL = timedelta(milliseconds=100)
 DEMAND_WEIGHT = 0.3
 # Tokens are asked for ahead of demand for this time.
 AHEAD = timedelta(milliseconds=100)
+NEGLIGIBLE_DEMAND = 0.01
 
 
 class HeldTokens:
@@ -19,107 +24,101 @@
 
     def __init__(
         self,
-        holder: str,
-        domain: str,
-        sequence: int,
-        tokens: int,
+        share: Share,
+        grant: AccountGrant,
         received: timedelta,
         expires: timedelta,
     ):
-        self.holder = holder
-        self.domain = domain
-        self.sequence = sequence
-        self.remaining = tokens
+        self.share = share
+        self.account = grant.account
+        self.sequence = grant.sequence
+        self.remaining = grant.tokens
         self.received = received
         self.expires = expires
         self.spent = 0
         self.returned = 0
-        self.changed = False
-
-    def spend(self) -> None:
-        """Spend one token."""
-        self.remaining -= 1
-        self.spent += 1
-        self.changed = True
 
     def give_back(self) -> None:
         """Give up the remaining tokens."""
         self.returned += self.remaining
         self.remaining = 0
-        self.changed = True
 
-    def settlement(self, account: str) -> Settlement:
+    def settlement(self) -> Settlement:
         """Return the report that the holder needs."""
-        self.changed = False
-        return Settlement(self.sequence, account, self.spent, self.returned)
+        return Settlement(self.sequence, self.account, self.spent, self.returned)
 
 
 class AccountTokens:
     """Spend tokens in order of expiry and serve callers in order of arrival."""
 
-    def __init__(self, now: timedelta) -> None:
+    def __init__(self) -> None:
         self.held: list[HeldTokens] = []
         self.deadline_by_request: OrderedDict[str, timedelta] = OrderedDict()
         self.retry_after: timedelta | None = None
+        # Demand of requests to holders that have not been answered.
+        self.asked_waiting = 0
+        self.asked_ahead = 0
+        self.next_ask: timedelta | None = None
         self._arrivals = 0
         self._demand = 0.0
-        self._demand_read_at = now
 
     @property
-    def idle(self) -> bool:
-        """Return whether there is nothing left to do for the account."""
-        waiting = bool(self.held or self.deadline_by_request or self._arrivals)
-        return not waiting and self._demand < 0.01
+    def busy(self) -> bool:
+        """Return whether tokens are held or callers wait."""
+        return bool(self.held or self.deadline_by_request)
 
     @property
-    def at_hand(self) -> int:
-        """Return how many tokens can be spent."""
-        return sum(held.remaining for held in self.held)
+    def idle(self) -> bool:
+        """Return whether nothing has to be remembered."""
+        asked = self.asked_waiting or self.asked_ahead or self._arrivals
+        return not self.busy and not asked and self._demand < NEGLIGIBLE_DEMAND
 
     def arrived(self) -> None:
         """Count a caller's request."""
         self._arrivals += 1
 
-    def spend(self, now: timedelta) -> bool:
-        """Spend one unexpired token if there is one."""
+    def spend(self, now: timedelta) -> HeldTokens | None:
+        """Spend one unexpired token and return the grant that it belongs to."""
         usable = [held for held in self.held if held.remaining and held.expires > now]
         if not usable:
-            return False
-        min(usable, key=lambda held: held.expires).spend()
-        return True
-
-    def serve(self, now: timedelta) -> list[str]:
-        """Spend tokens on waiting requests and return these."""
-        served = []
-        while self.deadline_by_request and self.spend(now):
-            request_id, _ = self.deadline_by_request.popitem(last=False)
-            served.append(request_id)
-        return served
+            return None
+        held = min(usable, key=lambda held: held.expires)
+        held.remaining -= 1
+        held.spent += 1
+        return held
 
     def overdue(self, now: timedelta) -> list[str]:
         """Remove and return the requests that have waited long enough."""
-        overdue = [r for r, until in self.deadline_by_request.items() if until <= now]
+        overdue = []
+        for request_id, deadline in self.deadline_by_request.items():
+            if deadline > now:
+                break
+            overdue.append(request_id)
         for request_id in overdue:
             del self.deadline_by_request[request_id]
         return overdue
 
-    def expected(self) -> int:
-        """Return how many tokens the near future needs."""
-        return floor(self._demand * AHEAD.total_seconds())
-
-    def tick(self, now: timedelta) -> None:
-        """Drop expired tokens, give idle ones back and read the demand."""
-        self.held = [
-            held
-            for held in self.held
-            if held.expires > now and (held.remaining or held.changed)
-        ]
-        for held in self.held:
-            if held.remaining and now - held.received >= IDLE_TOKENS:
-                held.give_back()
-        elapsed = now - self._demand_read_at
-        if elapsed >= DEMAND_INTERVAL:
-            reading = self._arrivals / elapsed.total_seconds()
-            self._demand += DEMAND_WEIGHT * (reading - self._demand)
-            self._arrivals = 0
-            self._demand_read_at = now
+    def tidy(self, now: timedelta) -> list[HeldTokens]:
+        """Drop used and expired tokens; give idle ones back and return these."""
+        self.held = [h for h in self.held if h.remaining and h.expires > now]
+        idle = [held for held in self.held if now - held.received >= IDLE_TOKENS]
+        for held in idle:
+            held.give_back()
+        return idle
+
+    def read_demand(self, elapsed: timedelta) -> None:
+        """Average the arrivals since the last reading."""
+        reading = self._arrivals / elapsed.total_seconds()
+        self._demand += DEMAND_WEIGHT * (reading - self._demand)
+        self._arrivals = 0
+
+    def unasked(self, account: str, now: timedelta) -> AccountDemand | None:
+        """Return what no request has asked for yet, once the next one is due."""
+        if self.next_ask is not None and now < self.next_ask:
+            return None
+        waiting = max(0, len(self.deadline_by_request) - self.asked_waiting)
+        expected = floor(self._demand * AHEAD.total_seconds())
+        covered = sum(held.remaining for held in self.held) + self.asked_ahead
+        # Small refills would cost a message each.
+        ahead = expected - covered if covered <= expected // 2 else 0
+        return AccountDemand(account, waiting, ahead) if waiting or ahead else None
--- a/bulrushloom/coordination/limits/utils.py
+++ b/bulrushloom/coordination/limits/utils.py
@@ -5,6 +5,17 @@
 
 import xxhash
 
+# An account whose part of the burst is below this number of tokens has one home
+# domain, because single tokens do not divide well between domains.
+SMALL_BURST = 10
+
+# Demand and spent tokens of an account are exchanged this many times while its
+# bucket fills, within these limits. A bucket that fills quickly would otherwise stand
+# still until its tokens are reported spent.
+EXCHANGES_PER_FILL = 8
+MIN_EXCHANGE_INTERVAL = timedelta(milliseconds=5)
+MAX_EXCHANGE_INTERVAL = timedelta(milliseconds=50)
+
 
 def shard_of(account: str, shards: int) -> int:
     """Return the shard that ``account`` belongs to."""
@@ -28,3 +39,16 @@
 def whole_milliseconds(duration: timedelta) -> int:
     """Return ``duration`` in milliseconds, rounded down and at least 0."""
     return max(0, duration // timedelta(milliseconds=1))
+
+
+def is_small(burst_part: float) -> bool:
+    """Return whether an account with this part of its burst has a home domain."""
+    return burst_part < SMALL_BURST
+
+
+def exchange_interval(rate: float, burst: float) -> timedelta:
+    """Return how often the messages about an account are due."""
+    if rate <= 0:
+        return MAX_EXCHANGE_INTERVAL
+    interval = timedelta(seconds=min(3600.0, burst / rate)) / EXCHANGES_PER_FILL
+    return min(max(interval, MIN_EXCHANGE_INTERVAL), MAX_EXCHANGE_INTERVAL)
--- /dev/null
+++ b/tests/coordination/limits/builders.py
@@ -0,0 +1,281 @@
+"""A fleet of the real decision objects, with a manual clock and message layer."""
+
+import heapq
+import json
+from collections import defaultdict
+from datetime import timedelta
+from random import Random
+from typing import Any, NamedTuple
+
+from bulrushloom.coordination.base import (
+    KeySwapped,
+    KeyValue,
+    ReadKey,
+    SendMessage,
+    StoreFailed,
+    SwapKey,
+)
+from bulrushloom.coordination.limits.base import (
+    AccountLimit,
+    Member,
+    ShareGrant,
+    ShareRefused,
+    TokenGranted,
+    TokenRefused,
+)
+from bulrushloom.coordination.limits.client import ShareClient
+from bulrushloom.coordination.limits.holder import ShareHolder
+from bulrushloom.coordination.limits.utils import rendezvous_order, share_subject
+
+TICK = timedelta(milliseconds=20)
+LIST_INTERVAL = timedelta(seconds=1)
+CLIENT_MESSAGES = (ShareGrant, ShareRefused)
+
+
+def seconds(value: float) -> timedelta:
+    return timedelta(seconds=value)
+
+
+class Weather(NamedTuple):
+    """Give the faults of the message layer and of the store."""
+
+    loss: float = 0.0
+    doubling: float = 0.0
+    min_delay: float = 0.001
+    max_delay: float = 0.001
+    store_up: bool = True
+    # Part of the store's answers that are lost, after or before the effect.
+    store_lost: float = 0.0
+
+
+class Node:
+    """One instance: a share holder and a share client with a clock of their own."""
+
+    def __init__(self, fleet: "Fleet", name: str, domain: str, run: int):
+        self.name = name
+        self.domain = domain
+        self.member = Member(name, f"{name}/{run}")
+        self.alive = True
+        self.leaving = False
+        self.paused_until = timedelta()
+        self.origin = timedelta(seconds=fleet.random.randrange(10**6))
+        self.holder = fleet.holder_class(name, self.member.incarnation, domain)
+        self.client = fleet.client_class(name, self.member.incarnation, domain)
+
+
+class Fleet:
+    """Drive the objects of all instances through messages and time."""
+
+    def __init__(
+        self,
+        domain_sizes: dict[str, int],
+        limits: dict[str, AccountLimit],
+        seed: int = 0,
+        holder_class: type[ShareHolder] = ShareHolder,
+        client_class: type[ShareClient] = ShareClient,
+    ):
+        self.random = Random(seed)
+        self.holder_class = holder_class
+        self.client_class = client_class
+        self.limits = limits
+        self.domains = list(domain_sizes)
+        self.weather = Weather()
+        self.cut: set[str] = set()
+        self.now = timedelta()
+        self.store: dict[str, tuple[int, Any]] = {}
+        self.store_calls = 0
+        self.spent: dict[str, list[timedelta]] = defaultdict(list)
+        self.refused: list[tuple[timedelta, str]] = []
+        self.waited: list[timedelta] = []
+        self.sizes: dict[tuple[str, str], list[int]] = defaultdict(list)
+        self._requests: dict[str, tuple[str, timedelta]] = {}
+        self._events: list[tuple[timedelta, int, Any]] = []
+        self._numbers = 0
+        self.nodes: dict[str, Node] = {}
+        for domain, size in domain_sizes.items():
+            for index in range(size):
+                self.start(f"{domain}{index}", domain)
+        self._listed: list[Node] = list(self.nodes.values())
+        self.at(timedelta(), self._publish)
+
+    def start(self, name: str, domain: str) -> None:
+        self._numbers += 1
+        node = self.nodes[name] = Node(self, name, domain, self._numbers)
+        self.at(self.now, lambda: self._configure(node))
+        self.at(self.now + TICK * self.random.random(), lambda: self._tick(node))
+
+    def at(self, time: timedelta, action: Any) -> None:
+        self._numbers += 1
+        heapq.heappush(self._events, (time, self._numbers, action))
+
+    def run(self, duration: float) -> None:
+        end = self.now + seconds(duration)
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def kill(self, name: str) -> None:
+        self.nodes[name].alive = False
+
+    def restart(self, name: str) -> None:
+        self.kill(name)
+        self.start(name, self.nodes[name].domain)
+
+    def pause(self, name: str, duration: float) -> None:
+        self.nodes[name].paused_until = self.now + seconds(duration)
+
+    def drain(self, name: str) -> None:
+        node = self.nodes[name]
+        node.leaving = True
+        self._do(node, lambda now: node.holder.drain(now))
+
+    def request(self, name: str, account: str) -> None:
+        node = self.nodes[name]
+        if node.alive:
+            self._numbers += 1
+            request_id = str(self._numbers)
+            self._requests[request_id] = (account, self.now)
+            self._do(node, lambda now: node.client.acquire(request_id, account, now))
+
+    def holders(self, domain: str) -> list[str]:
+        return [
+            node.name
+            for node in self.nodes.values()
+            if node.domain == domain and node.alive and node.holder.state == "holding"
+        ]
+
+    def excess(self, account: str) -> float:
+        """Return by how much the tokens spent exceed rate and burst, at worst."""
+        rate, burst = self.limits[account]
+        level, worst, previous = burst, -burst, timedelta()
+        for time in self.spent[account]:
+            level = min(burst, level + rate * (time - previous).total_seconds()) - 1
+            worst, previous = max(worst, -level), time
+        return worst
+
+    def _do(self, node: Node, call: Any) -> None:
+        """Call an object with its own clock, after its pause if it is paused."""
+        if not node.alive:
+            return
+        if node.paused_until > self.now:
+            self.at(node.paused_until, lambda: self._do(node, call))
+            return
+        for effect in call(self.now + node.origin):
+            self._carry_out(node, effect)
+
+    def _tick(self, node: Node) -> None:
+        if node.alive:
+            self._do(node, node.client.tick)
+            self._do(node, node.holder.tick)
+            resume = max(self.now, node.paused_until)
+            self.at(resume + TICK, lambda: self._tick(node))
+
+    def _publish(self) -> None:
+        """Give everyone the list of the previous round."""
+        listed, self._listed = self._listed, [n for n in self.nodes.values() if n.alive]
+        for node in self.nodes.values():
+            if node.alive:
+                self._update_instances(node, listed)
+        self.at(self.now + LIST_INTERVAL, self._publish)
+
+    def _configure(self, node: Node) -> None:
+        self._update_instances(node, list(self.nodes.values()))
+        parts = len(self.domains)
+        self._do(node, lambda t: node.holder.update_accounts(self.limits, parts, t))
+        self._do(node, lambda t: node.client.update_accounts(self.limits, parts, t))
+
+    def _update_instances(self, node: Node, listed: list[Node]) -> None:
+        names = {d: [n.name for n in listed if n.domain == d] for d in self.domains}
+        others = {
+            domain: rendezvous_order(names[domain], share_subject(domain, 0))
+            for domain in self.domains
+            if domain != node.domain
+        }
+        members = [n.member for n in listed if n.domain == node.domain]
+        members = [m for m in members if not self.nodes[m.name].leaving]
+        self._do(node, lambda t: node.holder.update_instances(members, others, t))
+        self._do(node, lambda t: node.client.update_instances(names, t))
+
+    def _carry_out(self, node: Node, effect: Any) -> None:
+        if isinstance(effect, SendMessage):
+            self._send(node, effect)
+        elif isinstance(effect, ReadKey | SwapKey):
+            self._call_store(node, effect)
+        elif isinstance(effect, TokenGranted):
+            account, arrived = self._requests.pop(effect.request_id)
+            self.spent[account].append(self.now)
+            self.waited.append(self.now - arrived)
+        elif isinstance(effect, TokenRefused):
+            account, _ = self._requests.pop(effect.request_id)
+            self.refused.append((self.now, account))
+
+    def _send(self, node: Node, effect: SendMessage) -> None:
+        recipient = self.nodes.get(effect.recipient)
+        if recipient is None:
+            return
+        local = recipient is node
+        if not local:
+            self._measure(node, effect.message)
+        lost = self.random.random() < self.weather.loss
+        crossing = node.domain != recipient.domain
+        if not local and (
+            lost or (crossing and self.cut & {node.domain, recipient.domain})
+        ):
+            return
+        doubled = not local and self.random.random() < self.weather.doubling
+        for _ in range(2 if doubled else 1):
+            delay = timedelta() if local else self._delay()
+            self._deliver(node.name, recipient, effect.message, delay)
+
+    def _measure(self, node: Node, message: Any) -> None:
+        size = len(json.dumps(message, separators=(",", ":")))
+        self.sizes[node.name, type(message).__name__].append(size)
+
+    def _delay(self) -> timedelta:
+        return seconds(
+            self.random.uniform(self.weather.min_delay, self.weather.max_delay)
+        )
+
+    def _deliver(
+        self, sender: str, recipient: Node, message: Any, delay: timedelta
+    ) -> None:
+        part = (
+            recipient.client
+            if isinstance(message, CLIENT_MESSAGES)
+            else recipient.holder
+        )
+        self.at(
+            self.now + delay,
+            lambda: self._do(recipient, lambda now: part.handle(sender, message, now)),
+        )
+
+    def _call_store(self, node: Node, effect: Any) -> None:
+        self.store_calls += 1
+        lost = self.random.random() < self.weather.store_lost
+        takes_effect = self.weather.store_up and not (
+            lost and self.random.random() < 0.3
+        )
+        answer: Any = StoreFailed(effect.key, "no answer")
+
+        def act() -> None:
+            nonlocal answer
+            version, value = self.store.get(effect.key, (0, None))
+            if isinstance(effect, ReadKey):
+                answer = KeyValue(effect.key, version, value)
+            elif version == effect.expected_version:
+                value = json.loads(json.dumps(effect.value))
+                self.store[effect.key] = (version + 1, value)
+                answer = KeySwapped(effect.key, True, version + 1)
+            else:
+                answer = KeySwapped(effect.key, False, version)
+
+        if takes_effect and lost and self.random.random() < 0.5:
+            # The write takes effect long after the caller gave up.
+            self.at(self.now + self._delay() + seconds(2), act)
+        elif takes_effect:
+            act()
+        if lost:
+            answer = StoreFailed(effect.key, "answer lost")
+        reply = answer
+        self._deliver(node.name, node, reply, self._delay())
