Shorten the gap after a share holder dies

Members of a sealing majority report how long ago they last confirmed a holder, so the successor knows when the old tokens expired and neither waits again nor starts empty. A retiring or superseded holder answers waiting demand at once.

--- a/bulrushloom/coordination/limits/base.py
+++ b/bulrushloom/coordination/limits/base.py
@@ -123,13 +123,18 @@
 
 
 class SealAnswer(NamedTuple):
-    """Answer a ``SealRequest``; not ``sealed`` while the holder is heard."""
+    """Answer a ``SealRequest``; not ``sealed`` while the holder is heard.
+
+    ``confirmed_age_ms`` tells how long ago the member last confirmed any holder;
+    it is negative if it never did.
+    """
 
     domain: str
     shard: int
     epoch: int
     incarnation: str
     sealed: bool
+    confirmed_age_ms: int
 
 
 class TokenDemand(NamedTuple):
--- a/bulrushloom/coordination/limits/buckets.py
+++ b/bulrushloom/coordination/limits/buckets.py
@@ -9,6 +9,8 @@
 # Loans consist of such pieces of a token. They are exact in binary, so that no error
 # accumulates, and short in a message.
 PIECES_PER_TOKEN = 64
+# Borrowed tokens that expire sooner would not reach an entry in time.
+MIN_LOT_LIFE = timedelta(milliseconds=50)
 # (instance, incarnation, sequence) of the request that a grant or loan answers.
 GrantKey = tuple[str, str, int]
 
@@ -133,8 +135,9 @@
         expired = [k for k, o in self._outstanding_by_key.items() if o.expires <= now]
         for key in expired:
             self._forget(key)
-        if any(lot.expires <= now for lot in self.lots):
-            self.lots = [lot for lot in self.lots if lot.expires > now]
+        usable_from = now + MIN_LOT_LIFE
+        if any(lot.expires <= usable_from for lot in self.lots):
+            self.lots = [lot for lot in self.lots if lot.expires > usable_from]
 
     def available(self) -> float:
         """Return the tokens at hand, borrowed ones included."""
--- a/bulrushloom/coordination/limits/desk.py
+++ b/bulrushloom/coordination/limits/desk.py
@@ -41,6 +41,8 @@
 class TokenDesk:
     """Grant tokens to entries and lend them to holders of other domains."""
 
+    bucket_class = ShareBucket
+
     def __init__(self, domain: str, shard: int):
         self._domain = domain
         self._shard = shard
@@ -77,7 +79,7 @@
             rate, burst = limit.rate / parts, limit.burst / parts
             bucket = self.bucket_by_account.get(account)
             if bucket is None:
-                bucket = ShareBucket(rate, burst, now)
+                bucket = self.bucket_class(rate, burst, now)
                 self.bucket_by_account[account] = bucket
                 if blocked_until > now:
                     bucket.reserve(("", "", 0), burst, blocked_until)
@@ -184,6 +186,14 @@
         pending = self.pending_by_account.get(account, ())
         return sum(demand.waiting for demand in pending)
 
+    def give_up(self, now: timedelta) -> list[Effect]:
+        """Answer all waiting demand without tokens, so that entries ask elsewhere."""
+        for account, queue in self.pending_by_account.items():
+            self.pending_by_account[account] = deque(
+                demand._replace(until=now) for demand in queue
+            )
+        return self.serve(list(self.pending_by_account), None, now)
+
     def unmet(self, account: str) -> float:
         """Return how many tokens callers wait for beyond those at hand."""
         waiting = self.waiting(account)
--- a/bulrushloom/coordination/limits/electorate.py
+++ b/bulrushloom/coordination/limits/electorate.py
@@ -11,6 +11,7 @@
     SealAnswer,
     SealRequest,
 )
+from bulrushloom.coordination.limits.utils import whole_milliseconds
 
 # How long a confirmation counts, from the sending of the heartbeat.
 AUTHORITY = timedelta(seconds=1)
@@ -31,12 +32,15 @@
         self.known_epoch = 0
         self.known_holder = ""
         self.heard_at: timedelta | None = None
+        self._confirmed_at: timedelta | None = None
 
     def heartbeat(
         self, sender: str, message: HolderHeartbeat, now: timedelta
     ) -> HolderAck:
         """Confirm the sender as holder unless its epoch is sealed."""
         accepted = message.epoch > self.sealed_epoch
+        if accepted:
+            self._confirmed_at = now
         if accepted and message.epoch >= self.known_epoch:
             self.known_epoch = message.epoch
             self.known_holder = sender
@@ -60,8 +64,16 @@
         if not hears_holder:
             self.sealed_epoch = max(self.sealed_epoch, message.epoch)
         sealed = self.sealed_epoch >= message.epoch
+        confirmed_age_ms = -1
+        if self._confirmed_at is not None:
+            confirmed_age_ms = whole_milliseconds(now - self._confirmed_at)
         return SealAnswer(
-            self._domain, self._shard, message.epoch, self._incarnation, sealed
+            self._domain,
+            self._shard,
+            message.epoch,
+            self._incarnation,
+            sealed,
+            confirmed_age_ms,
         )
 
 
--- a/bulrushloom/coordination/limits/holder.py
+++ b/bulrushloom/coordination/limits/holder.py
@@ -112,8 +112,7 @@
         self._succession.retire()
         heir = self._succession.heir()
         if until is None or tenure is None or not heir or not self._in_tenure:
-            self._stop()
-            return []
+            return self._stop(now)
         lifetime = -((now - until) // timedelta(milliseconds=1))
         message = ShareHandover(
             self.domain,
@@ -123,9 +122,10 @@
             lifetime,
             self._desk.levels(now),
         )
-        self._stop()
+        effects = self._stop(now)
         self._handover = (message, heir)
-        return [*self._send_handover(), self._log("share_handed_over", heir=heir)]
+        effects += self._send_handover()
+        return [*effects, self._log("share_handed_over", heir=heir)]
 
     def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
         """Handle a message of a peer, the store or the own instance."""
@@ -233,13 +233,14 @@
         if holding and not self._in_tenure:
             return self._start(now)
         if not holding and self._in_tenure:
-            self._stop()
-            return [self._log("share_lost")]
+            return [*self._stop(now), self._log("share_lost")]
         return []
 
     def _start(self, now: timedelta) -> list[Effect]:
         self._in_tenure = True
-        self._desk.update_accounts(self._limit_by_account, self._parts, now, now)
+        # Tokens that nobody could spend since the old epoch ended are available.
+        since = min(self._succession.ready_at, now)
+        self._desk.update_accounts(self._limit_by_account, self._parts, since, since)
         inherited = self._succession.take_inherited()
         if inherited is not None:
             handover, received = inherited
@@ -247,10 +248,12 @@
             self._desk.take_over(handover.buckets, ("", "", handover.epoch), expires)
         return [self._log("share_held")]
 
-    def _stop(self) -> None:
+    def _stop(self, now: timedelta) -> list[Effect]:
+        effects = self._desk.give_up(now) if self._in_tenure else []
         self._in_tenure = False
         self._desk.clear()
         self._borrower.clear()
+        return effects
 
     def _send_handover(self) -> list[Effect]:
         """Repeat the handover a few times, because any copy may be lost."""
--- a/bulrushloom/coordination/limits/loans.py
+++ b/bulrushloom/coordination/limits/loans.py
@@ -21,11 +21,14 @@
 IDLE_LOT = timedelta(milliseconds=150)
 # The home domain of a small account keeps borrowed tokens longer, but gives them
 # back before they expire.
-SMALL_IDLE_LOT = timedelta(milliseconds=500)
+SMALL_IDLE_LOT = timedelta(milliseconds=200)
 NEGLIGIBLE_DEMAND = 0.01
 DEMAND_INTERVAL = timedelta(milliseconds=100)
 # Share of the newest reading in the average demand.
 DEMAND_WEIGHT = 0.4
+# Callers that go to another holder need the tokens there, so an interval without any
+# demand counts for more.
+SILENCE_WEIGHT = 0.7
 # Tokens are borrowed ahead of demand for this time.
 AHEAD = timedelta(milliseconds=200)
 # Lenders may have less than an equal part of what is missing, so each one is asked
@@ -171,7 +174,8 @@
         for account in self._demand_by_account.keys() | demanded.keys():
             reading = demanded.get(account, 0) / elapsed.total_seconds()
             previous = self._demand_by_account.get(account, 0.0)
-            average = previous + DEMAND_WEIGHT * (reading - previous)
+            weight = DEMAND_WEIGHT if reading else SILENCE_WEIGHT
+            average = previous + weight * (reading - previous)
             self._demand_by_account[account] = average
             if average < NEGLIGIBLE_DEMAND:
                 del self._demand_by_account[account]
@@ -234,7 +238,8 @@
     ) -> float:
         """Return the lender's whole part while callers of a small account come."""
         whole_burst = bucket.burst * (lenders + 1)
-        low = demand > NEGLIGIBLE_DEMAND and spare < whole_burst / 2
+        expected = demand * SMALL_IDLE_LOT.total_seconds()
+        low = expected >= 0.5 and spare < whole_burst / 2
         return bucket.burst if unmet > 0 or low else 0.0
 
     @staticmethod
--- a/bulrushloom/coordination/limits/presence.py
+++ b/bulrushloom/coordination/limits/presence.py
@@ -47,11 +47,10 @@
             self._absent_from_by_member.clear()
         self._ticked_at = now
 
-    def rank(self, member: Member) -> int:
-        """Return the place of ``member`` in the order; the last one if absent."""
-        if member in self.ranked:
-            return self.ranked.index(member)
-        return len(self.ranked)
+    def rank(self, member: Member, holder: str) -> int:
+        """Return the place of ``member`` in the order, leaving out the holder."""
+        others = [m for m in self.ranked if m == member or m.name != holder]
+        return others.index(member) if member in others else len(others)
 
     def is_candidate(self, member: Member) -> bool:
         """Return whether ``member`` is among those that may hold the share."""
--- a/bulrushloom/coordination/limits/routes.py
+++ b/bulrushloom/coordination/limits/routes.py
@@ -15,6 +15,9 @@
     share_subject,
 )
 
+# Domains whose holders are asked for a small account before the own one.
+HOMES = 2
+
 
 class Routes:
     """Prefer the own domain's holder; a small account has one home domain.
@@ -30,7 +33,7 @@
         self._shards = shards
         self._domains = [domain]
         self._finder_by_share: dict[tuple[str, int], HolderFinder] = {}
-        self._home_by_account: dict[str, str] = {}
+        self._homes_by_account: dict[str, list[str]] = {}
         self._limit_by_account: dict[str, AccountLimit] = {}
         self._parts = 1
 
@@ -63,9 +66,8 @@
     def locate(self, account: str, now: timedelta) -> Share | None:
         """Return the holder to ask, or ``None`` while nobody is worth asking."""
         shard = shard_of(account, self._shards)
-        home = self._home_by_account.get(account)
-        domains = self._domains if home is None else [home, *self._domains]
-        for domain in domains:
+        homes = self._homes_by_account.get(account, [])
+        for domain in [*homes, *self._domains]:
             name = self._finder(domain, shard).locate(now)
             if name:
                 return Share(domain, shard, name)
@@ -89,8 +91,8 @@
 
     def _choose_homes(self) -> None:
         domains = sorted(self._domains)
-        self._home_by_account = {
-            account: rendezvous_order(domains, account)[0]
+        self._homes_by_account = {
+            account: rendezvous_order(domains, account)[:HOMES]
             for account, limit in self._limit_by_account.items()
             if is_small(limit.burst / self._parts)
         }
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -51,6 +51,13 @@
 TENURE_STATES = HOLDING_STATES | {"waiting"}
 
 
+def authority_bound(answer: SealAnswer, now: timedelta) -> timedelta:
+    """Return when no authority that the member confirmed can last any longer."""
+    if answer.confirmed_age_ms < 0:
+        return now
+    return now - timedelta(milliseconds=answer.confirmed_age_ms) + AUTHORITY
+
+
 class Succession:
     """Decide whether this instance holds the share, and in which epoch."""
 
@@ -66,11 +73,12 @@
         self._presence = Presence(self._key)
         self._record: ShareRecord | None = None
         self._claim: ShareRecord | None = None
-        self._sealed_by: set[Member] = set()
+        self._ended_by_member: dict[Member, timedelta] = {}
         self._unsealed = False
         self._entered = timedelta()
         self._next_try: timedelta | None = None
-        self._ready_at = timedelta()
+        # When the tokens of the previous epoch have expired.
+        self.ready_at = timedelta()
         self._seal_sent = timedelta()
         self._inherited: tuple[ShareHandover, timedelta] | None = None
         self._resize_from: timedelta | None = None
@@ -92,8 +100,7 @@
         """Replace the live instances of the domain."""
         self._presence.update(members, now)
         if self._next_try is None:
-            delay = START_DELAY + self._presence.rank(self._member) * RANK_DELAY
-            self._next_try = now + delay
+            self._next_try = now + START_DELAY + self._rank_delay()
 
     def heir(self) -> str:
         """Return the name of the first other instance in rank order."""
@@ -130,7 +137,7 @@
         self.version = message.version
         self._unsealed = False
         self._inherited = (message, now)
-        self._ready_at = now
+        self.ready_at = now
         return self._write_claim(message.epoch + 1, now)
 
     def handle_value(self, message: KeyValue, now: timedelta) -> list[Effect]:
@@ -183,11 +190,13 @@
             self._step_down("fail", now)
             return []
         member = Member(sender, answer.incarnation)
-        if member in record.electorate:
-            self._sealed_by.add(member)
-        if len(self._sealed_by) < majority(record.electorate):
+        if member in record.electorate and member not in self._ended_by_member:
+            self._ended_by_member[member] = authority_bound(answer, now)
+        if len(self._ended_by_member) < majority(record.electorate):
             return []
-        return self._seal_done(now)
+        # Every majority that confirmed the old holder has a member among these.
+        # Tokens of the old epoch expire with the authority that granted them.
+        return self._seal_done(max(self._ended_by_member.values()), now)
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Do what the current state has due."""
@@ -219,11 +228,11 @@
         if record is None:
             self._unsealed = False
             self.machine.send("absent")
-            self._ready_at = now
+            self.ready_at = now
             return self._write_claim(1, now)
         self.machine.send("record")
         self._record = record
-        self._sealed_by = set()
+        self._ended_by_member = {}
         self._unsealed = False
         self._entered = now
         self._seal_sent = now - SEAL_REPEAT
@@ -235,7 +244,7 @@
         if self._presence.majority_gone(record.electorate, now):
             # Without a seal, a member could come back while a write is repeated.
             self._unsealed = True
-            return self._seal_done(now)
+            return self._seal_done(now + AUTHORITY, now)
         if now - self._entered >= SEAL_TIMEOUT:
             self._step_down("fail", now)
             return []
@@ -250,12 +259,10 @@
         own = self._elector.seal(request, now)
         return effects + self.handle_seal(self._member.name, own, now)
 
-    def _seal_done(self, now: timedelta) -> list[Effect]:
+    def _seal_done(self, ended: timedelta, now: timedelta) -> list[Effect]:
         assert self._record is not None
         self.machine.send("sealed")
-        # A member that has sealed may have confirmed the old holder just before,
-        # and the tokens of the old epoch expire with that confirmation.
-        self._ready_at = now + AUTHORITY
+        self.ready_at = ended
         self._inherited = None
         return self._write_claim(self._record.epoch + 1, now)
 
@@ -300,7 +307,8 @@
         if record == self._claim:
             self.version = version
             return self._written("ours", now)
-        if version == self.version and not self._unsealed:
+        repeats = self.machine.state == "checking_resize" or not self._unsealed
+        if version == self.version and repeats:
             self.machine.send("unchanged")
             return self._swap(now)
         self._step_down("lost", now)
@@ -309,7 +317,7 @@
     def _hold(self, now: timedelta) -> list[Effect]:
         tenure = self.tenure
         assert tenure is not None
-        if self.machine.state == "waiting" and now >= self._ready_at:
+        if self.machine.state == "waiting" and now >= self.ready_at:
             self.machine.send("ready")
         if tenure.majority_confirmed(tenure.electorate, now):
             self._confirmed_at = now
@@ -371,12 +379,14 @@
         self._claim = None
         self._inherited = None
         self._resize_from = None
-        rank = self._presence.rank(self._member)
-        self._next_try = now + RETRY_DELAY + rank * RANK_DELAY
+        self._next_try = now + RETRY_DELAY + self._rank_delay()
 
     def _delay_try(self, now: timedelta) -> None:
-        rank = self._presence.rank(self._member)
-        self._next_try = now + SILENCE + rank * RANK_DELAY
+        self._next_try = now + SILENCE + self._rank_delay()
+
+    def _rank_delay(self) -> timedelta:
+        holder = self._elector.known_holder
+        return self._presence.rank(self._member, holder) * RANK_DELAY
 
     def _log(self, event: str) -> Effect:
         epoch = self.tenure.epoch if self.tenure is not None else 0
