Test invariant 7 with a fleet of the real decision objects

A hypothesis state machine drives holders and clients through a message layer that loses, delays, doubles and reorders, with pauses, restarts, drains, cuts and store faults. Five deliberately broken variants exceed the limit in directed scenarios that the real objects pass.

--- a/bulrushloom/coordination/limits/client.py
+++ b/bulrushloom/coordination/limits/client.py
@@ -32,6 +32,8 @@
 class ShareClient(RateClient):
     """Obtain tokens from share holders."""
 
+    late_grant = LATE_GRANT
+
     def __init__(self, name: str, incarnation: str, domain: str, shards: int = 1):
         self.name = name
         self.domain = domain
@@ -170,7 +172,7 @@
             return []
         expires = request.sent + timedelta(milliseconds=grant.lifetime_ms)
         held = HeldTokens(request.share, grant, now, expires)
-        if now - request.sent > LATE_GRANT:
+        if now - request.sent > self.late_grant:
             held.give_back()
             self._unreported(held, now)
             return []
--- a/tests/coordination/limits/builders.py
+++ b/tests/coordination/limits/builders.py
@@ -80,6 +80,7 @@
         self.limits = limits
         self.domains = list(domain_sizes)
         self.weather = Weather()
+        # Names of the domains and instances that are cut off from all others.
         self.cut: set[str] = set()
         self.now = timedelta()
         self.store: dict[str, tuple[int, Any]] = {}
@@ -138,6 +139,10 @@
             self._requests[request_id] = (account, self.now)
             self._do(node, lambda now: node.client.acquire(request_id, account, now))
 
+    def burst(self, name: str, account: str, count: int) -> None:
+        for _ in range(count):
+            self.request(name, account)
+
     def holders(self, domain: str) -> list[str]:
         return [
             node.name
@@ -218,10 +223,10 @@
         if not local:
             self._measure(node, effect.message)
         lost = self.random.random() < self.weather.loss
-        crossing = node.domain != recipient.domain
-        if not local and (
-            lost or (crossing and self.cut & {node.domain, recipient.domain})
-        ):
+        ends = {node.name, recipient.name}
+        if node.domain != recipient.domain:
+            ends |= {node.domain, recipient.domain}
+        if not local and (lost or self.cut & ends):
             return
         doubled = not local and self.random.random() < self.weather.doubling
         for _ in range(2 if doubled else 1):
--- /dev/null
+++ b/tests/coordination/limits/test_invariant.py
@@ -0,0 +1,256 @@
+"""Invariant 7: no account gets more than its rate and burst over all instances."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from bulrushloom.coordination.limits.base import AccountLimit
+from bulrushloom.coordination.limits.buckets import ShareBucket
+from bulrushloom.coordination.limits.client import ShareClient
+from bulrushloom.coordination.limits.electorate import AUTHORITY
+from bulrushloom.coordination.limits.holder import ShareHolder
+from bulrushloom.coordination.limits.succession import Succession
+from tests.coordination.limits.builders import Fleet, Weather, seconds
+
+LIMITS = {"large": AccountLimit(40, 30), "small": AccountLimit(8, 4)}
+SIZES = {"a": 3, "b": 2}
+NAMES = ["a0", "a1", "a2", "b0", "b1"]
+# Bucket levels are binary fractions of seconds and rates, compared as floats.
+TOLERANCE = 1e-6
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Drive a fleet through message loss, pauses, replacements, cuts and outages."""
+
+    holder_class = ShareHolder
+    client_class = ShareClient
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        self.fleet = Fleet(SIZES, LIMITS, seed, self.holder_class, self.client_class)
+        self.fleet.run(3)
+
+    @rule(duration=st.sampled_from([0.05, 0.3, 1.0, 2.5]))
+    def advance(self, duration):
+        self.fleet.run(duration)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        account=st.sampled_from(sorted(LIMITS)),
+        count=st.integers(1, 40),
+    )
+    def call(self, name, account, count):
+        for index in range(count):
+            self.fleet.at(
+                self.fleet.now + seconds(index * 0.01),
+                lambda: self.fleet.request(name, account),
+            )
+        self.fleet.run(0.2)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.5]),
+        doubling=st.sampled_from([0.0, 0.5]),
+        max_delay=st.sampled_from([0.002, 0.1, 1.5]),
+    )
+    def change_network(self, loss, doubling, max_delay):
+        self.fleet.weather = self.fleet.weather._replace(
+            loss=loss, doubling=doubling, max_delay=max_delay
+        )
+
+    @rule(up=st.booleans(), lost=st.sampled_from([0.0, 0.5]))
+    def change_store(self, up, lost):
+        self.fleet.weather = self.fleet.weather._replace(store_up=up, store_lost=lost)
+
+    @rule()
+    def heal(self):
+        self.fleet.weather = Weather()
+        self.fleet.cut.clear()
+
+    @rule(name=st.sampled_from([*SIZES, *NAMES]))
+    def cut(self, name):
+        self.fleet.cut.symmetric_difference_update({name})
+
+    @rule(name=st.sampled_from(NAMES), duration=st.sampled_from([0.4, 1.5, 4.0]))
+    def pause(self, name, duration):
+        self.fleet.pause(name, duration)
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        self.fleet.restart(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def drain_and_restart(self, name):
+        self.fleet.drain(name)
+        self.fleet.run(0.1)
+        self.fleet.restart(name)
+
+    @invariant()
+    def no_account_exceeds_its_rate_and_burst(self):
+        for account in LIMITS:
+            assert self.fleet.excess(account) <= TOLERANCE
+
+
+TestLimitMachine = LimitMachine.TestCase
+TestLimitMachine.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=25,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+
+
+class ForgettingBucket(ShareBucket):
+    """Refill as if granted tokens had been spent at once."""
+
+    def advance(self, now):
+        outstanding, self.outstanding = self.outstanding, 0.0
+        super().advance(now)
+        self.outstanding = outstanding
+
+
+class ForgettingHolder(ShareHolder):
+    """Refill beside outstanding tokens."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._desk.bucket_class = ForgettingBucket
+
+
+class FreeLoanBucket(ShareBucket):
+    """Lend tokens without debiting them."""
+
+    def lend(self, key, tokens, expires):
+        level, outstanding = self.level, self.outstanding
+        lent = super().lend(key, tokens, expires)
+        self.level, self.outstanding = level, outstanding
+        return lent
+
+
+class FreeLoanHolder(ShareHolder):
+    """Credit the borrower only."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._desk.bucket_class = FreeLoanBucket
+
+
+class LastingSuccession(Succession):
+    """Hold the share without asking the electorate again."""
+
+    def authority_until(self, now):
+        return now + AUTHORITY if self.holding else None
+
+
+class LastingHolder(ShareHolder):
+    """Go on granting after a pause or in a cut-off."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._succession.__class__ = LastingSuccession
+
+
+class RepeatingClient(ShareClient):
+    """Credit every copy of a grant."""
+
+    def _credit(self, sender, grant, now):
+        request = self._requests.answered(sender, grant.sequence)
+        demand = request and request.demand_by_account.get(grant.account)
+        effects = super()._credit(sender, grant, now)
+        if demand is not None:
+            request.demand_by_account[grant.account] = demand
+        return effects
+
+
+class KeepingClient(ShareClient):
+    """Spend tokens after they have expired."""
+
+    late_grant = seconds(3600)
+
+    def _credit(self, sender, grant, now):
+        return super()._credit(sender, grant._replace(lifetime_ms=60_000), now)
+
+    def tick(self, now):
+        for tokens in self._tokens_by_account.values():
+            tokens.tidy = lambda now: []
+        return super().tick(now)
+
+
+def fill(sizes, holder_class, client_class):
+    """Return a fleet with full buckets, a holder's name and another instance."""
+    fleet = Fleet(sizes, LIMITS, 1, holder_class, client_class)
+    fleet.run(6)
+    holder = fleet.holders("a")[0]
+    others = [name for name in fleet.nodes if name != holder]
+    return fleet, holder, others[0]
+
+
+def spend_slow_grants_and_the_refill(*classes):
+    fleet, holder, other = fill({"a": 3}, *classes)
+    fleet.weather = Weather(min_delay=0.13, max_delay=0.13)
+    fleet.burst(other, "large", 30)
+    fleet.run(0.255)
+    fleet.burst(holder, "large", 30)
+    fleet.run(1)
+    return fleet
+
+
+def spend_in_two_domains(*classes):
+    fleet, _, _ = fill({"a": 1, "b": 1}, *classes)
+    fleet.burst("a0", "large", 30)
+    fleet.run(0.05)
+    fleet.burst("b0", "large", 30)
+    fleet.run(1)
+    return fleet
+
+
+def spend_beside_a_holder_that_is_cut_off(*classes):
+    fleet, holder, other = fill({"a": 3}, *classes)
+    fleet.cut = {holder}
+    fleet.run(6)
+    fleet.burst(holder, "large", 30)
+    fleet.burst(other, "large", 30)
+    fleet.run(1)
+    return fleet
+
+
+def spend_doubled_grants(*classes):
+    fleet, _, other = fill({"a": 3}, *classes)
+    fleet.weather = Weather(doubling=1.0, max_delay=0.002)
+    fleet.burst(other, "large", 40)
+    fleet.run(1)
+    return fleet
+
+
+def spend_after_a_pause(*classes):
+    fleet, holder, other = fill({"a": 3}, *classes)
+    for index in range(36):
+        fleet.at(fleet.now + seconds(index / 36), lambda: fleet.request(other, "large"))
+    fleet.run(1)
+    # Tokens that were granted ahead of demand lie at the entry.
+    fleet.pause(other, 3)
+    fleet.run(3.02)
+    fleet.burst(holder, "large", 30)
+    fleet.burst(other, "large", 30)
+    fleet.run(1)
+    return fleet
+
+
+SCENARIOS = [
+    (ForgettingHolder, ShareClient, spend_slow_grants_and_the_refill),
+    (FreeLoanHolder, ShareClient, spend_in_two_domains),
+    (LastingHolder, ShareClient, spend_beside_a_holder_that_is_cut_off),
+    (ShareHolder, RepeatingClient, spend_doubled_grants),
+    (ShareHolder, KeepingClient, spend_after_a_pause),
+]
+
+
+@pytest.mark.parametrize(("holder_class", "client_class", "scenario"), SCENARIOS)
+def test_broken_variant_exceeds_what_the_real_objects_keep(
+    holder_class, client_class, scenario
+):
+    real = scenario(ShareHolder, ShareClient)
+    assert len(real.spent["large"]) >= 20
+    assert real.excess("large") <= TOLERANCE
+    assert scenario(holder_class, client_class).excess("large") > 0.5
