--- a/bulrushloom/coordination/limits/electorate.py
+++ b/bulrushloom/coordination/limits/electorate.py
@@ -134,6 +134,14 @@
         previous = self._confirmed_by_member.get(member, sent_at)
         self._confirmed_by_member[member] = max(previous, sent_at)
 
+    def newest_run(self, member: Member) -> Member:
+        """Return the run of the instance that confirmed the latest heartbeat."""
+        runs = [m for m in self._confirmed_by_member if m.name == member.name]
+        return max([member, *runs], key=self._confirmed_at)
+
+    def _confirmed_at(self, member: Member) -> timedelta:
+        return self._confirmed_by_member.get(member, timedelta.min)
+
     def authority_until(self) -> timedelta | None:
         """Return when the authority ends, or ``None`` if it was never confirmed."""
         ends = self._majority_until(self.electorate)
@@ -163,3 +171,10 @@
 def majority(members: list[Member]) -> int:
     """Return how many of ``members`` make a majority."""
     return len(members) // 2 + 1
+
+
+def authority_bound(answer: SealAnswer, now: timedelta) -> timedelta:
+    """Return when no authority that the member confirmed can last any longer."""
+    if answer.confirmed_age_ms < 0:
+        return now
+    return now - timedelta(milliseconds=answer.confirmed_age_ms) + AUTHORITY
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -25,6 +25,7 @@
     AUTHORITY,
     Elector,
     Tenure,
+    authority_bound,
     majority,
 )
 from bulrushloom.coordination.limits.presence import Presence
@@ -45,19 +46,12 @@
 STORE_TIMEOUT = timedelta(seconds=5)
 SEAL_TIMEOUT = timedelta(seconds=1)
 SEAL_REPEAT = timedelta(milliseconds=200)
-# Instances that vanish and come back do not change the electorate at once.
-RESIZE_DELAY = timedelta(seconds=1)
+# Changes that come shortly after each other are written together.
+RESIZE_DELAY = timedelta(milliseconds=200)
 HOLDING_STATES = frozenset({"holding", "resizing", "checking_resize"})
 TENURE_STATES = HOLDING_STATES | {"waiting"}
 
 
-def authority_bound(answer: SealAnswer, now: timedelta) -> timedelta:
-    """Return when no authority that the member confirmed can last any longer."""
-    if answer.confirmed_age_ms < 0:
-        return now
-    return now - timedelta(milliseconds=answer.confirmed_age_ms) + AUTHORITY
-
-
 class Succession:
     """Decide whether this instance holds the share, and in which epoch."""
 
@@ -359,7 +353,9 @@
     def _resize(self, now: timedelta) -> list[Effect]:
         tenure = self.tenure
         assert tenure is not None
-        wanted = self._presence.electorate(self._member)
+        listed = self._presence.electorate(self._member)
+        # A restarted instance answers long before the instance list shows it.
+        wanted = [tenure.newest_run(member) for member in listed]
         if set(wanted) == set(tenure.electorate):
             self._resize_from = None
             return []
--- a/tests/coordination/limits/builders.py
+++ b/tests/coordination/limits/builders.py
@@ -87,6 +87,7 @@
         self.store_calls = 0
         self.spent: dict[str, list[timedelta]] = defaultdict(list)
         self.refused: list[tuple[timedelta, str]] = []
+        self.retry_delays: list[timedelta] = []
         self.waited: list[timedelta] = []
         self.sizes: dict[tuple[str, str], list[int]] = defaultdict(list)
         self._requests: dict[str, tuple[str, timedelta]] = {}
@@ -214,6 +215,7 @@
         elif isinstance(effect, TokenRefused):
             account, _ = self._requests.pop(effect.request_id)
             self.refused.append((self.now, account))
+            self.retry_delays.append(effect.retry_after)
 
     def _send(self, node: Node, effect: SendMessage) -> None:
         recipient = self.nodes.get(effect.recipient)
--- a/tests/coordination/limits/test_invariant.py
+++ b/tests/coordination/limits/test_invariant.py
@@ -38,16 +38,23 @@
     @rule(
         name=st.sampled_from(NAMES),
         account=st.sampled_from(sorted(LIMITS)),
-        count=st.integers(1, 40),
+        count=st.sampled_from([3, 40]),
+        gap=st.sampled_from([0.0, 0.01]),
     )
-    def call(self, name, account, count):
+    def call(self, name, account, count, gap):
         for index in range(count):
             self.fleet.at(
-                self.fleet.now + seconds(index * 0.01),
+                self.fleet.now + seconds(index * gap),
                 lambda: self.fleet.request(name, account),
             )
         self.fleet.run(0.2)
 
+    @rule(account=st.sampled_from(sorted(LIMITS)))
+    def call_everywhere(self, account):
+        for name in NAMES:
+            self.fleet.burst(name, account, 30)
+        self.fleet.run(0.4)
+
     @rule(
         loss=st.sampled_from([0.0, 0.1, 0.5]),
         doubling=st.sampled_from([0.0, 0.5]),
