Require the new electorate to cover the tokens granted so far

A successor learns from the stored electorate when old tokens have expired. The write now waits until the new electorate has confirmed at least as long an authority. The new test fails without the change.

--- a/bulrushloom/coordination/limits/electorate.py
+++ b/bulrushloom/coordination/limits/electorate.py
@@ -155,6 +155,11 @@
         until = self._majority_until(members)
         return until is not None and until > now
 
+    def covers(self, members: list[Member], granted_until: timedelta | None) -> bool:
+        """Return whether ``members`` confirm an authority of at least that length."""
+        until = self._majority_until(members)
+        return until is not None and (granted_until is None or until >= granted_until)
+
     def _majority_until(self, members: list[Member]) -> timedelta | None:
         confirmed = sorted(
             (
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -33,21 +33,20 @@
     record_from_json,
     record_to_json,
 )
+from bulrushloom.coordination.limits.timings import (
+    RANK_DELAY,
+    RESIZE_DELAY,
+    RETRY_DELAY,
+    SEAL_REPEAT,
+    SEAL_TIMEOUT,
+    SILENCE,
+    START_DELAY,
+    STORE_RETRY,
+    STORE_TIMEOUT,
+)
 from bulrushloom.coordination.limits.utils import share_subject
 from bulrushloom.core.statecharts import StateMachine, load_chart
 
-SILENCE = timedelta(seconds=2)
-RANK_DELAY = timedelta(seconds=1)
-# A starting instance listens for a holder before it looks at the record.
-START_DELAY = timedelta(seconds=1)
-RETRY_DELAY = timedelta(seconds=1)
-STORE_RETRY = timedelta(milliseconds=500)
-# A store call that was not answered at all is given up after this time.
-STORE_TIMEOUT = timedelta(seconds=5)
-SEAL_TIMEOUT = timedelta(seconds=1)
-SEAL_REPEAT = timedelta(milliseconds=200)
-# Changes that come shortly after each other are written together.
-RESIZE_DELAY = timedelta(milliseconds=200)
 HOLDING_STATES = frozenset({"holding", "resizing", "checking_resize"})
 TENURE_STATES = HOLDING_STATES | {"waiting"}
 
@@ -77,6 +76,8 @@
         self._inherited: tuple[ShareHandover, timedelta] | None = None
         self._resize_from: timedelta | None = None
         self._confirmed_at = timedelta()
+        # Latest end of an authority under which tokens may have been granted.
+        self._granted_until: timedelta | None = None
 
     @property
     def holding(self) -> bool:
@@ -88,7 +89,10 @@
         if not self.holding or self.tenure is None:
             return None
         until = self.tenure.authority_until()
-        return until if until is not None and until > now else None
+        if until is None or until <= now:
+            return None
+        self._granted_until = max(until, self._granted_until or until)
+        return until
 
     def update_members(self, members: Iterable[Member], now: timedelta) -> None:
         """Replace the live instances of the domain."""
@@ -363,6 +367,10 @@
             self._resize_from = now + RESIZE_DELAY
         if now < self._resize_from or not tenure.majority_confirmed(wanted, now):
             return []
+        # A successor will learn from the new electorate alone when the tokens that
+        # were granted under the old one have expired.
+        if not tenure.covers(wanted, self._granted_until):
+            return []
         self._resize_from = None
         tenure.proposed = wanted
         self.machine.send("resize")
@@ -372,6 +380,7 @@
     def _step_down(self, event: str, now: timedelta) -> None:
         self.machine.send(event)
         self.tenure = None
+        self._granted_until = None
         self._claim = None
         self._inherited = None
         self._resize_from = None
--- a/tests/coordination/limits/test_holder.py
+++ b/tests/coordination/limits/test_holder.py
@@ -182,6 +182,20 @@
     assert isinstance(ask(holder, seconds(4.12), 3), ShareGrant)
 
 
+def test_new_electorate_must_have_confirmed_the_tokens_granted_so_far():
+    """Guards against a successor that hears only of an older confirmation."""
+    holder = held_share()
+    holder.update_instances([SELF, Member("a2", "a2/1")], {}, seconds(3.01))
+    holder.handle("a2", HolderAck("a", 0, 1, 1, "a2/1", True), seconds(3.02))
+    holder.tick(seconds(3.2))
+    holder.handle("a1", HolderAck("a", 0, 1, 2, "a1/1", True), seconds(3.21))
+    assert isinstance(ask(holder, seconds(3.25)), ShareGrant)
+    holder.tick(seconds(3.26))
+    assert not effects_of(holder.tick(seconds(3.5)), SwapKey)
+    holder.handle("a2", HolderAck("a", 0, 1, 2, "a2/1", True), seconds(3.51))
+    assert effects_of(holder.tick(seconds(3.52)), SwapKey)
+
+
 def holder_electorate(holder):
     return holder._succession.tenure.proposed
 
