--- a/bulrushloom/coordination/limits/electorate.py
+++ b/bulrushloom/coordination/limits/electorate.py
@@ -11,6 +11,7 @@
     SealAnswer,
     SealRequest,
 )
+from bulrushloom.coordination.limits.utils import whole_milliseconds
 
 # How long a confirmation counts, from the sending of the heartbeat.
 AUTHORITY = timedelta(seconds=1)
@@ -31,12 +32,15 @@
         self.known_epoch = 0
         self.known_holder = ""
         self.heard_at: timedelta | None = None
+        self._confirmed_at: timedelta | None = None
 
     def heartbeat(
         self, sender: str, message: HolderHeartbeat, now: timedelta
     ) -> HolderAck:
         """Confirm the sender as holder unless its epoch is sealed."""
         accepted = message.epoch > self.sealed_epoch
+        if accepted:
+            self._confirmed_at = now
         if accepted and message.epoch >= self.known_epoch:
             self.known_epoch = message.epoch
             self.known_holder = sender
@@ -60,8 +64,16 @@
         if not hears_holder:
             self.sealed_epoch = max(self.sealed_epoch, message.epoch)
         sealed = self.sealed_epoch >= message.epoch
+        confirmed_age_ms = -1
+        if self._confirmed_at is not None:
+            confirmed_age_ms = whole_milliseconds(now - self._confirmed_at)
         return SealAnswer(
-            self._domain, self._shard, message.epoch, self._incarnation, sealed
+            self._domain,
+            self._shard,
+            message.epoch,
+            self._incarnation,
+            sealed,
+            confirmed_age_ms,
         )
 
 
@@ -122,6 +134,14 @@
         previous = self._confirmed_by_member.get(member, sent_at)
         self._confirmed_by_member[member] = max(previous, sent_at)
 
+    def newest_run(self, member: Member) -> Member:
+        """Return the run of the instance that confirmed the latest heartbeat."""
+        runs = [m for m in self._confirmed_by_member if m.name == member.name]
+        return max([member, *runs], key=self._confirmed_at)
+
+    def _confirmed_at(self, member: Member) -> timedelta:
+        return self._confirmed_by_member.get(member, timedelta.min)
+
     def authority_until(self) -> timedelta | None:
         """Return when the authority ends, or ``None`` if it was never confirmed."""
         ends = self._majority_until(self.electorate)
@@ -135,6 +155,11 @@
         until = self._majority_until(members)
         return until is not None and until > now
 
+    def covers(self, members: list[Member], granted_until: timedelta | None) -> bool:
+        """Return whether ``members`` confirm an authority of at least that length."""
+        until = self._majority_until(members)
+        return until is not None and (granted_until is None or until >= granted_until)
+
     def _majority_until(self, members: list[Member]) -> timedelta | None:
         confirmed = sorted(
             (
@@ -151,3 +176,10 @@
 def majority(members: list[Member]) -> int:
     """Return how many of ``members`` make a majority."""
     return len(members) // 2 + 1
+
+
+def authority_bound(answer: SealAnswer, now: timedelta) -> timedelta:
+    """Return when no authority that the member confirmed can last any longer."""
+    if answer.confirmed_age_ms < 0:
+        return now
+    return now - timedelta(milliseconds=answer.confirmed_age_ms) + AUTHORITY
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -25,6 +25,7 @@
     AUTHORITY,
     Elector,
     Tenure,
+    authority_bound,
     majority,
 )
 from bulrushloom.coordination.limits.presence import Presence
@@ -32,21 +33,20 @@
     record_from_json,
     record_to_json,
 )
+from bulrushloom.coordination.limits.timings import (
+    RANK_DELAY,
+    RESIZE_DELAY,
+    RETRY_DELAY,
+    SEAL_REPEAT,
+    SEAL_TIMEOUT,
+    SILENCE,
+    START_DELAY,
+    STORE_RETRY,
+    STORE_TIMEOUT,
+)
 from bulrushloom.coordination.limits.utils import share_subject
 from bulrushloom.core.statecharts import StateMachine, load_chart
 
-SILENCE = timedelta(seconds=2)
-RANK_DELAY = timedelta(seconds=1)
-# A starting instance listens for a holder before it looks at the record.
-START_DELAY = timedelta(seconds=1)
-RETRY_DELAY = timedelta(seconds=1)
-STORE_RETRY = timedelta(milliseconds=500)
-# A store call that was not answered at all is given up after this time.
-STORE_TIMEOUT = timedelta(seconds=5)
-SEAL_TIMEOUT = timedelta(seconds=1)
-SEAL_REPEAT = timedelta(milliseconds=200)
-# Instances that vanish and come back do not change the electorate at once.
-RESIZE_DELAY = timedelta(seconds=1)
 HOLDING_STATES = frozenset({"holding", "resizing", "checking_resize"})
 TENURE_STATES = HOLDING_STATES | {"waiting"}
 
@@ -66,15 +66,18 @@
         self._presence = Presence(self._key)
         self._record: ShareRecord | None = None
         self._claim: ShareRecord | None = None
-        self._sealed_by: set[Member] = set()
+        self._ended_by_member: dict[Member, timedelta] = {}
         self._unsealed = False
         self._entered = timedelta()
         self._next_try: timedelta | None = None
-        self._ready_at = timedelta()
+        # When the tokens of the previous epoch have expired.
+        self.ready_at = timedelta()
         self._seal_sent = timedelta()
         self._inherited: tuple[ShareHandover, timedelta] | None = None
         self._resize_from: timedelta | None = None
         self._confirmed_at = timedelta()
+        # Latest end of an authority under which tokens may have been granted.
+        self._granted_until: timedelta | None = None
 
     @property
     def holding(self) -> bool:
@@ -86,14 +89,16 @@
         if not self.holding or self.tenure is None:
             return None
         until = self.tenure.authority_until()
-        return until if until is not None and until > now else None
+        if until is None or until <= now:
+            return None
+        self._granted_until = max(until, self._granted_until or until)
+        return until
 
     def update_members(self, members: Iterable[Member], now: timedelta) -> None:
         """Replace the live instances of the domain."""
         self._presence.update(members, now)
         if self._next_try is None:
-            delay = START_DELAY + self._presence.rank(self._member) * RANK_DELAY
-            self._next_try = now + delay
+            self._next_try = now + START_DELAY + self._rank_delay()
 
     def heir(self) -> str:
         """Return the name of the first other instance in rank order."""
@@ -130,7 +135,7 @@
         self.version = message.version
         self._unsealed = False
         self._inherited = (message, now)
-        self._ready_at = now
+        self.ready_at = now
         return self._write_claim(message.epoch + 1, now)
 
     def handle_value(self, message: KeyValue, now: timedelta) -> list[Effect]:
@@ -183,11 +188,13 @@
             self._step_down("fail", now)
             return []
         member = Member(sender, answer.incarnation)
-        if member in record.electorate:
-            self._sealed_by.add(member)
-        if len(self._sealed_by) < majority(record.electorate):
+        if member in record.electorate and member not in self._ended_by_member:
+            self._ended_by_member[member] = authority_bound(answer, now)
+        if len(self._ended_by_member) < majority(record.electorate):
             return []
-        return self._seal_done(now)
+        # Every majority that confirmed the old holder has a member among these.
+        # Tokens of the old epoch expire with the authority that granted them.
+        return self._seal_done(max(self._ended_by_member.values()), now)
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Do what the current state has due."""
@@ -219,11 +226,11 @@
         if record is None:
             self._unsealed = False
             self.machine.send("absent")
-            self._ready_at = now
+            self.ready_at = now
             return self._write_claim(1, now)
         self.machine.send("record")
         self._record = record
-        self._sealed_by = set()
+        self._ended_by_member = {}
         self._unsealed = False
         self._entered = now
         self._seal_sent = now - SEAL_REPEAT
@@ -235,7 +242,7 @@
         if self._presence.majority_gone(record.electorate, now):
             # Without a seal, a member could come back while a write is repeated.
             self._unsealed = True
-            return self._seal_done(now)
+            return self._seal_done(now + AUTHORITY, now)
         if now - self._entered >= SEAL_TIMEOUT:
             self._step_down("fail", now)
             return []
@@ -250,12 +257,10 @@
         own = self._elector.seal(request, now)
         return effects + self.handle_seal(self._member.name, own, now)
 
-    def _seal_done(self, now: timedelta) -> list[Effect]:
+    def _seal_done(self, ended: timedelta, now: timedelta) -> list[Effect]:
         assert self._record is not None
         self.machine.send("sealed")
-        # A member that has sealed may have confirmed the old holder just before,
-        # and the tokens of the old epoch expire with that confirmation.
-        self._ready_at = now + AUTHORITY
+        self.ready_at = ended
         self._inherited = None
         return self._write_claim(self._record.epoch + 1, now)
 
@@ -300,7 +305,8 @@
         if record == self._claim:
             self.version = version
             return self._written("ours", now)
-        if version == self.version and not self._unsealed:
+        repeats = self.machine.state == "checking_resize" or not self._unsealed
+        if version == self.version and repeats:
             self.machine.send("unchanged")
             return self._swap(now)
         self._step_down("lost", now)
@@ -309,7 +315,7 @@
     def _hold(self, now: timedelta) -> list[Effect]:
         tenure = self.tenure
         assert tenure is not None
-        if self.machine.state == "waiting" and now >= self._ready_at:
+        if self.machine.state == "waiting" and now >= self.ready_at:
             self.machine.send("ready")
         if tenure.majority_confirmed(tenure.electorate, now):
             self._confirmed_at = now
@@ -351,7 +357,9 @@
     def _resize(self, now: timedelta) -> list[Effect]:
         tenure = self.tenure
         assert tenure is not None
-        wanted = self._presence.electorate(self._member)
+        listed = self._presence.electorate(self._member)
+        # A restarted instance answers long before the instance list shows it.
+        wanted = [tenure.newest_run(member) for member in listed]
         if set(wanted) == set(tenure.electorate):
             self._resize_from = None
             return []
@@ -359,6 +367,10 @@
             self._resize_from = now + RESIZE_DELAY
         if now < self._resize_from or not tenure.majority_confirmed(wanted, now):
             return []
+        # A successor will learn from the new electorate alone when the tokens that
+        # were granted under the old one have expired.
+        if not tenure.covers(wanted, self._granted_until):
+            return []
         self._resize_from = None
         tenure.proposed = wanted
         self.machine.send("resize")
@@ -368,15 +380,18 @@
     def _step_down(self, event: str, now: timedelta) -> None:
         self.machine.send(event)
         self.tenure = None
+        self._granted_until = None
         self._claim = None
         self._inherited = None
         self._resize_from = None
-        rank = self._presence.rank(self._member)
-        self._next_try = now + RETRY_DELAY + rank * RANK_DELAY
+        self._next_try = now + RETRY_DELAY + self._rank_delay()
 
     def _delay_try(self, now: timedelta) -> None:
-        rank = self._presence.rank(self._member)
-        self._next_try = now + SILENCE + rank * RANK_DELAY
+        self._next_try = now + SILENCE + self._rank_delay()
+
+    def _rank_delay(self) -> timedelta:
+        holder = self._elector.known_holder
+        return self._presence.rank(self._member, holder) * RANK_DELAY
 
     def _log(self, event: str) -> Effect:
         epoch = self.tenure.epoch if self.tenure is not None else 0
