--- a/bulrushloom/coordination/failover/monitor.py
+++ b/bulrushloom/coordination/failover/monitor.py
@@ -13,7 +13,6 @@
 from bulrushloom.coordination.failover.base import (
     FailoverPolicy,
     Fenced,
-    FenceFailed,
     FenceRefused,
     FenceServer,
     Followed,
@@ -57,6 +56,8 @@
     forgotten whom it promoted.
     """
 
+    round_class: type[PromotionRound] = PromotionRound
+
     def __init__(
         self,
         group: str,
@@ -110,7 +111,10 @@
             self._primary = None
 
     def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
-        """Take an answer of a server or a report of another watcher."""
+        """Take an answer of a server or a report of another watcher.
+
+        Failed fence and follow calls need no step: they are repeated.
+        """
         effects = self._advance(now)
         if isinstance(message, StatusReceived | Followed | Promoted):
             self._take_status(message.target, message.status)
@@ -122,8 +126,6 @@
             effects += self._take_refusal(message)
         elif isinstance(message, PromoteFailed):
             effects.append(PollStatus(message.target))
-        elif isinstance(message, FenceFailed):
-            pass  # The round repeats the call until its timeout.
         elif isinstance(message, WatcherReport) and message.group == self.group:
             effects += self._take_report(sender, message)
         return effects + self._review()
@@ -219,7 +221,10 @@
         self._round = None
         if not is_new:
             return []
-        return [self._log("primary_adopted", primary=name, term=term)]
+        # Fresh statuses let the other servers be redirected without delay.
+        others = [other for other in self._table.record_by_target if other != name]
+        log = self._log("primary_adopted", primary=name, term=term)
+        return [log, *map(PollStatus, others)]
 
     def _check_primary(self) -> list[Effect]:
         record = self._primary_record
@@ -265,7 +270,8 @@
             for record in self._table.reachable(self._now)
         )
         highest = max(self._table.highest_term, self._last_term, self._term)
-        current = PromotionRound(kind, next_term(highest, rejoin), self._now, rejoin)
+        term = next_term(highest, rejoin)
+        current = self.round_class(kind, term, self._now, rejoin)
         self._round, self._last_term = current, current.term
         self._reason = f"term {current.term} is being taken"
         log = self._log("round_started", kind=kind.value, term=current.term)
--- a/bulrushloom/coordination/failover/planning.py
+++ b/bulrushloom/coordination/failover/planning.py
@@ -113,12 +113,17 @@
     policy: FailoverPolicy,
     now: timedelta,
 ) -> list[ServerRecord]:
-    """Return the servers to be told to follow the primary of ``term`` now."""
+    """Return the servers to be told to follow the primary of ``term`` now.
+
+    Only a status that has just arrived counts: a server that has since lost its log
+    must not copy the log outside of a rejoin term.
+    """
     return [
         record
         for record in table.reachable(now)
         if record is not primary
-        and _is_astray(record, term, policy, now)
+        and record.seen_at == now
+        and _is_astray(record, term, policy)
         and (record.has_log or may_rejoin(record, term, table, now))
         and (
             record.followed_at is None
@@ -135,13 +140,11 @@
     )
 
 
-def _is_astray(
-    record: ServerRecord, term: int, policy: FailoverPolicy, now: timedelta
-) -> bool:
+def _is_astray(record: ServerRecord, term: int, policy: FailoverPolicy) -> bool:
     """Tell whether a server does not replicate from the primary of ``term``."""
     status = record.status
-    if status is None or record.seen_at is None or status.term > term:
+    if status is None or status.term > term:
         return False
     if status.term < term or status.held.term < term or status.primary_heard is None:
         return True
-    return status.primary_heard + (now - record.seen_at) > policy.heard_within
+    return status.primary_heard > policy.heard_within
