Handle peer batches without urlopen and worker threads

Change: urllib3 opens the connection, the batch is written and read directly; a direct path answers batches in the selector thread.

--- a/bulrushloom/core/requests.py
+++ b/bulrushloom/core/requests.py
@@ -16,6 +16,15 @@
     body_bytes: int = 1_048_576
 
 
+class RequestParts(NamedTuple):
+    """Hold a complete request; header names are in title case."""
+
+    method: str
+    path: str
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
 class Progress(NamedTuple):
     """Tell whether a request is complete, and whether to send ``100 Continue``."""
 
@@ -144,6 +153,15 @@
         self._body_end = end + 4 + int(length)
         return None
 
+    def parts(self) -> RequestParts:
+        """Return the current request, which must be complete."""
+        content = b"" if self._current is None else self._current.getvalue()
+        method, path, _ = content.split(b" ", 2)
+        headers = self._headers or {}
+        length = int(headers.get(b"Content-Length", b"0"))
+        body = content[len(content) - length :]
+        return RequestParts(method.decode(), path.decode(), headers, body)
+
     def take_headers(self) -> dict[bytes, bytes]:
         """Return the headers of the current request and move to its body."""
         headers = self._headers or {}
--- a/bulrushloom/core/servers.py
+++ b/bulrushloom/core/servers.py
@@ -19,7 +19,12 @@
 from cheroot import wsgi
 
 from bulrushloom.core.errors import ErrorKind, Refusal
-from bulrushloom.core.requests import RequestBuffer, RequestLimits
+from bulrushloom.core.requests import (
+    Progress,
+    RequestBuffer,
+    RequestLimits,
+    RequestParts,
+)
 
 # A receiver that stops reading may delay its answer by at most this long.
 WRITE_TIMEOUT = timedelta(seconds=5)
@@ -30,7 +35,11 @@
 LISTEN_BACKLOG = 1024
 RECEIVE_BYTES = 65_536
 
+_DIRECT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+# Returns the body of a 200 answer, or a refusal; it must not block.
+Direct = Callable[[RequestParts], bytes | Refusal]
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
 
@@ -143,6 +152,8 @@
         self.requests_seen = 0
         self.admitted = False
         self.discarding = False
+        self._progress: Progress | Refusal | None = None
+        self._open = True
         self._idle_since = time.time()
         self._partial_since: float | None = None
 
@@ -171,20 +182,50 @@
             return False
 
     def _communicate(self) -> bool:
-        arrived = self._receive()
-        if self.discarding:
-            return arrived
-        progress = self.rfile.advance()
+        progress = self._progress or self.read_input()
+        self._progress = None
+        if progress is None:
+            return self._open
         if isinstance(progress, Refusal):
             return self.refuse(progress)
         if progress.send_continue:
             self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             self.wfile.flush()
         if not progress.complete:
-            return arrived
+            return self._open
         self._partial_since = None
         return self._answer()
 
+    def read_input(self) -> Progress | Refusal | None:
+        """Read without blocking and keep the progress for ``communicate``."""
+        self._open = self._receive()
+        self._progress = None if self.discarding else self.rfile.advance()
+        return self._progress
+
+    def answered_directly(self, direct_by_path: dict[str, Direct]) -> bool:
+        """Read and answer a complete request for a direct path, if there is one."""
+        progress = self.read_input()
+        if not isinstance(progress, Progress) or not progress.complete:
+            return False
+        request = self.rfile.parts()
+        direct = direct_by_path.get(request.path)
+        if direct is None or request.method != "POST":
+            return False
+        answer = direct(request)
+        if isinstance(answer, Refusal):
+            self._progress = answer
+            return False
+        self._answer_directly(answer)
+        return True
+
+    def _answer_directly(self, body: bytes) -> None:
+        self._progress = None
+        self._partial_since = None
+        self.rfile.release()
+        length = str(len(body)).encode("ascii")
+        self.wfile.write(_DIRECT_HEAD + length + b"\r\n\r\n" + body)
+        self.wfile.flush()
+
     def _answer(self) -> bool:
         self.server.request_started()
         try:
@@ -270,6 +311,7 @@
         application: Application,
         options: ServerOptions,
         name: str,
+        direct_by_path: dict[str, Direct] | None = None,
     ):
         # cheroot never grows its pool by itself, so the minimum is the size. A put
         # into a full queue must not wait: it would stop the selector thread.
@@ -285,6 +327,7 @@
             accepted_queue_timeout=0,
         )
         self.options = options
+        self._direct_by_path = direct_by_path or {}
         # The selector also counts the wake-up socket.
         self.keep_alive_conn_limit = options.connections + 1
         self.slow_writers = threading.BoundedSemaphore(max(1, options.threads // 2))
@@ -320,6 +363,8 @@
         if not conn.admitted:
             self._admit(conn)
             return
+        if self._direct_by_path and self._serve_directly(conn):
+            return
         try:
             self.requests.put(conn)
         except queue.Full:
@@ -334,6 +379,22 @@
             return
         self._connections.put(conn)
 
+    def _serve_directly(self, conn: Any) -> bool:
+        """Answer a request for a direct path in the selector thread.
+
+        Handing a peer batch to a worker costs more than the batch itself. Return
+        false if a worker has to go on with the connection.
+        """
+        try:
+            while conn.answered_directly(self._direct_by_path):
+                if not conn.rfile.has_data():
+                    self._connections.put(conn)
+                    return True
+        except OSError:
+            conn.close()
+            return True
+        return False
+
     def request_started(self) -> None:
         """Count a request that a worker answers."""
         with self._idle:
--- a/bulrushloom/peers/envelopes.py
+++ b/bulrushloom/peers/envelopes.py
@@ -29,9 +29,8 @@
     "sent_ms": "X-Peer-Sent",
     "signature": "X-Peer-Signature",
 }
-_ENVIRON_BY_FIELD = {
-    field: "HTTP_" + header.upper().replace("-", "_")
-    for field, header in _HEADER_BY_FIELD.items()
+_RAW_HEADER_BY_FIELD = {
+    field: header.encode("ascii") for field, header in _HEADER_BY_FIELD.items()
 }
 
 
@@ -55,26 +54,21 @@
     return milliseconds(clock.utcnow() - _EPOCH)
 
 
-def to_headers(envelope: Envelope, signature: str) -> dict[str, str]:
-    """Return the HTTP headers of a signed batch."""
-    headers = {
-        header: str(getattr(envelope, field))
-        for field, header in _HEADER_BY_FIELD.items()
-        if field != "signature"
-    }
-    headers[_HEADER_BY_FIELD["signature"]] = signature
-    headers["Content-Type"] = "application/json"
-    return headers
+def to_headers(envelope: Envelope, signature: str) -> str:
+    """Return the HTTP header lines of a signed batch."""
+    values = (*envelope, signature)
+    pairs = zip(_HEADER_BY_FIELD.values(), values, strict=True)
+    return "".join([f"{header}: {value}\r\n" for header, value in pairs])
 
 
-def from_environ(environ: Mapping[str, str]) -> tuple[Envelope, str] | Missing:
-    """Return the envelope and signature of a WSGI request, or what is malformed."""
+def from_headers(headers: Mapping[bytes, bytes]) -> tuple[Envelope, str] | Missing:
+    """Return the envelope and signature of a request, or what is malformed."""
     text_by_field = {}
-    for field, variable in _ENVIRON_BY_FIELD.items():
-        text = environ.get(variable, "")
-        if not text or len(text) > _MAX_NAME or not text.isascii():
-            return Missing(f"header {_HEADER_BY_FIELD[field]} is missing or malformed")
-        text_by_field[field] = text
+    for field, header in _RAW_HEADER_BY_FIELD.items():
+        raw = headers.get(header, b"")
+        if not raw or len(raw) > _MAX_NAME or not raw.isascii():
+            return Missing(f"header {header.decode()} is missing or malformed")
+        text_by_field[field] = raw.decode("ascii")
     numbers = []
     for field in ("sequence", "sent_ms"):
         text = text_by_field[field]
--- a/bulrushloom/peers/http.py
+++ b/bulrushloom/peers/http.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 import eliot
-import urllib3
+import orjson
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from bulrushloom.coordination.base import Message
@@ -24,18 +24,17 @@
     PeerTransport,
 )
 from bulrushloom.peers.codec import MessageCodec, join_batch
+from bulrushloom.peers.connections import BatchConnection, BatchResponse
 from bulrushloom.peers.envelopes import Envelope, EnvelopeChecker
 from bulrushloom.peers.faults import Faults
 from bulrushloom.peers.outbox import Outbox, OutboxLimits, Waiting
-from bulrushloom.peers.receiver import DOMAIN_HEADER, PeerReceiver
+from bulrushloom.peers.receiver import PeerReceiver
 
 # A peer that failed is served by a small pool of its own for this long, so that
 # its time-outs do not use up the threads that serve the other peers.
 SUSPECT_TIME = timedelta(seconds=2)
 CLOSE_TIME = timedelta(seconds=1)
-# Kept below the receiver's idle limit: a connection that the receiver closes just
-# as it is used again would look like a lost peer.
-REUSE_LIMIT = timedelta(seconds=30)
+# Well above the sender's ``REUSE_LIMIT``.
 RECEIVER_IDLE_LIMIT = timedelta(seconds=90)
 
 
@@ -106,12 +105,12 @@
             self._receiver,
             _server_options(options),
             f"peer-{name}",
+            {envelopes.PATH: self._receiver.receive},
         )
         self._deliver: Deliver | None = None
         self._lock = threading.Lock()
         self._address_by_name: dict[str, str] = {}
         self._outbox_by_name: dict[str, Outbox] = {}
-        self._pool_by_address: dict[str, urllib3.HTTPConnectionPool] = {}
         self._counts = TransportCounts(0, 0, 0)
         self._closing = threading.Event()
         self._stack = ExitStack()
@@ -144,12 +143,9 @@
         """Replace the table of addresses and close pools that it no longer names."""
         with self._lock:
             self._address_by_name = dict(address_by_name)
-            addresses = set(address_by_name.values())
-            for address in set(self._pool_by_address) - addresses:
-                self._pool_by_address.pop(address).close()
             for name in set(self._outbox_by_name) - set(address_by_name):
                 if self._outbox_by_name[name].empty:
-                    del self._outbox_by_name[name]
+                    self._outbox_by_name.pop(name).connection.close()
 
     def send(self, recipient: str, message: Message) -> None:
         """Queue ``message``; report it undelivered if the outbox is full."""
@@ -160,7 +156,7 @@
             else:
                 outbox = self._outbox_by_name.get(recipient)
                 if outbox is None:
-                    outbox = Outbox(recipient, self._options.outbox)
+                    outbox = self._open_outbox(recipient)
                     self._outbox_by_name[recipient] = outbox
         if outbox is None:
             self._report(MessageUndelivered(recipient, message))
@@ -171,6 +167,11 @@
         elif starts:
             self._submit(outbox)
 
+    def _open_outbox(self, recipient: str) -> Outbox:
+        options = self._options
+        connection = BatchConnection(options.connect_timeout, options.read_timeout)
+        return Outbox(recipient, options.outbox, connection)
+
     def _submit(self, outbox: Outbox) -> None:
         suspect_until = outbox.suspect_until
         suspect = suspect_until is not None and self._clock.monotonic() < suspect_until
@@ -191,12 +192,9 @@
                 delivered = self._lost(outbox, reason)
             if not delivered:
                 # The next batch may belong to the other pool.
-                self._submit_again(outbox)
+                self._submit(outbox)
                 return
 
-    def _submit_again(self, outbox: Outbox) -> None:
-        self._submit(outbox)
-
     def _send_batch(self, outbox: Outbox, batch: list[Waiting]) -> bool:
         address = self._address_by_name.get(outbox.peer)
         if address is None:
@@ -210,19 +208,14 @@
             response = self._post(outbox, address, body)
         except NewConnectionError:
             return self._undelivered(outbox, batch)
-        except HTTPError as error:
+        except (HTTPError, OSError) as error:
             return self._lost(outbox, type(error).__name__)
         if response.status != 200:
             return self._lost(outbox, f"status {response.status}")
-        self._sent(outbox, len(batch), len(body), response)
+        self._sent(outbox, len(batch), len(body), response.body)
         return True
 
-    def _post(
-        self, outbox: Outbox, address: str, body: bytes
-    ) -> urllib3.BaseHTTPResponse:
-        now = self._clock.monotonic()
-        idle = outbox.last_sent is not None and now - outbox.last_sent > REUSE_LIMIT
-        pool = self._pool(address, renew=idle)
+    def _post(self, outbox: Outbox, address: str, body: bytes) -> BatchResponse:
         outbox.sequence += 1
         envelope = Envelope(
             self._name,
@@ -234,37 +227,12 @@
         )
         signature = envelope.signature(self._secret, body)
         headers = envelopes.to_headers(envelope, signature)
-        return pool.urlopen("POST", envelopes.PATH, body, headers, retries=False)
+        return outbox.connection.post(address, envelopes.PATH, headers, body)
 
-    def _pool(self, address: str, renew: bool) -> urllib3.HTTPConnectionPool:
-        with self._lock:
-            if renew and address in self._pool_by_address:
-                self._pool_by_address.pop(address).close()
-            pool = self._pool_by_address.get(address)
-            if pool is None:
-                pool = self._open_pool(address)
-                self._pool_by_address[address] = pool
-            return pool
-
-    def _open_pool(self, address: str) -> urllib3.HTTPConnectionPool:
-        host, port = parse_address(address)
-        timeout = urllib3.Timeout(
-            connect=self._options.connect_timeout.total_seconds(),
-            read=self._options.read_timeout.total_seconds(),
-        )
-        return urllib3.HTTPConnectionPool(host, port, timeout=timeout, maxsize=1)
-
-    def _sent(
-        self,
-        outbox: Outbox,
-        messages: int,
-        size: int,
-        response: urllib3.BaseHTTPResponse,
-    ) -> None:
-        outbox.last_sent = self._clock.monotonic()
+    def _sent(self, outbox: Outbox, messages: int, size: int, answer: bytes) -> None:
         outbox.suspect_until = None
-        domain = response.headers.get(DOMAIN_HEADER)
-        if domain:
+        if self._faults is not None:
+            domain = orjson.loads(answer).get("domain", "")
             self._receiver.domain_by_peer[outbox.peer] = domain
         with self._lock:
             counts = self._counts
@@ -313,9 +281,8 @@
         self._stack.close()
         self._server.close(CLOSE_TIME, wait_idle=False)
         with self._lock:
-            for pool in self._pool_by_address.values():
-                pool.close()
-            self._pool_by_address.clear()
+            for outbox in self._outbox_by_name.values():
+                outbox.connection.close()
 
     def _all_sent(self) -> bool:
         with self._lock:
--- a/bulrushloom/peers/outbox.py
+++ b/bulrushloom/peers/outbox.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from bulrushloom.coordination.base import Message
+from bulrushloom.peers.connections import BatchConnection
 
 
 class OutboxLimits(NamedTuple):
@@ -31,10 +32,10 @@
     ``take`` returns nothing when that sender has to stop.
     """
 
-    def __init__(self, peer: str, limits: OutboxLimits):
+    def __init__(self, peer: str, limits: OutboxLimits, connection: BatchConnection):
         self.peer = peer
+        self.connection = connection
         self.sequence = 0
-        self.last_sent: timedelta | None = None
         self.suspect_until: timedelta | None = None
         self._limits = limits
         self._lock = threading.Lock()
--- a/bulrushloom/peers/receiver.py
+++ b/bulrushloom/peers/receiver.py
@@ -7,6 +7,8 @@
 import eliot
 import orjson
 
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.core.requests import RequestParts
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.core.servers import StartResponse
 from bulrushloom.peers import envelopes
@@ -16,8 +18,6 @@
 from bulrushloom.peers.faults import Faults
 
 View = Callable[[], Any]
-# Answers carry the domain so that senders learn which peers a domain cut concerns.
-DOMAIN_HEADER = "X-Peer-Domain"
 
 
 class PeerReceiver:
@@ -37,27 +37,51 @@
         self._checker = checker
         self._view_by_path = view_by_path
         self._faults = faults
-        self._headers = [("Content-Type", "application/json"), (DOMAIN_HEADER, domain)]
+        # Senders learn which peers the cut of a domain concerns.
+        self._accepted = orjson.dumps({"domain": domain})
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer one request."""
         status, body = self._route(environ)
-        length = ("Content-Length", str(len(body)))
-        start_response(f"{status.value} {status.phrase}", [*self._headers, length])
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(f"{status.value} {status.phrase}", headers)
         return (body,)
 
+    def receive(self, request: RequestParts) -> bytes | Refusal:
+        """Check and deliver one batch; return the body of the answer."""
+        signed = envelopes.from_headers(request.headers)
+        if isinstance(signed, Missing):
+            return Refusal(ErrorKind.BAD_REQUEST, signed.reason)
+        envelope, signature = signed
+        if self._is_cut(envelope):
+            return Refusal(ErrorKind.NOT_READY, "cut off by fault injection")
+        reason = self._checker.check(envelope, signature, request.body)
+        if reason:
+            sender = envelope.sender
+            eliot.log_message("peer.batch_refused", sender=sender, reason=reason)
+            return Refusal(ErrorKind.FORBIDDEN, reason)
+        messages = self._codec.decode_batch(request.body)
+        if isinstance(messages, Missing):
+            return Refusal(ErrorKind.BAD_REQUEST, messages.reason)
+        self.domain_by_peer[envelope.sender] = envelope.domain
+        self._deliver_all(envelope.sender, messages)
+        return self._accepted
+
     def _route(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
-        if path == envelopes.PATH and method == "POST":
-            return self._receive(environ)
         if path in self._view_by_path and method == "GET":
             return self._view(path)
         if path == "/faults" and method == "POST" and self._faults is not None:
             refusal = self._faults.apply(environ["wsgi.input"].read())
-            return _accepted() if refusal is None else _refused(refusal.reason)
+            if refusal is not None:
+                return _error(HTTPStatus.BAD_REQUEST, refusal.reason)
+            return HTTPStatus.OK, b"{}"
         return _error(HTTPStatus.NOT_FOUND, "no such path or method")
 
     def _view(self, path: str) -> tuple[HTTPStatus, bytes]:
@@ -69,26 +93,6 @@
             return _error(HTTPStatus.INTERNAL_SERVER_ERROR, "the view failed")
         return HTTPStatus.OK, body
 
-    def _receive(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
-        signed = envelopes.from_environ(environ)
-        if isinstance(signed, Missing):
-            return _refused(signed.reason)
-        envelope, signature = signed
-        if self._is_cut(envelope):
-            return _error(HTTPStatus.SERVICE_UNAVAILABLE, "cut off by fault injection")
-        body = environ["wsgi.input"].read()
-        reason = self._checker.check(envelope, signature, body)
-        if reason:
-            sender = envelope.sender
-            eliot.log_message("peer.batch_refused", sender=sender, reason=reason)
-            return _error(HTTPStatus.FORBIDDEN, reason)
-        messages = self._codec.decode_batch(body)
-        if isinstance(messages, Missing):
-            return _refused(messages.reason)
-        self.domain_by_peer[envelope.sender] = envelope.domain
-        self._deliver_all(envelope.sender, messages)
-        return _accepted()
-
     def _is_cut(self, envelope: Envelope) -> bool:
         if self._faults is None:
             return False
@@ -105,13 +109,5 @@
                 self.deliver(MessageReceived(sender, message))
 
 
-def _accepted() -> tuple[HTTPStatus, bytes]:
-    return HTTPStatus.OK, b"{}"
-
-
-def _refused(reason: str) -> tuple[HTTPStatus, bytes]:
-    return _error(HTTPStatus.BAD_REQUEST, reason)
-
-
 def _error(status: HTTPStatus, reason: str) -> tuple[HTTPStatus, bytes]:
     return status, orjson.dumps({"error": reason})
