Sign the envelope of a peer batch as one header

Cause: seven headers were parsed, checked and signed one by one in the selector thread of the receiver.

Change: the fields travel and are signed as one text without spaces in names.

--- a/benchmarks/peer_cost.py
+++ b/benchmarks/peer_cost.py
@@ -70,7 +70,8 @@
         elif isinstance(event.message, StatementRequest):
             self.transport.send(event.sender, _answer(event.message))
         else:
-            sent = self.sent_at.pop(event.message.request_id, None)
+            request_id = event.message[0]
+            sent = self.sent_at.pop(request_id, None)
             if sent is not None:
                 self.round_trips.append(time.perf_counter() - sent)
 
--- a/bulrushloom/peers/envelopes.py
+++ b/bulrushloom/peers/envelopes.py
@@ -1,5 +1,6 @@
 """Signed envelope of a peer batch, and the checks of its receiver."""
 
+import re
 import threading
 from collections import OrderedDict
 from collections.abc import Mapping
@@ -18,20 +19,15 @@
 # Restarted peers leave old windows behind; 730 nodes with daily restarts fit.
 MAX_WINDOWS = 4096
 _EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
-_MAX_NAME = 128
-_MAX_DIGITS = 18
-_HEADER_BY_FIELD = {
-    "sender": "X-Peer-Sender",
-    "domain": "X-Peer-Domain",
-    "incarnation": "X-Peer-Incarnation",
-    "recipient": "X-Peer-Recipient",
-    "sequence": "X-Peer-Sequence",
-    "sent_ms": "X-Peer-Sent",
-    "signature": "X-Peer-Signature",
-}
-_RAW_HEADER_BY_FIELD = {
-    field: header.encode("ascii") for field, header in _HEADER_BY_FIELD.items()
-}
+ENVELOPE_HEADER = "X-Peer-Envelope"
+SIGNATURE_HEADER = "X-Peer-Signature"
+# One header for all fields: parsing and signing them separately made up a third of
+# the receiver's cost of a small batch.
+_ENVELOPE = re.compile(
+    rb"([\x21-\x7e]{1,128}) ([\x21-\x7e]{1,128}) ([\x21-\x7e]{1,128}) "
+    rb"([\x21-\x7e]{1,128}) ([0-9]{1,18}) ([0-9]{1,18})"
+)
+_SIGNATURE = re.compile(rb"[0-9a-f]{64}")
 
 
 class Envelope(NamedTuple):
@@ -44,9 +40,13 @@
     sequence: int
     sent_ms: int
 
+    def text(self) -> str:
+        """Return the fields as the value of one header."""
+        return " ".join(map(str, self))
+
     def signature(self, secret: str, body: bytes) -> str:
         """Return the signature over the fields and ``body``."""
-        return body_signature(secret, *(str(field).encode() for field in self), body)
+        return body_signature(secret, self.text().encode(), body)
 
 
 def calendar_milliseconds(clock: Clock) -> int:
@@ -56,33 +56,32 @@
 
 def to_headers(envelope: Envelope, signature: str) -> str:
     """Return the HTTP header lines of a signed batch."""
-    values = (*envelope, signature)
-    pairs = zip(_HEADER_BY_FIELD.values(), values, strict=True)
-    return "".join([f"{header}: {value}\r\n" for header, value in pairs])
+    return (
+        f"{ENVELOPE_HEADER}: {envelope.text()}\r\n{SIGNATURE_HEADER}: {signature}\r\n"
+    )
 
 
 def from_headers(headers: Mapping[bytes, bytes]) -> tuple[Envelope, str] | Missing:
-    """Return the envelope and signature of a request, or what is malformed."""
-    text_by_field = {}
-    for field, header in _RAW_HEADER_BY_FIELD.items():
-        raw = headers.get(header, b"")
-        if not raw or len(raw) > _MAX_NAME or not raw.isascii():
-            return Missing(f"header {header.decode()} is missing or malformed")
-        text_by_field[field] = raw.decode("ascii")
-    numbers = []
-    for field in ("sequence", "sent_ms"):
-        text = text_by_field[field]
-        if not text.isdigit() or len(text) > _MAX_DIGITS:
-            return Missing(f"header {_HEADER_BY_FIELD[field]} is not a number")
-        numbers.append(int(text))
+    """Return the envelope and signature of a request, or what is malformed.
+
+    Names without spaces make the text of an envelope unambiguous.
+    """
+    match = _ENVELOPE.fullmatch(headers.get(ENVELOPE_HEADER.encode(), b""))
+    if match is None:
+        return Missing(f"header {ENVELOPE_HEADER} is missing or malformed")
+    signature = headers.get(SIGNATURE_HEADER.encode(), b"")
+    if not _SIGNATURE.fullmatch(signature):
+        return Missing(f"header {SIGNATURE_HEADER} is missing or malformed")
+    sender, domain, incarnation, recipient, sequence, sent_ms = match.groups()
     envelope = Envelope(
-        text_by_field["sender"],
-        text_by_field["domain"],
-        text_by_field["incarnation"],
-        text_by_field["recipient"],
-        *numbers,
+        sender.decode(),
+        domain.decode(),
+        incarnation.decode(),
+        recipient.decode(),
+        int(sequence),
+        int(sent_ms),
     )
-    return envelope, text_by_field["signature"]
+    return envelope, signature.decode()
 
 
 class _Window:
--- a/bulrushloom/peers/http.py
+++ b/bulrushloom/peers/http.py
@@ -1,5 +1,6 @@
 """Peer transport over HTTP: one signed batch in flight to each peer."""
 
+import re
 import threading
 import time
 from collections.abc import Callable
@@ -38,6 +39,9 @@
 RECEIVER_IDLE_LIMIT = timedelta(seconds=90)
 
 
+_NAME = re.compile(r"[\x21-\x7e]{1,128}")
+
+
 class TransportOptions(NamedTuple):
     """Bound the transport; ``fault_injection`` opens ``POST /faults`` for tests.
 
@@ -85,6 +89,8 @@
         status: Callable[[], Any] = _no_view,
         options: TransportOptions = DEFAULT_OPTIONS,
     ):
+        if any(not _NAME.fullmatch(text) for text in (name, domain, incarnation)):
+            raise ValueError("names need 1 to 128 printable characters without spaces")
         self._name = name
         self._domain = domain
         self._incarnation = incarnation
--- a/tests/peers/test_envelopes.py
+++ b/tests/peers/test_envelopes.py
@@ -26,12 +26,15 @@
 
 def test_headers_round_trip():
     item = envelope(ManualClock())
-    lines = to_headers(item, "sig").encode().splitlines()
+    signature = item.signature(SECRET, b"")
+    lines = to_headers(item, signature).encode().splitlines()
     headers = dict(line.split(b": ") for line in lines)
-    assert from_headers(headers) == (item, "sig")
+    assert from_headers(headers) == (item, signature)
     for name in headers:
         assert from_headers(headers | {name: b""}).reason
-    assert from_headers(headers | {b"X-Peer-Sequence": b"1x"}).reason
+    for text in (b"a d a-1 b 1 x", b"a d a-1 b 1", b"a d a-1 b 1 2 3", b"a  d e b 1 2"):
+        assert from_headers(headers | {b"X-Peer-Envelope": text}).reason
+    assert from_headers(headers | {b"X-Peer-Signature": b"0" * 63}).reason
 
 
 def test_forged_batches_are_refused_and_leave_the_window_alone():
