Add logs, metrics and the service-level burn report

Cause: operators need JSON logs without credentials, metrics on the peer address and the burn of each account's error budgets.

Change: bulrushloom.telemetry.logs (eliot), metrics (OpenTelemetry SDK with an in-memory reader) and burn (ring of per-minute counts); docs/operators/metrics.md lists instruments and measures, and a test compares the page with the instruments.

Conclusion: the HTML page with plots is not written yet.

--- a/bulrushloom/core/servers.py
+++ b/bulrushloom/core/servers.py
@@ -1,10 +1,12 @@
 """HTTP server for the caller and peer addresses: cheroot with buffered requests."""
 
 import io
+import logging
 import queue
 import select
 import selectors
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -453,8 +455,9 @@
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
         """Log that the server failed, without texts that may quote a request."""
-        if level >= 30:
-            eliot.log_message(message_type="http_server.error", level=level)
+        if level >= logging.WARNING:
+            error = type(sys.exception()).__name__
+            eliot.log_message("http_server.error", level=level, error=error)
 
 
 def refusal_answer(refusal: Refusal) -> bytes:
--- /dev/null
+++ b/bulrushloom/telemetry/burn.py
@@ -0,0 +1,176 @@
+"""Service-level burn per client account and measure over several windows."""
+
+from array import array
+from collections.abc import Iterable
+from datetime import timedelta
+from enum import StrEnum
+from typing import NamedTuple
+
+MINUTE = timedelta(minutes=1)
+WINDOW_BY_NAME = {
+    "5m": timedelta(minutes=5),
+    "1h": timedelta(hours=1),
+    "6h": timedelta(hours=6),
+    "3d": timedelta(days=3),
+}
+RING_MINUTES = timedelta(days=3) // MINUTE
+# A series of one account takes about 35 KB; further accounts share one series.
+MAX_ACCOUNTS = 200
+OTHER_ACCOUNTS = "(other accounts)"
+_MAX_COUNT = 2**32 - 1
+
+
+class Measure(StrEnum):
+    """Name the measures of section 1.3 that have an error budget."""
+
+    REPLICA_READS = "replica_reads"
+    FAILOVER_GAP = "failover_gap"
+    SERVED_SHARE = "served_share"
+    WRONGFUL_REFUSALS = "wrongful_refusals"
+
+
+# Share of events that may be bad. The failover gap allows two failovers of 12 s a day.
+BUDGET_BY_MEASURE = {
+    Measure.REPLICA_READS: 0.1,
+    Measure.FAILOVER_GAP: 2 * timedelta(seconds=12) / timedelta(days=1),
+    Measure.SERVED_SHARE: 0.05,
+    Measure.WRONGFUL_REFUSALS: 0.001,
+}
+
+
+class WindowCount(NamedTuple):
+    """Count the events of one account, measure and window; JSON compatible."""
+
+    account: str
+    measure: str
+    window: str
+    total: int
+    bad: int
+
+
+class BurnRow(NamedTuple):
+    """Give the burn rates of an account and measure; ``None`` without events."""
+
+    account: str
+    measure: str
+    burn_by_window: dict[str, float | None]
+
+
+class MinuteRing:
+    """Count events per minute for the last ``RING_MINUTES`` minutes."""
+
+    def __init__(self, minute: int):
+        self._total = array("I", bytes(4 * RING_MINUTES))
+        self._bad = array("I", bytes(4 * RING_MINUTES))
+        self._minute = minute
+
+    def add(self, minute: int, total: int, bad: int) -> None:
+        """Add events to ``minute``; earlier minutes count as the latest one."""
+        self._advance(minute)
+        slot = self._minute % RING_MINUTES
+        self._total[slot] = min(self._total[slot] + total, _MAX_COUNT)
+        self._bad[slot] = min(self._bad[slot] + bad, _MAX_COUNT)
+
+    def sums(self, minute: int, length: int) -> tuple[int, int]:
+        """Return all and bad events of ``length`` minutes that end with ``minute``."""
+        self._advance(minute)
+        slots = [(self._minute - i) % RING_MINUTES for i in range(length)]
+        total = sum(self._total[slot] for slot in slots)
+        return total, sum(self._bad[slot] for slot in slots)
+
+    def _advance(self, minute: int) -> None:
+        passed = min(max(0, minute - self._minute), RING_MINUTES)
+        for i in range(passed):
+            slot = (minute - i) % RING_MINUTES
+            self._total[slot] = 0
+            self._bad[slot] = 0
+        self._minute = max(minute, self._minute)
+
+
+class BurnCounters:
+    """Keep the counts of one instance; ``now`` is a monotonic clock reading.
+
+    The object is not thread-safe; one task owns it.
+    """
+
+    def __init__(self, now: timedelta):
+        self._start = now
+        self._ring_by_series: dict[tuple[str, Measure], MinuteRing] = {}
+        self._accounts: set[str] = set()
+
+    def record(
+        self, account: str, measure: Measure, total: int, bad: int, now: timedelta
+    ) -> None:
+        """Add ``total`` events, ``bad`` of them bad, to the current minute."""
+        if account not in self._accounts:
+            if len(self._accounts) >= MAX_ACCOUNTS:
+                account = OTHER_ACCOUNTS
+            self._accounts.add(account)
+        minute = now // MINUTE
+        ring = self._ring_by_series.get((account, measure))
+        if ring is None:
+            ring = MinuteRing(minute)
+            self._ring_by_series[account, measure] = ring
+        ring.add(minute, total, bad)
+
+    def record_gap(self, account: str, gap: timedelta, now: timedelta) -> None:
+        """Add a time in which the account's writes were not acknowledged."""
+        bad = gap // timedelta(milliseconds=1)
+        self.record(account, Measure.FAILOVER_GAP, 0, bad, now)
+
+    def counts(self, now: timedelta) -> list[WindowCount]:
+        """Return the counts of all windows, sorted by account and measure."""
+        rows = []
+        for (account, measure), ring in sorted(self._ring_by_series.items()):
+            for name, window in WINDOW_BY_NAME.items():
+                total, bad = ring.sums(now // MINUTE, window // MINUTE)
+                if measure is Measure.FAILOVER_GAP:
+                    observed = min(window, now - self._start)
+                    total = observed // timedelta(milliseconds=1)
+                rows.append(WindowCount(account, measure.value, name, total, bad))
+        return rows
+
+
+def burn_rows(counts: Iterable[WindowCount]) -> list[BurnRow]:
+    """Return the burn rates; counts of several instances are added up."""
+    sums: dict[tuple[str, str], dict[str, tuple[int, int]]] = {}
+    for account, measure, window, total, bad in counts:
+        sum_by_window = sums.setdefault((account, measure), {})
+        old_total, old_bad = sum_by_window.get(window, (0, 0))
+        sum_by_window[window] = (old_total + total, old_bad + bad)
+    return [
+        BurnRow(account, measure, _burns(Measure(measure), sum_by_window))
+        for (account, measure), sum_by_window in sorted(sums.items())
+    ]
+
+
+def _burns(
+    measure: Measure, sum_by_window: dict[str, tuple[int, int]]
+) -> dict[str, float | None]:
+    burns: dict[str, float | None] = {}
+    for window in WINDOW_BY_NAME:
+        total, bad = sum_by_window.get(window, (0, 0))
+        share = bad / total if total else None
+        burns[window] = None if share is None else share / BUDGET_BY_MEASURE[measure]
+    return burns
+
+
+def render_table(rows: Iterable[BurnRow]) -> str:
+    """Return the rows as an aligned text table with a line per measure."""
+    lines = [["account", "measure", *WINDOW_BY_NAME]]
+    for row in rows:
+        rates = [_format(row.burn_by_window.get(name)) for name in WINDOW_BY_NAME]
+        lines.append([row.account, row.measure, *rates])
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    return "\n".join(_join(line, widths) for line in lines) + "\n"
+
+
+def _format(rate: float | None) -> str:
+    return "-" if rate is None else f"{rate:.2f}"
+
+
+def _join(cells: list[str], widths: list[int]) -> str:
+    texts = [cell.ljust(width) for cell, width in zip(cells[:2], widths, strict=False)]
+    rates = zip(cells[2:], widths[2:], strict=True)
+    texts += [cell.rjust(width) for cell, width in rates]
+    return "  ".join(texts).rstrip()
--- /dev/null
+++ b/tests/telemetry/test_metrics.py
@@ -0,0 +1,70 @@
+import json
+import re
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from bulrushloom.telemetry.metrics import Metrics
+
+PAGE = Path(__file__).parents[2] / "docs" / "operators" / "metrics.md"
+
+
+@pytest.fixture
+def metrics():
+    metrics = Metrics(
+        "i-1",
+        "mona",
+        queue_lengths=lambda: {"t1": 3},
+        peer_bytes=lambda: {"batch": 10},
+        control_cpu=lambda: {"coordinator": 0.5},
+    )
+    yield metrics
+    metrics.close()
+
+
+def read(metrics):
+    data = json.loads(metrics.metrics_json())
+    found = data["resource_metrics"][0]["scope_metrics"][0]["metrics"]
+    return {metric["name"]: metric for metric in found}
+
+
+def fill(metrics):
+    metrics.statement("a", "replica", "ok", timedelta(milliseconds=7))
+    metrics.statement("a", "replica", "ok", timedelta(milliseconds=900))
+    metrics.refusal("a", "rate_limited")
+    metrics.read("a", "replica")
+    metrics.failover("g", "promoted")
+    metrics.share_grant("a", 5)
+    metrics.store_call("read", "ok")
+
+
+def test_values_are_read_as_json(metrics):
+    fill(metrics)
+    for _ in range(2):
+        found = read(metrics)
+        point = found["statements"]["data"]["data_points"][0]
+        assert point["value"] == 2, "a reading must not reset a counter"
+        assert point["attributes"] == {
+            "account": "a",
+            "role": "replica",
+            "outcome": "ok",
+        }
+    assert found["queue_length"]["data"]["data_points"][0]["value"] == 3
+    histogram = found["statement_latency"]["data"]["data_points"][0]
+    assert (histogram["count"], histogram["sum"]) == (2, 907)
+
+
+def test_page_lists_every_instrument_with_unit_and_labels(metrics):
+    fill(metrics)
+    rows = re.findall(
+        r"^\| `(\w+)` \| \w+ \| `(\S+)` \| (.+?) \|", PAGE.read_text(), re.M
+    )
+    listed = {
+        name: (unit, set(re.findall(r"\w+", labels))) for name, unit, labels in rows
+    }
+    actual = {
+        name: (metric["unit"], set(metric["data"]["data_points"][0]["attributes"]))
+        for name, metric in read(metrics).items()
+    }
+    assert listed == actual
