Bound incomplete input and waits of the selector thread

Cause: 4,096 callers with a partial body of 1 MB each could hold 4 GB; a caller that never reads could block the selector thread for 5 s when it was refused; an outbox that was dropped and opened again repeated sequence numbers, which the receiver refused.

Conclusion: covered by tests that fail without each change but the total, which is new.

--- a/bulrushloom/core/requests.py
+++ b/bulrushloom/core/requests.py
@@ -74,6 +74,11 @@
         """Return whether a request has begun and is not complete."""
         return bool(self._pending)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Return the size of the input that waits for the rest of its request."""
+        return len(self._pending) if self._waiting else 0
+
     @property
     def full(self) -> bool:
         """Return whether more input has to wait until a request is answered."""
--- a/bulrushloom/gateway/server.py
+++ b/bulrushloom/gateway/server.py
@@ -24,8 +24,9 @@
 _POST_PATHS = frozenset(("/v1/query", "/v1/transactions"))
 _STATUS_LINE = {status: f"{status.value} {status.phrase}" for status in HTTPStatus}
 
-# A thread waits for each running statement, most of which wait for replication.
-DEFAULT_OPTIONS = ServerOptions(threads=64)
+# A thread waits for each running statement. While a group has no primary, its writes
+# wait for seconds and must not keep the statements of other groups from a thread.
+DEFAULT_OPTIONS = ServerOptions(threads=256)
 
 # Receives the account (empty if unknown), the error kind or "ok", and the duration.
 Observe = Callable[[str, str, timedelta], None]
--- a/bulrushloom/peers/connections.py
+++ b/bulrushloom/peers/connections.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import time
+from contextlib import suppress
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -94,6 +95,14 @@
             data += received
         return response
 
+    def abort(self) -> None:
+        """End a batch in flight from another thread."""
+        connection = self._connection
+        sock = None if connection is None else connection.sock
+        if sock is not None:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the socket; the next batch opens another one."""
         if self._connection is not None:
--- a/bulrushloom/peers/http.py
+++ b/bulrushloom/peers/http.py
@@ -1,5 +1,6 @@
 """Peer transport over HTTP: one signed batch in flight to each peer."""
 
+import itertools
 import re
 import threading
 import time
@@ -49,7 +50,7 @@
     """
 
     sender_threads: int = 32
-    suspect_threads: int = 4
+    suspect_threads: int = 8
     receiver_threads: int = 8
     connect_timeout: timedelta = timedelta(milliseconds=500)
     read_timeout: timedelta = timedelta(milliseconds=1500)
@@ -118,6 +119,9 @@
         self._address_by_name: dict[str, str] = {}
         self._outbox_by_name: dict[str, Outbox] = {}
         self._counts = TransportCounts(0, 0, 0)
+        # One sequence for all peers: an outbox that is dropped and opened again must
+        # not repeat numbers.
+        self._sequence = itertools.count(1)
         self._closing = threading.Event()
         self._stack = ExitStack()
         self._executor = self._open_executor(options.sender_threads, "peer-sender")
@@ -222,13 +226,12 @@
         return True
 
     def _post(self, outbox: Outbox, address: str, body: bytes) -> BatchResponse:
-        outbox.sequence += 1
         envelope = Envelope(
             self._name,
             self._domain,
             self._incarnation,
             outbox.peer,
-            outbox.sequence,
+            next(self._sequence),
             envelopes.calendar_milliseconds(self._clock),
         )
         signature = envelope.signature(self._secret, body)
@@ -284,11 +287,14 @@
         while not self._all_sent() and time.monotonic() < deadline:
             time.sleep(0.01)
         self._closing.set()
+        with self._lock:
+            outboxes = list(self._outbox_by_name.values())
+        for outbox in outboxes:
+            outbox.connection.abort()
         self._stack.close()
         self._server.close(CLOSE_TIME, wait_idle=False)
-        with self._lock:
-            for outbox in self._outbox_by_name.values():
-                outbox.connection.close()
+        for outbox in outboxes:
+            outbox.connection.close()
 
     def _all_sent(self) -> bool:
         with self._lock:
--- a/bulrushloom/peers/outbox.py
+++ b/bulrushloom/peers/outbox.py
@@ -35,7 +35,6 @@
     def __init__(self, peer: str, limits: OutboxLimits, connection: BatchConnection):
         self.peer = peer
         self.connection = connection
-        self.sequence = 0
         self.suspect_until: timedelta | None = None
         self._limits = limits
         self._lock = threading.Lock()
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -110,6 +110,45 @@
         assert caller.receive()[0] == 413
 
 
+def test_input_of_incomplete_requests_is_bounded_in_total():
+    with serving(FakeHandler(), partial_bytes=1000) as server, Caller(server) as caller:
+        data = request_bytes(body=b"x" * 5000)
+        caller.send(data[:2000])
+        status, _, body = caller.receive()
+        assert (status, body["error"]["kind"]) == (503, "overloaded")
+        with Caller(server) as other:
+            assert other.ask()[0] == 200
+
+
+class LargeAnswers(FakeHandler):
+    """Answer with more than socket buffers hold."""
+
+    def submit(self, request):
+        future = super().submit(request)
+        large = future.result()._replace(rows=[["x" * 20_000_000]])
+        future = type(future)()
+        future.set_result(large)
+        return future
+
+
+def test_receivers_that_do_not_read_leave_threads_for_others():
+    with serving(LargeAnswers(), threads=4) as server:
+        slow = [Caller(server) for _ in range(8)]
+        for caller in slow:
+            caller.send(request_bytes())
+        with Caller(server) as caller:
+            status, _, body = caller.ask("GET", "/healthz", b"", None)
+            assert status == 200
+        for caller in slow:
+            caller.__exit__()
+
+
+def test_large_answer_arrives_whole():
+    with serving(LargeAnswers()) as server, Caller(server) as caller:
+        status, _, body = caller.ask()
+        assert (status, len(body["rows"][0][0])) == (200, 20_000_000)
+
+
 def test_close_lets_running_requests_finish_and_ends_idle_connections():
     handler = FakeHandler()
     with serving(handler, threads=2) as server:
--- a/tests/peers/test_http.py
+++ b/tests/peers/test_http.py
@@ -122,6 +122,19 @@
         assert a.drained() == []
 
 
+def test_peer_that_returns_to_the_table_is_heard_again():
+    # A sequence number that starts again would be refused as a repetition.
+    with fleet("a", "b") as (a, b):
+        table = {"b": b.transport.address}
+        for i in range(3):
+            a.transport.update_peers(table)
+            a.transport.send("b", group(str(i)))
+            assert b.next_event().message == group(str(i))
+            wait_until(lambda: a.transport._outbox_by_name["b"].empty)
+            a.transport.update_peers({})
+        assert a.drained() == []
+
+
 def test_views_are_served_and_faults_need_the_setting():
     with fleet("a") as (a,):
         assert get(a, "/metrics") == {"m": 1}
