Test the limits of connections and what the gateway logs

The test that the key stays out of the logs ran without a log destination.

Change: tests for both limits, for the drain time, for observed outcomes and for logged messages; benchmarks.gateway_cost takes the number of threads.

--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -5,7 +5,9 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
 from concurrent.futures import Future
+from contextlib import contextmanager
 from datetime import timedelta
 from multiprocessing.connection import Connection
 from pathlib import Path
@@ -14,6 +16,7 @@
 import fire
 
 from bulrushloom.core.errors import Refusal
+from bulrushloom.core.servers import ServerOptions
 from bulrushloom.gateway.base import (
     CallerAnswer,
     CallerRequest,
@@ -64,8 +67,9 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
-def _serve(pipe: Connection) -> None:
-    server = create_server(InstantHandler(), ("127.0.0.1", 0))
+def _serve(pipe: Connection, threads: int) -> None:
+    options = ServerOptions(threads=threads)
+    server = create_server(InstantHandler(), ("127.0.0.1", 0), options)
     server.open()
     pipe.send(server.port)
     while pipe.recv():
@@ -133,21 +137,27 @@
     time.sleep(1)
 
 
-def main(seconds: float = 4.0, connections: int = 2900) -> None:
-    """Print the figures of one run."""
+@contextmanager
+def _serving(threads: int) -> Iterator[tuple[Connection, int]]:
     pipe, child_pipe = multiprocessing.Pipe()
     context = multiprocessing.get_context("spawn")
-    process = context.Process(target=_serve, args=(child_pipe,))
+    process = context.Process(target=_serve, args=(child_pipe, threads))
     process.start()
-    port = pipe.recv()
-    _load(pipe, port, 1, 1.0)
-    _idle(pipe, port, connections, used=False)
-    _idle(pipe, port, connections, used=True)
-    for callers in (1, 4, 16):
-        _load(pipe, port, callers, seconds)
+    yield pipe, pipe.recv()
     pipe.send(False)
     process.join(10)
 
 
+def main(seconds: float = 4.0, connections: int = 2900, threads: int = 256) -> None:
+    """Print the figures of one run; memory is measured in fresh processes."""
+    for used in (False, True):
+        with _serving(threads) as (pipe, port):
+            _load(pipe, port, 1, 0.5)
+            _idle(pipe, port, connections, used)
+    with _serving(threads) as (pipe, port):
+        for callers in (1, 4, 16):
+            _load(pipe, port, callers, seconds)
+
+
 if __name__ == "__main__":
     fire.Fire(main)
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -4,6 +4,7 @@
 import time
 from datetime import timedelta
 
+from bulrushloom.core import connections
 from bulrushloom.core.requests import RequestLimits
 from tests.gateway.builders import Caller, FakeHandler, answer, request_bytes, serving
 
@@ -149,6 +150,23 @@
         assert (status, len(body["rows"][0][0])) == (200, 20_000_000)
 
 
+def test_refused_caller_that_stays_is_disconnected(monkeypatch):
+    monkeypatch.setattr(connections, "DISCARD_TIMEOUT", timedelta(milliseconds=100))
+    with serving(FakeHandler()) as server, Caller(server) as caller:
+        caller.send(b"hello\r\n\r\n")
+        assert caller.receive()[0] == 400
+        wait_until(lambda: server._connections._num_connections == 1)
+
+
+def test_close_ends_when_its_time_is_over():
+    with serving(FakeHandler()) as server, Caller(server) as caller:
+        assert caller.ask()[0] == 200
+        begun = time.monotonic()
+        server.close(timedelta(milliseconds=200))
+        assert time.monotonic() - begun < 2
+        assert caller.ended()
+
+
 def test_close_lets_running_requests_finish_and_ends_idle_connections():
     handler = FakeHandler()
     with serving(handler, threads=2) as server:
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -1,15 +1,19 @@
+import time
 from datetime import timedelta
 
+import eliot
 import pytest
 
 from bulrushloom.core.errors import ErrorKind, Refusal
 from bulrushloom.core.requests import RequestLimits
 from bulrushloom.gateway.base import BeginRequest, EndRequest, QueryRequest
+from bulrushloom.gateway.server import create_server
 from tests.gateway.builders import (
     BODY,
     KEY,
     Caller,
     FakeHandler,
+    answer,
     request_bytes,
     serving,
 )
@@ -151,10 +155,50 @@
     assert caller.ask("GET", "/readyz", b"", None)[0] == 200
 
 
-def test_unexpected_exception_is_internal_and_hides_the_key(gateway, capfd):
+@pytest.fixture
+def logged():
+    """Collect all log messages."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def test_unexpected_exception_is_internal_and_hides_the_key(gateway, logged, capfd):
     handler, caller = gateway
     handler.error = ValueError(f"broken by {KEY}")
     status, _, answer = caller.ask()
     assert (status, answer["error"]["ran"]) == (500, "unknown")
-    assert KEY not in str(answer)
-    assert KEY not in "".join(capfd.readouterr())
+    assert "gateway.internal_error" in str(logged)
+    assert "ValueError" in str(logged)
+    assert KEY not in f"{answer}{logged}{capfd.readouterr()}"
+
+
+def test_answer_that_is_not_json_is_internal(gateway, logged):
+    handler, caller = gateway
+    handler.held = []
+    caller.send(request_bytes())
+    while not handler.held:
+        time.sleep(0.005)
+    held, handler.held = handler.held, None
+    held[0].set_result(answer(handler.requests[0])._replace(rows=[[object()]]))
+    status, _, body = caller.receive()
+    assert (status, body["error"]["ran"]) == (500, "unknown")
+
+
+def test_outcomes_are_observed_without_the_key():
+    seen = []
+    handler = FakeHandler()
+    server = create_server(
+        handler,
+        ("127.0.0.1", 0),
+        observe=lambda account, outcome, _: seen.append((account, outcome)),
+    )
+    server.open()
+    with Caller(server) as caller:
+        caller.ask()
+        caller.ask(key="wrong")
+        caller.ask(body=b"{")
+    server.close(timedelta())
+    expected = [("hotel-orders", "ok"), ("", "unauthenticated")]
+    assert seen == [*expected, ("hotel-orders", "bad_request")]
