--- a/tests/coordination/configuration/test_invariants.py
+++ b/tests/coordination/configuration/test_invariants.py
@@ -107,7 +107,7 @@
 
     def find_account(self, presented, now):
         rule = find_key(self.rules, presented)
-        return rule.account if rule else self._check_key(None, now)
+        return rule.account if rule else self.view.check_key(None, now)
 
 
 class DatesPongOnArrival(ConfigurationTracker):
