Report ready only when share holders are known

Cause: in a fleet that had just started, /readyz was 200 before any share holder existed, and requests inside their rate were refused as rate_limited.

The local fleet starts the first server of each group as primary.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -277,10 +277,16 @@
             peers = ",".join(f"{name}={at}" for name, at in addresses.items())
             for place, (name, address) in enumerate(addresses.items()):
                 domain = plan.domains[(offset + place) % len(plan.domains)]
-                self._start_target(name, group, domain, address, peers)
+                self._start_target(name, group, domain, address, peers, place == 0)
 
     def _start_target(
-        self, name: str, group: str, domain: str, address: str, peers: str
+        self,
+        name: str,
+        group: str,
+        domain: str,
+        address: str,
+        peers: str,
+        primary: bool,
     ) -> None:
         self.target_names.append(name)
         self.group_by_target[name] = group
@@ -296,6 +302,7 @@
                 f"--group={group}",
                 f"--domain={domain}",
                 f"--peers={peers}",
+                f"--primary={primary}",
             ],
             self.directory,
         )
--- a/bulrushloom/instance/coordinator.py
+++ b/bulrushloom/instance/coordinator.py
@@ -103,6 +103,7 @@
         if now >= self._next_directory_at:
             self._next_directory_at = now + DIRECTORY_INTERVAL
             self.edges.directory.refresh(self._own_entry())
+        self.edges.frontend.ready = self._node.is_ready(now)
         self._publish()
 
     def failed(self, error: Exception) -> None:
--- a/bulrushloom/instance/frontend.py
+++ b/bulrushloom/instance/frontend.py
@@ -78,6 +78,7 @@
         self._request_timeout = request_timeout
         self.configuration = ConfigurationView()
         self.draining = False
+        self.ready = False
 
     def authenticate(self, key: str) -> str | Refusal:
         """Return the account of ``key``; refuse one that may be withdrawn."""
@@ -92,6 +93,8 @@
             return Refusal(ErrorKind.DRAINING, "the instance is shutting down")
         if not self.configuration.rules.version:
             return Refusal(ErrorKind.NOT_READY, "the rules are not known yet")
+        if not self.ready:
+            return Refusal(ErrorKind.NOT_READY, "no share holder is known yet")
         return None
 
     def status(self) -> dict[str, Any]:
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -80,6 +80,9 @@
 # instances or of the rules does it at once.
 WATCH_INTERVAL = timedelta(seconds=1)
 
+# Longest time that a starting instance waits for the share holders of its domain.
+MAX_HOLDER_WAIT = timedelta(seconds=3)
+
 MakeQueue = Callable[[], SlotQueue]
 
 
@@ -154,6 +157,8 @@
         self._make_queue = make_queue
         self._submit_by_id: dict[str, Submit] = {}
         self._next_watch_at = timedelta()
+        self._rules_since: timedelta | None = None
+        self._ready = False
         self._routes = self._build_routes()
 
     @property
@@ -172,6 +177,21 @@
         idle = all(group.is_idle for group in self.group_by_name.values())
         return idle and not len(self.router) and not self._submit_by_id
 
+    def is_ready(self, now: timedelta) -> bool:
+        """Return whether requests can be served; true for good once it was true.
+
+        Without a share holder a request would be refused although its account is
+        inside its rate. A fleet whose store is down may have none, so after
+        ``MAX_HOLDER_WAIT`` the instance serves what it can.
+        """
+        if self._ready or not self.rules.version:
+            return self._ready
+        if self._rules_since is None:
+            self._rules_since = now
+        held = all(holder.known_holder(now) for holder in self.share_holders)
+        self._ready = held or now - self._rules_since >= MAX_HOLDER_WAIT
+        return self._ready
+
     def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
         """Handle a message of a peer, an edge or the own instance."""
         if sender != self.own:
