Acknowledge writes found in the log of a later term

A repeated idempotency key finds a write of an earlier term; its position can never be held 'in its term' after a failover, so the repeat would end undecided. wait_for now takes the term of the primary that found it and waits for a majority that holds an entry of that term.

--- a/bulrushloom/coordination/failover/suspicion.py
+++ b/bulrushloom/coordination/failover/suspicion.py
@@ -56,6 +56,8 @@
         A round without a quorum in reach would only raise the term of the servers
         that it reaches and so cut them off from a working primary.
         """
+        if not table.records:
+            return "the rules name no server of the group"
         reachable = table.reachable(now)
         with_log = sum(record.has_log for record in reachable)
         if with_log < table.majority and len(reachable) < len(table.records):
--- a/bulrushloom/coordination/replication/tracker.py
+++ b/bulrushloom/coordination/replication/tracker.py
@@ -70,12 +70,16 @@
         position: LogPosition,
         deadline: timedelta,
         now: timedelta,
+        term: int = 0,
     ) -> list[Effect]:
         """Wait for a write that the primary reported at ``position``.
 
         ``deadline`` is a monotonic reading. A term that is already replaced is
-        reported as undecided at once.
+        reported as undecided at once. ``term`` is the primary's term if it found
+        the write, of an earlier term, in its log (a repeated idempotency key): the
+        write is durable once a majority holds the log up to an entry of that term.
         """
+        position = max(position, LogPosition(term, 0))
         self._waiting_by_request[request_id] = _Waiting(position, deadline)
         self._learn(self._primary, position.term, position)
         return self._decide(now)
--- a/tests/coordination/failover/test_monitor.py
+++ b/tests/coordination/failover/test_monitor.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bulrushloom.coordination.failover.base import FailoverPolicy
+from bulrushloom.coordination.failover.base import FailoverPolicy, GroupTarget
 from bulrushloom.coordination.failover.rounds import REJOIN_TERM_STEP, next_term
 from tests.coordination.failover.builders import (
     NODES,
@@ -168,6 +168,33 @@
     assert len(rounds(group)) == 1
 
 
+def test_group_without_servers_stays_without_a_primary(group):
+    # Guards against a quorum of nobody when the rules drop a group.
+    monitor = group.monitor_by_node["w1"]
+    monitor.update([], NODES, "w1")
+    group.run(10 * SECOND)
+    assert "no server" in monitor.view.primary.reason
+
+
+def test_instance_that_is_no_watcher_never_promotes(group):
+    for monitor in group.monitor_by_node.values():
+        monitor.update([GroupTarget(name) for name in SERVERS], NODES, "w9")
+    group.crash("a")
+    group.run(12 * SECOND)
+    assert len(rounds(group)) == 1
+
+
+def test_server_without_its_log_does_not_help_to_replace_the_primary(group):
+    # Guards against a majority in which nobody needs to hold an acknowledged write.
+    group.write("w1", "kept")
+    group.run(SECOND)
+    group.server_by_name["b"].restarted_empty()
+    group.run(SECOND / 10)
+    group.crash("a")
+    group.run(12 * SECOND)
+    assert group.primary() is None
+
+
 def test_thresholds_come_from_the_policy():
     assert FailoverPolicy().poll_interval == timedelta(milliseconds=500)
     assert (next_term(1000, False), next_term(1000, True)) == (1001, 2000)
--- a/tests/coordination/replication/test_tracker.py
+++ b/tests/coordination/replication/test_tracker.py
@@ -116,3 +116,15 @@
     tracker.wait_for("r1", POSITION, START + timedelta(seconds=9), START)
     effects = tracker.tick(START + timedelta(seconds=3))
     assert {item.target for item in effects_of(effects, AwaitHeld)} == {"b", "c"}
+
+
+def test_write_found_in_the_log_of_a_later_term_waits_for_that_term(tracker):
+    # Guards against a recorded answer that is given before its write is durable,
+    # and against one that is never given because its term was replaced.
+    for name in "abc":
+        receive(tracker, name, 6, POSITION)
+    effects = tracker.wait_for("r1", POSITION, DEADLINE, START, term=6)
+    assert not effects_of(effects, WriteDurable)
+    assert not effects_of(effects, WriteUndecided)
+    effects = receive(tracker, "b", 6, LogPosition(6, 9))
+    assert effects_of(effects, WriteDurable) == [WriteDurable("r1")]
