Wait for the present term when an idempotency key repeats an older write

Cause: the recorded answer carries the position of its own term. After a failover no majority is in that term any more, so the repeat ended as outcome_unknown for good although the write was durable.

Change: the owner passes the term in which the statement ran to the tracker.

Conclusion: a repeated write is answered once the present term holds it.

--- a/bulrushloom/instance/groups.py
+++ b/bulrushloom/instance/groups.py
@@ -195,7 +195,11 @@
             effect = todo.pop(0)
             if isinstance(effect, AwaitDurable):
                 todo += tracker.wait_for(
-                    effect.request_id, effect.position, effect.deadline, now
+                    effect.request_id,
+                    effect.position,
+                    effect.deadline,
+                    now,
+                    effect.term,
                 )
             elif isinstance(effect, WriteDurable):
                 todo += owner.durable(effect.request_id, now)
--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -38,22 +38,34 @@
 
 
 class AwaitDurable(NamedTuple):
-    """Effect: report when a majority of the group holds ``position``."""
+    """Effect: report when a majority of the group holds ``position`` in ``term``.
+
+    The term is later than that of the position if an idempotency key repeats a write
+    of an earlier term.
+    """
 
     request_id: str
     position: LogPosition
+    term: int
     deadline: timedelta
 
 
 class _Job(NamedTuple):
-    """Hold a request that was accepted and not yet answered."""
+    """Hold a request that was accepted and not yet answered.
+
+    ``term`` is the term in which it runs, 0 while it waits for a slot.
+    """
 
     sender: str
     request: StatementRequest | TransactionRequest
     deadline: timedelta
-    running: bool
+    term: int
     rows: Rows | None
 
+    @property
+    def running(self) -> bool:
+        return self.term > 0
+
 
 class _SentAnswer(NamedTuple):
     answer: StatementAnswer | TransactionAnswer
@@ -164,7 +176,7 @@
         if known is not None:
             return known
         deadline = now + timedelta(milliseconds=request.timeout_ms)
-        job = _Job(sender, request, deadline, False, None)
+        job = _Job(sender, request, deadline, 0, None)
         failure = self._refusal(request, now)
         if failure is not None:
             return [self._refuse(job, failure)]
@@ -218,7 +230,7 @@
         if known is not None:
             return known
         deadline = now + timedelta(milliseconds=request.timeout_ms)
-        job = _Job(sender, request, deadline, True, None)
+        job = _Job(sender, request, deadline, self._term, None)
         if request.action == "begin":
             return self._begin(job, request, now)
         return self._end(job, request, now)
@@ -305,7 +317,7 @@
             job = self._job_by_id.get(request_id)
             if job is None or not isinstance(job.request, StatementRequest):
                 continue
-            self._job_by_id[request_id] = job._replace(running=True)
+            self._job_by_id[request_id] = job._replace(term=self._term)
             self._running += 1
             effects.append(self._run_statement(job, job.request, now))
         return effects
@@ -359,12 +371,12 @@
     ) -> list[Effect]:
         result = executed.result
         if isinstance(result, Rows):
-            job = job._replace(running=False, rows=result)
+            job = job._replace(rows=result)
             self._job_by_id[request.request_id] = job
             if request.transaction or request.read_only:
                 self._statement_ended(request, None, now)
                 return self._reply(request.request_id, self._success(job), now)
-            return [AwaitDurable(request.request_id, result.position, job.deadline)]
+            return [_await_durable(request.request_id, result.position, job)]
         error = result if isinstance(result, Exception) else RuntimeError("no result")
         failure = classify(error, request.read_only)
         if request.transaction and failure.kind not in STATEMENT_ONLY_KINDS:
@@ -381,7 +393,7 @@
         if request.action == "commit" and isinstance(result, LogPosition):
             rows = Rows([], [], 0, result)
             self._job_by_id[request_id] = job._replace(rows=rows)
-            return [AwaitDurable(request_id, result, job.deadline)]
+            return [_await_durable(request_id, result, job)]
         event = "opened" if request.action == "begin" else "answered"
         self._end_transaction(request, event, now)
         answer = TransactionAnswer(request_id, request.transaction, ORIGIN, "", "")
@@ -480,6 +492,10 @@
             self._answer_by_id.popitem(last=False)
 
 
+def _await_durable(request_id: str, position: LogPosition, job: _Job) -> Effect:
+    return AwaitDurable(request_id, position, job.term, job.deadline)
+
+
 def _position(job: _Job) -> LogPosition:
     return job.rows.position if job.rows is not None else ORIGIN
 
--- a/tests/instance/test_owner.py
+++ b/tests/instance/test_owner.py
@@ -68,6 +68,14 @@
     assert answer(driver.owner.durable("r1.1", ZERO)).position == POSITION
 
 
+def test_repeated_write_of_an_earlier_term_waits_for_the_present_one(driver):
+    # Waiting for the earlier term would report a durable write as unknown for good.
+    driver.owner.update_server(3, True, ZERO)
+    driver.give(builders.statement_request(idempotency_key="k"))
+    [waiting] = effects_of(driver.executed("r1.1", ROWS), AwaitDurable)
+    assert (waiting.position, waiting.term) == (POSITION, 3)
+
+
 def test_undecided_write_has_an_unknown_outcome(driver):
     driver.give(builders.statement_request())
     driver.executed("r1.1", ROWS)
