Skip a holder only after two unanswered requests

One lost acknowledgement made an entry ask another domain for 2 s, which split the tokens of a small account between two domains. The state machine also replaces holders that are cut off, because random cuts alone rarely let a successor take over.

--- a/bulrushloom/coordination/limits/client.py
+++ b/bulrushloom/coordination/limits/client.py
@@ -91,7 +91,7 @@
         for request in self._requests.time_out(now):
             self._retry(request.demand_by_account)
             if not request.acknowledged:
-                self._routes.silent(request.share.holder, now)
+                self._routes.unanswered(request.share, request.sent, now)
         return effects + self._ask(sorted(self._busy_accounts), now) + self._report(now)
 
     def peer_lost(self, name: str, now: timedelta) -> list[Effect]:
@@ -151,9 +151,8 @@
     ) -> list[Effect]:
         if message.incarnation != self._incarnation:
             return []
-        share = self._requests.acknowledge(sender, message.received)
-        if share is not None:
-            self._routes.answered(share)
+        self._requests.acknowledge(sender, message.received)
+        self._routes.answered(Share(message.domain, message.shard, sender), now)
         effects: list[Effect] = []
         for grant in message.grants:
             effects += self._credit(sender, grant, now)
--- a/bulrushloom/coordination/limits/electorate.py
+++ b/bulrushloom/coordination/limits/electorate.py
@@ -107,7 +107,19 @@
         # the old one too, and the successor waits until both have expired.
         self._sent_at = None
 
-    def heartbeats(self, recipients: Iterable[str], now: timedelta) -> list[Effect]:
+    def beat(
+        self, recipients: set[str], own_name: str, elector: Elector, now: timedelta
+    ) -> list[Effect]:
+        """Send the heartbeats that are due and answer the own one at once."""
+        effects: list[Effect] = []
+        for name, heartbeat in self._heartbeats(sorted(recipients), now):
+            if name == own_name:
+                self.confirm(name, elector.heartbeat(name, heartbeat, now))
+            else:
+                effects.append(SendMessage(name, heartbeat))
+        return effects
+
+    def _heartbeats(self, recipients: Iterable[str], now: timedelta) -> list[Effect]:
         """Return the heartbeats that are due."""
         if self._sent_at is not None and now - self._sent_at < HEARTBEAT_INTERVAL:
             return []
--- a/bulrushloom/coordination/limits/finder.py
+++ b/bulrushloom/coordination/limits/finder.py
@@ -5,6 +5,8 @@
 
 # As in routing, a peer that did not answer is skipped for this time.
 SILENT_SKIP = timedelta(seconds=2)
+# One unanswered request may be a lost message.
+MAX_UNANSWERED = 2
 REFUSED_SKIP = timedelta(milliseconds=300)
 
 
@@ -15,12 +17,17 @@
         self._candidates: list[str] = []
         self._known = ""
         self._skipped_until_by_name: dict[str, timedelta] = {}
+        self._heard_at_by_name: dict[str, timedelta] = {}
+        self._unanswered_by_name: dict[str, int] = {}
 
     def update(self, candidates: Iterable[str]) -> None:
         """Replace the instances to try, the most likely holder first."""
         self._candidates = list(candidates)
         if self._known not in self._candidates:
             self._known = ""
+        for table in (self._heard_at_by_name, self._unanswered_by_name):
+            for name in set(table) - set(self._candidates):
+                del table[name]
 
     def locate(self, now: timedelta) -> str:
         """Return whom to ask, or an empty text while nobody is worth asking."""
@@ -31,11 +38,23 @@
                 return name
         return ""
 
-    def answered(self, name: str) -> None:
+    def answered(self, name: str, now: timedelta) -> None:
         """Take note that ``name`` holds the share."""
         self._known = name
+        self._heard_at_by_name[name] = now
+        self._unanswered_by_name.pop(name, None)
         self._skipped_until_by_name.pop(name, None)
 
+    def unanswered(self, name: str, sent: timedelta, now: timedelta) -> None:
+        """Skip an instance that left several requests without an answer."""
+        heard_at = self._heard_at_by_name.get(name)
+        if heard_at is not None and heard_at >= sent:
+            return
+        count = self._unanswered_by_name.get(name, 0) + 1
+        self._unanswered_by_name[name] = count
+        if count >= MAX_UNANSWERED:
+            self.silent(name, now)
+
     def refused(self, name: str, hint: str, now: timedelta) -> None:
         """Follow ``hint`` unless it was tried in vain; skip ``name`` for a while."""
         self._skipped_until_by_name[name] = now + REFUSED_SKIP
@@ -45,7 +64,8 @@
             self._known = hint
 
     def silent(self, name: str, now: timedelta) -> None:
-        """Skip an instance that did not answer."""
+        """Skip an instance that cannot be reached."""
+        self._unanswered_by_name.pop(name, None)
         self._skipped_until_by_name[name] = now + SILENT_SKIP
 
     def _skipped(self, name: str, now: timedelta) -> bool:
--- a/bulrushloom/coordination/limits/loans.py
+++ b/bulrushloom/coordination/limits/loans.py
@@ -155,7 +155,7 @@
         if loan.holder:
             finder.refused(sender, loan.holder, now)
         else:
-            finder.answered(sender)
+            finder.answered(sender, now)
 
     def _time_out(self, now: timedelta) -> None:
         for sequence, request in list(self._in_flight_by_sequence.items()):
@@ -163,7 +163,7 @@
                 continue
             del self._in_flight_by_sequence[sequence]
             for finder in self._finder_by_domain.values():
-                finder.silent(request.lender, now)
+                finder.unanswered(request.lender, request.sent, now)
 
     def _read_demand(self, now: timedelta) -> None:
         elapsed = now - self._demand_read_at
--- a/bulrushloom/coordination/limits/requests.py
+++ b/bulrushloom/coordination/limits/requests.py
@@ -55,13 +55,11 @@
         request = self._request_by_sequence.get(sequence)
         return request if request and request.share.holder == sender else None
 
-    def acknowledge(self, sender: str, sequence: int) -> Share | None:
-        """Take note of an acknowledgement and return what it is about."""
+    def acknowledge(self, sender: str, sequence: int) -> None:
+        """Take note of an acknowledgement."""
         request = self.answered(sender, sequence)
-        if request is None:
-            return None
-        request.acknowledged = True
-        return request.share
+        if request is not None:
+            request.acknowledged = True
 
     def refused(self, sender: str, sequence: int) -> SentRequest | None:
         """Forget a refused request and return it, unless it was abandoned before."""
--- a/bulrushloom/coordination/limits/routes.py
+++ b/bulrushloom/coordination/limits/routes.py
@@ -73,16 +73,20 @@
                 return Share(domain, shard, name)
         return None
 
-    def answered(self, share: Share) -> None:
+    def answered(self, share: Share, now: timedelta) -> None:
         """Take note that the instance holds the share."""
-        self._finder(share.domain, share.shard).answered(share.holder)
+        self._finder(share.domain, share.shard).answered(share.holder, now)
+
+    def unanswered(self, share: Share, sent: timedelta, now: timedelta) -> None:
+        """Take note of a request that the instance did not acknowledge."""
+        self._finder(share.domain, share.shard).unanswered(share.holder, sent, now)
 
     def refused(self, share: Share, hint: str, now: timedelta) -> None:
         """Take note that the instance does not hold the share."""
         self._finder(share.domain, share.shard).refused(share.holder, hint, now)
 
     def silent(self, name: str, now: timedelta) -> None:
-        """Skip an instance that did not answer."""
+        """Skip an instance that cannot be reached."""
         for finder in self._finder_by_share.values():
             finder.silent(name, now)
 
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -324,7 +324,7 @@
             return []
         recipients = {m.name for m in tenure.electorate}
         recipients |= {m.name for m in self._presence.electorate(self._member)}
-        effects = self._send_heartbeats(recipients, now)
+        effects = tenure.beat(recipients, self._member.name, self._elector, now)
         if self.machine.state == "holding":
             return effects + self._resize(now)
         if self.machine.state == "checking_resize":
@@ -333,18 +333,6 @@
             self.handle_failure(now)
         return effects
 
-    def _send_heartbeats(self, recipients: set[str], now: timedelta) -> list[Effect]:
-        """Send the heartbeats that are due and answer the own one at once."""
-        assert self.tenure is not None
-        effects: list[Effect] = []
-        for name, heartbeat in self.tenure.heartbeats(sorted(recipients), now):
-            if name == self._member.name:
-                ack = self._elector.heartbeat(name, heartbeat, now)
-                self.tenure.confirm(name, ack)
-            else:
-                effects.append(SendMessage(name, heartbeat))
-        return effects
-
     def _hopeless(self, now: timedelta) -> bool:
         """Return whether this epoch cannot be confirmed any more."""
         tenure = self.tenure
--- a/tests/coordination/limits/test_invariant.py
+++ b/tests/coordination/limits/test_invariant.py
@@ -78,6 +78,13 @@
     def cut(self, name):
         self.fleet.cut.symmetric_difference_update({name})
 
+    @rule(domain=st.sampled_from(sorted(SIZES)))
+    def cut_off_a_holder(self, domain):
+        """Give a successor the time to take over from a holder that goes on."""
+        self.heal()
+        self.fleet.cut.update(self.fleet.holders(domain))
+        self.fleet.run(5)
+
     @rule(name=st.sampled_from(NAMES), duration=st.sampled_from([0.4, 1.5, 4.0]))
     def pause(self, name, duration):
         self.fleet.pause(name, duration)
