Tell the requests of an entry from those of a borrower

An instance numbers its requests as an entry and as a borrower separately, but holders told them apart by instance, incarnation and number only. A request for tokens was dropped as a copy of a loan request with the same number, and reports could reach the wrong grant.

--- a/bulrushloom/coordination/limits/buckets.py
+++ b/bulrushloom/coordination/limits/buckets.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 from math import floor
+from typing import NamedTuple
 
 from bulrushloom.coordination.limits.base import Settlement
 
@@ -11,8 +12,18 @@
 PIECES_PER_TOKEN = 64
 # Borrowed tokens that expire sooner would not reach an entry in time.
 MIN_LOT_LIFE = timedelta(milliseconds=50)
-# (instance, incarnation, sequence) of the request that a grant or loan answers.
-GrantKey = tuple[str, str, int]
+
+
+class GrantKey(NamedTuple):
+    """Name the request that a grant or a loan answers.
+
+    An instance numbers its requests as an entry and as a borrower separately.
+    """
+
+    instance: str
+    incarnation: str
+    sequence: int
+    loan: bool
 
 
 def whole_pieces(tokens: float) -> float:
--- a/bulrushloom/coordination/limits/desk.py
+++ b/bulrushloom/coordination/limits/desk.py
@@ -29,6 +29,9 @@
 # Requests are remembered for longer than their grants live.
 REQUEST_MEMORY = timedelta(seconds=3)
 
+# Stands for tokens that an earlier bucket of the account gave out.
+EARLIER_TOKENS = GrantKey("", "", 0, False)
+
 
 class PendingDemand(NamedTuple):
     """Hold demand that waits for tokens."""
@@ -82,7 +85,7 @@
                 bucket = self.bucket_class(rate, burst, now)
                 self.bucket_by_account[account] = bucket
                 if blocked_until > now:
-                    bucket.reserve(("", "", 0), burst, blocked_until)
+                    bucket.reserve(EARLIER_TOKENS, burst, blocked_until)
                     self.active_accounts.add(account)
             else:
                 bucket.resize(rate, burst, now)
@@ -100,16 +103,14 @@
             levels.append(BucketLevel(account, bucket.level, bucket.outstanding))
         return levels
 
-    def take_over(
-        self, levels: Iterable[BucketLevel], key: GrantKey, expires: timedelta
-    ) -> None:
+    def take_over(self, levels: Iterable[BucketLevel], expires: timedelta) -> None:
         """Start with the buckets of the previous holder."""
         for level in levels:
             bucket = self.bucket_by_account.get(level.account)
             if bucket is None:
                 continue
             if level.outstanding > 0:
-                bucket.reserve(key, level.outstanding, expires)
+                bucket.reserve(EARLIER_TOKENS, level.outstanding, expires)
                 self.active_accounts.add(level.account)
             bucket.level = max(0.0, min(level.level, bucket.burst - bucket.outstanding))
 
@@ -118,7 +119,7 @@
     ) -> list[Effect]:
         """Settle, then grant what can be granted at once, and acknowledge."""
         self._settle(sender, request, now)
-        key = (sender, request.incarnation, request.sequence)
+        key = GrantKey(sender, request.incarnation, request.sequence, False)
         grants = []
         if self._is_new(key, now):
             for demand in request.demands:
@@ -135,7 +136,7 @@
     ) -> list[Effect]:
         """Settle, then lend what the own entries do not need."""
         self._settle(sender, request, now)
-        key = (sender, request.incarnation, request.sequence)
+        key = GrantKey(sender, request.incarnation, request.sequence, True)
         loans = []
         if self._is_new(key, now):
             for demand in request.demands:
@@ -204,11 +205,12 @@
     def _settle(
         self, sender: str, request: ShareRequest | TokenLoanRequest, now: timedelta
     ) -> None:
+        loan = isinstance(request, TokenLoanRequest)
         for settlement in request.settlements:
             bucket = self.bucket_by_account.get(settlement.account)
             if bucket is not None:
                 bucket.advance(now)
-                key = (sender, request.incarnation, settlement.sequence)
+                key = GrantKey(sender, request.incarnation, settlement.sequence, loan)
                 bucket.settle(key, settlement.spent, settlement.returned)
 
     def _demand(
@@ -218,7 +220,7 @@
         bucket = self.bucket_by_account.get(account)
         if bucket is None:
             retry = whole_milliseconds(DEFAULT_RETRY)
-            return [AccountGrant(key[2], account, 0, 0, retry)]
+            return [AccountGrant(key.sequence, account, 0, 0, retry)]
         bucket.advance(now)
         self.demanded_by_account[account] = (
             self.demanded_by_account.get(account, 0) + demand.waiting
@@ -248,7 +250,9 @@
         if tokens:
             self.active_accounts.add(account)
         lifetime = whole_milliseconds(expires - now)
-        return AccountGrant(key[2], account, tokens, lifetime, self._retry(account))
+        return AccountGrant(
+            key.sequence, account, tokens, lifetime, self._retry(account)
+        )
 
     def _retry(self, account: str) -> int:
         """Return in milliseconds when the waiting callers could be served."""
--- a/bulrushloom/coordination/limits/holder.py
+++ b/bulrushloom/coordination/limits/holder.py
@@ -245,7 +245,7 @@
         if inherited is not None:
             handover, received = inherited
             expires = received + timedelta(milliseconds=handover.lifetime_ms)
-            self._desk.take_over(handover.buckets, ("", "", handover.epoch), expires)
+            self._desk.take_over(handover.buckets, expires)
         return [self._log("share_held")]
 
     def _stop(self, now: timedelta) -> list[Effect]:
--- a/tests/coordination/limits/test_holder.py
+++ b/tests/coordination/limits/test_holder.py
@@ -19,9 +19,12 @@
     Member,
     SealAnswer,
     SealRequest,
+    Settlement,
     ShareGrant,
     ShareRefused,
     ShareRequest,
+    TokenDemand,
+    TokenLoanRequest,
 )
 from bulrushloom.coordination.limits.holder import ShareHolder
 from tests.coordination.limits.builders import Fleet, Weather, seconds
@@ -162,6 +165,18 @@
     assert ask(holder, seconds(3.6)).grants == []
 
 
+def test_entry_and_borrower_of_one_instance_number_their_requests_separately():
+    """Guards against a request that is dropped as a copy of a loan request."""
+    holder = held_share()
+    now = seconds(3.6)
+    loan = TokenLoanRequest("b", 0, "e/1", 1, [TokenDemand("x", 2.0)], [])
+    assert holder.handle("e", loan, now)[0].message.loans[0].tokens == 2.0
+    assert ask(holder, now).grants[0].tokens == 1
+    spent = [Settlement(1, "x", 1.0, 0.0)]
+    holder.handle("e", ShareRequest("a", 0, "e/1", 2, [], spent), now)
+    assert holder._desk.levels(now)[0].outstanding == 2.0
+
+
 def test_changed_electorate_needs_both_majorities_until_it_is_written():
     """Guards against a holder that one electorate confirms and the other sealed."""
     holder = held_share()
