--- a/bulrushloom/coordination/limits/client.py
+++ b/bulrushloom/coordination/limits/client.py
@@ -251,7 +251,9 @@
         for demand in demands:
             tokens = self._account(demand.account)
             interval = self._routes.exchange_interval(demand.account)
-            tokens.next_ask = now + min(interval, REQUEST_DISTANCE)
+            # More demand behind demand that waits at the holder is not urgent.
+            distance = interval if tokens.asked_waiting else REQUEST_DISTANCE
+            tokens.next_ask = now + min(interval, distance)
             tokens.asked_waiting += demand.waiting
             tokens.asked_ahead += demand.ahead
         sequence = self._requests.sent(share, demands, now)
--- a/bulrushloom/coordination/limits/loans.py
+++ b/bulrushloom/coordination/limits/loans.py
@@ -26,6 +26,10 @@
 DEMAND_INTERVAL = timedelta(milliseconds=100)
 # Share of the newest reading in the average demand.
 DEMAND_WEIGHT = 0.4
+# Accounts whose buckets fill slowly are not exchanged at once after another exchange,
+# and exchanged early with others, so that they share messages.
+REACT_DISTANCE = timedelta(milliseconds=20)
+SLACK = timedelta(milliseconds=20)
 # Callers that go to another holder need the tokens there, so an interval without any
 # demand counts for more.
 SILENCE_WEIGHT = 0.7
@@ -58,6 +62,7 @@
         self._in_flight_by_sequence: dict[int, LoanInFlight] = {}
         self._demand_by_account: dict[str, float] = {}
         self._demand_read_at = timedelta()
+        self._exchanged_at = timedelta.min / 2
         self._due_by_account: dict[str, timedelta] = {}
 
     def clear(self) -> None:
@@ -102,7 +107,13 @@
 
     def react(self, accounts: Iterable[str], now: timedelta) -> list[Effect]:
         """Do the same at once for accounts whose state has just changed."""
-        known = [a for a in accounts if a in self._desk.bucket_by_account]
+        recent = now - self._exchanged_at < REACT_DISTANCE
+        known = []
+        for account in accounts:
+            bucket = self._desk.bucket_by_account.get(account)
+            urgent = bucket and self._interval(bucket) < REACT_DISTANCE
+            if bucket is not None and (urgent or not recent):
+                known.append(account)
         return self._exchange(known, known, now)
 
     def _exchange(
@@ -114,8 +125,9 @@
         exchanged |= {item.account for items in settlements.values() for item in items}
         for account in exchanged:
             bucket = self._desk.bucket_by_account[account]
-            interval = exchange_interval(bucket.rate, bucket.burst)
-            self._due_by_account[account] = now + interval
+            self._due_by_account[account] = now + self._interval(bucket)
+        if exchanged:
+            self._exchanged_at = now
         effects: list[Effect] = []
         for lender in sorted(settlements.keys() | demands.keys()):
             effects.append(
@@ -183,8 +195,17 @@
         demanded.clear()
 
     def _due(self, accounts: Iterable[str], now: timedelta) -> list[str]:
+        """Return the accounts that are due, or so soon that they share a message."""
         due = self._due_by_account
-        return [a for a in accounts if a not in due or due[a] <= now]
+        known = [a for a in accounts if a in self._desk.bucket_by_account]
+        limit = now + SLACK
+        if not any(due.get(account, now) <= now for account in known):
+            return []
+        return [account for account in known if due.get(account, now) <= limit]
+
+    @staticmethod
+    def _interval(bucket: ShareBucket) -> timedelta:
+        return exchange_interval(bucket.rate, bucket.burst)
 
     def _settlements(
         self, accounts: Iterable[str], now: timedelta
