Learn peers from their messages and bind requests to one run of an owner

Cause: an instance that has just started is not yet in the other instances' lists, so the answers to its first statements had no address and were dropped; the caller saw outcome_unknown after 5 s. The model also shows that a late copy of a request runs again at an owner that was restarted in between (fault ANY_INCARNATION).

Change: the signed envelope carries the sender's address; a peer's own message goes before the platform's list for 30 s. Statement and transaction requests name the incarnation of the owner, and another one refuses them as not run.

Conclusion: a new instance is answered from its first statement on.

--- a/benchmarks/peer_cost.py
+++ b/benchmarks/peer_cost.py
@@ -29,6 +29,7 @@
 def _request(request_id: str, target: str) -> StatementRequest:
     return StatementRequest(
         request_id,
+        "run",
         "hotel-orders",
         "orders",
         target,
--- a/bulrushloom/coordination/membership/base.py
+++ b/bulrushloom/coordination/membership/base.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from typing import NamedTuple
 
 from bulrushloom.coordination.membership.utils import rendezvous_order
 from bulrushloom.directories.base import InstanceEntry
@@ -10,10 +11,19 @@
 # An instance that failed to answer is passed over for this long, unless it is heard.
 UNREACHABLE_PERIOD = timedelta(seconds=2)
 
+# An identity learned from a peer's own message goes before the platform's lagging
+# list for this long.
+HEARD_PERIOD = timedelta(seconds=30)
+
 # Instances that watch one group: one for each target of a group of three.
 WATCHERS_PER_GROUP = 3
 
 
+class _Heard(NamedTuple):
+    entry: InstanceEntry
+    at: timedelta
+
+
 class InstanceTable:
     """Combine the platform's lagging list with local evidence of reachability."""
 
@@ -22,13 +32,38 @@
         self.instance_by_name: dict[str, InstanceEntry] = {own.name: own}
         self._unreachable_until_by_name: dict[str, timedelta] = {}
         self._draining: set[str] = set()
+        self._heard_by_name: dict[str, _Heard] = {}
         self._owners_by_target: dict[str, list[str]] = {}
 
-    def update(self, entries: Iterable[InstanceEntry]) -> None:
-        """Replace the list; the own entry always stays in it."""
+    def update(self, entries: Iterable[InstanceEntry], now: timedelta) -> None:
+        """Replace the list; the own entry and those heard lately stay in it."""
         instance_by_name = {entry.name: entry for entry in entries}
+        for name, heard in list(self._heard_by_name.items()):
+            listed = instance_by_name.get(name)
+            if now - heard.at > HEARD_PERIOD or listed == heard.entry:
+                del self._heard_by_name[name]
+            elif listed is None or listed.incarnation != heard.entry.incarnation:
+                instance_by_name[name] = heard.entry
         instance_by_name[self.own.name] = self.own
         self._draining &= set(instance_by_name)
+        self._replace(instance_by_name)
+
+    def hear(
+        self, name: str, domain: str, incarnation: str, address: str, now: timedelta
+    ) -> bool:
+        """Learn who a peer is from its own message; return whether that is news."""
+        known = self.instance_by_name.get(name)
+        if known is not None and (known.incarnation, known.address) == (
+            incarnation,
+            address,
+        ):
+            return False
+        entry = InstanceEntry(name, domain, address, incarnation, False)
+        self._heard_by_name[name] = _Heard(entry, now)
+        self._replace(self.instance_by_name | {name: entry})
+        return True
+
+    def _replace(self, instance_by_name: dict[str, InstanceEntry]) -> None:
         if instance_by_name != self.instance_by_name:
             self.instance_by_name = instance_by_name
             self._owners_by_target.clear()
--- a/bulrushloom/instance/coordinator.py
+++ b/bulrushloom/instance/coordinator.py
@@ -82,6 +82,7 @@
     def handle(self, message: Any, now: timedelta) -> None:
         """Handle one message of an edge."""
         if isinstance(message, MessageReceived):
+            self._hear(message, now)
             self._carry_out(self._node.handle(message.sender, message.message, now))
         elif isinstance(message, CallerSubmit):
             self._submit(message, now)
@@ -114,6 +115,12 @@
     def _own_entry(self) -> Any:
         return self._node.table.own._replace(leaving=self._node.draining)
 
+    def _hear(self, message: MessageReceived, now: timedelta) -> None:
+        effects = self._node.hear(message.sender, message.identity, now)
+        if effects is not None:
+            self._update_peers()
+            self._carry_out(effects)
+
     def _update_peers(self) -> None:
         entries = self._node.table.instance_by_name.values()
         self.edges.transport.update_peers(
--- a/bulrushloom/instance/messages.py
+++ b/bulrushloom/instance/messages.py
@@ -11,9 +11,12 @@
     ``transaction`` is the owner's handle of an open transaction or empty. Times are
     whole milliseconds; ``timeout_ms`` is what remains of the request's deadline and
     a negative ``max_age_ms`` means no bound. ``idempotency_key`` is empty if absent.
+    An owner that was restarted has forgotten which requests it ran, so it refuses
+    one that is not addressed to its ``incarnation``.
     """
 
     request_id: str
+    incarnation: str
     account: str
     database: str
     target: str
@@ -49,6 +52,7 @@
     """Ask the primary's owner to ``begin``, ``commit`` or ``rollback``."""
 
     request_id: str
+    incarnation: str
     account: str
     database: str
     target: str
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -73,7 +73,7 @@
 from bulrushloom.instance.platform import DirectoryFailed, InstancesListed
 from bulrushloom.instance.router import StatementRouter
 from bulrushloom.instance.views import ViewCache
-from bulrushloom.peers.base import MessageUndelivered, PeerLost
+from bulrushloom.peers.base import MessageUndelivered, PeerIdentity, PeerLost
 from bulrushloom.rules.base import RuleSet
 
 # The watchers of all groups are computed anew this often; a change of the list of
@@ -309,7 +309,11 @@
     ) -> list[Effect]:
         rule = self.rules.target_by_name.get(message.target)
         if rule is None:
-            return [SendMessage(sender, _unknown_target(message))]
+            reason = f"no target {message.target!r} here"
+            return [SendMessage(sender, _not_run(message, reason))]
+        if message.incarnation != self.table.own.incarnation:
+            reason = f"instance {self.own} was restarted"
+            return [SendMessage(sender, _not_run(message, reason))]
         group = self._group(rule.group, now)
         return group.request(sender, message, rule, now, self.draining)
 
@@ -356,7 +360,18 @@
     def _instances_listed(
         self, sender: str, message: InstancesListed, now: timedelta
     ) -> list[Effect]:
-        self.table.update(message.entries)
+        self.table.update(message.entries, now)
+        return self._instances_changed(now)
+
+    def hear(
+        self, sender: str, identity: PeerIdentity, now: timedelta
+    ) -> list[Effect] | None:
+        """Learn who a peer is; return ``None`` if that was known."""
+        if not self.table.hear(sender, *identity, now):
+            return None
+        return self._settle(self._instances_changed(now), now)
+
+    def _instances_changed(self, now: timedelta) -> list[Effect]:
         instances = self.table.instance_by_name
         domain_by_name = {name: entry.domain for name, entry in instances.items()}
         effects = self.tracker.update_instances(domain_by_name, now)
@@ -394,6 +409,7 @@
                 if shard_of(name, len(self.share_holders)) == holder.shard
             }
             effects += holder.update_accounts(own_shard, domains, now)
+        effects += self._rate_client.update_accounts(limit_by_account, domains, now)
         self._watch(now)
         return effects
 
@@ -440,6 +456,9 @@
     return Complete(effect.request_id, refusal)
 
 
-def _unknown_target(message: StatementRequest | TransactionRequest) -> Message:
-    failure = Failure(ErrorKind.NO_TARGET, f"no target {message.target!r} here", True)
-    return error_answer(message, failure)
+def _not_run(message: StatementRequest | TransactionRequest, reason: str) -> Message:
+    kind = ErrorKind.TRANSACTION_LOST if message.transaction else ErrorKind.NO_TARGET
+    if isinstance(message, TransactionRequest) and message.action == "commit":
+        # An earlier commit of the same transaction may have taken effect.
+        kind = ErrorKind.OUTCOME_UNKNOWN
+    return error_answer(message, Failure(kind, reason, True))
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -223,9 +223,11 @@
     def _message(self, pending: _Pending, attempt_id: str, now: timedelta) -> Message:
         request = pending.request
         timeout_ms = max(1, milliseconds(pending.deadline - now))
+        incarnation = self._incarnation(pending.owner)
         if isinstance(request, Begin):
             return TransactionRequest(
                 attempt_id,
+                incarnation,
                 request.account,
                 request.database,
                 pending.target,
@@ -236,6 +238,7 @@
         if isinstance(request, End):
             return TransactionRequest(
                 attempt_id,
+                incarnation,
                 request.account,
                 request.database,
                 pending.target,
@@ -246,6 +249,7 @@
         handle = request.transaction.handle if request.transaction else ""
         return StatementRequest(
             attempt_id,
+            incarnation,
             request.account,
             request.database,
             pending.target,
@@ -259,6 +263,10 @@
             request.idempotency_key,
         )
 
+    def _incarnation(self, owner: str) -> str:
+        entry = self._table.instance_by_name.get(owner)
+        return entry.incarnation if entry is not None else ""
+
     def _take_attempt(self, attempt_id: str) -> _Pending | None:
         """Return the request that an answer belongs to, once for each attempt."""
         request_id = self._request_by_attempt.pop(attempt_id, None)
--- a/bulrushloom/peers/base.py
+++ b/bulrushloom/peers/base.py
@@ -7,11 +7,20 @@
 from bulrushloom.coordination.base import Message
 
 
+class PeerIdentity(NamedTuple):
+    """Describe the process that sent a signed batch."""
+
+    domain: str
+    incarnation: str
+    address: str
+
+
 class MessageReceived(NamedTuple):
     """Deliver a message from a peer whose signature was checked."""
 
     sender: str
     message: Message
+    identity: PeerIdentity
 
 
 class MessageUndelivered(NamedTuple):
--- a/bulrushloom/peers/envelopes.py
+++ b/bulrushloom/peers/envelopes.py
@@ -25,17 +25,22 @@
 # the receiver's cost of a small batch.
 _ENVELOPE = re.compile(
     rb"([\x21-\x7e]{1,128}) ([\x21-\x7e]{1,128}) ([\x21-\x7e]{1,128}) "
-    rb"([\x21-\x7e]{1,128}) ([0-9]{1,18}) ([0-9]{1,18})"
+    rb"([\x21-\x7e]{1,128}) ([\x21-\x7e]{1,128}) ([0-9]{1,18}) ([0-9]{1,18})"
 )
 _SIGNATURE = re.compile(rb"[0-9a-f]{64}")
 
 
 class Envelope(NamedTuple):
-    """Identify a batch; ``sent_ms`` is calendar time since 1970 in milliseconds."""
+    """Identify a batch; ``sent_ms`` is calendar time since 1970 in milliseconds.
+
+    ``address`` is the peer address of the sender, for answers: the recipient's list
+    of instances may lack a sender that has just started.
+    """
 
     sender: str
     domain: str
     incarnation: str
+    address: str
     recipient: str
     sequence: int
     sent_ms: int
@@ -72,11 +77,12 @@
     signature = headers.get(SIGNATURE_HEADER.encode(), b"")
     if not _SIGNATURE.fullmatch(signature):
         return Missing(f"header {SIGNATURE_HEADER} is missing or malformed")
-    sender, domain, incarnation, recipient, sequence, sent_ms = match.groups()
+    sender, domain, incarnation, address, recipient, sequence, sent_ms = match.groups()
     envelope = Envelope(
         sender.decode(),
         domain.decode(),
         incarnation.decode(),
+        address.decode(),
         recipient.decode(),
         int(sequence),
         int(sent_ms),
--- a/bulrushloom/peers/http.py
+++ b/bulrushloom/peers/http.py
@@ -228,6 +228,7 @@
             self._name,
             self._domain,
             self._incarnation,
+            self.address,
             outbox.peer,
             next(self._sequence),
             envelopes.calendar_milliseconds(self._clock),
--- a/bulrushloom/peers/receiver.py
+++ b/bulrushloom/peers/receiver.py
@@ -12,7 +12,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.core.servers import StartResponse
 from bulrushloom.peers import envelopes
-from bulrushloom.peers.base import Deliver, MessageReceived
+from bulrushloom.peers.base import Deliver, MessageReceived, PeerIdentity
 from bulrushloom.peers.codec import MessageCodec
 from bulrushloom.peers.envelopes import Envelope, EnvelopeChecker
 from bulrushloom.peers.faults import Faults
@@ -69,7 +69,7 @@
         if isinstance(messages, Missing):
             return Refusal(ErrorKind.BAD_REQUEST, messages.reason)
         self.domain_by_peer[envelope.sender] = envelope.domain
-        self._deliver_all(envelope.sender, messages)
+        self._deliver_all(envelope, messages)
         return self._accepted
 
     def _route(self, environ: dict[str, Any]) -> tuple[HTTPStatus, bytes]:
@@ -98,15 +98,17 @@
             return False
         return self._faults.is_cut(envelope.sender, envelope.domain)
 
-    def _deliver_all(self, sender: str, messages: list[Any]) -> None:
+    def _deliver_all(self, envelope: Envelope, messages: list[Any]) -> None:
         if self.deliver is None:
             return
+        sender = envelope.sender
+        identity = PeerIdentity(envelope.domain, envelope.incarnation, envelope.address)
         for message in messages:
             if isinstance(message, Missing):
                 reason = message.reason
                 eliot.log_message("peer.message_refused", sender=sender, reason=reason)
             else:
-                self.deliver(MessageReceived(sender, message))
+                self.deliver(MessageReceived(sender, message, identity))
 
 
 def _error(status: HTTPStatus, reason: str) -> tuple[HTTPStatus, bytes]:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -87,6 +87,7 @@
 def statement_request(request_id="r1.1", **changes) -> StatementRequest:
     built = StatementRequest(
         request_id,
+        "east-1.run",
         "hotel",
         "orders",
         "orders-a",
@@ -104,6 +105,6 @@
 
 def transaction_request(action="begin", request_id="t1.1", **changes):
     built = TransactionRequest(
-        request_id, "hotel", "orders", "orders-a", action, "", 5000
+        request_id, "east-1.run", "hotel", "orders", "orders-a", action, "", 5000
     )
     return built._replace(**changes)
--- a/tests/coordination/membership/test_base.py
+++ b/tests/coordination/membership/test_base.py
@@ -3,7 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bulrushloom.coordination.membership.base import UNREACHABLE_PERIOD, InstanceTable
+from bulrushloom.coordination.membership.base import (
+    HEARD_PERIOD,
+    UNREACHABLE_PERIOD,
+    InstanceTable,
+)
 from bulrushloom.coordination.membership.utils import rendezvous_order
 from tests import builders
 
@@ -13,11 +17,12 @@
 
 def table_of(*domains):
     table = InstanceTable(builders.instance_entry("east-1", "east"))
-    table.update(
+    entries = [
         builders.instance_entry(f"{domain}-{number}", domain)
         for domain in domains
         for number in (1, 2)
-    )
+    ]
+    table.update(entries, ZERO)
     return table
 
 
@@ -65,3 +70,22 @@
     rules = builders.rule_set().targets_by_group["orders"]
     watchers = table.watchers(rules, ZERO)
     assert len(watchers) == len(set(watchers))
+
+
+def test_peer_is_known_before_the_platform_lists_it():
+    # Without its address, the answer to its first statement could not be sent.
+    table = table_of("east")
+    assert table.hear("west-9", "west", "run-1", "127.0.0.1:9", ZERO)
+    assert not table.hear("west-9", "west", "run-1", "127.0.0.1:9", ZERO)
+    table.update([], ZERO)
+    assert table.instance_by_name["west-9"].address == "127.0.0.1:9"
+    table.update([], HEARD_PERIOD + timedelta(seconds=1))
+    assert "west-9" not in table.instance_by_name
+
+
+def test_restarted_peer_is_known_before_the_platform_lists_it():
+    table = table_of("east", "west")
+    old = table.instance_by_name["west-1"]
+    assert table.hear("west-1", "west", "run-2", old.address, ZERO)
+    table.update([old], ZERO)
+    assert table.instance_by_name["west-1"].incarnation == "run-2"
--- a/tests/instance/test_router.py
+++ b/tests/instance/test_router.py
@@ -32,10 +32,11 @@
 
     def __init__(self):
         table = InstanceTable(builders.instance_entry())
-        table.update(
+        entries = [
             builders.instance_entry(f"{domain}-1", domain)
             for domain in ("east", "west", "north")
-        )
+        ]
+        table.update(entries, ZERO)
         views = ViewCache(table)
         self.router = StatementRouter(
             table, views, FreshReplicaPolicy(), BudgetedRetries()
--- a/tests/peers/test_envelopes.py
+++ b/tests/peers/test_envelopes.py
@@ -17,7 +17,9 @@
 
 def envelope(clock, sequence=1, **changes):
     sent = calendar_milliseconds(clock)
-    return Envelope("a", "d", "a-1", "b", sequence, sent)._replace(**changes)
+    return Envelope("a", "d", "a-1", "127.0.0.1:1", "b", sequence, sent)._replace(
+        **changes
+    )
 
 
 def check(checker, item, secret=SECRET, body=b"[]"):
--- a/tests/peers/test_http.py
+++ b/tests/peers/test_http.py
@@ -7,7 +7,12 @@
 import pytest
 import urllib3
 
-from bulrushloom.peers.base import MessageReceived, MessageUndelivered, PeerLost
+from bulrushloom.peers.base import (
+    MessageReceived,
+    MessageUndelivered,
+    PeerIdentity,
+    PeerLost,
+)
 from bulrushloom.peers.connections import BatchConnection
 from bulrushloom.peers.envelopes import PATH
 from bulrushloom.peers.outbox import Outbox, OutboxLimits, Waiting
@@ -106,7 +111,8 @@
         c.transport.send("b", group("1"))
         assert c.next_event() == PeerLost("b", "status 403")
         a.transport.send("b", group("2"))
-        assert b.next_event() == MessageReceived("a", group("2"))
+        identity = PeerIdentity("domain-a", "a-1", a.transport.address)
+        assert b.next_event() == MessageReceived("a", group("2"), identity)
         assert b.drained() == []
 
 
