--- a/standins/base.py
+++ b/standins/base.py
@@ -119,7 +119,11 @@
             if handler is None:
                 reason = f"unknown route {request.method} {request.path}"
                 return Answer(HTTPStatus.NOT_FOUND, {"error": reason})
-            return handler(request)
+            try:
+                return handler(request)
+            finally:
+                # A fault that began while the request was running hides its answer.
+                self.faults.drop_unreachable(request.sender)
         except BadRequest as error:
             self.faults.count("bad_requests")
             return self.bad_request(str(error))
--- a/standins/database/app.py
+++ b/standins/database/app.py
@@ -36,6 +36,8 @@
 
     ``queue`` bounds the statements that wait for one of the ``slots``. A replica
     receives entries ``ship_lag_ms`` late and applies them ``lag_ms`` after that.
+    ``lose_control_answers`` loses the answers of that many fences, promotions and
+    changes of the followed primary.
     """
 
     slots: Annotated[int, Ge(1), Le(1000)]
@@ -49,6 +51,7 @@
     ship_lag_ms: Milliseconds
     pause_replication: bool
     refuse_connections: bool
+    lose_control_answers: Count
 
 
 DEFAULTS: dict[str, Any] = {
@@ -64,6 +67,7 @@
     "ship_lag_ms": 0,
     "pause_replication": False,
     "refuse_connections": False,
+    "lose_control_answers": 0,
 }
 
 
@@ -290,14 +294,14 @@
         self.faults.count("fence")
         with self.state.changed:
             self.state.fence(body["term"], body["candidate"])
-            return ok(self.state.status())
+        return self._control_answer()
 
     def _promote(self, request: Request) -> Answer:
         body = parse_body(_CANDIDATE, request.body)
         self.faults.count("promote")
         with self.state.changed:
             self.state.promote(body["term"], body["candidate"])
-            return ok(self.state.status())
+        return self._control_answer()
 
     def _follow(self, request: Request) -> Answer:
         body = parse_body(_FOLLOW, request.body)
@@ -306,6 +310,11 @@
         self.faults.count("follow")
         with self.state.changed:
             self.state.follow(body["term"], body["primary"])
+        return self._control_answer()
+
+    def _control_answer(self) -> Answer:
+        self.faults.after_write("lose_control_answers")
+        with self.state.changed:
             return ok(self.state.status())
 
     def _replicate(self, request: Request) -> Answer:
--- a/standins/database/replication.py
+++ b/standins/database/replication.py
@@ -122,9 +122,10 @@
         with self._state.changed:
             state = self._state
             if (term, primary) == (state.term, state.primary_address):
-                self._store(answer.value, sent)
+                self.receive(answer.value, sent)
 
-    def _store(self, answer: dict[str, Any], sent: float) -> None:
+    def receive(self, answer: dict[str, Any], sent: float) -> None:
+        """Take over the primary's answer to a pull that was sent at ``sent``."""
         state = self._state
         now = time.monotonic()
         state.heard_at = now
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -83,6 +83,12 @@
 
     def before(self, sender: str) -> None:
         """Apply cut, outage and slowness to a request of ``sender``."""
+        self.drop_unreachable(sender)
+        if self["slow_ms"]:
+            time.sleep(self["slow_ms"] / 1000)
+
+    def drop_unreachable(self, sender: str) -> None:
+        """Drop the connection during an outage or if ``sender`` is cut off."""
         cut = self["cut"]
         if cut and (sender in cut or any(part in cut for part in sender.split("/"))):
             self.count("cut")
@@ -91,15 +97,16 @@
         if self["outage"]:
             self.count("outage")
             raise DropConnection("outage")
-        if self["slow_ms"]:
-            time.sleep(self["slow_ms"] / 1000)
 
-    def after_write(self) -> None:
-        """Drop the connection if the answer of this write is to be lost."""
+    def after_write(self, counter: str = "lose_answers") -> None:
+        """Drop the connection if the answer of this write is to be lost.
+
+        ``counter`` is the setting that holds the number of answers to lose.
+        """
         with self._lock:
-            lost = self._setting_by_name["lose_answers"] > 0
+            lost = self._setting_by_name[counter] > 0
             if lost:
-                self._setting_by_name["lose_answers"] -= 1
+                self._setting_by_name[counter] -= 1
             elif self._setting_by_name["lose_rate"]:
                 lost = self._random.random() < self._setting_by_name["lose_rate"]
             if lost:
--- a/tests/standins/test_database_failover.py
+++ b/tests/standins/test_database_failover.py
@@ -169,3 +169,25 @@
     for index in range(5):
         third.run(write(INSERT, f"item-{index}", term=2, record=f"r{index}"))
     assert third.items(term=2) == [f"item-{index}" for index in range(5)]
+
+
+def test_discarded_write_can_be_run_under_its_key_where_it_was_discarded(group):
+    first, second, third = group.servers
+    diverge(group)
+    first.follow(2, second.address)
+    first.status(second.status().held, timedelta(seconds=3))
+    for server in (first, third):
+        server.fence(3, "watcher")
+    first.promote(3, "watcher")
+    first.run(write(INSERT, "lost", term=3, record="r2"))
+    assert first.items(term=3) == ["kept", "lost"]
+
+
+def test_lost_answers_of_fence_and_promote_can_be_asked_again(group):
+    second = group.servers[1]
+    for change in (second.fence, second.promote):
+        second.faults(lose_control_answers=1)
+        with pytest.raises(AnswerLost):
+            change(2, "watcher")
+        assert change(2, "watcher").term == 2
+    assert second.status().held == LogPosition(2, 2)
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -168,3 +168,11 @@
     assert b"GET /keys?key=abc HTTP/1.1" in recorded
     assert b"leaky/key-4711" in recorded
     assert raw(address, "/received?last=0").data == b""
+
+
+def test_outage_also_hides_answers_to_requests_that_were_waiting(address, store):
+    timer = threading.Timer(0.05, set_faults, (address,), {"outage": True})
+    timer.start()
+    with pytest.raises(StoreUnavailable):
+        store.watch("k", 0, timedelta(milliseconds=200))
+    timer.join()
