--- a/tests/peers/test_envelopes.py
+++ b/tests/peers/test_envelopes.py
@@ -34,7 +34,12 @@
     assert from_headers(headers) == (item, signature)
     for name in headers:
         assert from_headers(headers | {name: b""}).reason
-    for text in (b"a d a-1 b 1 x", b"a d a-1 b 1", b"a d a-1 b 1 2 3", b"a  d e b 1 2"):
+    for text in (
+        b"a d a-1 h:1 b 1 x",
+        b"a d a-1 h:1 b 1",
+        b"a d a-1 h:1 b 1 2 3",
+        b"a  d e h:1 b 1 2",
+    ):
         assert from_headers(headers | {b"X-Peer-Envelope": text}).reason
     assert from_headers(headers | {b"X-Peer-Signature": b"0" * 63}).reason
 
