Let a restarted fleet take over its shares after 3 s

Cause: a successor needs a majority of the old electorate, or 30 s without it in the instance list. When every instance of a domain had restarted at once, all requests were refused as rate_limited for those 30 s.

Ruled out: skipping the wait, since a holder that ended just before may have granted tokens that live for 2 s more.

Change: a member listed under its name with another incarnation is gone after 3 s.

Conclusion: rests on the platform's rule that a name is used by one process.

--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -235,13 +235,22 @@
             )
             self.history.add_reply("dispatch", "transaction", reply)
             if not reply.ok:
-                caller.end(source.choice(self._urls()), transaction, commit=False)
+                self._end(source, transaction, commit=False)
                 # Nothing was committed, whatever became of the statement.
                 return reply._replace(ran="no")
-        ended = caller.end(
-            source.choice(self._urls()), transaction, commit=not rollback
-        )
+        ended = self._end(source, transaction, commit=not rollback)
         self.history.add_reply("dispatch", "transaction", ended)
         if rollback:
             return ended._replace(kind="rolled_back", ran="no")
         return ended
+
+    def _end(self, source: random.Random, transaction: str, commit: bool) -> Reply:
+        """End a transaction; an entry that refuses the connection is passed over."""
+        caller = self._caller_by_account["dispatch"]
+        urls = self._urls()
+        source.shuffle(urls)
+        for url in urls:
+            reply = caller.end(url, transaction, commit)
+            if reply.kind != "refused":
+                break
+        return reply
--- a/bulrushloom/coordination/limits/presence.py
+++ b/bulrushloom/coordination/limits/presence.py
@@ -11,6 +11,10 @@
 # in a domain of more than a hundred instances.
 ELECTORATE_SIZE = 7
 GONE = timedelta(seconds=30)
+# The platform starts a process under a name only when the former one has ended, so a
+# member whose name is listed with another incarnation is gone. The time covers what a
+# holder that ended just before may have granted.
+REPLACED = timedelta(seconds=3)
 # After a gap in the clock readings, absences are counted anew, because the instance
 # list may have changed in between.
 PAUSE = timedelta(seconds=5)
@@ -70,4 +74,5 @@
         if self._since is None or member in self.ranked:
             return False
         since = self._absent_from_by_member.get(member, self._since)
-        return now - since >= GONE
+        replaced = any(live.name == member.name for live in self.ranked)
+        return now - since >= (REPLACED if replaced else GONE)
