--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 KEEP ?= 0
 
-.PHONY: all env lint types unit model test run soak clean
+.PHONY: all env lint types unit model build test run soak clean
 
 all: test
 
@@ -30,7 +30,10 @@
 	command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc)
 	$(BIN)/python -m specs.check
 
-test: lint types model unit
+build: $(STAMP)
+	$(BIN)/python -m bundling.build
+
+test: lint types model build unit
 
 run: $(STAMP)
 	$(BIN)/python -m benchmarks.run --keep=$(KEEP)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -19,14 +19,22 @@
 
 FLEET_SECRET = "local-fleet-secret-for-tests-only"
 READY_TIMEOUT_S = 30.0
+PRODUCT = (sys.executable, "-m", "bulrushloom")
 
 
 class Fleet:
-    """Start the processes of a plan under ``directory`` and stop them again."""
+    """Start the processes of a plan under ``directory`` and stop them again.
 
-    def __init__(self, plan: FleetPlan, directory: Path):
+    ``product`` is the command that runs bulrushloom.
+    """
+
+    def __init__(
+        self, plan: FleetPlan, directory: Path, product: tuple[str, ...] = PRODUCT
+    ):
         self.plan = plan
         self.directory = directory
+        self.product = product
+        self.log_directory = directory
         self.http = urllib3.PoolManager(num_pools=64, maxsize=16, retries=False)
         self.key_by_account = {account.name: new_key() for account in plan.accounts}
         self.process_by_name: dict[str, Process] = {}
@@ -44,10 +52,10 @@
     def start(self) -> None:
         """Start everything and wait until each instance is ready."""
         self.directory.mkdir(parents=True, exist_ok=True)
-        self._start_platform()
+        self.start_platform()
         self._start_targets()
         for index in range(self.plan.entries):
-            self._prepare_entry(index)
+            self.prepare_entry(index)
         with ThreadPoolExecutor(8) as executor:
             list(executor.map(self.start_entry, self.entry_names))
             list(executor.map(self._wait, list(self.process_by_name.values())))
@@ -114,9 +122,7 @@
         """Apply the rules file with the command line and return its output."""
         done = subprocess.run(
             [
-                sys.executable,
-                "-m",
-                "bulrushloom",
+                *self.product,
                 "rules",
                 "apply",
                 str(self.rules_path),
@@ -245,16 +251,17 @@
         """Start, or start again, the instance ``name``."""
         settings_path = self.directory / f"{name}.yaml"
         settings = yaml.safe_load(settings_path.read_text())
-        process = processes.start_python(
+        process = processes.start_command(
             name,
             settings["peer_address"],
-            ["bulrushloom", "serve", f"--settings={settings_path}"],
+            [*self.product, "serve", f"--settings={settings_path}"],
             self.directory,
         )
         self.process_by_name[name] = process
         return process
 
-    def _start_platform(self) -> None:
+    def start_platform(self) -> None:
+        """Start the stand-ins of the store and the directory."""
         for name, port in zip(
             ("store", "directory"), processes.free_ports(2), strict=True
         ):
@@ -300,7 +307,8 @@
             self.directory,
         )
 
-    def _prepare_entry(self, index: int) -> None:
+    def prepare_entry(self, index: int) -> None:
+        """Choose addresses for an instance and write its settings."""
         domain = self.plan.domains[index % len(self.plan.domains)]
         name = f"{domain}-{index // len(self.plan.domains) + 1}"
         caller, peer = processes.free_ports(2)
@@ -312,7 +320,7 @@
             "store_address": self.process_by_name["store"].address,
             "directory_address": self.process_by_name["directory"].address,
             "fleet_secret": FLEET_SECRET,
-            "log_path": str(self.directory / f"{name}.log"),
+            "log_path": str(self.log_directory / f"{name}.log"),
             "fault_injection": True,
         }
         (self.directory / f"{name}.yaml").write_text(yaml.safe_dump(settings))
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -47,9 +47,17 @@
     name: str, address: str, arguments: list[str], log_directory: Path
 ) -> Process:
     """Start ``python -m ARGUMENTS``; its error output goes to a log file."""
+    command = [sys.executable, "-m", *arguments]
+    return start_command(name, address, command, log_directory)
+
+
+def start_command(
+    name: str, address: str, command: list[str], log_directory: Path
+) -> Process:
+    """Start a command; its error output goes to a log file."""
     with open(log_directory / f"{name}.err", "w") as error_output:
         popen = subprocess.Popen(
-            [sys.executable, "-m", *arguments],
+            command,
             stdout=subprocess.PIPE,
             stderr=error_output,
             text=True,
--- /dev/null
+++ b/bundling/__init__.py
@@ -0,0 +1,1 @@
+"""Build of the one file that is delivered."""
--- /dev/null
+++ b/tests/bundling/test_launcher.py
@@ -0,0 +1,28 @@
+"""The folder from which the one file loads its code."""
+
+import pytest
+
+from bundling.launcher import prepare_folder
+
+
+def test_own_folder_is_created_and_accepted_again(tmp_path):
+    folder = tmp_path / "packages"
+    prepare_folder(folder)
+    prepare_folder(folder)
+    assert folder.stat().st_mode & 0o777 == 0o700
+
+
+def test_link_of_another_user_is_refused(tmp_path):
+    # Code would be loaded from wherever the link points.
+    link = tmp_path / "packages"
+    link.symlink_to(tmp_path)
+    with pytest.raises(NotADirectoryError):
+        prepare_folder(link)
+
+
+def test_folder_writable_for_others_is_refused(tmp_path):
+    folder = tmp_path / "packages"
+    folder.mkdir()
+    folder.chmod(0o777)
+    with pytest.raises(PermissionError):
+        prepare_folder(folder)
