Report service-level burn and explain refusals by request id

Cause: instances kept no counts per account, /metrics was empty, refusals were not logged, and request ids came from a generator that threads must not share.

Change: the entry counts each request for the metrics and the burn counters, and /metrics serves both. report burn adds them up over all instances as a table and as a page with plots. The log also tells where a failed request was sent, which instance promoted, and when a drain begins and ends.

--- a/bulrushloom/coordination/failover/monitor.py
+++ b/bulrushloom/coordination/failover/monitor.py
@@ -213,13 +213,13 @@
         self._planned.restart()
         if is_new:
             self._failures = 0
+        own = self._chart.state == "promoting" and term == self._last_term
         if self._chart.state != "following":
-            own = self._chart.state == "promoting" and term == self._last_term
             self._chart.send("promoted" if own else "primary_seen")
         self._round = None
         if not is_new:
             return []
-        return [self._log("primary_adopted", primary=name, term=term)]
+        return [self._log("primary_adopted", primary=name, term=term, own_round=own)]
 
     def _check_primary(self) -> list[Effect]:
         record = self._primary_record
--- a/bulrushloom/coordination/limits/base.py
+++ b/bulrushloom/coordination/limits/base.py
@@ -203,10 +203,15 @@
 
 
 class TokenRefused(NamedTuple):
-    """Refuse a request as ``rate_limited``."""
+    """Refuse a request as ``rate_limited``.
+
+    ``confirmed`` tells that a share holder answered while the request waited. Without
+    an answer the account may have been inside its rate.
+    """
 
     request_id: str
     retry_after: timedelta
+    confirmed: bool = False
 
 
 class RateClient(DecisionPart):
--- a/bulrushloom/coordination/limits/client.py
+++ b/bulrushloom/coordination/limits/client.py
@@ -109,9 +109,10 @@
         """Refuse overdue requests, give idle tokens back and ask for more."""
         effects: list[Effect] = []
         for account, tokens in list(self._tokens_by_account.items()):
+            confirmed = tokens.was_answered(now - TOKEN_WAIT)
             for request_id in tokens.overdue(now):
                 retry_after = tokens.retry_after or DEFAULT_RETRY
-                effects.append(TokenRefused(request_id, retry_after))
+                effects.append(TokenRefused(request_id, retry_after, confirmed))
             tokens.tick(now)
             if tokens.idle:
                 del self._tokens_by_account[account]
@@ -155,6 +156,7 @@
         if tokens is None:
             tokens = self._tokens_by_account[grant.account] = AccountTokens(now)
         tokens.retry_after = timedelta(milliseconds=grant.retry_after_ms)
+        tokens.answered_at = now
         if grant.tokens <= 0:
             return []
         expires = request.sent + timedelta(milliseconds=grant.lifetime_ms)
--- a/bulrushloom/coordination/limits/tokens.py
+++ b/bulrushloom/coordination/limits/tokens.py
@@ -61,6 +61,7 @@
         self.held: list[HeldTokens] = []
         self.deadline_by_request: OrderedDict[str, timedelta] = OrderedDict()
         self.retry_after: timedelta | None = None
+        self.answered_at: timedelta | None = None
         self._arrivals = 0
         self._demand = 0.0
         self._demand_read_at = now
@@ -76,6 +77,10 @@
         """Return how many tokens can be spent."""
         return sum(held.remaining for held in self.held)
 
+    def was_answered(self, since: timedelta) -> bool:
+        """Return whether a share holder answered at ``since`` or later."""
+        return self.answered_at is not None and self.answered_at >= since
+
     def arrived(self) -> None:
         """Count a caller's request."""
         self._arrivals += 1
--- a/bulrushloom/gateway/base.py
+++ b/bulrushloom/gateway/base.py
@@ -9,7 +9,10 @@
 
 
 class QueryRequest(NamedTuple):
-    """Ask for one statement; ``session`` is the caller's token, unchecked."""
+    """Ask for one statement; ``session`` is the caller's token, unchecked.
+
+    The handler makes a ``request_id`` if the gateway has set none.
+    """
 
     account: str
     database: str
@@ -19,6 +22,7 @@
     max_age: timedelta | None
     transaction: str | None
     idempotency_key: str | None
+    request_id: str = ""
 
 
 class BeginRequest(NamedTuple):
@@ -27,6 +31,7 @@
     account: str
     database: str
     session: str | None
+    request_id: str = ""
 
 
 class EndRequest(NamedTuple):
@@ -36,6 +41,7 @@
     transaction: str
     commit: bool
     session: str | None
+    request_id: str = ""
 
 
 class QueryAnswer(NamedTuple):
@@ -70,6 +76,10 @@
 class RequestHandler(ABC):
     """Serve the requests that the gateway has parsed; callable from any thread."""
 
+    def new_request_id(self) -> str:
+        """Return an identifier for a request, or an empty text for none."""
+        return ""
+
     @abstractmethod
     def authenticate(self, key: str) -> str | Refusal:
         """Return the account of ``key``; the key goes no further."""
--- a/bulrushloom/gateway/server.py
+++ b/bulrushloom/gateway/server.py
@@ -31,13 +31,23 @@
 # Receives the account (empty if unknown), the error kind or "ok", and the duration.
 Observe = Callable[[str, str, timedelta], None]
 
+# Receives the request id, the account (empty if unknown) and the refusal.
+RecordRefusal = Callable[[str, str, Refusal], None]
+REQUEST_ID_HEADER = "X-Request-Id"
+
 
 class GatewayApplication:
     """Check caller requests, hand them to the handler and render its answers."""
 
-    def __init__(self, handler: RequestHandler, observe: Observe | None = None):
+    def __init__(
+        self,
+        handler: RequestHandler,
+        observe: Observe | None = None,
+        record_refusal: RecordRefusal | None = None,
+    ):
         self._handler = handler
         self._observe = observe
+        self._record_refusal = record_refusal
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -69,7 +79,8 @@
         self, environ: dict[str, Any], path: str
     ) -> tuple[HTTPStatus, bytes, list[tuple[str, str]]]:
         begun = time.monotonic()
-        account, answer = self._answer(environ, path)
+        request_id = self._handler.new_request_id()
+        account, answer = self._answer(environ, path, request_id)
         try:
             status, body = _render(answer)
         except TypeError as error:
@@ -79,10 +90,15 @@
             outcome = answer.kind.value if isinstance(answer, Refusal) else "ok"
             elapsed = timedelta(seconds=time.monotonic() - begun)
             self._observe(account, outcome, elapsed)
-        return status, body, _extra_headers(answer, path)
+        headers = _extra_headers(answer, path)
+        if isinstance(answer, Refusal) and request_id:
+            headers.append((REQUEST_ID_HEADER, request_id))
+        if isinstance(answer, Refusal) and self._record_refusal is not None:
+            self._record_refusal(request_id, account, answer)
+        return status, body, headers
 
     def _answer(
-        self, environ: dict[str, Any], path: str
+        self, environ: dict[str, Any], path: str, request_id: str
     ) -> tuple[str, CallerAnswer | Refusal]:
         refusal = _check_route(environ, path)
         if refusal is not None:
@@ -97,16 +113,21 @@
             return "", _internal(error, key)
         if isinstance(account, Refusal):
             return "", account
-        return account, self._run(environ, path, account, key)
+        return account, self._run(environ, path, account, key, request_id)
 
     def _run(
-        self, environ: dict[str, Any], path: str, account: str, key: str
+        self,
+        environ: dict[str, Any],
+        path: str,
+        account: str,
+        key: str,
+        request_id: str,
     ) -> CallerAnswer | Refusal:
         try:
             request = _parse_request(environ, path, account)
             if isinstance(request, Refusal):
                 return request
-            future = self._handler.submit(request)
+            future = self._handler.submit(request._replace(request_id=request_id))
             return future.result(ANSWER_LIMIT.total_seconds())
         except Exception as error:
             return _internal(error, key)
@@ -121,8 +142,9 @@
         address: tuple[str, int],
         options: ServerOptions,
         observe: Observe | None,
+        record_refusal: RecordRefusal | None = None,
     ):
-        application = GatewayApplication(handler, observe)
+        application = GatewayApplication(handler, observe, record_refusal)
         super().__init__(address, application, options, "gateway")
 
 
@@ -131,9 +153,10 @@
     address: tuple[str, int],
     options: ServerOptions = DEFAULT_OPTIONS,
     observe: Observe | None = None,
+    record_refusal: RecordRefusal | None = None,
 ) -> GatewayServer:
     """Return the server of the caller address; it is not open yet."""
-    return GatewayServer(handler, address, options, observe)
+    return GatewayServer(handler, address, options, observe, record_refusal)
 
 
 def _check_route(environ: dict[str, Any], path: str) -> Refusal | None:
--- a/bulrushloom/instance/base.py
+++ b/bulrushloom/instance/base.py
@@ -80,10 +80,11 @@
 
 
 class Complete(NamedTuple):
-    """Effect: end a request."""
+    """Effect: end a request; ``over_rate`` tells that its account used up its rate."""
 
     request_id: str
     result: Outcome | Refusal
+    over_rate: bool = False
 
 
 class RunStatement(NamedTuple):
--- a/bulrushloom/instance/coordinator.py
+++ b/bulrushloom/instance/coordinator.py
@@ -1,5 +1,6 @@
 """The task that owns the node and carries out its effects."""
 
+import time
 from collections.abc import Callable
 from concurrent.futures import Future
 from datetime import timedelta
@@ -7,9 +8,12 @@
 
 from bulrushloom.coordination.base import (
     Effect,
+    KeySwapped,
+    KeyValue,
     LogEntry,
     ReadKey,
     SendMessage,
+    StoreFailed,
     SwapKey,
 )
 from bulrushloom.coordination.configuration.base import RulesChanged
@@ -27,8 +31,10 @@
 )
 from bulrushloom.instance.executor import TargetExecutor
 from bulrushloom.instance.frontend import CallerSubmit, Frontend, StatusRequest
+from bulrushloom.instance.metering import Reading, ReadingRequest, queue_lengths
 from bulrushloom.instance.node import Admit, Node
 from bulrushloom.instance.platform import DirectoryTask, InstancesListed, StoreTask
+from bulrushloom.instance.recorder import RequestRecorder
 from bulrushloom.instance.status import node_status
 from bulrushloom.peers.base import MessageReceived, PeerTransport
 
@@ -65,13 +71,15 @@
     def __init__(self, node: Node, clock: Clock):
         super().__init__("coordinator", clock, TICK_INTERVAL)
         self._node = node
+        self._recorder: RequestRecorder | None = None
         self._edges: Edges | None = None
         self._future_by_id: dict[str, Future[Outcome | Refusal]] = {}
         self._next_directory_at = timedelta()
 
-    def connect(self, edges: Edges) -> None:
-        """Set the edges, before ``start``."""
+    def connect(self, edges: Edges, recorder: RequestRecorder) -> None:
+        """Set the edges and the recorder, before ``start``."""
         self._edges = edges
+        self._recorder = recorder
 
     @property
     def edges(self) -> Edges:
@@ -79,6 +87,12 @@
         assert self._edges is not None
         return self._edges
 
+    @property
+    def recorder(self) -> RequestRecorder:
+        """Return the recorder; ``connect`` was called before."""
+        assert self._recorder is not None
+        return self._recorder
+
     def handle(self, message: Any, now: timedelta) -> None:
         """Handle one message of an edge."""
         if isinstance(message, MessageReceived):
@@ -87,6 +101,8 @@
             self._submit(message, now)
         elif isinstance(message, StatusRequest):
             message.future.set_result(node_status(self._node, now))
+        elif isinstance(message, ReadingRequest):
+            message.future.set_result(self._reading())
         elif isinstance(message, IsIdle):
             message.future.set_result(self._node.is_idle)
         elif isinstance(message, Drain):
@@ -94,6 +110,9 @@
         elif isinstance(message, InstancesListed):
             self._carry_out(self._node.handle(self._node.own, message, now))
             self._update_peers()
+        elif isinstance(message, KeyValue | KeySwapped | StoreFailed):
+            self.recorder.observe_store(message)
+            self._carry_out(self._node.handle(self._node.own, message, now))
         else:
             self._carry_out(self._node.handle(self._node.own, message, now))
 
@@ -130,6 +149,8 @@
         request_id = message.submit.request_id
         self._future_by_id[request_id] = message.future
         try:
+            request = message.submit.request
+            self.recorder.started(request_id, message.account, request, now)
             admit = Admit(message.account, message.submit)
             self._carry_out(self._node.handle(self._node.own, admit, now))
         except Exception as error:
@@ -148,6 +169,7 @@
             elif isinstance(effect, RulesChanged):
                 self._rules_changed()
             elif isinstance(effect, LogEntry):
+                self.recorder.observe_event(effect)
                 self.edges.log(effect)
             else:
                 self._call_target(effect)
@@ -170,3 +192,8 @@
         future = self._future_by_id.pop(effect.request_id, None)
         if future is not None:
             future.set_result(effect.result)
+            self.recorder.ended(effect, self.clock.monotonic())
+
+    def _reading(self) -> Reading:
+        burn = self.recorder.burn.copy()
+        return Reading(burn, queue_lengths(self._node), time.thread_time())
--- a/bulrushloom/instance/frontend.py
+++ b/bulrushloom/instance/frontend.py
@@ -74,11 +74,17 @@
         self._clock = clock
         self._sessions = SessionCodec(secret)
         self._transactions = Signer(secret, "transaction")
-        self._request_ids = (f"{request_prefix}.{n}" for n in itertools.count(1))
+        # A generator must not be used by two threads at once; ``count`` may.
+        self._request_prefix = request_prefix
+        self._request_numbers = itertools.count(1)
         self._request_timeout = request_timeout
         self.configuration = ConfigurationView()
         self.draining = False
 
+    def new_request_id(self) -> str:
+        """Return an identifier that no other request of the fleet has."""
+        return f"{self._request_prefix}.{next(self._request_numbers)}"
+
     def authenticate(self, key: str) -> str | Refusal:
         """Return the account of ``key``; refuse one that may be withdrawn."""
         configuration = self.configuration
@@ -112,8 +118,9 @@
         future.add_done_callback(
             lambda done: answered.set_result(self._answer(request, token, done))
         )
+        request_id = request.request_id or self.new_request_id()
         deadline = self._clock.monotonic() + self._request_timeout
-        submit = Submit(next(self._request_ids), entry_request, deadline)
+        submit = Submit(request_id, entry_request, deadline)
         self._post(CallerSubmit(request.account, submit, future))
         return answered
 
--- /dev/null
+++ b/bulrushloom/instance/metering.py
@@ -0,0 +1,73 @@
+"""View of the metrics and burn counts on the peer address."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+import orjson
+
+from bulrushloom.core.clock import Clock
+from bulrushloom.instance.node import Node
+from bulrushloom.telemetry.burn import BurnCounters
+from bulrushloom.telemetry.metrics import Metrics
+
+VIEW_TIMEOUT = timedelta(seconds=2)
+
+
+class Reading(NamedTuple):
+    """Hold values that only the coordinator task may read.
+
+    ``cpu_seconds`` is the processor time of that task.
+    """
+
+    burn: BurnCounters
+    queue_lengths: dict[str, float]
+    cpu_seconds: float
+
+
+class ReadingRequest(NamedTuple):
+    """Message to the coordinator: give a reading."""
+
+    future: "Future[Reading]"
+
+
+class MetricsView:
+    """Answer ``GET /metrics``: OpenTelemetry JSON and the burn counts."""
+
+    def __init__(
+        self,
+        instance: str,
+        domain: str,
+        clock: Clock,
+        post: Callable[[Any], None],
+        sent_bytes: Callable[[], int],
+    ):
+        self._clock = clock
+        self._post = post
+        self._reading = Reading(BurnCounters(clock.monotonic()), {}, 0.0)
+        self.metrics = Metrics(
+            instance,
+            domain,
+            lambda: self._reading.queue_lengths,
+            lambda: {"batch": sent_bytes()},
+            lambda: {"coordinator": self._reading.cpu_seconds},
+        )
+
+    def __call__(self) -> bytes:
+        """Return the body; raise ``TimeoutError`` if the coordinator is stuck."""
+        future: Future[Reading] = Future()
+        self._post(ReadingRequest(future))
+        self._reading = reading = future.result(VIEW_TIMEOUT.total_seconds())
+        counts = reading.burn.counts(self._clock.monotonic())
+        data = orjson.loads(self.metrics.metrics_json())
+        return orjson.dumps({**data, "burn": [list(count) for count in counts]})
+
+
+def queue_lengths(node: Node) -> dict[str, float]:
+    """Return the waiting statements of each target owned here."""
+    return {
+        target: owner.queue_length
+        for group in node.group_by_name.values()
+        for target, owner in group.owner_by_target.items()
+    }
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -414,10 +414,11 @@
 
 
 def _rate_limited(effect: TokenRefused) -> Complete:
-    refusal = Refusal(
-        ErrorKind.RATE_LIMITED, "the account is over its rate", effect.retry_after
-    )
-    return Complete(effect.request_id, refusal)
+    message = "the account is over its rate"
+    if not effect.confirmed:
+        message = "no share holder answered in time; the rate is unknown"
+    refusal = Refusal(ErrorKind.RATE_LIMITED, message, effect.retry_after)
+    return Complete(effect.request_id, refusal, effect.confirmed)
 
 
 def _unknown_target(message: StatementRequest | TransactionRequest) -> Message:
--- /dev/null
+++ b/bulrushloom/instance/recorder.py
@@ -0,0 +1,139 @@
+"""Counts of the entry's requests for the metrics and the burn report."""
+
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from bulrushloom.coordination.base import (
+    KeySwapped,
+    KeyValue,
+    LogEntry,
+    StoreFailed,
+)
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.instance.base import Complete, End, EntryRequest, Outcome, Statement
+from bulrushloom.instance.gaps import WriteGaps
+from bulrushloom.telemetry.burn import BurnCounters, Measure
+from bulrushloom.telemetry.metrics import Metrics
+
+# Refusals that a correct product gives as well: the request itself is at fault.
+CALLER_FAULTS = frozenset(
+    (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.UNAUTHENTICATED,
+        ErrorKind.FORBIDDEN,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.METHOD_NOT_ALLOWED,
+        ErrorKind.UNKNOWN_DATABASE,
+        ErrorKind.INVALID_SESSION,
+        ErrorKind.STATEMENT_NOT_ALLOWED,
+        ErrorKind.SQL_ERROR,
+        ErrorKind.TRANSACTION_UNKNOWN,
+        ErrorKind.TRANSACTION_BUSY,
+        ErrorKind.IDEMPOTENCY_CONFLICT,
+    )
+)
+
+# The request was not served, but it may have run, so it was not refused.
+UNDECIDED = frozenset((ErrorKind.OUTCOME_UNKNOWN, ErrorKind.INTERNAL))
+
+
+class _Open(NamedTuple):
+    """Hold what is needed of a request when it ends."""
+
+    account: str
+    group: str
+    is_read: bool
+    is_write: bool
+    started_at: timedelta
+
+
+class RequestRecorder:
+    """Follow each request from its submission to its end; one task owns the object.
+
+    ``now`` is a monotonic clock reading.
+    """
+
+    def __init__(self, metrics: Metrics, now: timedelta):
+        self.burn = BurnCounters(now)
+        self._metrics = metrics
+        self._gaps = WriteGaps()
+        self._open_by_id: dict[str, _Open] = {}
+
+    def started(
+        self, request_id: str, account: str, request: EntryRequest, now: timedelta
+    ) -> None:
+        """Note a request that was submitted."""
+        is_read, is_write = _kind(request)
+        self._open_by_id[request_id] = _Open(
+            account, request.group, is_read, is_write, now
+        )
+        if is_write:
+            self._gaps.started(account, request.group, now)
+
+    def ended(self, effect: Complete, now: timedelta) -> None:
+        """Count a request that ended."""
+        opened = self._open_by_id.pop(effect.request_id, None)
+        if opened is None:
+            return
+        latency, result = now - opened.started_at, effect.result
+        if isinstance(result, Refusal):
+            self._metrics.statement(opened.account, "", result.kind.value, latency)
+            self._refused(opened, effect, result.kind, now)
+        else:
+            self._metrics.statement(opened.account, result.role, "ok", latency)
+            self._served(opened, result, now)
+
+    def observe_event(self, entry: LogEntry) -> None:
+        """Count promotions by what the group monitor reports."""
+        if entry.event == "primary_adopted" and entry.fields.get("own_round"):
+            self._metrics.failover(entry.fields["group"], "promoted")
+        elif entry.event == "round_failed":
+            self._metrics.failover(entry.fields["group"], "failed")
+
+    def observe_store(self, message: Any) -> None:
+        """Count the answer of a store call or its absence."""
+        if isinstance(message, KeyValue):
+            self._metrics.store_call("read", "ok")
+        elif isinstance(message, KeySwapped):
+            self._metrics.store_call("swap", "ok" if message.swapped else "lost")
+        elif isinstance(message, StoreFailed):
+            self._metrics.store_call("any", "failed")
+
+    def _served(self, opened: _Open, outcome: Outcome, now: timedelta) -> None:
+        account = opened.account
+        self.burn.record(account, Measure.SERVED_SHARE, 1, 0, now)
+        self.burn.record(account, Measure.WRONGFUL_REFUSALS, 1, 0, now)
+        if opened.is_read:
+            self._metrics.read(account, outcome.role)
+            at_primary = int(outcome.role != "replica")
+            self.burn.record(account, Measure.REPLICA_READS, 1, at_primary, now)
+        if opened.is_write:
+            position = outcome.write_position
+            term = 0 if position is None else position.term
+            gap = self._gaps.acknowledged(account, opened.group, term, now)
+            self.burn.record_gap(account, gap, now)
+
+    def _refused(
+        self, opened: _Open, effect: Complete, kind: ErrorKind, now: timedelta
+    ) -> None:
+        if opened.is_write:
+            self._gaps.failed(opened.account, opened.group, now)
+        if effect.over_rate or kind in CALLER_FAULTS:
+            return
+        refused = int(kind not in UNDECIDED)
+        account = opened.account
+        self.burn.record(account, Measure.SERVED_SHARE, 1, 1, now)
+        self.burn.record(account, Measure.WRONGFUL_REFUSALS, 1, refused, now)
+
+
+def _kind(request: EntryRequest) -> tuple[bool, bool]:
+    """Return whether a request is a read by itself and whether it writes by itself.
+
+    Statements inside a transaction go to the primary in any case, so they are
+    neither; the commit counts as the write.
+    """
+    if isinstance(request, Statement):
+        alone = request.transaction is None
+        return alone and request.read_only, alone and not request.read_only
+    return False, isinstance(request, End) and request.commit
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -1,9 +1,16 @@
 """The entry's side of a request: choose a target and follow the request."""
 
 from datetime import timedelta
+from http import HTTPStatus
 from typing import NamedTuple
 
-from bulrushloom.coordination.base import DecisionPart, Effect, Message, SendMessage
+from bulrushloom.coordination.base import (
+    DecisionPart,
+    Effect,
+    LogEntry,
+    Message,
+    SendMessage,
+)
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.retries.base import RetryPolicy
 from bulrushloom.coordination.routing.base import ReadNeed, ReadPolicy
@@ -425,7 +432,10 @@
             )
         for attempt in range(1, pending.attempt + 1):
             self._request_by_attempt.pop(f"{pending.request_id}.{attempt}", None)
-        return [Complete(pending.request_id, result)]
+        effects: list[Effect] = [Complete(pending.request_id, result)]
+        if isinstance(result, Refusal):
+            effects += _explain(pending, result)
+        return effects
 
     def _view_changed(self, view: GroupView, now: timedelta) -> list[Effect]:
         if not self._views.update(view, now):
@@ -439,3 +449,19 @@
     def _count(self, target: str, change: int) -> None:
         total = self._in_flight_by_target.get(target, 0) + change
         self._in_flight_by_target[target] = max(0, total)
+
+
+def _explain(pending: _Pending, refusal: Refusal) -> list[Effect]:
+    """Log where a request was sent that ended without the caller's fault."""
+    is_server_fault = refusal.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    if not is_server_fault and refusal.kind is not ErrorKind.TRANSACTION_LOST:
+        return []
+    fields = {
+        "request_id": pending.request_id,
+        "group": pending.group,
+        "target": pending.target,
+        "owner": pending.owner,
+        "attempts": pending.attempt,
+        "kind": refusal.kind.value,
+    }
+    return [LogEntry("request_failed", fields)]
--- a/bulrushloom/instance/runtime.py
+++ b/bulrushloom/instance/runtime.py
@@ -11,10 +11,7 @@
 from datetime import timedelta
 from types import FrameType
 
-import eliot
-
 from bulrushloom.conf.base import Settings
-from bulrushloom.coordination.base import LogEntry
 from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
 from bulrushloom.coordination.failover.base import FailoverPolicy
 from bulrushloom.coordination.limits.client import ShareClient
@@ -24,6 +21,7 @@
 from bulrushloom.coordination.retries.budgets import BudgetedRetries
 from bulrushloom.coordination.routing.policies import FreshReplicaPolicy
 from bulrushloom.core.clock import Clock, SystemClock
+from bulrushloom.core.errors import Refusal
 from bulrushloom.core.requests import RequestLimits
 from bulrushloom.core.servers import ServerOptions
 from bulrushloom.databases.http import HttpDatabaseServer
@@ -33,13 +31,17 @@
 from bulrushloom.instance.coordinator import Coordinator, Drain, Edges, IsIdle
 from bulrushloom.instance.executor import TargetExecutor
 from bulrushloom.instance.frontend import Frontend
+from bulrushloom.instance.metering import MetricsView
 from bulrushloom.instance.node import Node, NodeParts
 from bulrushloom.instance.platform import DirectoryTask, StoreTask
 from bulrushloom.instance.protocol import peer_codec
+from bulrushloom.instance.recorder import RequestRecorder
 from bulrushloom.instance.router import StatementRouter
 from bulrushloom.instance.views import ViewCache
 from bulrushloom.peers.http import HTTPPeerTransport, TransportOptions, parse_address
 from bulrushloom.stores.http import HttpConfigurationStore
+from bulrushloom.telemetry.logs import log_effects, log_event, opened_logs
+from bulrushloom.telemetry.refusals import RefusalLog
 
 # A draining instance still accepts for this long, until the balancer has noticed.
 BALANCER_NOTICE = timedelta(seconds=1)
@@ -77,6 +79,14 @@
             f"{settings.name}.{self._incarnation}",
             timedelta(milliseconds=settings.request_timeout_ms),
         )
+        self._refusals = RefusalLog(clock)
+        self._metrics_view = MetricsView(
+            settings.name,
+            settings.domain,
+            clock,
+            self._coordinator.post,
+            lambda: self._transport.counts.body_bytes,
+        )
         self._transport = self._build_transport()
         self._gateway = self._build_gateway()
 
@@ -94,10 +104,13 @@
             StoreTask(store, post),
             DirectoryTask(directory, post),
             self._frontend,
-            _log_entry,
+            lambda entry: log_effects([entry]),
         )
-        self._coordinator.connect(edges)
+        metrics = self._metrics_view.metrics
+        recorder = RequestRecorder(metrics, self._clock.monotonic())
+        self._coordinator.connect(edges, recorder)
         # Closed in reverse order: callers first, the platform last.
+        self._stack.callback(metrics.close)
         self._stack.callback(edges.store.close)
         self._stack.callback(edges.directory.close, self._own)
         self._stack.callback(edges.executor.close)
@@ -106,19 +119,23 @@
         self._transport.start(post)
         self._coordinator.start()
         self._gateway.open()
+        log_event("instance_started", {"incarnation": self._incarnation})
 
     def drain(self) -> None:
         """Take no new work, finish what is open, then close everything."""
         deadline = self._clock.monotonic() + timedelta(
             milliseconds=self.settings.drain_timeout_ms
         )
+        log_event("drain_started", {"incarnation": self._incarnation})
         self._frontend.draining = True
         self._coordinator.post(Drain())
         time.sleep(BALANCER_NOTICE.total_seconds())
         self._gateway.close(deadline - self._clock.monotonic())
         while self._clock.monotonic() < deadline and not self._is_idle():
             time.sleep(IDLE_CHECK_INTERVAL.total_seconds())
+        fields = {"incarnation": self._incarnation, "work_open": not self._is_idle()}
         self._stack.close()
+        log_event("drain_finished", fields)
 
     def _is_idle(self) -> bool:
         future: Future[bool] = Future()
@@ -152,6 +169,7 @@
             settings.peer_address,
             self._clock,
             peer_codec(),
+            metrics=self._metrics_view,
             status=self._frontend.status,
             options=TransportOptions(fault_injection=settings.fault_injection),
         )
@@ -163,20 +181,21 @@
             limits=RequestLimits(body_bytes=settings.max_body_bytes),
         )
         address = parse_address(settings.caller_address)
-        return create_server(self._frontend, address, options)
+        return create_server(
+            self._frontend, address, options, record_refusal=self._refused
+        )
+
+    def _refused(self, request_id: str, account: str, refusal: Refusal) -> None:
+        self._metrics_view.metrics.refusal(account, refusal.kind.value)
+        self._refusals.record(request_id, account, refusal)
 
 
 def run_instance(settings: Settings) -> None:
     """Run an instance until SIGTERM or SIGINT, then drain it."""
-    with open(settings.log_path, "a") as log:
-        eliot.to_file(log)
+    with opened_logs(settings.log_path, settings.name):
         _run(settings)
 
 
-def _log_entry(entry: LogEntry) -> None:
-    eliot.log_message(message_type=entry.event, **entry.fields)
-
-
 def _run(settings: Settings) -> None:
     stopped = threading.Event()
 
--- a/bulrushloom/management/__init__.py
+++ b/bulrushloom/management/__init__.py
@@ -8,6 +8,7 @@
 
 from bulrushloom.management.base import PreparedCommand, run_prepared
 from bulrushloom.management.commands.keys import KeysCommands
+from bulrushloom.management.commands.report import ReportCommands
 from bulrushloom.management.commands.rules import RulesCommands
 from bulrushloom.management.commands.serve import serve
 from bulrushloom.management.commands.status import status
@@ -22,6 +23,7 @@
         self.rules = RulesCommands()
         self.keys = KeysCommands()
         self.status = status
+        self.report = ReportCommands()
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
--- a/bulrushloom/telemetry/burn.py
+++ b/bulrushloom/telemetry/burn.py
@@ -74,9 +74,20 @@
     def sums(self, minute: int, length: int) -> tuple[int, int]:
         """Return all and bad events of ``length`` minutes that end with ``minute``."""
         self._advance(minute)
-        slots = [(self._minute - i) % RING_MINUTES for i in range(length)]
-        total = sum(self._total[slot] for slot in slots)
-        return total, sum(self._bad[slot] for slot in slots)
+        return self._sum(self._total, length), self._sum(self._bad, length)
+
+    def copy(self) -> "MinuteRing":
+        """Return a copy that another thread may use."""
+        ring = MinuteRing(self._minute)
+        ring._total, ring._bad = self._total[:], self._bad[:]
+        return ring
+
+    def _sum(self, counts: "array[int]", length: int) -> int:
+        end = self._minute % RING_MINUTES + 1
+        before = length - end
+        # The window continues at the end of the array when it starts before slot 0.
+        rest = sum(counts[RING_MINUTES - before :]) if before > 0 else 0
+        return rest + sum(counts[max(0, end - length) : end])
 
     def _advance(self, minute: int) -> None:
         passed = min(max(0, minute - self._minute), RING_MINUTES)
@@ -118,6 +129,15 @@
         bad = gap // timedelta(milliseconds=1)
         self.record(account, Measure.FAILOVER_GAP, 0, bad, now)
 
+    def copy(self) -> "BurnCounters":
+        """Return a copy for ``counts``, which takes long, in another thread."""
+        copied = BurnCounters(self._start)
+        copied._ring_by_series = {
+            series: ring.copy() for series, ring in self._ring_by_series.items()
+        }
+        copied._accounts = set(self._accounts)
+        return copied
+
     def counts(self, now: timedelta) -> list[WindowCount]:
         """Return the counts of all windows, sorted by account and measure."""
         rows = []
--- a/bulrushloom/telemetry/metrics.py
+++ b/bulrushloom/telemetry/metrics.py
@@ -1,5 +1,7 @@
 """OpenTelemetry metrics of one instance, read as JSON on the peer address."""
 
+import threading
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import Any
@@ -44,14 +46,25 @@
             shutdown_on_exit=False,
         )
         meter = self._provider.get_meter("bulrushloom")
-        self._statements = meter.create_counter("statements", "{statement}")
+        # Counting a statement here and reading the counts when asked costs a tenth of
+        # an SDK call for each statement.
+        self._lock = threading.Lock()
+        self._statements: Counter[tuple[str, ...]] = Counter()
+        self._reads: Counter[tuple[str, ...]] = Counter()
+        meter.create_observable_counter(
+            "statements",
+            [self._observer(self._statements, ("account", "role", "outcome"))],
+            "{statement}",
+        )
+        meter.create_observable_counter(
+            "reads", [self._observer(self._reads, ("account", "role"))], "{statement}"
+        )
         self._refusals = meter.create_counter("refusals", "{request}")
         self._latency = meter.create_histogram(
             "statement_latency",
             "ms",
             explicit_bucket_boundaries_advisory=list(LATENCY_BOUNDS_MS),
         )
-        self._reads = meter.create_counter("reads", "{statement}")
         self._failovers = meter.create_counter("failovers", "{failover}")
         self._grants = meter.create_counter("share_grants", "{grant}")
         self._tokens = meter.create_counter("share_tokens", "{token}")
@@ -72,8 +85,8 @@
         self, account: str, role: str, outcome: str, latency: timedelta
     ) -> None:
         """Count a statement that ended; ``outcome`` is ``ok`` or an error kind."""
-        labels = {"account": account, "role": role, "outcome": outcome}
-        self._statements.add(1, labels)
+        with self._lock:
+            self._statements[account, role, outcome] += 1
         milliseconds = latency / _MILLISECOND
         self._latency.record(milliseconds, {"role": role, "outcome": outcome})
 
@@ -83,7 +96,8 @@
 
     def read(self, account: str, role: str) -> None:
         """Count a served read by the role of the server that ran it."""
-        self._reads.add(1, {"account": account, "role": role})
+        with self._lock:
+            self._reads[account, role] += 1
 
     def failover(self, group: str, outcome: str) -> None:
         """Count an ended attempt to promote: ``promoted``, ``lost`` or ``failed``."""
@@ -103,6 +117,19 @@
         data = self._reader.get_metrics_data()
         return b"{}" if data is None else data.to_json(indent=None).encode()
 
+    def _observer(
+        self, counts: Counter[tuple[str, ...]], names: tuple[str, ...]
+    ) -> Callable[[CallbackOptions], Iterable[Observation]]:
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            with self._lock:
+                items = list(counts.items())
+            return [
+                Observation(count, dict(zip(names, labels, strict=True)))
+                for labels, count in items
+            ]
+
+        return observe
+
     def close(self) -> None:
         """Shut the meter provider down."""
         self._provider.shutdown()
--- a/tests/bundling/test_build.py
+++ b/tests/bundling/test_build.py
@@ -80,6 +80,20 @@
     return int(dict(line.split(": ") for line in lines)["write_bytes"])
 
 
+def report_burn(fleet: Fleet, page: Path) -> str:
+    """Return the table of the burn report, which also loads the plot library."""
+    directory = fleet.process_by_name["directory"].address
+    options = [f"--directory={directory}", f"--html={page}"]
+    done = subprocess.run(
+        [*fleet.product, "report", "burn", *options],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
 def test_serve_runs_in_one_process_without_disk(product, ram_folder, tmp_path):
     fleet = Fleet(PLAN, tmp_path, product)
     entry = f"{PLAN.domains[0]}-1"
@@ -100,6 +114,9 @@
         }
         assert outside <= {tmp_path / f"{entry}.err"}
         assert written_bytes(pid) == 0
+        page = tmp_path / "burn.html"
+        assert "hotel-orders  served_share" in report_burn(fleet, page)
+        assert "<svg" in page.read_text()
     finally:
         status_by_name = fleet.stop()
     assert status_by_name[entry] == 0
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -202,3 +202,30 @@
     server.close(timedelta())
     expected = [("hotel-orders", "ok"), ("", "unauthenticated")]
     assert seen == [*expected, ("hotel-orders", "bad_request")]
+
+
+def test_refusals_carry_an_id_and_are_recorded_without_the_key():
+    # Operators find a caller's refusal in the log by this id.
+    recorded = []
+    handler = FakeHandler()
+    handler.new_request_id = lambda: "i-1.7"
+    server = create_server(
+        handler,
+        ("127.0.0.1", 0),
+        record_refusal=lambda *fields: recorded.append(fields),
+    )
+    server.open()
+    with Caller(server) as caller:
+        _, headers, _ = caller.ask()
+        assert "x-request-id" not in headers
+        _, headers, body = caller.ask(key="wrong")
+        assert headers["x-request-id"] == "i-1.7"
+        caller.ask(body=b"{")
+    server.close(timedelta())
+    assert handler.requests[0].request_id == "i-1.7"
+    kinds = [(number, account, str(of.kind)) for number, account, of in recorded]
+    assert kinds == [
+        ("i-1.7", "", "unauthenticated"),
+        ("i-1.7", "hotel-orders", "bad_request"),
+    ]
+    assert "wrong" not in repr(recorded)
--- /dev/null
+++ b/tests/telemetry/test_refusals.py
@@ -0,0 +1,40 @@
+"""Entries for refusals, and the bound on them."""
+
+import json
+from datetime import timedelta
+
+from bulrushloom.core.clock import Clock
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.telemetry.logs import opened_logs
+from bulrushloom.telemetry.refusals import MAX_ENTRIES_PER_SECOND, RefusalLog
+
+LIMITED = Refusal(ErrorKind.RATE_LIMITED, "quotes 'secret-17' of the caller")
+
+
+class StoppedClock(Clock):
+    now = timedelta(seconds=5)
+
+    def monotonic(self):
+        return self.now
+
+    def utcnow(self):
+        raise NotImplementedError
+
+
+def test_flood_is_bounded_and_counted_without_hiding_other_accounts(tmp_path):
+    clock, path = StoppedClock(), tmp_path / "log"
+    with opened_logs(str(path), "i-1"):
+        log = RefusalLog(clock)
+        for number in range(MAX_ENTRIES_PER_SECOND + 7):
+            log.record(f"i-1.{number}", "loud", LIMITED)
+        log.record("i-1.quiet", "quiet", LIMITED)
+        clock.now += timedelta(seconds=1)
+        log.record("i-1.later", "quiet", LIMITED)
+    entries = [json.loads(line) for line in path.read_text().splitlines()]
+    ids = [entry["request_id"] for entry in entries if "request_id" in entry]
+    assert len(ids) == MAX_ENTRIES_PER_SECOND + 2
+    assert ids[-2:] == ["i-1.quiet", "i-1.later"]
+    [omitted] = [entry for entry in entries if "request_id" not in entry]
+    assert (omitted["account"], omitted["count"]) == ("loud", 7)
+    # The text of a refusal may quote a statement.
+    assert "secret-17" not in path.read_text()
