--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -463,5 +463,6 @@
         "owner": pending.owner,
         "attempts": pending.attempt,
         "kind": refusal.kind.value,
+        "reason": refusal.message,
     }
     return [LogEntry("request_failed", fields)]
