--- a/bundling/build.py
+++ b/bundling/build.py
@@ -1,6 +1,8 @@
 """Builder of ``dist/bulrushloom``: packages in one file that Python runs."""
 
 import hashlib
+import importlib.metadata
+import re
 import shutil
 import subprocess
 import sys
@@ -64,7 +66,7 @@
     """Install the declared packages, in the versions that the tests use."""
     project = tomllib.loads((root / "pyproject.toml").read_text())["project"]
     dependencies: list[str] = project["dependencies"]
-    versions = _run_pip("freeze", "--exclude-editable")
+    versions = "\n".join(_installed_versions(dependencies))
     wanted = hashlib.sha256("\n".join([*dependencies, versions]).encode()).hexdigest()
     if folders.stamp.exists() and folders.stamp.read_text() == wanted:
         return
@@ -85,6 +87,27 @@
     folders.stamp.write_text(wanted)
 
 
+def _installed_versions(requirements: list[str]) -> list[str]:
+    """Return ``name==version`` of all packages needed, as installed here.
+
+    Other packages of the environment must not cause a new build.
+    """
+    version_by_name: dict[str, str] = {}
+    todo = list(requirements)
+    while todo:
+        name = re.split(r"[^\w.-]", todo.pop(), maxsplit=1)[0]
+        if name in version_by_name:
+            continue
+        try:
+            found = importlib.metadata.distribution(name)
+        except importlib.metadata.PackageNotFoundError:
+            # Needed only on other platforms or by an optional part.
+            continue
+        version_by_name[name] = found.version
+        todo += [need for need in found.requires or [] if "extra ==" not in need]
+    return sorted(f"{name}=={version}" for name, version in version_by_name.items())
+
+
 def _run_pip(*arguments: str) -> str:
     command = [sys.executable, "-m", "pip", "--disable-pip-version-check", *arguments]
     done = subprocess.run(
