--- a/bulrushloom/coordination/failover/monitor.py
+++ b/bulrushloom/coordination/failover/monitor.py
@@ -215,15 +215,15 @@
         self._planned.restart()
         if is_new:
             self._failures = 0
+        own = self._chart.state == "promoting" and term == self._last_term
         if self._chart.state != "following":
-            own = self._chart.state == "promoting" and term == self._last_term
             self._chart.send("promoted" if own else "primary_seen")
         self._round = None
         if not is_new:
             return []
         # Fresh statuses let the other servers be redirected without delay.
         others = [other for other in self._table.record_by_target if other != name]
-        log = self._log("primary_adopted", primary=name, term=term)
+        log = self._log("primary_adopted", primary=name, term=term, own_round=own)
         return [log, *map(PollStatus, others)]
 
     def _check_primary(self) -> list[Effect]:
--- a/bulrushloom/coordination/limits/client.py
+++ b/bulrushloom/coordination/limits/client.py
@@ -125,8 +125,10 @@
     def _tidy(self, account: str, now: timedelta) -> list[Effect]:
         tokens = self._tokens_by_account[account]
         retry_after = tokens.retry_after or DEFAULT_RETRY
+        confirmed = tokens.was_answered(now - TOKEN_WAIT)
         effects: list[Effect] = [
-            TokenRefused(request_id, retry_after) for request_id in tokens.overdue(now)
+            TokenRefused(request_id, retry_after, confirmed)
+            for request_id in tokens.overdue(now)
         ]
         for held in tokens.tidy(now):
             self._unreported(held, now)
@@ -167,6 +169,7 @@
             self._release([demand])
         tokens = self._account(grant.account)
         tokens.retry_after = timedelta(milliseconds=grant.retry_after_ms)
+        tokens.answered_at = now
         if grant.tokens <= 0:
             return []
         expires = request.sent + timedelta(milliseconds=grant.lifetime_ms)
--- a/bulrushloom/coordination/limits/tokens.py
+++ b/bulrushloom/coordination/limits/tokens.py
@@ -59,6 +59,7 @@
         self.asked_waiting = 0
         self.asked_ahead = 0
         self.next_ask: timedelta | None = None
+        self.answered_at: timedelta | None = None
         self._arrivals = 0
         self._demand = 0.0
 
@@ -73,6 +74,10 @@
         asked = self.asked_waiting or self.asked_ahead or self._arrivals
         return not self.busy and not asked and self._demand < NEGLIGIBLE_DEMAND
 
+    def was_answered(self, since: timedelta) -> bool:
+        """Return whether a share holder answered at ``since`` or later."""
+        return self.answered_at is not None and self.answered_at >= since
+
     def arrived(self) -> None:
         """Count a caller's request."""
         self._arrivals += 1
--- a/tests/coordination/limits/test_holder.py
+++ b/tests/coordination/limits/test_holder.py
@@ -218,14 +218,26 @@
 def test_domain_recovers_after_a_majority_of_its_electorate_is_gone():
     fleet = Fleet({"a": 3}, {"x": AccountLimit(10, 10)})
     fleet.run(5)
-    for name in fleet.nodes:
-        fleet.restart(name)
+    for number, name in enumerate(list(fleet.nodes)):
+        fleet.kill(name)
+        fleet.start(f"a{number + 7}", "a")
     fleet.run(10)
     assert fleet.holders("a") == []
     fleet.run(30)
     assert len(fleet.holders("a")) == 1
 
 
+def test_domain_recovers_sooner_after_its_instances_restarted():
+    fleet = Fleet({"a": 3}, {"x": AccountLimit(10, 10)})
+    fleet.run(5)
+    for name in fleet.nodes:
+        fleet.restart(name)
+    fleet.run(2)
+    assert fleet.holders("a") == []
+    fleet.run(8)
+    assert len(fleet.holders("a")) == 1
+
+
 def test_holder_survives_lost_store_answers():
     fleet = Fleet({"a": 4}, {"x": AccountLimit(10, 10)}, seed=3)
     fleet.weather = Weather(store_lost=0.6)
