--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 KEEP ?= 0
 
-.PHONY: all env lint types unit model build test run soak clean
+.PHONY: all env lint types unit processes model build test run soak clean
 
 all: test
 
@@ -24,7 +24,11 @@
 	$(BIN)/mypy
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 --ignore tests/processes
+
+# Each worker runs a fleet of 14 processes.
+processes: $(STAMP)
+	$(BIN)/python -m pytest -n 3 tests/processes
 
 model: $(STAMP)
 	command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc)
@@ -33,7 +37,7 @@
 build: $(STAMP)
 	$(BIN)/python -m bundling.build
 
-test: lint types model build unit
+test: lint types model build unit processes
 
 run: $(STAMP)
 	$(BIN)/python -m benchmarks.run --keep=$(KEEP)
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -80,6 +80,10 @@
 # instances or of the rules does it at once.
 WATCH_INTERVAL = timedelta(seconds=1)
 
+# Rules reach all instances of a connected fleet within 1.5 s, and a share holder
+# begins to fill the bucket of a new account 1 s after it learned of it.
+NEW_ACCOUNT_DELAY = timedelta(seconds=2.5)
+
 # Longest time that a starting instance waits for the share holders of its domain.
 MAX_HOLDER_WAIT = timedelta(seconds=3)
 
@@ -181,15 +185,17 @@
         """Return whether requests can be served; true for good once it was true.
 
         Without a share holder a request would be refused although its account is
-        inside its rate. A fleet whose store is down may have none, so after
+        inside its rate, and a holder that has just learned of an account has no
+        tokens yet. A fleet whose store is down may have no holder, so after
         ``MAX_HOLDER_WAIT`` the instance serves what it can.
         """
         if self._ready or not self.rules.version:
             return self._ready
         if self._rules_since is None:
             self._rules_since = now
+        waited = now - self._rules_since
         held = all(holder.known_holder(now) for holder in self.share_holders)
-        self._ready = held or now - self._rules_since >= MAX_HOLDER_WAIT
+        self._ready = waited >= (NEW_ACCOUNT_DELAY if held else MAX_HOLDER_WAIT)
         return self._ready
 
     def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
