Split the owner of a target into statements, transactions and jobs

Change: JobTable keeps accepted requests and sent answers, TransactionDesk leads transactions through their chart, TargetOwner keeps queue and slots.

Conclusion: behaviour is the same.

--- a/bulrushloom/instance/groups.py
+++ b/bulrushloom/instance/groups.py
@@ -22,6 +22,7 @@
 from bulrushloom.core.clock import milliseconds
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.instance.base import Executed
+from bulrushloom.instance.jobs import AwaitDurable
 from bulrushloom.instance.messages import (
     GroupView,
     GroupViewRequest,
@@ -29,7 +30,7 @@
     StatementRequest,
     TransactionRequest,
 )
-from bulrushloom.instance.owner import AwaitDurable, TargetOwner
+from bulrushloom.instance.owner import TargetOwner
 from bulrushloom.rules.base import TargetRule
 
 # A group that this instance neither watches nor serves is dropped after this long.
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -61,6 +61,7 @@
 from bulrushloom.instance.base import Complete, End, Executed, Submit
 from bulrushloom.instance.failures import Failure
 from bulrushloom.instance.groups import GROUP_RETENTION, WatchedGroup
+from bulrushloom.instance.jobs import error_answer
 from bulrushloom.instance.messages import (
     GroupView,
     GroupViewRequest,
@@ -69,7 +70,6 @@
     TransactionAnswer,
     TransactionRequest,
 )
-from bulrushloom.instance.owner import error_answer
 from bulrushloom.instance.platform import DirectoryFailed, InstancesListed
 from bulrushloom.instance.router import StatementRouter
 from bulrushloom.instance.views import ViewCache
--- /dev/null
+++ b/bulrushloom/instance/transaction_desk.py
@@ -0,0 +1,182 @@
+"""The owner's side of transactions: begin, commit, roll back, give up idle ones."""
+
+from datetime import timedelta
+
+from bulrushloom.coordination.base import Effect, SendMessage
+from bulrushloom.coordination.sessions.base import ORIGIN, LogPosition
+from bulrushloom.core.errors import ErrorKind
+from bulrushloom.databases.base import Rows
+from bulrushloom.instance.base import Executed, RunBegin, RunEnd
+from bulrushloom.instance.failures import STATEMENT_ONLY_KINDS, Failure, classify
+from bulrushloom.instance.jobs import Job, JobTable, refuse
+from bulrushloom.instance.messages import (
+    StatementRequest,
+    TransactionAnswer,
+    TransactionRequest,
+)
+from bulrushloom.instance.transactions import Transaction, TransactionTable
+
+# Request ids of rollbacks that no caller waits for begin with this.
+UNASKED = "unasked."
+
+
+class TransactionDesk:
+    """Lead the transactions of one target through their state chart."""
+
+    def __init__(self, target: str, jobs: JobTable, table: TransactionTable):
+        self._target = target
+        self._jobs = jobs
+        self._table = table
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no transaction is open."""
+        return not len(self._table)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether no further transaction may begin."""
+        return self._table.is_full
+
+    def begin(self, job: Job, request: TransactionRequest, now: timedelta) -> Effect:
+        """Open a transaction on a connection of its own."""
+        transaction = self._table.open(request.account, request.database, now)
+        opened = request._replace(transaction=transaction.handle)
+        self._jobs.add(job._replace(request=opened))
+        return RunBegin(self._target, request.request_id, transaction.handle, job.term)
+
+    def end(self, job: Job, request: TransactionRequest, now: timedelta) -> Effect:
+        """Commit or roll back."""
+        commit = request.action == "commit"
+        transaction = self._table.find(
+            request.transaction, request.account, request.database
+        )
+        if transaction is None:
+            return self._answer_ended(job, request, commit)
+        event = "commit" if commit else "rollback"
+        if not transaction.accepts(event):
+            message = f"transaction is {transaction.state}"
+            return refuse(job, Failure(ErrorKind.TRANSACTION_BUSY, message, False))
+        transaction.send(event, now)
+        self._jobs.add(job)
+        return self._run_end(request.request_id, transaction, job.term)
+
+    def enter(self, request: StatementRequest, now: timedelta) -> Failure | None:
+        """Reserve the transaction for one statement, or return why it cannot run."""
+        transaction = self._table.find(
+            request.transaction, request.account, request.database
+        )
+        if transaction is None:
+            return Failure(ErrorKind.TRANSACTION_LOST, "transaction is not open", False)
+        if not transaction.accepts("statement"):
+            return Failure(
+                ErrorKind.TRANSACTION_BUSY,
+                f"transaction is {transaction.state}; it runs one statement at a time",
+                False,
+            )
+        transaction.send("statement", now)
+        return None
+
+    def leave(
+        self, request: StatementRequest, failure: Failure | None, now: timedelta
+    ) -> list[Effect]:
+        """Free the transaction after a statement, or close it after a failure."""
+        lost = failure is not None and failure.kind not in STATEMENT_ONLY_KINDS
+        effects: list[Effect] = []
+        for transaction in self._table.matching(request.transaction):
+            self._send(transaction, "lost" if lost else "answered", now)
+            if lost:
+                effects.append(self._unasked_end(transaction))
+        return effects
+
+    def executed(
+        self, job: Job, request: TransactionRequest, executed: Executed, now: timedelta
+    ) -> list[Effect]:
+        """Take the result of a begin, commit or rollback."""
+        result = executed.result
+        if isinstance(result, Exception):
+            return self._failed(request, result, now)
+        if request.action == "commit" and isinstance(result, LogPosition):
+            job = job._replace(rows=Rows([], [], 0, result))
+            self._jobs.add(job)
+            return [job.await_durable()]
+        event = "opened" if request.action == "begin" else "answered"
+        self._settle(request, event, now)
+        return self._jobs.reply(_answer(request, ORIGIN), now)
+
+    def rolled_back(self, request_id: str, now: timedelta) -> None:
+        """Take the result of a rollback that no caller waits for."""
+        for transaction in self._table.matching(request_id.removeprefix(UNASKED)):
+            self._send(transaction, "answered", now)
+
+    def durable(
+        self, job: Job, request: TransactionRequest, now: timedelta
+    ) -> list[Effect]:
+        """Answer a commit that a majority of the group holds."""
+        self._settle(request, "committed", now)
+        return self._jobs.reply(_answer(request, job.position), now)
+
+    def undecided(self, request: TransactionRequest, now: timedelta) -> None:
+        """Note a commit that may yet be lost."""
+        self._settle(request, "undecided", now)
+
+    def roll_back_idle(self, now: timedelta) -> list[Effect]:
+        """Roll back the transactions that were idle for too long."""
+        effects: list[Effect] = []
+        for transaction in self._table.idle_since(now):
+            transaction.send("rollback", now)
+            effects.append(self._unasked_end(transaction))
+        return effects
+
+    def _answer_ended(
+        self, job: Job, request: TransactionRequest, commit: bool
+    ) -> Effect:
+        """Answer an end that comes again, or after the owner lost the transaction.
+
+        An earlier commit may have taken effect unless it is known to be rolled back.
+        """
+        state = self._table.ended_state(request.transaction)
+        if not commit and state in ("rolled_back", None):
+            return SendMessage(job.sender, _answer(request, ORIGIN))
+        if state == "rolled_back":
+            kind = ErrorKind.TRANSACTION_LOST
+        elif state == "committed":
+            kind = ErrorKind.TRANSACTION_UNKNOWN
+        else:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        message = f"transaction is not open; it ended as {state or 'unknown'}"
+        return refuse(job, Failure(kind, message, False))
+
+    def _failed(
+        self, request: TransactionRequest, error: Exception, now: timedelta
+    ) -> list[Effect]:
+        failure = classify(error, read_only=request.action != "commit")
+        if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+            self._settle(request, "undecided", now)
+            return self._jobs.fail(request, failure, now)
+        self._settle(request, "lost", now)
+        if request.action == "rollback":
+            # The target rolls back by itself when the connection is closed.
+            return self._jobs.reply(_answer(request, ORIGIN), now)
+        if request.action == "commit":
+            failure = Failure(ErrorKind.TRANSACTION_LOST, failure.message, False)
+        return self._jobs.fail(request, failure, now)
+
+    def _settle(self, request: TransactionRequest, event: str, now: timedelta) -> None:
+        for transaction in self._table.matching(request.transaction):
+            self._send(transaction, event, now)
+
+    def _send(self, transaction: Transaction, event: str, now: timedelta) -> None:
+        transaction.send(event, now)
+        self._table.settle(transaction)
+
+    def _unasked_end(self, transaction: Transaction) -> RunEnd:
+        return self._run_end(f"{UNASKED}{transaction.handle}", transaction, 0)
+
+    def _run_end(self, request_id: str, transaction: Transaction, term: int) -> RunEnd:
+        commit = transaction.state == "committing"
+        return RunEnd(self._target, request_id, transaction.handle, term, commit)
+
+
+def _answer(request: TransactionRequest, position: LogPosition) -> TransactionAnswer:
+    return TransactionAnswer(request.request_id, request.transaction, position, "", "")
--- a/tests/instance/test_owner.py
+++ b/tests/instance/test_owner.py
@@ -15,7 +15,8 @@
     StatementRefused,
 )
 from bulrushloom.instance.base import Executed, RunBegin, RunEnd, RunStatement
-from bulrushloom.instance.owner import AwaitDurable, TargetOwner
+from bulrushloom.instance.jobs import AwaitDurable
+from bulrushloom.instance.owner import TargetOwner
 from tests import builders
 
 ZERO = timedelta()
