Rank owners within a target's domain only

Cause: after each change of the instance list the coordinator ranked the whole fleet for every target, 1.7 million hashes at 730 instances and 2,340 targets.

Ruled out: the round without a change (2.5 ms).

Change: the staying instances of the target's own domain are ranked, once for each change of that domain; the others only when none of those can be reached.

--- a/bulrushloom/coordination/membership/base.py
+++ b/bulrushloom/coordination/membership/base.py
@@ -33,7 +33,7 @@
         self._unreachable_until_by_name: dict[str, timedelta] = {}
         self._draining: set[str] = set()
         self._heard_by_name: dict[str, _Heard] = {}
-        self._owners_by_target: dict[str, list[str]] = {}
+        self._near_by_domain: dict[str, dict[str, list[str]]] = {}
 
     def update(self, entries: Iterable[InstanceEntry], now: timedelta) -> None:
         """Replace the list; the own entry and those heard lately stay in it."""
@@ -64,9 +64,9 @@
         return True
 
     def _replace(self, instance_by_name: dict[str, InstanceEntry]) -> None:
-        if instance_by_name != self.instance_by_name:
-            self.instance_by_name = instance_by_name
-            self._owners_by_target.clear()
+        changed = set(instance_by_name.items()) ^ set(self.instance_by_name.items())
+        self.instance_by_name = instance_by_name
+        self._forget_owners({entry.domain for _, entry in changed})
 
     def set_draining(self, name: str, draining: bool) -> None:
         """Note what an instance says about itself, ahead of the platform's list."""
@@ -76,7 +76,9 @@
             self._draining.add(name)
         else:
             self._draining.discard(name)
-        self._owners_by_target.clear()
+        entry = self.instance_by_name.get(name)
+        if entry is not None:
+            self._forget_owners({entry.domain})
 
     def mark_unreachable(self, name: str, now: timedelta) -> None:
         """Pass over ``name`` for ``UNREACHABLE_PERIOD``."""
@@ -101,14 +103,15 @@
         Instances in the failure domain of the target come first; those that are
         leaving come last, so that an instance alone in the fleet still serves.
         """
-        order = self._owners_by_target.get(target.name)
-        if order is None:
-            order = self._compute_owners(target)
-            self._owners_by_target[target.name] = order
-        return order
+        near = self._near_owners(target)
+        order = rendezvous_order(target.name, set(self.instance_by_name) - set(near))
+        return near + sorted(order, key=self.is_leaving)
 
     def reachable_owner(self, target: TargetRule, now: timedelta) -> str | None:
         """Return the first owner that nothing speaks against."""
+        for name in self._near_owners(target):
+            if self.is_reachable(name, now):
+                return name
         for name in self.owners(target):
             if self.is_reachable(name, now):
                 return name
@@ -129,12 +132,24 @@
             entry for entry in self.instance_by_name.values() if entry.domain == domain
         ]
 
-    def _compute_owners(self, target: TargetRule) -> list[str]:
-        order = rendezvous_order(target.name, self.instance_by_name)
-        return sorted(
-            order,
-            key=lambda name: (
-                self.is_leaving(name),
-                self.instance_by_name[name].domain != target.domain,
-            ),
-        )
+    def _near_owners(self, target: TargetRule) -> list[str]:
+        """Return the staying instances of the target's domain in rendezvous order.
+
+        They are ranked once for each change of their domain: ranking the whole fleet
+        for every target takes a second at 730 instances.
+        """
+        order_by_target = self._near_by_domain.setdefault(target.domain, {})
+        order = order_by_target.get(target.name)
+        if order is None:
+            staying = (
+                entry.name
+                for entry in self.by_domain(target.domain)
+                if not self.is_leaving(entry.name)
+            )
+            order = rendezvous_order(target.name, staying)
+            order_by_target[target.name] = order
+        return order
+
+    def _forget_owners(self, domains: Iterable[str]) -> None:
+        for domain in domains:
+            self._near_by_domain.pop(domain, None)
