Close the connection of a transaction whose statement was not answered

Cause: after a statement of a transaction lost its answer, the owner rolled back on the same connection and gave it back to the pool. A statement that arrived late could then run outside its transaction, or in that of the next user of the connection (invariants 3 and 9). Found by the state machine over whole nodes: "statement of 't19' on the connection of ''".

Change: the executor notes transactions with an unanswered statement and ends them by closing the connection. A commit is refused.

--- a/bulrushloom/instance/executor.py
+++ b/bulrushloom/instance/executor.py
@@ -35,7 +35,7 @@
     ServerUnreachable,
     StatementRefused,
 )
-from bulrushloom.databases.pool import ConnectionPool
+from bulrushloom.databases.pool import ConnectionPool, is_reusable_after
 from bulrushloom.instance.base import Executed, RunBegin, RunEnd, RunStatement
 from bulrushloom.instance.owner import connection_limit
 from bulrushloom.rules.base import TargetRule
@@ -58,6 +58,8 @@
         self.server = server
         self.pool = ConnectionPool(server, connection_limit(rule))
         self.connection_by_handle: dict[str, str] = {}
+        # Transactions with a statement that may still reach the server.
+        self.unanswered_handles: set[str] = set()
 
     def close(self) -> None:
         self.pool.close()
@@ -126,7 +128,13 @@
         if not effect.handle:
             with at.pool.connection(POOL_TIMEOUT) as connection:
                 return at.server.execute(connection, effect.work)
-        return at.server.execute(_held(at, effect.handle), effect.work)
+        connection = _held(at, effect.handle)
+        try:
+            return at.server.execute(connection, effect.work)
+        except BaseException as error:
+            if not is_reusable_after(error):
+                at.unanswered_handles.add(effect.handle)
+            raise
 
     def _run_begin(self, effect: RunBegin, at: _Endpoint) -> None:
         connection = at.pool.acquire(POOL_TIMEOUT)
@@ -141,6 +149,8 @@
         connection = at.connection_by_handle.pop(effect.handle, None)
         if connection is None:
             raise _no_transaction(effect.handle)
+        if effect.handle in at.unanswered_handles:
+            return self._abandon(effect, connection, at)
         try:
             position = self._finish(effect, connection, at.server)
         except Exception:
@@ -150,6 +160,17 @@
         at.pool.release(connection)
         return position
 
+    def _abandon(self, effect: RunEnd, connection: str, at: _Endpoint) -> None:
+        """Roll back by closing the connection, which a late statement cannot use.
+
+        After a rollback on an open connection, a statement that arrives late would
+        run outside its transaction, or in that of the next user.
+        """
+        at.unanswered_handles.discard(effect.handle)
+        at.pool.discard(connection)
+        if effect.commit:
+            raise _no_transaction(effect.handle)
+
     def _finish(
         self, effect: RunEnd, connection: str, server: DatabaseServer
     ) -> LogPosition | None:
