Remember refused requests at the owner of a target

Cause: an owner kept only the answers of requests that it had accepted. A write refused as "not run" (for example, because the target was not yet seen as the primary) was sent again by its entry and ran.

The new tests in test_owner.py cover a write and the begin of a transaction.

--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -179,7 +179,7 @@
         job = _Job(sender, request, deadline, 0, None)
         failure = self._refusal(request, now)
         if failure is not None:
-            return [self._refuse(job, failure)]
+            return [self._refuse(job, failure, now)]
         if not self._queue.push(request.request_id, request.account, deadline, now):
             failure = Failure(
                 ErrorKind.OVERLOADED,
@@ -187,7 +187,7 @@
                 request.read_only,
             )
             self._statement_ended(request, failure, now)
-            return [self._refuse(job, failure)]
+            return [self._refuse(job, failure, now)]
         self._job_by_id[request.request_id] = job
         return self._start_queued(now)
 
@@ -250,7 +250,7 @@
                 ErrorKind.OVERLOADED, f"{self.rule.name} has no free connection", False
             )
         if failure is not None:
-            return [self._refuse(job, failure)]
+            return [self._refuse(job, failure, now)]
         transaction = self._transactions.open(request.account, request.database, now)
         opened = request._replace(transaction=transaction.handle)
         self._job_by_id[request.request_id] = job._replace(request=opened)
@@ -266,19 +266,19 @@
             request.transaction, request.account, request.database
         )
         if transaction is None:
-            return [self._answer_ended(job, request, commit)]
+            return [self._answer_ended(job, request, commit, now)]
         event = "commit" if commit else "rollback"
         if not transaction.accepts(event):
             failure = Failure(
                 ErrorKind.TRANSACTION_BUSY, f"transaction is {transaction.state}", False
             )
-            return [self._refuse(job, failure)]
+            return [self._refuse(job, failure, now)]
         transaction.send(event, now)
         self._job_by_id[request.request_id] = job
         return [self._run_end(request.request_id, transaction)]
 
     def _answer_ended(
-        self, job: _Job, request: TransactionRequest, commit: bool
+        self, job: _Job, request: TransactionRequest, commit: bool, now: timedelta
     ) -> Effect:
         """Answer an end that comes again, or after the owner lost the transaction.
 
@@ -297,7 +297,7 @@
         else:
             kind = ErrorKind.OUTCOME_UNKNOWN
         message = f"transaction is not open; it ended as {state or 'unknown'}"
-        return self._refuse(job, Failure(kind, message, False))
+        return self._refuse(job, Failure(kind, message, False), now)
 
     def _run_end(self, request_id: str, transaction: Transaction) -> RunEnd:
         return RunEnd(
@@ -455,8 +455,11 @@
             request_id, error_answer(job.request, failure), now
         )
 
-    def _refuse(self, job: _Job, failure: Failure) -> Effect:
-        return SendMessage(job.sender, error_answer(job.request, failure))
+    def _refuse(self, job: _Job, failure: Failure, now: timedelta) -> Effect:
+        """Answer that the request has not run, and never run a late copy of it."""
+        answer = error_answer(job.request, failure)
+        self._remember(job.request, answer, now)
+        return SendMessage(job.sender, answer)
 
     def _reply(
         self,
@@ -465,11 +468,18 @@
         now: timedelta,
     ) -> list[Effect]:
         job = self._job_by_id.pop(request_id)
-        read_only = isinstance(job.request, StatementRequest) and job.request.read_only
-        if not read_only:
-            self._answer_by_id[request_id] = _SentAnswer(answer, now)
+        self._remember(job.request, answer, now)
         return [SendMessage(job.sender, answer)]
 
+    def _remember(
+        self,
+        request: StatementRequest | TransactionRequest,
+        answer: StatementAnswer | TransactionAnswer,
+        now: timedelta,
+    ) -> None:
+        if isinstance(request, TransactionRequest) or not request.read_only:
+            self._answer_by_id[request.request_id] = _SentAnswer(answer, now)
+
     def _success(self, job: _Job) -> StatementAnswer:
         rows = job.rows or Rows([], [], 0, ORIGIN)
         return StatementAnswer(
--- a/tests/instance/test_owner.py
+++ b/tests/instance/test_owner.py
@@ -68,6 +68,26 @@
     assert answer(driver.owner.durable("r1.1", ZERO)).position == POSITION
 
 
+def test_late_copy_of_a_refused_write_does_not_run(driver):
+    # Its sender was told that it has not run and may have sent it elsewhere.
+    driver.owner.update_server(1, False, ZERO)
+    refused = answer(driver.give(builders.statement_request()))
+    assert refused.error == "no_target"
+    driver.owner.update_server(2, True, ZERO)
+    effects = driver.give(builders.statement_request())
+    assert not effects_of(effects, RunStatement)
+    assert answer(effects) == refused
+
+
+def test_late_copy_of_a_refused_begin_opens_nothing(driver):
+    driver.owner.update_server(1, False, ZERO)
+    refused = answer(driver.give(builders.transaction_request()))
+    driver.owner.update_server(2, True, ZERO)
+    effects = driver.give(builders.transaction_request())
+    assert not effects_of(effects, RunBegin)
+    assert answer(effects) == refused
+
+
 def test_repeated_write_of_an_earlier_term_waits_for_the_present_one(driver):
     # Waiting for the earlier term would report a durable write as unknown for good.
     driver.owner.update_server(3, True, ZERO)
