Catch broken variants of the nodes and add a soak run

Cause: a check that no fault can fail shows nothing. Most of the first ten broken variants were not caught, because faults seldom met requests.

"make soak" runs the machine longer with a random seed, which it prints.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 KEEP ?= 0
+# Examples and seed of a soak run; the seed is printed, so that a run can be repeated.
+EXAMPLES ?= 300
+SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
 
 .PHONY: all env lint types unit model test run soak clean
 
@@ -35,5 +38,11 @@
 run: $(STAMP)
 	$(BIN)/python -m benchmarks.run --keep=$(KEEP)
 
+soak: SEED := $(SEED)
+soak: $(STAMP)
+	@echo "soak: seed $(SEED), $(EXAMPLES) examples"
+	BULRUSHLOOM_SOAK_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest \
+		tests/instance/test_node_machine.py --hypothesis-seed=$(SEED)
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
--- a/tests/instance/servers.py
+++ b/tests/instance/servers.py
@@ -81,6 +81,10 @@
         if not self.up:
             self.restarted()
 
+    @property
+    def is_primary(self) -> bool:
+        return self.up and self.role is Role.PRIMARY
+
     @property
     def applied(self) -> LogPosition:
         if self.role is Role.PRIMARY:
--- /dev/null
+++ b/tests/instance/test_broken_nodes.py
@@ -0,0 +1,182 @@
+"""Failures guarded against: checks of the state machine that no fault can fail."""
+
+from unittest import mock
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from bulrushloom.coordination.sessions.base import ORIGIN
+from bulrushloom.databases.base import Rows
+from bulrushloom.instance import groups
+from bulrushloom.instance.base import Statement, Submit
+from bulrushloom.instance.node import Node
+from bulrushloom.instance.owner import TargetOwner
+from bulrushloom.instance.router import StatementRouter
+from bulrushloom.instance.transactions import TransactionTable
+from tests.instance.machine import NodeMachine
+
+SETTINGS = settings(
+    max_examples=25,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+)
+
+
+class RepeatingRouter(StatementRouter):
+    """Repeat every write that got no answer, with a key or without."""
+
+    def _check_attempt(self, pending, now):
+        late = pending.sent_at is not None and (now - pending.sent_at).seconds >= 2
+        if late and not pending.in_transaction:
+            return self._abandon_attempt(pending, now)
+        return super()._check_attempt(pending, now)
+
+
+class ForgetfulRouter(StatementRouter):
+    """Ignore the position of the session."""
+
+    def handle(self, sender, message, now):
+        if isinstance(message, Submit) and isinstance(message.request, Statement):
+            request = message.request._replace(min_position=ORIGIN)
+            message = message._replace(request=request)
+        return super().handle(sender, message, now)
+
+
+class OverconfidentRouter(StatementRouter):
+    """Call a request not run although an earlier attempt may have run."""
+
+    def _complete(self, pending, result):
+        pending.maybe_run = False
+        return super()._complete(pending, result)
+
+
+class HastyOwner(TargetOwner):
+    """Answer a write before a majority holds it."""
+
+    def _statement_executed(self, job, request, executed, now):
+        if isinstance(executed.result, Rows) and not request.transaction:
+            job = job._replace(rows=executed.result)
+            return self._reply(request.request_id, self._success(job), now)
+        return super()._statement_executed(job, request, executed, now)
+
+
+class ForgetfulOwner(TargetOwner):
+    """Keep no memory of the requests that ran."""
+
+    def _repeat(self, sender, request_id):
+        return [] if request_id in self._job_by_id else None
+
+
+class StubbornOwner(TargetOwner):
+    """Go on with a target that is leaving."""
+
+    def _refusal(self, request, now):
+        rule = self.rule
+        self.rule = rule._replace(leaving=False)
+        try:
+            return super()._refusal(request, now)
+        finally:
+            self.rule = rule
+
+
+class StubbornRouter(StatementRouter):
+    """Route to leaving targets."""
+
+    def update_rules(self, rules):
+        targets = {
+            name: rule._replace(leaving=False)
+            for name, rule in rules.target_by_name.items()
+        }
+        super().update_rules(rules._replace(target_by_name=targets))
+
+
+class TrustingTable(TransactionTable):
+    """Find a transaction without a look at its account."""
+
+    def find(self, handle, account, database):
+        found = list(self.matching(handle))
+        return found[0] if found else None
+
+
+class CarelessNode(Node):
+    """Run requests that were addressed to an earlier run."""
+
+    def _request(self, sender, message, now):
+        incarnation = self.table.own.incarnation
+        message = message._replace(incarnation=incarnation)
+        return super()._request(sender, message, now)
+
+
+class EndlessNode(Node):
+    """Admit every request without a token."""
+
+    def _admit(self, sender, message, now):
+        return self.router.handle(sender, message.submit, now)
+
+
+class CrossingNode(Node):
+    """Give each answer of a read to the request that was answered before."""
+
+    previous = None
+
+    def _dispatch(self, sender, message, now):
+        if getattr(message, "role", "") == "replica" and message.rows:
+            former, self.previous = self.previous, message
+            if former is not None:
+                message = message._replace(rows=former.rows)
+        return super()._dispatch(sender, message, now)
+
+
+def run(**changes):
+    machine = type("BrokenMachine", (NodeMachine,), changes)
+    run_state_machine_as_test(machine, settings=SETTINGS)
+
+
+ROUTERS = [
+    (RepeatingRouter, "invariant 10:"),
+    (ForgetfulRouter, "invariant 1:"),
+    (OverconfidentRouter, "invariant 9"),
+]
+OWNERS = [(HastyOwner, "invariant [12]:"), (ForgetfulOwner, "invariant 10:")]
+NODES = [
+    (CarelessNode, "invariant (2|10):"),
+    (EndlessNode, "invariant 7"),
+    (CrossingNode, "invariant 8"),
+]
+
+
+@pytest.mark.parametrize(("router_class", "reason"), ROUTERS)
+def test_broken_router_is_caught(router_class, reason):
+    with pytest.raises(AssertionError, match=reason):
+        run(router_class=router_class)
+
+
+@pytest.mark.parametrize(("owner_class", "reason"), OWNERS)
+def test_broken_owner_is_caught(owner_class, reason):
+    with mock.patch.object(groups, "TargetOwner", owner_class):
+        with pytest.raises(AssertionError, match=reason):
+            run()
+
+
+@pytest.mark.parametrize(("node_class", "reason"), NODES)
+def test_broken_node_is_caught(node_class, reason):
+    with pytest.raises(AssertionError, match=reason):
+        run(node_class=node_class)
+
+
+def test_statements_at_a_leaving_target_are_caught():
+    with mock.patch.object(groups, "TargetOwner", StubbornOwner):
+        with pytest.raises(AssertionError, match="invariant 11"):
+            run(router_class=StubbornRouter)
+
+
+def test_transactions_that_ignore_the_account_are_caught():
+    with mock.patch("bulrushloom.instance.owner.TransactionTable", TrustingTable):
+        with pytest.raises(AssertionError, match="invariant [34]"):
+            run()
