--- a/bulrushloom/instance/jobs.py
+++ b/bulrushloom/instance/jobs.py
@@ -88,10 +88,7 @@
 
     def reply(self, answer: OwnerAnswer, now: timedelta) -> list[Effect]:
         """End the job that ``answer`` belongs to."""
-        job = self.job_by_id.pop(answer.request_id)
-        if not job.is_read:
-            self._answer_by_id[answer.request_id] = _SentAnswer(answer, now)
-        return [SendMessage(job.sender, answer)]
+        return [self._answer(self.job_by_id.pop(answer.request_id), answer, now)]
 
     def fail(
         self, request: OwnerRequest, failure: Failure, now: timedelta
@@ -99,6 +96,19 @@
         """End the job of ``request`` with an error."""
         return self.reply(error_answer(request, failure), now)
 
+    def refuse(self, job: Job, failure: Failure, now: timedelta) -> Effect:
+        """Answer a request that does not become a job.
+
+        A late copy of a write that was refused as not run must not run either: its
+        entry may have sent the write elsewhere in the meantime.
+        """
+        return self._answer(job, error_answer(job.request, failure), now)
+
+    def _answer(self, job: Job, answer: OwnerAnswer, now: timedelta) -> Effect:
+        if not job.is_read:
+            self._answer_by_id[answer.request_id] = _SentAnswer(answer, now)
+        return SendMessage(job.sender, answer)
+
     def forget_answers(self, now: timedelta) -> None:
         """Drop the answers whose retention has passed."""
         while self._answer_by_id:
@@ -108,11 +118,6 @@
             self._answer_by_id.popitem(last=False)
 
 
-def refuse(job: Job, failure: Failure) -> Effect:
-    """Answer a request that did not become a job."""
-    return SendMessage(job.sender, error_answer(job.request, failure))
-
-
 def error_answer(
     request: StatementRequest | TransactionRequest, failure: Failure
 ) -> StatementAnswer | TransactionAnswer:
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -61,7 +61,7 @@
 from bulrushloom.instance.base import Complete, End, Executed, Submit
 from bulrushloom.instance.failures import Failure
 from bulrushloom.instance.groups import GROUP_RETENTION, WatchedGroup
-from bulrushloom.instance.jobs import error_answer
+from bulrushloom.instance.jobs import Job, JobTable
 from bulrushloom.instance.messages import (
     GroupView,
     GroupViewRequest,
@@ -159,6 +159,8 @@
         self._holder_by_key = {holder.key: holder for holder in parts.share_holders}
         self._policy = policy
         self._make_queue = make_queue
+        # Refused requests that reached no owner; a late copy must not run.
+        self._unplaced = JobTable()
         self._submit_by_id: dict[str, Submit] = {}
         self._next_watch_at = timedelta()
         self._rules_since: timedelta | None = None
@@ -189,10 +191,8 @@
         tokens yet. A fleet whose store is down may have no holder, so after
         ``MAX_HOLDER_WAIT`` the instance serves what it can.
         """
-        if self._ready or not self.rules.version:
+        if self._ready or self._rules_since is None:
             return self._ready
-        if self._rules_since is None:
-            self._rules_since = now
         waited = now - self._rules_since
         held = all(holder.known_holder(now) for holder in self.share_holders)
         self._ready = waited >= (NEW_ACCOUNT_DELAY if held else MAX_HOLDER_WAIT)
@@ -313,16 +313,33 @@
         message: StatementRequest | TransactionRequest,
         now: timedelta,
     ) -> list[Effect]:
+        known = self._unplaced.repeat(sender, message.request_id)
+        if known is not None:
+            return known
         rule = self.rules.target_by_name.get(message.target)
-        if rule is None:
-            reason = f"no target {message.target!r} here"
-            return [SendMessage(sender, _not_run(message, reason))]
-        if message.incarnation != self.table.own.incarnation:
-            reason = f"instance {self.own} was restarted"
-            return [SendMessage(sender, _not_run(message, reason))]
+        if rule is None or message.incarnation != self.table.own.incarnation:
+            return self._refuse_unplaced(sender, message, now)
         group = self._group(rule.group, now)
         return group.request(sender, message, rule, now, self.draining)
 
+    def _refuse_unplaced(
+        self,
+        sender: str,
+        message: StatementRequest | TransactionRequest,
+        now: timedelta,
+    ) -> list[Effect]:
+        """Refuse a request for an unknown target or an earlier run of this instance."""
+        self._unplaced.forget_answers(now)
+        reason = f"{self.own} was restarted or does not know {message.target!r}"
+        kind = (
+            ErrorKind.TRANSACTION_LOST if message.transaction else ErrorKind.NO_TARGET
+        )
+        if isinstance(message, TransactionRequest) and message.action == "commit":
+            # An earlier commit of the same transaction may have taken effect.
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        job = Job(sender, message, now, 0, None)
+        return [self._unplaced.refuse(job, Failure(kind, reason, True), now)]
+
     def _view_request(
         self, sender: str, message: GroupViewRequest, now: timedelta
     ) -> list[Effect]:
@@ -400,6 +417,8 @@
 
     def _apply_rules(self, now: timedelta) -> list[Effect]:
         rules = self.rules
+        if self._rules_since is None:
+            self._rules_since = now
         self._views.update_rules(rules)
         self.router.update_rules(rules)
         limit_by_account = {
@@ -461,11 +480,3 @@
         message = "no share holder answered in time; the rate is unknown"
     refusal = Refusal(ErrorKind.RATE_LIMITED, message, effect.retry_after)
     return Complete(effect.request_id, refusal, effect.confirmed)
-
-
-def _not_run(message: StatementRequest | TransactionRequest, reason: str) -> Message:
-    kind = ErrorKind.TRANSACTION_LOST if message.transaction else ErrorKind.NO_TARGET
-    if isinstance(message, TransactionRequest) and message.action == "commit":
-        # An earlier commit of the same transaction may have taken effect.
-        kind = ErrorKind.OUTCOME_UNKNOWN
-    return error_answer(message, Failure(kind, reason, True))
--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -9,7 +9,7 @@
 from bulrushloom.databases.base import IdempotencyRecord, Rows, Work
 from bulrushloom.instance.base import Executed, RunStatement
 from bulrushloom.instance.failures import STATEMENT_ONLY_KINDS, Failure, classify
-from bulrushloom.instance.jobs import Job, JobTable, refuse
+from bulrushloom.instance.jobs import Job, JobTable
 from bulrushloom.instance.messages import (
     StatementAnswer,
     StatementRequest,
@@ -131,14 +131,17 @@
         job = Job(sender, request, deadline, 0, None)
         failure = self._refusal(request, now)
         if failure is not None:
-            return [refuse(job, failure)]
+            return [self._jobs.refuse(job, failure, now)]
         if not self._queue.push(request.request_id, request.account, deadline, now):
             failure = Failure(
                 ErrorKind.OVERLOADED,
                 f"the queue of the account at {self.rule.name} is full",
                 request.read_only,
             )
-            return [*self._desk.leave(request, failure, now), refuse(job, failure)]
+            return [
+                *self._desk.leave(request, failure, now),
+                self._jobs.refuse(job, failure, now),
+            ]
         self._jobs.add(job)
         return self._start_queued(now)
 
@@ -171,7 +174,7 @@
             return [self._desk.end(job, request, now)]
         failure = self._begin_refusal()
         if failure is not None:
-            return [refuse(job, failure)]
+            return [self._jobs.refuse(job, failure, now)]
         return [self._desk.begin(job, request, now)]
 
     def _begin_refusal(self) -> Failure | None:
--- a/bulrushloom/instance/transaction_desk.py
+++ b/bulrushloom/instance/transaction_desk.py
@@ -8,7 +8,7 @@
 from bulrushloom.databases.base import Rows
 from bulrushloom.instance.base import Executed, RunBegin, RunEnd
 from bulrushloom.instance.failures import STATEMENT_ONLY_KINDS, Failure, classify
-from bulrushloom.instance.jobs import Job, JobTable, refuse
+from bulrushloom.instance.jobs import Job, JobTable
 from bulrushloom.instance.messages import (
     StatementRequest,
     TransactionAnswer,
@@ -52,11 +52,12 @@
             request.transaction, request.account, request.database
         )
         if transaction is None:
-            return self._answer_ended(job, request, commit)
+            return self._answer_ended(job, request, commit, now)
         event = "commit" if commit else "rollback"
         if not transaction.accepts(event):
             message = f"transaction is {transaction.state}"
-            return refuse(job, Failure(ErrorKind.TRANSACTION_BUSY, message, False))
+            failure = Failure(ErrorKind.TRANSACTION_BUSY, message, False)
+            return self._jobs.refuse(job, failure, now)
         transaction.send(event, now)
         self._jobs.add(job)
         return self._run_end(request.request_id, transaction, job.term)
@@ -129,7 +130,7 @@
         return effects
 
     def _answer_ended(
-        self, job: Job, request: TransactionRequest, commit: bool
+        self, job: Job, request: TransactionRequest, commit: bool, now: timedelta
     ) -> Effect:
         """Answer an end that comes again, or after the owner lost the transaction.
 
@@ -145,7 +146,7 @@
         else:
             kind = ErrorKind.OUTCOME_UNKNOWN
         message = f"transaction is not open; it ended as {state or 'unknown'}"
-        return refuse(job, Failure(kind, message, False))
+        return self._jobs.refuse(job, Failure(kind, message, False), now)
 
     def _failed(
         self, request: TransactionRequest, error: Exception, now: timedelta
