Add a benchmark of the cost of an idle instance and of one statement

The benchmark reads CPU time and memory from /proc, and the sent peer traffic from /v1/status, which now has the counts of the peer transport.

--- /dev/null
+++ b/benchmarks/instance_cost.py
@@ -0,0 +1,103 @@
+"""Measure what one instance costs when idle, and the time of one statement.
+
+Absolute figures depend on the machine; compare two versions that run at the same
+time. CPU time and memory come from ``/proc``, sent bytes from ``/v1/status``.
+"""
+
+import os
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import fire
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.callers import Caller
+from benchmarks.fleet import Fleet
+from benchmarks.plans import SMALL_FLEET
+
+# Share holders, groups and directory entries settle within this time.
+SETTLE_S = 4.0
+PAUSE_BETWEEN_STATEMENTS_S = 0.01
+_CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Usage(NamedTuple):
+    """Hold the counters of one instance: seconds of CPU and sent peer traffic."""
+
+    cpu_s: float
+    batches: int
+    messages: int
+    body_bytes: int
+
+
+def measure(seconds: float = 6.0, statements: int = 200, entries: int = 3) -> None:
+    """Print the cost of idle instances, then the latency of reads and writes."""
+    with tempfile.TemporaryDirectory(prefix="bulrushloom-cost-") as directory:
+        fleet = Fleet(SMALL_FLEET._replace(entries=entries), Path(directory))
+        try:
+            fleet.start()
+            time.sleep(SETTLE_S)
+            _print_idle(fleet, seconds)
+            _print_latency(fleet, statements)
+        finally:
+            fleet.stop()
+
+
+def _print_idle(fleet: Fleet, seconds: float) -> None:
+    usage_by_name = {name: _usage(fleet, name) for name in fleet.entry_names}
+    started = time.monotonic()
+    time.sleep(seconds)
+    elapsed = time.monotonic() - started
+    for name, before in usage_by_name.items():
+        after = _usage(fleet, name)
+        cpu, batches, messages, sent = (
+            (new - old) / elapsed for new, old in zip(after, before, strict=True)
+        )
+        resident = _resident_mb(fleet, name)
+        print(
+            f"{name:<14} idle cpu {cpu * 100:5.2f}%  {resident:5.1f} MB"
+            f"  sent {batches:6.1f} batches/s {messages:6.1f} messages/s"
+            f" {sent / 1000:6.2f} kB/s"
+        )
+
+
+def _print_latency(fleet: Fleet, statements: int) -> None:
+    caller = Caller(fleet.key("admin"))
+    url = fleet.caller_url(fleet.entry_names[0])
+    caller.query(url, "orders", "CREATE TABLE cost (id INTEGER)")
+    for name, sql in (
+        ("read", "SELECT id FROM cost LIMIT 1"),
+        ("write", "INSERT INTO cost VALUES (1)"),
+    ):
+        latencies = HdrHistogram(1, 60_000_000, 3)
+        refused = 0
+        for _ in range(statements):
+            time.sleep(PAUSE_BETWEEN_STATEMENTS_S)
+            reply = caller.query(url, "orders", sql)
+            refused += not reply.ok
+            latencies.record_value(int(reply.seconds * 1_000_000))
+        p50, p90 = (latencies.get_value_at_percentile(p) / 1000 for p in (50, 90))
+        print(f"{name:<14} p50 {p50:.2f} ms  p90 {p90:.2f} ms  refused {refused}")
+    caller.close()
+
+
+def _usage(fleet: Fleet, name: str) -> Usage:
+    sent = fleet.status(name)["sent"]
+    text = Path(f"/proc/{fleet.process_by_name[name].pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return Usage(
+        ticks / _CLOCK_TICKS, sent["batches"], sent["messages"], sent["body_bytes"]
+    )
+
+
+def _resident_mb(fleet: Fleet, name: str) -> float:
+    text = Path(f"/proc/{fleet.process_by_name[name].pid}/status").read_text()
+    kilobytes = text.partition("VmRSS:")[2].split()[0]
+    return int(kilobytes) / 1000
+
+
+if __name__ == "__main__":
+    fire.Fire(measure)
--- a/bulrushloom/instance/runtime.py
+++ b/bulrushloom/instance/runtime.py
@@ -10,6 +10,7 @@
 from contextlib import ExitStack
 from datetime import timedelta
 from types import FrameType
+from typing import Any
 
 import eliot
 
@@ -152,10 +153,14 @@
             settings.peer_address,
             self._clock,
             peer_codec(),
-            status=self._frontend.status,
+            status=self._status,
             options=TransportOptions(fault_injection=settings.fault_injection),
         )
 
+    def _status(self) -> dict[str, Any]:
+        sent = self._transport.counts._asdict()
+        return {**self._frontend.status(), "sent": sent}
+
     def _build_gateway(self) -> GatewayServer:
         settings = self.settings
         options = ServerOptions(
