Let idle parts tick together and the router only with open requests

The router had no next_tick, so the coordinator still woke up 50 times a second, and idle parts ticked at different moments. Idle ticks are now multiples of 100 ms, which heartbeats fall on as well.

--- a/bulrushloom/coordination/base.py
+++ b/bulrushloom/coordination/base.py
@@ -14,6 +14,14 @@
 IDLE_TICK = timedelta(milliseconds=100)
 
 
+def idle_tick(last: timedelta) -> timedelta:
+    """Return when a part without work is due after a tick at ``last``.
+
+    The times are multiples of ``IDLE_TICK``, so that idle parts are due together.
+    """
+    return (last // IDLE_TICK + 1) * IDLE_TICK
+
+
 class DecisionPart(ABC):
     """Turn messages and the passing of time into effects, deterministically.
 
--- a/bulrushloom/coordination/configuration/tracker.py
+++ b/bulrushloom/coordination/configuration/tracker.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from bulrushloom.coordination.base import (
-    IDLE_TICK,
     DecisionPart,
     Effect,
     KeyValue,
@@ -15,6 +14,7 @@
     ReadKey,
     SendMessage,
     StoreFailed,
+    idle_tick,
 )
 from bulrushloom.coordination.configuration.assurance import (
     FRESH_FOR,
@@ -171,7 +171,7 @@
         times = [self._next_ping_at, self._hasty_ping_at, self._reading.next_at]
         if self._requested_at is not None:
             times.append(self._requested_at + REQUEST_RETRY)
-        return min([last + IDLE_TICK, *(at for at in times if at > last)])
+        return min([idle_tick(last), *(at for at in times if at > last)])
 
     def _domains(self) -> frozenset[str]:
         return frozenset(self.rules.domain_by_name) or self._topology.domains
--- a/bulrushloom/coordination/failover/monitor.py
+++ b/bulrushloom/coordination/failover/monitor.py
@@ -4,12 +4,12 @@
 from datetime import timedelta
 
 from bulrushloom.coordination.base import (
-    IDLE_TICK,
     DecisionPart,
     Effect,
     LogEntry,
     Message,
     SendMessage,
+    idle_tick,
 )
 from bulrushloom.coordination.failover.base import (
     FailoverPolicy,
@@ -143,7 +143,7 @@
         if self._chart.state != "following":
             return last
         due = self._table.next_due(self._primary_record)
-        return min(max(due, last), last + IDLE_TICK)
+        return min(max(due, last), idle_tick(last))
 
     @property
     def _primary_record(self) -> ServerRecord | None:
--- a/bulrushloom/coordination/limits/client.py
+++ b/bulrushloom/coordination/limits/client.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-from bulrushloom.coordination.base import IDLE_TICK, Effect, Message, SendMessage
+from bulrushloom.coordination.base import (
+    Effect,
+    Message,
+    SendMessage,
+    idle_tick,
+)
 from bulrushloom.coordination.limits.base import (
     AccountDemand,
     AccountGrant,
@@ -97,7 +102,7 @@
     def next_tick(self, last: timedelta) -> timedelta:
         """Return ``last`` while accounts have tokens, callers or demand."""
         busy = self._tokens_by_account or self._report_due_by_share or self._requests
-        return last if busy else last + IDLE_TICK
+        return last if busy else idle_tick(last)
 
     def peer_lost(self, name: str, now: timedelta) -> list[Effect]:
         """Ask another instance at once for what was asked of a lost one."""
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from bulrushloom.coordination.base import (
-    IDLE_TICK,
     Effect,
     KeySwapped,
     KeyValue,
@@ -13,6 +12,7 @@
     ReadKey,
     SendMessage,
     SwapKey,
+    idle_tick,
 )
 from bulrushloom.coordination.limits.base import (
     HolderAck,
@@ -220,7 +220,7 @@
             due = max(last, self._next_try or last)
         elif self.machine.state == "holding" and self.tenure is not None:
             due = max(last, self.tenure.next_beat_at)
-        return min(due, last + IDLE_TICK)
+        return min(due, idle_tick(last))
 
     def _watch(self, now: timedelta) -> list[Effect]:
         if self._next_try is None or now < self._next_try:
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -3,7 +3,13 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from bulrushloom.coordination.base import DecisionPart, Effect, Message, SendMessage
+from bulrushloom.coordination.base import (
+    DecisionPart,
+    Effect,
+    Message,
+    SendMessage,
+    idle_tick,
+)
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.retries.base import RetryPolicy
 from bulrushloom.coordination.routing.base import ReadNeed, ReadPolicy
@@ -160,6 +166,10 @@
                 effects += self._check_attempt(pending, now)
         return effects
 
+    def next_tick(self, last: timedelta) -> timedelta:
+        """Return ``last`` while a request is open."""
+        return last if self._pending_by_id else idle_tick(last)
+
     def _submit(self, submit: Submit, now: timedelta) -> list[Effect]:
         pending = _Pending(submit)
         self._pending_by_id[submit.request_id] = pending
