Test the schedule of ticks and run the limits' simulation with it

Guards against parts whose next_tick is later than what they have due: the monitor polls and suspects at the same moments, heartbeats are never more than 200 ms apart, and the simulated fleet of the limits ticks as sparsely as an instance.

--- a/tests/coordination/limits/builders.py
+++ b/tests/coordination/limits/builders.py
@@ -26,6 +26,7 @@
 from bulrushloom.coordination.limits.client import ShareClient
 from bulrushloom.coordination.limits.holder import ShareHolder
 from bulrushloom.coordination.limits.utils import rendezvous_order, share_subject
+from bulrushloom.instance.schedule import TickSchedule
 
 TICK = timedelta(milliseconds=20)
 LIST_INTERVAL = timedelta(seconds=1)
@@ -58,6 +59,8 @@
         self.alive = True
         self.leaving = False
         self.paused_until = timedelta()
+        # Ticks as sparse as in an instance, to test that nothing is due in between.
+        self.schedule = TickSchedule()
         self.origin = timedelta(seconds=fleet.random.randrange(10**6))
         self.holder = fleet.holder_class(name, self.member.incarnation, domain)
         self.client = fleet.client_class(name, self.member.incarnation, domain)
@@ -172,8 +175,8 @@
 
     def _tick(self, node: Node) -> None:
         if node.alive:
-            self._do(node, node.client.tick)
-            self._do(node, node.holder.tick)
+            parts = [node.client, node.holder]
+            self._do(node, lambda now: node.schedule.tick(parts, now))
             resume = max(self.now, node.paused_until)
             self.at(resume + TICK, lambda: self._tick(node))
 
--- /dev/null
+++ b/tests/instance/test_schedule.py
@@ -0,0 +1,99 @@
+from datetime import timedelta
+
+from bulrushloom.coordination.base import IDLE_TICK, effects_of
+from bulrushloom.coordination.failover.base import (
+    FailoverPolicy,
+    GroupTarget,
+    PollStatus,
+    StatusReceived,
+)
+from bulrushloom.coordination.failover.monitor import GroupMonitor
+from bulrushloom.coordination.limits.base import (
+    AccountLimit,
+    HolderAck,
+    HolderHeartbeat,
+    Member,
+)
+from bulrushloom.coordination.limits.client import ShareClient
+from bulrushloom.coordination.limits.electorate import (
+    HEARTBEAT_INTERVAL,
+    Elector,
+    Tenure,
+)
+from bulrushloom.coordination.sessions.base import LogPosition
+from bulrushloom.databases.base import Role, ServerStatus
+from bulrushloom.instance.schedule import TickSchedule, is_routine
+
+STEP = timedelta(milliseconds=20)
+START = timedelta(seconds=1000)
+
+
+def moments(duration):
+    return [START + STEP * index for index in range(duration // STEP)]
+
+
+def monitor_that_follows(now):
+    monitor = GroupMonitor("g", "w", "w.1", FailoverPolicy())
+    monitor.update([GroupTarget("a", False)], ["w"], "w")
+    monitor.tick(now)
+    at = LogPosition(1, 1)
+    status = ServerStatus("a", Role.PRIMARY, 1, at, at, timedelta(), None)
+    monitor.handle("", StatusReceived("a", status), now)
+    assert monitor.state == "following"
+    return monitor
+
+
+def test_primary_is_suspected_and_polled_as_with_a_tick_every_time():
+    """Guards against a failure that is detected later because ticks are sparse."""
+    ticked = []
+    for sparse in (False, True):
+        monitor = monitor_that_follows(START)
+        schedule = TickSchedule()
+        events = []
+        for now in moments(timedelta(seconds=3)):
+            effects = schedule.tick([monitor], now) if sparse else monitor.tick(now)
+            events += [(now, poll) for poll in effects_of(effects, PollStatus)]
+            events += [(now, monitor.state)] if monitor.state != "following" else []
+        ticked.append(events[:5])
+    assert ticked[0] == ticked[1]
+
+
+def test_idle_part_is_ticked_ten_times_a_second():
+    """Guards against an idle loop that costs more than the control cost allows."""
+    client = ShareClient("a", "a.1", "d")
+    schedule = TickSchedule()
+    last = [schedule.next_tick([client], now) for now in moments(timedelta(seconds=1))]
+    assert len(set(last)) <= timedelta(seconds=1) // IDLE_TICK + 1
+
+
+def test_client_with_a_waiting_caller_is_ticked_every_time():
+    client = ShareClient("a", "a.1", "d")
+    client.update_instances({"d": ["a"]}, START)
+    client.update_accounts({"x": AccountLimit(10, 10)}, 1, START)
+    client.acquire("1", "x", START)
+    assert client.next_tick(START) == START
+
+
+def test_heartbeats_of_all_shares_fall_on_the_same_moments():
+    """Guards against intervals above 200 ms, which would shorten the authority."""
+    member = Member("a", "a.1")
+    tenures = [Tenure("d", shard, 1, [member]) for shard in range(2)]
+    sent = [[], []]
+    for now in moments(timedelta(seconds=2)):
+        for shard, tenure in enumerate(tenures):
+            if now < START + STEP * 3 * shard:
+                continue
+            if tenure.beat({"b"}, "a", Elector("d", shard, "a.1"), now):
+                sent[shard].append(now)
+    assert sent[0][1:] == sent[1][1:]
+    gaps = [b - a for times in sent for a, b in zip(times, times[1:], strict=False)]
+    assert max(gaps) == HEARTBEAT_INTERVAL
+
+
+def test_only_expected_answers_are_routine():
+    """Guards against work that begins with a message and waits for an idle tick."""
+    beat = HolderHeartbeat("d", 0, 1, 1)
+    ack = HolderAck("d", 0, 1, 1, "a.1", True)
+    assert is_routine(beat, [ack])
+    assert not is_routine(beat, [ack, ack])
+    assert not is_routine(PollStatus("a"), [])
