Compress batches of rate-share messages

The messages of the rate shares repeat account names and field layouts, and a loan request named its demand with up to 17 digits. Batches of 100 bytes or more that hold such messages are now sent as a raw deflate stream with a dictionary of the type names; the signature covers the compressed body, and the receiver bounds what it expands to. Loan demands are rounded up to the pieces of 1/64 token in which lenders give anyway.

The envelope of a batch (its HTTP head) is not reduced.

--- a/bulrushloom/coordination/limits/loans.py
+++ b/bulrushloom/coordination/limits/loans.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
+from math import ceil
 
 from bulrushloom.coordination.base import Effect, SendMessage
 from bulrushloom.coordination.limits.base import (
@@ -10,7 +11,11 @@
     TokenLoan,
     TokenLoanRequest,
 )
-from bulrushloom.coordination.limits.buckets import Lot, ShareBucket
+from bulrushloom.coordination.limits.buckets import (
+    PIECES_PER_TOKEN,
+    Lot,
+    ShareBucket,
+)
 from bulrushloom.coordination.limits.desk import TokenDesk
 from bulrushloom.coordination.limits.finder import HolderFinder
 from bulrushloom.coordination.limits.utils import exchange_interval, is_small
@@ -241,6 +246,8 @@
         for account in accounts:
             bucket = self._desk.bucket_by_account.get(account)
             each = self._wanted(account, bucket, len(lenders)) if bucket else 0.0
+            # Lenders give whole pieces, whose numbers are short in a message.
+            each = ceil(each * PIECES_PER_TOKEN) / PIECES_PER_TOKEN
             if each <= 0:
                 continue
             for lender in lenders - self._asked(account):
--- a/bulrushloom/instance/protocol.py
+++ b/bulrushloom/instance/protocol.py
@@ -54,6 +54,16 @@
 )
 
 
+# Their account names and numbers repeat, so compression saves more than half.
+PACKED_MESSAGES: tuple[type, ...] = (
+    ShareRequest,
+    ShareGrant,
+    ShareHandover,
+    TokenLoanRequest,
+    TokenLoan,
+)
+
+
 def peer_codec() -> MessageCodec:
     """Return the codec of the peer protocol."""
-    return MessageCodec(PEER_MESSAGES)
+    return MessageCodec(PEER_MESSAGES, PACKED_MESSAGES)
--- a/bulrushloom/peers/http.py
+++ b/bulrushloom/peers/http.py
@@ -25,7 +25,7 @@
     PeerLost,
     PeerTransport,
 )
-from bulrushloom.peers.codec import MessageCodec, join_batch
+from bulrushloom.peers.codec import MessageCodec
 from bulrushloom.peers.connections import BatchConnection
 from bulrushloom.peers.envelopes import Envelope, EnvelopeChecker
 from bulrushloom.peers.faults import Faults
@@ -223,7 +223,10 @@
 
     def _start(self, outbox: Outbox) -> bool:
         """Begin to send the current batch; return false if it failed."""
-        body = join_batch(item.encoded for item in outbox.batch)
+        body = self._codec.encode_batch(
+            (item.message for item in outbox.batch),
+            [item.encoded for item in outbox.batch],
+        )
         envelope = Envelope(
             self._name,
             self._domain,
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -1,3 +1,5 @@
+import zlib
+
 import orjson
 import pytest
 from hypothesis import given, settings
@@ -6,7 +8,12 @@
 from bulrushloom.coordination.sessions.base import LogPosition
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.instance.messages import GroupView, ServerView, StatementAnswer
-from bulrushloom.peers.codec import MessageCodec, join_batch
+from bulrushloom.peers.codec import (
+    MAX_UNPACKED_BYTES,
+    PACKED_MARK,
+    MessageCodec,
+    join_batch,
+)
 from tests.peers.builders import CLASSES, group
 
 CODEC = MessageCodec(CLASSES)
@@ -56,6 +63,30 @@
         assert isinstance(message, (tuple, Missing))
 
 
+def test_batches_of_packed_classes_are_compressed():
+    codec = MessageCodec(CLASSES, packed=[GroupView])
+    for messages, packs in (
+        ([VIEW], False),
+        ([VIEW] * 10, True),
+        ([group("g")] * 10, False),
+    ):
+        encoded = [codec.encode(message) for message in messages]
+        body = codec.encode_batch(messages, encoded)
+        assert (len(body) < len(join_batch(encoded)) / 2) == packs
+        assert codec.decode_batch(body) == messages
+
+
+def test_compressed_batch_is_bounded_and_complete():
+    """Guards against input that expands without limit, and against a partial one."""
+    deflater = zlib.compressobj(wbits=-zlib.MAX_WBITS)
+    spaces = deflater.compress(b" " * (MAX_UNPACKED_BYTES + 1)) + deflater.flush()
+    assert "too long" in CODEC.decode_batch(PACKED_MARK + spaces).reason
+    codec = MessageCodec(CLASSES, packed=[GroupView])
+    packed = codec.encode_batch([VIEW] * 10, [codec.encode(VIEW)] * 10)
+    for length in range(len(packed)):
+        assert codec.decode_batch(packed[:length]).reason
+
+
 def test_unregistered_class_is_refused():
     with pytest.raises(TypeError, match="LogPosition is not a registered"):
         CODEC.encode(LogPosition(1, 2))
