--- a/bulrushloom/coordination/configuration/tracker.py
+++ b/bulrushloom/coordination/configuration/tracker.py
@@ -14,6 +14,7 @@
     ReadKey,
     SendMessage,
     StoreFailed,
+    idle_tick,
 )
 from bulrushloom.coordination.configuration.assurance import (
     FRESH_FOR,
@@ -165,6 +166,13 @@
         effects += self._request_if_due(now)
         return effects
 
+    def next_tick(self, last: timedelta) -> timedelta:
+        """Return when the next read, ping or repeated request may be due."""
+        times = [self._next_ping_at, self._hasty_ping_at, self._reading.next_at]
+        if self._requested_at is not None:
+            times.append(self._requested_at + REQUEST_RETRY)
+        return min([idle_tick(last), *(at for at in times if at > last)])
+
     def _domains(self) -> frozenset[str]:
         return frozenset(self.rules.domain_by_name) or self._topology.domains
 
--- a/bulrushloom/coordination/failover/monitor.py
+++ b/bulrushloom/coordination/failover/monitor.py
@@ -9,6 +9,7 @@
     LogEntry,
     Message,
     SendMessage,
+    idle_tick,
 )
 from bulrushloom.coordination.failover.base import (
     FailoverPolicy,
@@ -137,6 +138,13 @@
         effects += [PollStatus(target) for target in self._table.due_polls(now)]
         return effects + self._review() + self._reports()
 
+    def next_tick(self, last: timedelta) -> timedelta:
+        """Return when a poll is due or the primary's silence would be too long."""
+        if self._chart.state != "following":
+            return last
+        due = self._table.next_due(self._primary_record)
+        return min(max(due, last), idle_tick(last))
+
     @property
     def _primary_record(self) -> ServerRecord | None:
         return self._table.record_by_target.get(self._primary or "")
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -12,6 +12,7 @@
     ReadKey,
     SendMessage,
     SwapKey,
+    idle_tick,
 )
 from bulrushloom.coordination.limits.base import (
     HolderAck,
@@ -212,6 +213,15 @@
             return self._read_back(now)
         return []
 
+    def next_tick(self, last: timedelta) -> timedelta:
+        """Return when the next try or heartbeat is due, soon while a call is open."""
+        due = last
+        if self.machine.state in ("watching", "retired"):
+            due = max(last, self._next_try or last)
+        elif self.machine.state == "holding" and self.tenure is not None:
+            due = max(last, self.tenure.next_beat_at)
+        return min(due, idle_tick(last))
+
     def _watch(self, now: timedelta) -> list[Effect]:
         if self._next_try is None or now < self._next_try:
             return []
--- a/bulrushloom/instance/runtime.py
+++ b/bulrushloom/instance/runtime.py
@@ -10,6 +10,7 @@
 from contextlib import ExitStack
 from datetime import timedelta
 from types import FrameType
+from typing import Any
 
 from bulrushloom.conf.base import Settings
 from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
@@ -170,10 +171,14 @@
             self._clock,
             peer_codec(),
             metrics=self._metrics_view,
-            status=self._frontend.status,
+            status=self._status,
             options=TransportOptions(fault_injection=settings.fault_injection),
         )
 
+    def _status(self) -> dict[str, Any]:
+        sent = self._transport.counts._asdict()
+        return {**self._frontend.status(), "sent": sent}
+
     def _build_gateway(self) -> GatewayServer:
         settings = self.settings
         options = ServerOptions(
