Answer a write to an earlier run of the owner as unknown

Cause: a restarted owner answered a statement that was addressed to its earlier run as "not run, try elsewhere".

Change: a write outside transactions gets outcome_unknown; a write with an idempotency key is then repeated by its entry. Reads and transactions are answered as before. The cost: a write without a key that meets a restarted owner before its entry has heard of the restart is not sent again.

--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -313,7 +313,7 @@
             return [SendMessage(sender, _not_run(message, reason))]
         if message.incarnation != self.table.own.incarnation:
             reason = f"instance {self.own} was restarted"
-            return [SendMessage(sender, _not_run(message, reason))]
+            return [SendMessage(sender, _forgotten(message, reason))]
         group = self._group(rule.group, now)
         return group.request(sender, message, rule, now, self.draining)
 
@@ -462,3 +462,12 @@
         # An earlier commit of the same transaction may have taken effect.
         kind = ErrorKind.OUTCOME_UNKNOWN
     return error_answer(message, Failure(kind, reason, True))
+
+
+def _forgotten(message: StatementRequest | TransactionRequest, reason: str) -> Message:
+    """Answer a request to an earlier run, which may have run another copy of it."""
+    is_write = isinstance(message, StatementRequest) and not message.read_only
+    if is_write and not message.transaction:
+        failure = Failure(ErrorKind.OUTCOME_UNKNOWN, reason, False)
+        return error_answer(message, failure)
+    return _not_run(message, reason)
--- /dev/null
+++ b/tests/instance/test_node.py
@@ -0,0 +1,28 @@
+"""Failures guarded against: a restarted owner that denies what it ran before."""
+
+import pytest
+
+from bulrushloom.coordination.base import effects_of
+from bulrushloom.instance.messages import StatementAnswer
+from tests import builders
+from tests.instance.builders import Fleet, seconds
+from tests.instance.callers import Callers
+
+
+@pytest.mark.parametrize(
+    ("read_only", "error"), [(False, "outcome_unknown"), (True, "no_target")]
+)
+def test_copy_of_a_request_to_an_earlier_run(read_only, error):
+    # The earlier run may have run the first copy before the restart.
+    fleet = Fleet()
+    Callers(fleet).apply_rules("", set(), seconds(0))
+    fleet.run(seconds(2))
+    process = fleet.processes["east-1"]
+    request = builders.statement_request(
+        incarnation="east-1/0", target="orders-a", read_only=read_only
+    )
+    effects = process.node.handle("west-1", request, process.now)
+    [message] = [one.message for one in effects_of(effects, tuple)]
+    assert isinstance(message, StatementAnswer)
+    assert message.error == error
+    assert message.retry_elsewhere == read_only
