--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -59,9 +59,7 @@
 from bulrushloom.coordination.replication.base import AwaitAnswered, AwaitFailed
 from bulrushloom.core.errors import ErrorKind, Refusal
 from bulrushloom.instance.base import Complete, End, Executed, Submit
-from bulrushloom.instance.failures import Failure
 from bulrushloom.instance.groups import GROUP_RETENTION, WatchedGroup
-from bulrushloom.instance.jobs import Job, JobTable
 from bulrushloom.instance.messages import (
     GroupView,
     GroupViewRequest,
@@ -73,6 +71,7 @@
 from bulrushloom.instance.platform import DirectoryFailed, InstancesListed
 from bulrushloom.instance.router import StatementRouter
 from bulrushloom.instance.schedule import Ticking, TickSchedule
+from bulrushloom.instance.unplaced import UnplacedRequests
 from bulrushloom.instance.views import ViewCache
 from bulrushloom.peers.base import MessageUndelivered, PeerIdentity, PeerLost
 from bulrushloom.rules.base import RuleSet
@@ -160,8 +159,7 @@
         self._holder_by_key = {holder.key: holder for holder in parts.share_holders}
         self._policy = policy
         self._make_queue = make_queue
-        # Refused requests that reached no owner; a late copy must not run.
-        self._unplaced = JobTable()
+        self._unplaced = UnplacedRequests(parts.table.own.name)
         self._submit_by_id: dict[str, Submit] = {}
         self._next_watch_at = timedelta()
         self._rules_since: timedelta | None = None
@@ -322,29 +320,13 @@
         if known is not None:
             return known
         rule = self.rules.target_by_name.get(message.target)
-        if rule is None or message.incarnation != self.table.own.incarnation:
-            return self._refuse_unplaced(sender, message, now)
+        if rule is None:
+            return self._unplaced.refuse_unknown(sender, message, now)
+        if message.incarnation != self.table.own.incarnation:
+            return self._unplaced.refuse_forgotten(sender, message, now)
         group = self._group(rule.group, now)
         return group.request(sender, message, rule, now, self.draining)
 
-    def _refuse_unplaced(
-        self,
-        sender: str,
-        message: StatementRequest | TransactionRequest,
-        now: timedelta,
-    ) -> list[Effect]:
-        """Refuse a request for an unknown target or an earlier run of this instance."""
-        self._unplaced.forget_answers(now)
-        reason = f"{self.own} was restarted or does not know {message.target!r}"
-        kind = (
-            ErrorKind.TRANSACTION_LOST if message.transaction else ErrorKind.NO_TARGET
-        )
-        if isinstance(message, TransactionRequest) and message.action == "commit":
-            # An earlier commit of the same transaction may have taken effect.
-            kind = ErrorKind.OUTCOME_UNKNOWN
-        job = Job(sender, message, now, 0, None)
-        return [self._unplaced.refuse(job, Failure(kind, reason, True), now)]
-
     def _view_request(
         self, sender: str, message: GroupViewRequest, now: timedelta
     ) -> list[Effect]:
