--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed
 KEEP ?= 0
 
-.PHONY: all env lint types unit model test run soak clean
+.PHONY: all env lint types unit model test run bench soak clean
 
 all: test
 
@@ -35,5 +35,8 @@
 run: $(STAMP)
 	$(BIN)/python -m benchmarks.run --keep=$(KEEP)
 
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.bench
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
