Route loan requests to the share holder and accounts to the rate client

TokenLoanRequest names the domain of the borrower, and the node looked for a holder of that domain, so every request for a loan between domains was dropped. The node also stopped passing account limits to the rate client when share holders were divided into shards. Each domain therefore had only its own part of a rate, and small accounts had no home domain.

--- a/bulrushloom/coordination/limits/base.py
+++ b/bulrushloom/coordination/limits/base.py
@@ -230,3 +230,9 @@
     def peer_lost(self, name: str, now: timedelta) -> list[Effect]:
         """Ask another instance at once for what was asked of a lost one."""
         return []
+
+    def update_accounts(
+        self, limit_by_account: Mapping[str, AccountLimit], domains: int, now: timedelta
+    ) -> list[Effect]:
+        """Replace the accounts and the number of domains."""
+        return []
--- a/bulrushloom/coordination/limits/baselines.py
+++ b/bulrushloom/coordination/limits/baselines.py
@@ -23,8 +23,8 @@
         self._bucket_by_account: dict[str, ShareBucket] = {}
 
     def update_accounts(
-        self, limit_by_account: Mapping[str, AccountLimit], now: timedelta
-    ) -> None:
+        self, limit_by_account: Mapping[str, AccountLimit], domains: int, now: timedelta
+    ) -> list[Effect]:
         """Replace the accounts; a new bucket starts empty."""
         previous = self._bucket_by_account
         self._bucket_by_account = {}
@@ -33,6 +33,7 @@
             bucket = previous.get(account) or ShareBucket(rate, burst, now)
             bucket.resize(rate, burst, now)
             self._bucket_by_account[account] = bucket
+        return []
 
     def acquire(self, request_id: str, account: str, now: timedelta) -> list[Effect]:
         """Decide at once from the own part."""
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -347,8 +347,8 @@
         return [] if holder is None else holder.handle(sender, message, now)
 
     def _share_message(self, sender: str, message: Any, now: timedelta) -> list[Effect]:
-        # A loan answers a holder of this domain but names that of the lender.
-        is_loan = isinstance(message, TokenLoan)
+        # Loans and requests for them name the domain of the holder that sent them.
+        is_loan = isinstance(message, TokenLoan | TokenLoanRequest)
         domain = self.table.own.domain if is_loan else message.domain
         holder = self._holder_by_key.get(share_subject(domain, message.shard))
         return [] if holder is None else holder.handle(sender, message, now)
@@ -394,6 +394,7 @@
                 if shard_of(name, len(self.share_holders)) == holder.shard
             }
             effects += holder.update_accounts(own_shard, domains, now)
+        effects += self._rate_client.update_accounts(limit_by_account, domains, now)
         self._watch(now)
         return effects
 
--- a/tests/coordination/limits/test_availability.py
+++ b/tests/coordination/limits/test_availability.py
@@ -156,7 +156,7 @@
 def test_static_split_refuses_skewed_demand_and_unlimited_refuses_nothing():
     """Shows with the baselines what the holders are for."""
     static, unlimited = StaticShareClient(10), UnlimitedShareClient()
-    static.update_accounts({"x": AccountLimit(10, 10)}, seconds(0))
+    static.update_accounts({"x": AccountLimit(10, 10)}, 1, seconds(0))
     now = seconds(20)
     assert static.acquire("1", "x", now) == [TokenGranted("1")]
     assert static.acquire("2", "x", now) == [TokenRefused("2", seconds(1))]
