Compare policies with their baselines in memory

The design names policies without figures that show what they gain. `make bench` and `python -m benchmarks.baselines` now drive the real decision objects of each policy and its baselines with a manual clock, and print what each one serves, refuses and costs.

--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -4,11 +4,14 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import Any
 
 import fire
 
+from benchmarks import baselines
 from benchmarks.cases import CASES, NETWORK_MS, Outcome
 from benchmarks.deployments import PLAN_BY_DEPLOYMENT
 from benchmarks.load import Load
@@ -30,15 +33,24 @@
     "store_calls_per_s": max,
 }
 DIGITS = 5
+BASELINES = "baselines"
 
 
-def bench(case: str = "", deployment: str = "", seed: int = 1) -> None:
-    """Run all cases, or one, in both deployments, or one."""
-    names = [deployment] if deployment else list(PLAN_BY_DEPLOYMENT)
-    cases = [case] if case else list(CASES)
+def bench(
+    case: str = "", deployment: str = "", seed: int = 1, variant: str = ""
+) -> None:
+    """Run all cases, or one, in both deployments, or one.
+
+    ``variant`` starts every instance with a baseline of ``benchmarks.instance``. The
+    case ``baselines`` compares policies in memory.
+    """
     outcomes = []
-    for name in names:
-        outcomes += _run(name, cases, seed)
+    if case in ("", BASELINES):
+        baselines.main(seed=seed)
+    if case != BASELINES:
+        names = [deployment] if deployment else list(PLAN_BY_DEPLOYMENT)
+        for name in names:
+            outcomes += _run(name, [case] if case else list(CASES), seed, variant)
     stale = [text for outcome in outcomes for text in outcome.stale_reads]
     for text in stale[:10]:
         print(f"violation: {text}")
@@ -61,23 +73,39 @@
     return worst
 
 
-def _run(deployment: str, cases: list[str], seed: int) -> list[Outcome]:
+def _run(deployment: str, cases: list[str], seed: int, variant: str) -> list[Outcome]:
     outcomes = []
-    with tempfile.TemporaryDirectory(prefix="bulrushloom-bench-") as directory:
-        fleet = MeasuredFleet(PLAN_BY_DEPLOYMENT[deployment], Path(directory))
-        try:
-            fleet.start()
-            _prepare(fleet, seed)
-            for case in cases:
-                started = time.monotonic()
-                outcome = CASES[case](fleet, seed)
-                _show(deployment, case, time.monotonic() - started, outcome)
-                outcomes.append(outcome)
-        finally:
-            fleet.stop()
+    with _running(deployment, variant) as fleet:
+        _prepare(fleet, seed)
+        for case in cases:
+            started = time.monotonic()
+            outcome = CASES[case](fleet, seed)
+            _show(deployment, case, time.monotonic() - started, outcome)
+            outcomes.append(outcome)
     return outcomes
 
 
+@contextmanager
+def _running(deployment: str, variant: str) -> Iterator[MeasuredFleet]:
+    with ExitStack() as stack:
+        for last in (False, False, True):
+            directory = tempfile.TemporaryDirectory(prefix="bulrushloom-bench-")
+            path = Path(stack.enter_context(directory))
+            fleet = MeasuredFleet(PLAN_BY_DEPLOYMENT[deployment], path)
+            fleet.variant = variant
+            stack.callback(fleet.stop)
+            try:
+                fleet.start()
+                break
+            except RuntimeError as error:
+                # Another process may have taken a port that was free a moment ago.
+                if last:
+                    raise
+                print(f"{deployment}: started again, because {error}", flush=True)
+                fleet.stop()
+        yield fleet
+
+
 def _prepare(fleet: MeasuredFleet, seed: int) -> None:
     for name in fleet.entry_names:
         fleet.fault(name, delay_ms=NETWORK_MS)
--- a/tests/coordination/failover/builders.py
+++ b/tests/coordination/failover/builders.py
@@ -216,12 +216,17 @@
 
     def _transmit(self, one: str, other: str, arrive: Callable[[], None]) -> None:
         """Carry a message, which may be lost, late or doubled."""
+
+        def deliver() -> None:
+            if self._connected(one, other):
+                arrive()
+
         copies = 2 if self.random.random() < self.weather.doubled else 1
         for _ in range(copies):
             if self.random.random() < self.weather.loss:
                 continue
             delay = self.weather.max_delay * self.random.random()
-            self._schedule(delay, lambda: self._connected(one, other) and arrive())
+            self._schedule(delay, deliver)
 
     def _schedule(self, delay: timedelta, action: Callable[[], Any]) -> None:
         heapq.heappush(self._due, (self.now + delay, next(self._sequence), action))
