--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -170,6 +170,31 @@
         show(name, "number", points)
 
 
+def watch_rounds() -> None:
+    """Time how an instance finds out which groups it watches, in this process.
+
+    The coordinator does this once a second, and again after a change of the list.
+    """
+    now = SystemClock().monotonic()
+    for against, sizes in (
+        ("groups, 730 instances", [(730, 100), (730, 400), (730, 780)]),
+        ("instances, 780 groups", [(100, 780), (400, 780), (730, 780)]),
+    ):
+        first: Points = []
+        repeated: Points = []
+        for instances, groups in sizes:
+            rules = _rules_of_groups(groups)
+            table = _table(instances)
+            for points in (first, repeated):
+                started = time.process_time()
+                for targets in rules.targets_by_group.values():
+                    table.watchers(targets, now)
+                size = groups if against.startswith("groups") else instances
+                points.append((size, 1000 * (time.process_time() - started)))
+        show("CPU ms of a watch round after a change", against, first)
+        show("CPU ms of a watch round without a change", against, repeated)
+
+
 def _rules(lines: list[str]) -> RuleSet:
     rules = parse_rules("\n".join(lines) + "\n", 1)
     if not isinstance(rules, RuleSet):
@@ -289,6 +314,7 @@
     """Print all slopes, or those of one part."""
     parts: dict[str, Callable[[], None]] = {
         "memory": memory,
+        "watch-rounds": watch_rounds,
         "instances": lambda: idle([3, 8, 16], lambda n: plan(n, 1, 8), "instances"),
         "groups": lambda: idle([1, 3, 6], lambda n: plan(3, n, 8), "groups watched"),
         "accounts": lambda: idle([8, 200], lambda n: plan(3, 1, n), "accounts"),
