--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -17,6 +17,8 @@
 PACED_WORKERS = 4
 # A refused request waits up to 0.3 s for a token, so the excess needs many workers.
 EXCESS_WORKERS = 64
+PREPARE_TRIES = 20
+PREPARE_PAUSE_S = 0.25
 
 
 class Sample(NamedTuple):
@@ -48,8 +50,13 @@
         """Create a table in every group."""
         sql = f"CREATE TABLE IF NOT EXISTS {TABLE} (session TEXT, number INTEGER)"
         for database in self._fleet.plan.databases:
-            reply = self._callers[ADMIN].query(self.urls[0], database, sql)
-            if not reply.ok:
+            for _ in range(PREPARE_TRIES):
+                reply = self._callers[ADMIN].query(self.urls[0], database, sql)
+                if reply.ok:
+                    break
+                # The buckets of new share holders start empty.
+                time.sleep(PREPARE_PAUSE_S)
+            else:
                 raise RuntimeError(f"cannot create the table: {reply}")
 
     def start(self, factor_by_account: dict[str, float] | None = None) -> None:
