--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 EXAMPLES ?= 300
 SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
 
-.PHONY: all env lint types unit processes model build test run soak clean
+.PHONY: all env lint types unit processes model build test run bench soak clean
 
 all: test
 
@@ -51,5 +51,8 @@
 	BULRUSHLOOM_SOAK_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest \
 		tests/instance/test_node_machine.py --hypothesis-seed=$(SEED)
 
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.bench
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache .hypothesis
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -361,8 +361,8 @@
         return [] if holder is None else holder.handle(sender, message, now)
 
     def _share_message(self, sender: str, message: Any, now: timedelta) -> list[Effect]:
-        # A loan answers a holder of this domain but names that of the lender.
-        is_loan = isinstance(message, TokenLoan)
+        # Loans and requests for them name the domain of the holder that sent them.
+        is_loan = isinstance(message, TokenLoan | TokenLoanRequest)
         domain = self.table.own.domain if is_loan else message.domain
         holder = self._holder_by_key.get(share_subject(domain, message.shard))
         return [] if holder is None else holder.handle(sender, message, now)
