Look at lagging replicas again after a second

Cause: an entry renews a valid view every 10 s.

Change: a view by which a read goes to the primary is renewed after 1 s.

Conclusion: costs one view request per group and second, only while replicas lag.

--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -34,7 +34,7 @@
     TransactionAnswer,
     TransactionRequest,
 )
-from bulrushloom.instance.views import ViewCache
+from bulrushloom.instance.views import BEHIND_REFRESH_INTERVAL, ViewCache
 from bulrushloom.peers.base import MessageUndelivered, PeerLost
 from bulrushloom.rules.base import EMPTY_RULES, RuleSet
 
@@ -191,6 +191,8 @@
         if choice is None:
             self._views.invalidate(pending.group)
             return effects + self._park(pending, now)
+        if pending.is_read and choice.target == self._views.primary(pending.group):
+            effects += self._views.refresh(pending.group, now, BEHIND_REFRESH_INTERVAL)
         return effects + self._send(pending, choice, now)
 
     def _choose(self, pending: _Pending, now: timedelta) -> _Choice | None:
--- a/bulrushloom/instance/views.py
+++ b/bulrushloom/instance/views.py
@@ -13,6 +13,10 @@
 # renew it at once. At 730 instances and 780 groups the requests must stay rare.
 VIEW_REFRESH_INTERVAL = timedelta(seconds=10)
 
+# A view by which reads go to the primary, because replicas were behind, is renewed
+# this often: replicas that have caught up would otherwise be passed over for 10 s.
+BEHIND_REFRESH_INTERVAL = timedelta(seconds=1)
+
 # Views of one group are asked for at most this often.
 VIEW_REQUEST_INTERVAL = timedelta(milliseconds=100)
 
@@ -22,8 +26,8 @@
     received_at: timedelta
     valid: bool
 
-    def is_current(self, now: timedelta) -> bool:
-        return self.valid and now - self.received_at < VIEW_REFRESH_INTERVAL
+    def is_current(self, interval: timedelta, now: timedelta) -> bool:
+        return self.valid and now - self.received_at < interval
 
 
 class ViewCache:
@@ -53,10 +57,12 @@
         if cached is not None:
             self._cached_by_group[group] = cached._replace(valid=False)
 
-    def refresh(self, group: str, now: timedelta) -> list[Effect]:
-        """Return the request for a new view if one is due."""
+    def refresh(
+        self, group: str, now: timedelta, interval: timedelta = VIEW_REFRESH_INTERVAL
+    ) -> list[Effect]:
+        """Return the request for a new view if the known one is older."""
         cached = self._cached_by_group.get(group)
-        if cached is not None and cached.is_current(now):
+        if cached is not None and cached.is_current(interval, now):
             return []
         asked_at = self._asked_at_by_group.get(group)
         if asked_at is not None and now - asked_at < VIEW_REQUEST_INTERVAL:
@@ -66,6 +72,11 @@
         watchers = self._table.watchers(targets, now)
         return [SendMessage(watcher, GroupViewRequest(group)) for watcher in watchers]
 
+    def primary(self, group: str) -> str:
+        """Return the primary as far as it is known, else an empty text."""
+        cached = self._cached_by_group.get(group)
+        return cached.view.primary if cached is not None else ""
+
     def candidates(
         self, group: str, in_flight_by_target: dict[str, int]
     ) -> list[Candidate]:
--- a/tests/instance/test_router.py
+++ b/tests/instance/test_router.py
@@ -222,6 +222,19 @@
     assert refusal.kind is ErrorKind.OUTCOME_UNKNOWN
 
 
+def test_replicas_that_were_behind_are_looked_at_again_soon(entry):
+    # Reads stayed at the primary for 10 s after the replicas had caught up.
+    view = builders.group_view()
+    old = [server._replace(age_ms=9000) for server in view.servers[1:]]
+    entry.give(view._replace(servers=[view.servers[0], *old]))
+    [read] = sent(entry.submit(READ))
+    assert read.message.target == "orders-a"
+    later = timedelta(seconds=1.5)
+    asked = entry.give(builders.submit(READ, "r2"), later)
+    requests = [effect.message for effect in effects_of(asked, SendMessage)]
+    assert GroupViewRequest("orders") in requests
+
+
 def test_leaving_target_gets_no_new_statement(entry):
     rules = builders.rule_set(
         builders.target_rule("orders-a", "east"),
