Use one rendezvous order for owners, share holders and rules readers

Cause: three packages had their own, with different hashes and argument orders. Change: all use coordination.membership.utils. Figures: the tests of limits and configuration pass unchanged but for imports and argument order. Conclusion: the rankings change once; no state outlives a restart of the fleet.

--- a/bulrushloom/coordination/configuration/topology.py
+++ b/bulrushloom/coordination/configuration/topology.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Mapping
 
-from bulrushloom.coordination.configuration.utils import rendezvous_order
+from bulrushloom.coordination.membership.utils import rendezvous_order
 
 READERS = 2
 # Instances that read the store while the readers' confirmations do not arrive.
--- a/bulrushloom/coordination/configuration/utils.py
+++ b/bulrushloom/coordination/configuration/utils.py
@@ -1,10 +1,7 @@
-"""Text packing and instance ranking for the configuration spread."""
+"""Text packing for the configuration spread."""
 
 import base64
 import zlib
-from collections.abc import Iterable
-
-import xxhash
 
 # Upper bound of a store value.
 MAX_UNPACKED_BYTES = 1_000_000
@@ -32,10 +29,3 @@
     if not decompressor.eof:
         raise ValueError("rules text is truncated")
     return data.decode()
-
-
-def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
-    """Return ``names`` by descending random weight for ``key``."""
-    return sorted(
-        names, key=lambda name: (xxhash.xxh64_intdigest(f"{key}|{name}".encode()), name)
-    )
--- a/bulrushloom/coordination/limits/presence.py
+++ b/bulrushloom/coordination/limits/presence.py
@@ -5,7 +5,7 @@
 
 from bulrushloom.coordination.limits.base import Member
 from bulrushloom.coordination.limits.electorate import majority
-from bulrushloom.coordination.limits.utils import rendezvous_order
+from bulrushloom.coordination.membership.utils import rendezvous_order
 
 # Heartbeats to more members than this would exceed the control traffic of a node
 # in a domain of more than a hundred instances.
@@ -33,7 +33,7 @@
     def update(self, members: Iterable[Member], now: timedelta) -> None:
         """Replace the live instances."""
         member_by_name = {member.name: member for member in members}
-        order = rendezvous_order(member_by_name, self._subject)
+        order = rendezvous_order(self._subject, member_by_name)
         previous = set(self.ranked)
         self.ranked = [member_by_name[name] for name in order]
         if self._since is None:
--- a/bulrushloom/coordination/limits/routes.py
+++ b/bulrushloom/coordination/limits/routes.py
@@ -10,10 +10,10 @@
     MAX_EXCHANGE_INTERVAL,
     exchange_interval,
     is_small,
-    rendezvous_order,
     shard_of,
     share_subject,
 )
+from bulrushloom.coordination.membership.utils import rendezvous_order
 
 # Domains whose holders are asked for a small account before the own one.
 HOMES = 2
@@ -40,11 +40,11 @@
     def update_instances(self, names_by_domain: Mapping[str, Iterable[str]]) -> None:
         """Replace the live instances of all domains."""
         others = [domain for domain in names_by_domain if domain != self._domain]
-        self._domains = [self._domain, *rendezvous_order(others, self._name)]
+        self._domains = [self._domain, *rendezvous_order(self._name, others)]
         for domain, names in names_by_domain.items():
             known = list(names)
             for shard in range(self._shards):
-                order = rendezvous_order(known, share_subject(domain, shard))
+                order = rendezvous_order(share_subject(domain, shard), known)
                 self._finder(domain, shard).update(order)
         self._choose_homes()
 
@@ -96,7 +96,7 @@
     def _choose_homes(self) -> None:
         domains = sorted(self._domains)
         self._homes_by_account = {
-            account: rendezvous_order(domains, account)[:HOMES]
+            account: rendezvous_order(account, domains)[:HOMES]
             for account, limit in self._limit_by_account.items()
             if is_small(limit.burst / self._parts)
         }
--- a/bulrushloom/coordination/limits/utils.py
+++ b/bulrushloom/coordination/limits/utils.py
@@ -1,6 +1,5 @@
-"""Rendezvous order, shards and conversions."""
+"""Shards and conversions."""
 
-from collections.abc import Iterable
 from datetime import timedelta
 
 import xxhash
@@ -22,15 +21,6 @@
     return xxhash.xxh64_intdigest(account.encode()) % shards
 
 
-def rendezvous_order(names: Iterable[str], subject: str) -> list[str]:
-    """Rank ``names`` by highest random weight for ``subject``."""
-    return sorted(
-        names,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{subject}\0{name}".encode()), name),
-        reverse=True,
-    )
-
-
 def share_subject(domain: str, shard: int) -> str:
     """Return the rendezvous subject and the store key of a share."""
     return f"shares/{domain}/{shard}"
--- a/tests/coordination/limits/builders.py
+++ b/tests/coordination/limits/builders.py
@@ -25,7 +25,8 @@
 )
 from bulrushloom.coordination.limits.client import ShareClient
 from bulrushloom.coordination.limits.holder import ShareHolder
-from bulrushloom.coordination.limits.utils import rendezvous_order, share_subject
+from bulrushloom.coordination.limits.utils import share_subject
+from bulrushloom.coordination.membership.utils import rendezvous_order
 from bulrushloom.instance.schedule import TickSchedule
 
 TICK = timedelta(milliseconds=20)
@@ -197,7 +198,7 @@
     def _update_instances(self, node: Node, listed: list[Node]) -> None:
         names = {d: [n.name for n in listed if n.domain == d] for d in self.domains}
         others = {
-            domain: rendezvous_order(names[domain], share_subject(domain, 0))
+            domain: rendezvous_order(share_subject(domain, 0), names[domain])
             for domain in self.domains
             if domain != node.domain
         }
--- a/tests/coordination/limits/test_client.py
+++ b/tests/coordination/limits/test_client.py
@@ -9,11 +9,12 @@
     TokenRefused,
 )
 from bulrushloom.coordination.limits.client import ShareClient
-from bulrushloom.coordination.limits.utils import rendezvous_order, share_subject
+from bulrushloom.coordination.limits.utils import share_subject
+from bulrushloom.coordination.membership.utils import rendezvous_order
 from tests.coordination.limits.builders import seconds
 
 NAMES = ["a0", "a1", "a2"]
-FIRST, SECOND, THIRD = rendezvous_order(NAMES, share_subject("a", 0))
+FIRST, SECOND, THIRD = rendezvous_order(share_subject("a", 0), NAMES)
 
 
 def new_client():
