--- a/tests/instance/builders.py
+++ b/tests/instance/builders.py
@@ -294,8 +294,6 @@
             self.start(name)
         self.at(TICK, self._replicate)
 
-    # Time
-
     def at(self, time: timedelta, action: Action) -> None:
         heapq.heappush(self._events, (time, next(self._sequence), action))
 
@@ -331,9 +329,6 @@
         for client in process.clients:
             client.drop_connections()
 
-    def crash_server(self, name: str) -> None:
-        self.servers[name].up = False
-
     def heal(self) -> None:
         self.weather = Weather()
         self.cut.clear()
