Move one request at its entry out of the router

An abandoned attempt that was answered while its request was parked was subtracted twice from the load of its target.

Change: PendingRequest in a module of its own; an attempt is counted off once.

Conclusion: behaviour is the same but for the count.

--- /dev/null
+++ b/bulrushloom/instance/pending.py
@@ -0,0 +1,180 @@
+"""One request at its entry: what it may do, and the messages sent for it."""
+
+from datetime import timedelta
+from http import HTTPStatus
+
+from bulrushloom.coordination.base import LogEntry, Message
+from bulrushloom.coordination.sessions.base import ORIGIN
+from bulrushloom.core.clock import milliseconds
+from bulrushloom.core.errors import ErrorKind, Refusal
+from bulrushloom.instance.base import (
+    Begin,
+    End,
+    Outcome,
+    Statement,
+    Submit,
+    TransactionRef,
+)
+from bulrushloom.instance.messages import (
+    StatementAnswer,
+    StatementRequest,
+    TransactionAnswer,
+    TransactionRequest,
+)
+
+
+class PendingRequest:
+    """Follow one request; ``attempt`` numbers the messages sent for it."""
+
+    def __init__(self, submit: Submit):
+        self.request_id = submit.request_id
+        self.request = submit.request
+        self.deadline = submit.deadline
+        self.attempt = 0
+        self.owner = ""
+        self.target = ""
+        self.sent_at: timedelta | None = None
+        self.maybe_run = False
+        self.tried: set[str] = set()
+        self.wake_at: timedelta | None = None
+        self.last_refusal = Refusal(ErrorKind.NO_TARGET, "no target can serve it now")
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the request id of the latest message sent."""
+        return f"{self.request_id}.{self.attempt}"
+
+    @property
+    def group(self) -> str:
+        """Return the group that the request goes to."""
+        return self.request.group
+
+    @property
+    def is_read(self) -> bool:
+        """Return whether the request may be repeated freely."""
+        request = self.request
+        return (
+            isinstance(request, Statement)
+            and request.read_only
+            and request.transaction is None
+        )
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether it may be sent again although it may have run.
+
+        The database recognizes the repeat of a write with an idempotency key, and a
+        transaction whose opening was not answered is rolled back when idle.
+        """
+        request = self.request
+        if isinstance(request, Begin) or self.is_read:
+            return True
+        return (
+            isinstance(request, Statement)
+            and request.transaction is None
+            and bool(request.idempotency_key)
+        )
+
+    @property
+    def in_transaction(self) -> bool:
+        """Return whether the request belongs to an open transaction."""
+        return isinstance(self.request, End) or (
+            isinstance(self.request, Statement) and self.request.transaction is not None
+        )
+
+    def message(self, incarnation: str, now: timedelta) -> Message:
+        """Return the message of the present attempt to a run of its owner."""
+        request = self.request
+        timeout_ms = max(1, milliseconds(self.deadline - now))
+        if isinstance(request, Begin):
+            return self._transaction_request(incarnation, "begin", "", timeout_ms)
+        if isinstance(request, End):
+            action = "commit" if request.commit else "rollback"
+            handle = request.transaction.handle
+            return self._transaction_request(incarnation, action, handle, timeout_ms)
+        return StatementRequest(
+            self.attempt_id,
+            incarnation,
+            request.account,
+            request.database,
+            self.target,
+            request.sql,
+            request.params,
+            self.is_read,
+            request.min_position if self.is_read else ORIGIN,
+            milliseconds(request.max_age) if self.is_read else -1,
+            timeout_ms,
+            request.transaction.handle if request.transaction else "",
+            request.idempotency_key,
+        )
+
+    def _transaction_request(
+        self, incarnation: str, action: str, handle: str, timeout_ms: int
+    ) -> TransactionRequest:
+        request = self.request
+        return TransactionRequest(
+            self.attempt_id,
+            incarnation,
+            request.account,
+            request.database,
+            self.target,
+            action,
+            handle,
+            timeout_ms,
+        )
+
+    def statement_outcome(self, answer: StatementAnswer) -> Outcome:
+        """Return the outcome of an answered statement; only writes have a position."""
+        wrote = not self.is_read and not self.in_transaction
+        return Outcome(
+            answer.columns,
+            answer.rows,
+            answer.row_count,
+            self.group,
+            answer.position if wrote else None,
+            self.target,
+            answer.role,
+            None,
+        )
+
+    def transaction_outcome(self, answer: TransactionAnswer) -> Outcome:
+        """Return the outcome of an answered begin, commit or rollback."""
+        request = self.request
+        committed = isinstance(request, End) and request.commit
+        return Outcome(
+            [],
+            [],
+            0,
+            self.group,
+            answer.position if committed else None,
+            self.target,
+            "primary",
+            self._opened(answer) if isinstance(request, Begin) else None,
+        )
+
+    def _opened(self, answer: TransactionAnswer) -> TransactionRef:
+        request = self.request
+        return TransactionRef(
+            request.account,
+            request.database,
+            request.group,
+            self.target,
+            self.owner,
+            answer.transaction,
+        )
+
+    def explain(self, refusal: Refusal) -> list[LogEntry]:
+        """Return the log entry of a request that failed without the caller's fault."""
+        is_server_fault = refusal.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if not is_server_fault and refusal.kind is not ErrorKind.TRANSACTION_LOST:
+            return []
+        fields = {
+            "request_id": self.request_id,
+            "group": self.group,
+            "target": self.target,
+            "owner": self.owner,
+            "attempts": self.attempt,
+            "kind": refusal.kind.value,
+            "reason": refusal.message,
+        }
+        return [LogEntry("request_failed", fields)]
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -1,13 +1,11 @@
 """The entry's side of a request: choose a target and follow the request."""
 
 from datetime import timedelta
-from http import HTTPStatus
 from typing import NamedTuple
 
 from bulrushloom.coordination.base import (
     DecisionPart,
     Effect,
-    LogEntry,
     Message,
     SendMessage,
     idle_tick,
@@ -15,17 +13,13 @@
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.retries.base import RetryPolicy
 from bulrushloom.coordination.routing.base import ReadNeed, ReadPolicy
-from bulrushloom.coordination.sessions.base import ORIGIN
-from bulrushloom.core.clock import milliseconds
 from bulrushloom.core.errors import ErrorKind, Refusal
 from bulrushloom.instance.base import (
     Begin,
     Complete,
-    End,
     Outcome,
     Statement,
     Submit,
-    TransactionRef,
 )
 from bulrushloom.instance.messages import (
     GroupView,
@@ -34,6 +28,7 @@
     TransactionAnswer,
     TransactionRequest,
 )
+from bulrushloom.instance.pending import PendingRequest
 from bulrushloom.instance.views import BEHIND_REFRESH_INTERVAL, ViewCache
 from bulrushloom.peers.base import MessageUndelivered, PeerLost
 from bulrushloom.rules.base import EMPTY_RULES, RuleSet
@@ -48,61 +43,6 @@
 WRITE_ATTEMPT_TIMEOUT = timedelta(seconds=2)
 
 
-class _Pending:
-    """Follow one request; ``attempt`` numbers the messages sent for it."""
-
-    def __init__(self, submit: Submit):
-        self.request_id = submit.request_id
-        self.request = submit.request
-        self.deadline = submit.deadline
-        self.attempt = 0
-        self.owner = ""
-        self.target = ""
-        self.sent_at: timedelta | None = None
-        self.maybe_run = False
-        self.tried: set[str] = set()
-        self.wake_at: timedelta | None = None
-        self.last_refusal = Refusal(ErrorKind.NO_TARGET, "no target can serve it now")
-
-    @property
-    def group(self) -> str:
-        """Return the group that the request goes to."""
-        return self.request.group
-
-    @property
-    def is_read(self) -> bool:
-        """Return whether the request may be repeated freely."""
-        request = self.request
-        return (
-            isinstance(request, Statement)
-            and request.read_only
-            and request.transaction is None
-        )
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Return whether it may be sent again although it may have run.
-
-        The database recognizes the repeat of a write with an idempotency key, and a
-        transaction whose opening was not answered is rolled back when idle.
-        """
-        request = self.request
-        if isinstance(request, Begin) or self.is_read:
-            return True
-        return (
-            isinstance(request, Statement)
-            and request.transaction is None
-            and bool(request.idempotency_key)
-        )
-
-    @property
-    def in_transaction(self) -> bool:
-        """Return whether the request belongs to an open transaction."""
-        return isinstance(self.request, End) or (
-            isinstance(self.request, Statement) and self.request.transaction is not None
-        )
-
-
 class _Choice(NamedTuple):
     """Name where the next attempt goes."""
 
@@ -129,7 +69,7 @@
         self._read_policy = read_policy
         self._retries = retries
         self._rules = EMPTY_RULES
-        self._pending_by_id: dict[str, _Pending] = {}
+        self._pending_by_id: dict[str, PendingRequest] = {}
         self._request_by_attempt: dict[str, str] = {}
         self._in_flight_by_target: dict[str, int] = {}
 
@@ -173,12 +113,12 @@
         return last if self._pending_by_id else idle_tick(last)
 
     def _submit(self, submit: Submit, now: timedelta) -> list[Effect]:
-        pending = _Pending(submit)
+        pending = PendingRequest(submit)
         self._pending_by_id[submit.request_id] = pending
         self._retries.request_started(now)
         return self._attempt(pending, now)
 
-    def _attempt(self, pending: _Pending, now: timedelta) -> list[Effect]:
+    def _attempt(self, pending: PendingRequest, now: timedelta) -> list[Effect]:
         pending.wake_at = None
         request = pending.request
         if not isinstance(request, Begin) and request.transaction is not None:
@@ -195,7 +135,7 @@
             effects += self._views.refresh(pending.group, now, BEHIND_REFRESH_INTERVAL)
         return effects + self._send(pending, choice, now)
 
-    def _choose(self, pending: _Pending, now: timedelta) -> _Choice | None:
+    def _choose(self, pending: PendingRequest, now: timedelta) -> _Choice | None:
         for target in self._targets(pending):
             if target in pending.tried:
                 continue
@@ -208,7 +148,7 @@
         pending.tried.clear()
         return None
 
-    def _targets(self, pending: _Pending) -> list[str]:
+    def _targets(self, pending: PendingRequest) -> list[str]:
         request = pending.request
         candidates = self._views.candidates(pending.group, self._in_flight_by_target)
         if pending.is_read and isinstance(request, Statement):
@@ -218,70 +158,28 @@
             return self._read_policy.order(candidates, need)
         return [candidate.target for candidate in candidates if candidate.is_primary]
 
-    def _park(self, pending: _Pending, now: timedelta) -> list[Effect]:
+    def _park(self, pending: PendingRequest, now: timedelta) -> list[Effect]:
         pending.sent_at = None
         pending.wake_at = now + PARK_INTERVAL
         return []
 
-    def _send(self, pending: _Pending, choice: _Choice, now: timedelta) -> list[Effect]:
+    def _send(
+        self, pending: PendingRequest, choice: _Choice, now: timedelta
+    ) -> list[Effect]:
         pending.attempt += 1
         pending.target = choice.target
         pending.owner = choice.owner
         pending.sent_at = now
-        attempt_id = f"{pending.request_id}.{pending.attempt}"
-        self._request_by_attempt[attempt_id] = pending.request_id
+        self._request_by_attempt[pending.attempt_id] = pending.request_id
         self._count(choice.target, 1)
-        message = self._message(pending, attempt_id, now)
+        message = pending.message(self._incarnation(choice.owner), now)
         return [SendMessage(choice.owner, message)]
 
-    def _message(self, pending: _Pending, attempt_id: str, now: timedelta) -> Message:
-        request = pending.request
-        timeout_ms = max(1, milliseconds(pending.deadline - now))
-        incarnation = self._incarnation(pending.owner)
-        if isinstance(request, Begin):
-            return TransactionRequest(
-                attempt_id,
-                incarnation,
-                request.account,
-                request.database,
-                pending.target,
-                "begin",
-                "",
-                timeout_ms,
-            )
-        if isinstance(request, End):
-            return TransactionRequest(
-                attempt_id,
-                incarnation,
-                request.account,
-                request.database,
-                pending.target,
-                "commit" if request.commit else "rollback",
-                request.transaction.handle,
-                timeout_ms,
-            )
-        handle = request.transaction.handle if request.transaction else ""
-        return StatementRequest(
-            attempt_id,
-            incarnation,
-            request.account,
-            request.database,
-            pending.target,
-            request.sql,
-            request.params,
-            pending.is_read,
-            request.min_position if pending.is_read else ORIGIN,
-            milliseconds(request.max_age) if pending.is_read else -1,
-            timeout_ms,
-            handle,
-            request.idempotency_key,
-        )
-
     def _incarnation(self, owner: str) -> str:
         entry = self._table.instance_by_name.get(owner)
         return entry.incarnation if entry is not None else ""
 
-    def _take_attempt(self, attempt_id: str) -> _Pending | None:
+    def _take_attempt(self, attempt_id: str) -> PendingRequest | None:
         """Return the request that an answer belongs to, once for each attempt."""
         request_id = self._request_by_attempt.pop(attempt_id, None)
         if request_id is None:
@@ -289,7 +187,7 @@
         pending = self._pending_by_id.get(request_id)
         if pending is None:
             return None
-        if attempt_id == f"{pending.request_id}.{pending.attempt}":
+        if attempt_id == pending.attempt_id and pending.sent_at is not None:
             pending.sent_at = None
             self._count(pending.target, -1)
         return pending
@@ -301,12 +199,12 @@
         if pending is None:
             return []
         if not answer.error:
-            return self._complete(pending, self._outcome(pending, answer))
+            return self._complete(pending, pending.statement_outcome(answer))
         refusal = Refusal(ErrorKind(answer.error), answer.error_message)
         return self._refused(pending, refusal, answer.retry_elsewhere, now)
 
     def _refused(
-        self, pending: _Pending, refusal: Refusal, elsewhere: bool, now: timedelta
+        self, pending: PendingRequest, refusal: Refusal, elsewhere: bool, now: timedelta
     ) -> list[Effect]:
         if pending.sent_at is not None:
             # A later attempt is under way; only its answer decides.
@@ -320,7 +218,7 @@
         return self._retry(pending, refusal, now)
 
     def _retry(
-        self, pending: _Pending, refusal: Refusal, now: timedelta
+        self, pending: PendingRequest, refusal: Refusal, now: timedelta
     ) -> list[Effect]:
         pending.last_refusal = refusal
         pending.tried.add(pending.target)
@@ -333,19 +231,6 @@
             return self._park(pending, now)
         return self._attempt(pending, now)
 
-    def _outcome(self, pending: _Pending, answer: StatementAnswer) -> Outcome:
-        wrote = not pending.is_read and not pending.in_transaction
-        return Outcome(
-            answer.columns,
-            answer.rows,
-            answer.row_count,
-            pending.group,
-            answer.position if wrote else None,
-            pending.target,
-            answer.role,
-            None,
-        )
-
     def _transaction_answer(
         self, answer: TransactionAnswer, now: timedelta
     ) -> list[Effect]:
@@ -355,36 +240,7 @@
         if answer.error:
             refusal = Refusal(ErrorKind(answer.error), answer.error_message)
             return self._refused(pending, refusal, refusal.answer.retryable, now)
-        request = pending.request
-        committed = isinstance(request, End) and request.commit
-        return self._complete(
-            pending,
-            Outcome(
-                [],
-                [],
-                0,
-                pending.group,
-                answer.position if committed else None,
-                pending.target,
-                "primary",
-                self._opened(pending, answer),
-            ),
-        )
-
-    def _opened(
-        self, pending: _Pending, answer: TransactionAnswer
-    ) -> TransactionRef | None:
-        request = pending.request
-        if not isinstance(request, Begin):
-            return None
-        return TransactionRef(
-            request.account,
-            request.database,
-            request.group,
-            pending.target,
-            pending.owner,
-            answer.transaction,
-        )
+        return self._complete(pending, pending.transaction_outcome(answer))
 
     def _undelivered(self, message: MessageUndelivered, now: timedelta) -> list[Effect]:
         request = message.message
@@ -410,7 +266,7 @@
                 effects += self._abandon_attempt(pending, now)
         return effects
 
-    def _abandon_attempt(self, pending: _Pending, now: timedelta) -> list[Effect]:
+    def _abandon_attempt(self, pending: PendingRequest, now: timedelta) -> list[Effect]:
         """Try again without the answer; only for requests that may be repeated."""
         pending.maybe_run = True
         self._count(pending.target, -1)
@@ -423,7 +279,7 @@
             return self._park(pending, now)
         return self._attempt(pending, now)
 
-    def _check_attempt(self, pending: _Pending, now: timedelta) -> list[Effect]:
+    def _check_attempt(self, pending: PendingRequest, now: timedelta) -> list[Effect]:
         if pending.sent_at is None:
             return []
         timeout = READ_ATTEMPT_TIMEOUT if pending.is_read else WRITE_ATTEMPT_TIMEOUT
@@ -431,13 +287,15 @@
             return self._abandon_attempt(pending, now)
         return []
 
-    def _expire(self, pending: _Pending) -> list[Effect]:
+    def _expire(self, pending: PendingRequest) -> list[Effect]:
         if pending.sent_at is not None:
             self._count(pending.target, -1)
             pending.maybe_run = True
         return self._complete(pending, pending.last_refusal)
 
-    def _complete(self, pending: _Pending, result: Outcome | Refusal) -> list[Effect]:
+    def _complete(
+        self, pending: PendingRequest, result: Outcome | Refusal
+    ) -> list[Effect]:
         del self._pending_by_id[pending.request_id]
         if isinstance(result, Refusal) and pending.maybe_run:
             # An earlier attempt may have run, whatever the last one says.
@@ -449,7 +307,7 @@
             self._request_by_attempt.pop(f"{pending.request_id}.{attempt}", None)
         effects: list[Effect] = [Complete(pending.request_id, result)]
         if isinstance(result, Refusal):
-            effects += _explain(pending, result)
+            effects += pending.explain(result)
         return effects
 
     def _view_changed(self, view: GroupView, now: timedelta) -> list[Effect]:
@@ -464,20 +322,3 @@
     def _count(self, target: str, change: int) -> None:
         total = self._in_flight_by_target.get(target, 0) + change
         self._in_flight_by_target[target] = max(0, total)
-
-
-def _explain(pending: _Pending, refusal: Refusal) -> list[Effect]:
-    """Log where a request was sent that ended without the caller's fault."""
-    is_server_fault = refusal.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-    if not is_server_fault and refusal.kind is not ErrorKind.TRANSACTION_LOST:
-        return []
-    fields = {
-        "request_id": pending.request_id,
-        "group": pending.group,
-        "target": pending.target,
-        "owner": pending.owner,
-        "attempts": pending.attempt,
-        "kind": refusal.kind.value,
-        "reason": refusal.message,
-    }
-    return [LogEntry("request_failed", fields)]
