Never repeat a transaction handle or a promotion candidate in one run

Cause: an instance that drops an unused group and serves it again started counting handles anew. The holder of an old transaction id could then enter another transaction of its account (invariant 3), and a new monitor used the same candidate name as its predecessor (invariant 2). Found by reading node.py.

Change: each time a group is created its handles and candidate get a new number. The groups of a node are in GroupTable, a module of their own.

Conclusion: only a group that is idle for 60 s and used again was affected.

--- a/bulrushloom/instance/metering.py
+++ b/bulrushloom/instance/metering.py
@@ -68,6 +68,6 @@
     """Return the waiting statements of each target owned here."""
     return {
         target: owner.queue_length
-        for group in node.group_by_name.values()
+        for group in node.groups.group_by_name.values()
         for target, owner in group.owner_by_target.items()
     }
--- a/bulrushloom/instance/node.py
+++ b/bulrushloom/instance/node.py
@@ -1,6 +1,5 @@
 """All decision objects of one instance, joined into one."""
 
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -24,16 +23,6 @@
 from bulrushloom.coordination.configuration.tracker import ConfigurationTracker
 from bulrushloom.coordination.failover.base import (
     FailoverPolicy,
-    Fenced,
-    FenceFailed,
-    FenceRefused,
-    Followed,
-    FollowFailed,
-    Promoted,
-    PromoteFailed,
-    StatusFailed,
-    StatusReceived,
-    WatcherReport,
 )
 from bulrushloom.coordination.limits.base import (
     AccountLimit,
@@ -55,31 +44,21 @@
 from bulrushloom.coordination.limits.holder import ShareHolder
 from bulrushloom.coordination.limits.utils import shard_of, share_subject
 from bulrushloom.coordination.membership.base import InstanceTable
-from bulrushloom.coordination.queueing.base import SlotQueue
-from bulrushloom.coordination.replication.base import AwaitAnswered, AwaitFailed
 from bulrushloom.core.errors import ErrorKind, Refusal
-from bulrushloom.instance.base import Complete, End, Executed, Submit
-from bulrushloom.instance.groups import GROUP_RETENTION, WatchedGroup
+from bulrushloom.instance.base import Complete, End, Submit
+from bulrushloom.instance.group_table import GroupTable, MakeQueue, Route
 from bulrushloom.instance.messages import (
     GroupView,
-    GroupViewRequest,
     StatementAnswer,
-    StatementRequest,
     TransactionAnswer,
-    TransactionRequest,
 )
 from bulrushloom.instance.platform import DirectoryFailed, InstancesListed
 from bulrushloom.instance.router import StatementRouter
 from bulrushloom.instance.schedule import Ticking, TickSchedule
-from bulrushloom.instance.unplaced import UnplacedRequests
 from bulrushloom.instance.views import ViewCache
 from bulrushloom.peers.base import MessageUndelivered, PeerIdentity, PeerLost
 from bulrushloom.rules.base import RuleSet
 
-# The watchers of all groups are computed anew this often; a change of the list of
-# instances or of the rules does it at once.
-WATCH_INTERVAL = timedelta(seconds=1)
-
 # Rules reach all instances of a connected fleet within 1.5 s, and a share holder
 # begins to fill the bucket of a new account 1 s after it learned of it.
 NEW_ACCOUNT_DELAY = timedelta(seconds=2.5)
@@ -87,8 +66,6 @@
 # Longest time that a starting instance waits for the share holders of its domain.
 MAX_HOLDER_WAIT = timedelta(seconds=3)
 
-MakeQueue = Callable[[], SlotQueue]
-
 
 class Admit(NamedTuple):
     """Ask for a token of ``account``, then run ``submit``."""
@@ -108,21 +85,6 @@
     share_holders: list[ShareHolder]
 
 
-_GROUP_OBSERVATIONS = (
-    StatusReceived,
-    StatusFailed,
-    Fenced,
-    FenceRefused,
-    FenceFailed,
-    Promoted,
-    PromoteFailed,
-    Followed,
-    FollowFailed,
-    AwaitAnswered,
-    AwaitFailed,
-)
-
-
 _HOLDER_MESSAGES = (
     ShareRequest,
     HolderHeartbeat,
@@ -152,16 +114,12 @@
         self.tracker = parts.tracker
         self.router = parts.router
         self.share_holders = parts.share_holders
-        self.group_by_name: dict[str, WatchedGroup] = {}
+        self.groups = GroupTable(parts.table, policy, make_queue)
         self.draining = False
         self._views = parts.views
         self._rate_client = parts.rate_client
         self._holder_by_key = {holder.key: holder for holder in parts.share_holders}
-        self._policy = policy
-        self._make_queue = make_queue
-        self._unplaced = UnplacedRequests(parts.table.own.name)
         self._submit_by_id: dict[str, Submit] = {}
-        self._next_watch_at = timedelta()
         self._rules_since: timedelta | None = None
         self._ready = False
         others = (self._rate_client, self.router)
@@ -182,8 +140,8 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request and no transaction is open here."""
-        idle = all(group.is_idle for group in self.group_by_name.values())
-        return idle and not len(self.router) and not self._submit_by_id
+        waiting = len(self.router) or self._submit_by_id
+        return self.groups.is_idle and not waiting
 
     def is_ready(self, now: timedelta) -> bool:
         """Return whether requests can be served; true for good once it was true.
@@ -208,45 +166,37 @@
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Let every part whose next tick has come do what is due."""
-        if now >= self._next_watch_at:
-            self._watch(now)
+        if now >= self.groups.next_watch_at:
+            self.groups.watch(now)
         return self._settle(self._schedule.tick(self._ticking(), now), now)
 
     def next_tick(self, last: timedelta) -> timedelta:
         """Return when the first part is due."""
         due = self._schedule.next_tick(self._ticking(), last)
-        return min(due, self._next_watch_at)
+        return min(due, self.groups.next_watch_at)
 
     def _ticking(self) -> list[Ticking]:
-        return [*self._parts, *self.group_by_name.values()]
+        return [*self._parts, *self.groups.group_by_name.values()]
 
     def drain(self, now: timedelta) -> list[Effect]:
         """Take no new ownership; work that is open goes on."""
         self.draining = True
         self.tracker.draining = True
-        for group in self.group_by_name.values():
-            group.drain()
+        self.groups.drain()
         effects: list[Effect] = []
         for holder in self.share_holders:
             effects += holder.drain(now)
         return self._settle(effects, now)
 
-    def _build_routes(
-        self,
-    ) -> dict[type, Callable[[str, Any, timedelta], list[Effect]]]:
+    def _build_routes(self) -> dict[type, Route]:
         router, tracker = self.router.handle, self.tracker.handle
-        routes: dict[type, Callable[[str, Any, timedelta], list[Effect]]] = {
+        routes: dict[type, Route] = {
             Admit: self._admit,
             StatementAnswer: router,
             TransactionAnswer: router,
             GroupView: router,
             MessageUndelivered: self._undelivered,
             PeerLost: self._peer_lost,
-            StatementRequest: self._request,
-            TransactionRequest: self._request,
-            GroupViewRequest: self._view_request,
-            WatcherReport: self._report,
-            Executed: self._executed,
             Ping: self._ping,
             Pong: self._ping,
             RulesRequest: tracker,
@@ -259,7 +209,7 @@
             ShareGrant: self._rate_client.handle,
             ShareRefused: self._rate_client.handle,
         }
-        routes.update(dict.fromkeys(_GROUP_OBSERVATIONS, self._observe))
+        routes.update(self.groups.routes())
         routes.update(dict.fromkeys(_HOLDER_MESSAGES, self._share_message))
         return routes
 
@@ -310,44 +260,6 @@
         effects = self._rate_client.peer_lost(message.peer, now)
         return effects + self.router.handle(sender, message, now)
 
-    def _request(
-        self,
-        sender: str,
-        message: StatementRequest | TransactionRequest,
-        now: timedelta,
-    ) -> list[Effect]:
-        known = self._unplaced.repeat(sender, message.request_id)
-        if known is not None:
-            return known
-        rule = self.rules.target_by_name.get(message.target)
-        if rule is None:
-            return self._unplaced.refuse_unknown(sender, message, now)
-        if message.incarnation != self.table.own.incarnation:
-            return self._unplaced.refuse_forgotten(sender, message, now)
-        group = self._group(rule.group, now)
-        return group.request(sender, message, rule, now, self.draining)
-
-    def _view_request(
-        self, sender: str, message: GroupViewRequest, now: timedelta
-    ) -> list[Effect]:
-        if message.group not in self.rules.targets_by_group:
-            return []
-        return self._group(message.group, now).answer_view(sender, message, now)
-
-    def _report(
-        self, sender: str, message: WatcherReport, now: timedelta
-    ) -> list[Effect]:
-        group = self.group_by_name.get(message.group)
-        return [] if group is None else group.observe(sender, message, now)
-
-    def _observe(self, sender: str, message: Any, now: timedelta) -> list[Effect]:
-        group = self._group_of(message.target)
-        return [] if group is None else group.observe(sender, message, now)
-
-    def _executed(self, sender: str, message: Executed, now: timedelta) -> list[Effect]:
-        group = self._group_of(message.target)
-        return [] if group is None else group.executed(message, now)
-
     def _ping(self, sender: str, message: Ping | Pong, now: timedelta) -> list[Effect]:
         self.table.set_draining(sender, message.draining)
         return self.tracker.handle(sender, message, now)
@@ -386,7 +298,7 @@
         domain_by_name = {name: entry.domain for name, entry in instances.items()}
         effects = self.tracker.update_instances(domain_by_name, now)
         effects += self._update_members(now)
-        self._watch(now)
+        self.groups.watch(now)
         return effects
 
     def _update_members(self, now: timedelta) -> list[Effect]:
@@ -408,6 +320,7 @@
             self._rules_since = now
         self._views.update_rules(rules)
         self.router.update_rules(rules)
+        self.groups.update_rules(rules)
         limit_by_account = {
             account.name: AccountLimit(account.rate, float(account.burst))
             for account in rules.account_by_name.values()
@@ -422,44 +335,9 @@
             }
             effects += holder.update_accounts(own_shard, domains, now)
         effects += self._rate_client.update_accounts(limit_by_account, domains, now)
-        self._watch(now)
+        self.groups.watch(now)
         return effects
 
-    def _watch(self, now: timedelta) -> None:
-        """Watch the groups that this instance is responsible for, and no others."""
-        self._next_watch_at = now + WATCH_INTERVAL
-        for name, targets in self.rules.targets_by_group.items():
-            watchers = self.table.watchers(targets, now)
-            if self.own in watchers:
-                self._group(name, now).used_at = now
-            group = self.group_by_name.get(name)
-            if group is not None:
-                group.update(targets, watchers)
-        for name, group in list(self.group_by_name.items()):
-            unused = group.is_idle and now - group.used_at > GROUP_RETENTION
-            if unused or name not in self.rules.targets_by_group:
-                del self.group_by_name[name]
-
-    def _group(self, name: str, now: timedelta) -> WatchedGroup:
-        group = self.group_by_name.get(name)
-        if group is None:
-            group = WatchedGroup(
-                name,
-                self.own,
-                f"{self.own}.{self.table.own.incarnation}",
-                self._policy,
-                self._make_queue,
-            )
-            targets = self.rules.targets_by_group[name]
-            group.update(targets, self.table.watchers(targets, now))
-            group.used_at = now
-            self.group_by_name[name] = group
-        return group
-
-    def _group_of(self, target: str) -> WatchedGroup | None:
-        rule = self.rules.target_by_name.get(target)
-        return None if rule is None else self.group_by_name.get(rule.group)
-
 
 def _rate_limited(effect: TokenRefused) -> Complete:
     message = "the account is over its rate"
--- a/bulrushloom/instance/status.py
+++ b/bulrushloom/instance/status.py
@@ -26,7 +26,7 @@
         },
         "groups": {
             name: _group_status(group, now)
-            for name, group in sorted(node.group_by_name.items())
+            for name, group in sorted(node.groups.group_by_name.items())
         },
     }
 
--- a/tests/instance/test_broken_nodes.py
+++ b/tests/instance/test_broken_nodes.py
@@ -11,6 +11,7 @@
 from bulrushloom.instance import groups
 from bulrushloom.instance.base import Statement, Submit
 from bulrushloom.instance.jobs import JobTable
+from bulrushloom.instance.messages import StatementRequest, TransactionRequest
 from bulrushloom.instance.node import Node
 from bulrushloom.instance.owner import TargetOwner
 from bulrushloom.instance.router import StatementRouter
@@ -116,10 +117,11 @@
 class CarelessNode(Node):
     """Run requests that were addressed to an earlier run."""
 
-    def _request(self, sender, message, now):
-        incarnation = self.table.own.incarnation
-        message = message._replace(incarnation=incarnation)
-        return super()._request(sender, message, now)
+    def _dispatch(self, sender, message, now):
+        if isinstance(message, StatementRequest | TransactionRequest):
+            incarnation = self.table.own.incarnation
+            message = message._replace(incarnation=incarnation)
+        return super()._dispatch(sender, message, now)
 
 
 class EndlessNode(Node):
