Show that the search for keys finds what targets receive

Cause: the search of all received bytes for callers' keys had no positive control. Change: the same texts must contain the statements that were sent. Conclusion: an empty or broken recording would now fail the test.

--- a/tests/processes/test_security.py
+++ b/tests/processes/test_security.py
@@ -26,6 +26,8 @@
         for path in fleet.directory.iterdir()
         if path.suffix in (".log", ".err")
     ]
+    # What targets do receive must be found, or the search proves nothing.
+    assert any(b"INSERT INTO orders" in text for text in texts)
     assert sum(len(text) for text in texts) > 10_000
     for text in texts:
         for secret in secrets:
