Move the simulated database server to the stand-ins

Cause: two test packages and the benchmark's in-memory group shared a server that stood in one package's test builders; a plan of the process tests repeated the small fleet's. Change: standins.simulated_server; the process tests derive their plan.

--- /dev/null
+++ b/standins/simulated_server.py
@@ -0,0 +1,89 @@
+"""In-memory database server without SQL: terms, grants and a log."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from bulrushloom.coordination.sessions.base import ORIGIN, LogPosition
+from bulrushloom.databases.base import Role, ServerStatus
+
+
+class Entry(NamedTuple):
+    """Hold one log entry; the first entry of a term has an empty payload."""
+
+    term: int
+    payload: str
+
+
+class SimulatedServer:
+    """A database server that keeps its term and log over a crash."""
+
+    def __init__(self, name: str):
+        self.name = name
+        self.restarted_empty()
+
+    def restarted_empty(self) -> None:
+        """Come back without term and log."""
+        self.term, self.granted_to, self.served = 0, "", 0
+        self.log: list[Entry] = []
+        self.restarted()
+
+    def restarted(self) -> None:
+        """Come back with term and log, as a replica of nobody."""
+        self.up = True
+        self.paused = False
+        self.role = Role.REPLICA
+        self.source: str | None = None
+        self.heard_at: timedelta | None = None
+
+    @property
+    def held(self) -> LogPosition:
+        """Return the position of the last entry."""
+        return LogPosition(self.log[-1].term, len(self.log)) if self.log else ORIGIN
+
+    def status(self, now: timedelta) -> ServerStatus:
+        """Return what a status call answers."""
+        heard = None if self.heard_at is None else now - self.heard_at
+        return ServerStatus(
+            self.name, self.role, self.term, self.held, self.held, None, heard
+        )
+
+    def raise_term(self, term: int, candidate: str) -> None:
+        """Enter ``term`` if it is higher and grant it to ``candidate``."""
+        if term > self.term:
+            self.role, self.source, self.heard_at = Role.REPLICA, None, None
+            self.term, self.granted_to = term, candidate
+
+    def fence(self, term: int, candidate: str) -> bool:
+        """Return whether ``candidate`` holds the grant of ``term``."""
+        self.raise_term(term, candidate)
+        return self.term == term and self.granted_to == candidate
+
+    def promote(self, term: int, candidate: str) -> bool:
+        """Become primary of a granted term; a repeat changes nothing."""
+        granted = self.term == term and self.granted_to == candidate
+        if not granted or self.served >= term:
+            return False
+        self.role, self.served, self.source = Role.PRIMARY, term, None
+        self.log.append(Entry(term, ""))
+        return True
+
+    def follow(self, term: int, primary: str) -> bool:
+        """Replicate from ``primary`` in ``term`` unless the own term is higher."""
+        if term < self.term:
+            return False
+        self.raise_term(term, "")
+        if self.role is Role.REPLICA:
+            self.source = primary
+        return True
+
+    def copy_from(self, primary: "SimulatedServer", count: int, now: timedelta) -> None:
+        """Discard what ``primary`` lacks and take up to ``count`` of its entries."""
+        self.heard_at = now
+        same = 0
+        for mine, theirs in zip(self.log, primary.log, strict=False):
+            if mine != theirs:
+                break
+            same += 1
+        missing = primary.log[same : same + count]
+        if missing:
+            self.log[same:] = missing
--- a/tests/coordination/failover/builders.py
+++ b/tests/coordination/failover/builders.py
@@ -31,8 +31,9 @@
     WriteDurable,
 )
 from bulrushloom.coordination.replication.tracker import AcknowledgementTracker
-from bulrushloom.coordination.sessions.base import ORIGIN, LogPosition
-from bulrushloom.databases.base import Role, ServerStatus
+from bulrushloom.coordination.sessions.base import LogPosition
+from bulrushloom.databases.base import Role
+from standins.simulated_server import Entry, SimulatedServer
 
 SERVERS = ("a", "b", "c")
 NODES = ("w1", "w2", "w3")  # each owns the server of the same rank
@@ -42,83 +43,12 @@
 ACK_DEADLINE = timedelta(seconds=3)
 
 
-class Entry(NamedTuple):
-    term: int
-    payload: str  # empty for the first entry of a term
-
-
 class Weather(NamedTuple):
     loss: float = 0.0
     doubled: float = 0.0
     max_delay: timedelta = timedelta(milliseconds=2)
 
 
-class SimulatedServer:
-    """A database server that keeps its term and log over a crash."""
-
-    def __init__(self, name: str):
-        self.name = name
-        self.restarted_empty()
-
-    def restarted_empty(self) -> None:
-        self.term, self.granted_to, self.served = 0, "", 0
-        self.log: list[Entry] = []
-        self.restarted()
-
-    def restarted(self) -> None:
-        self.up = True
-        self.paused = False
-        self.role = Role.REPLICA
-        self.source: str | None = None
-        self.heard_at: timedelta | None = None
-
-    @property
-    def held(self) -> LogPosition:
-        return LogPosition(self.log[-1].term, len(self.log)) if self.log else ORIGIN
-
-    def status(self, now: timedelta) -> ServerStatus:
-        heard = None if self.heard_at is None else now - self.heard_at
-        return ServerStatus(
-            self.name, self.role, self.term, self.held, self.held, None, heard
-        )
-
-    def raise_term(self, term: int, candidate: str) -> None:
-        if term > self.term:
-            self.role, self.source, self.heard_at = Role.REPLICA, None, None
-            self.term, self.granted_to = term, candidate
-
-    def fence(self, term: int, candidate: str) -> bool:
-        self.raise_term(term, candidate)
-        return self.term == term and self.granted_to == candidate
-
-    def promote(self, term: int, candidate: str) -> bool:
-        granted = self.term == term and self.granted_to == candidate
-        if not granted or self.served >= term:
-            return False
-        self.role, self.served, self.source = Role.PRIMARY, term, None
-        self.log.append(Entry(term, ""))
-        return True
-
-    def follow(self, term: int, primary: str) -> bool:
-        if term < self.term:
-            return False
-        self.raise_term(term, "")
-        if self.role is Role.REPLICA:
-            self.source = primary
-        return True
-
-    def copy_from(self, primary: "SimulatedServer", count: int, now: timedelta) -> None:
-        self.heard_at = now
-        same = 0
-        for mine, theirs in zip(self.log, primary.log, strict=False):
-            if mine != theirs:
-                break
-            same += 1
-        missing = primary.log[same : same + count]
-        if missing:
-            self.log[same:] = missing
-
-
 class SimulatedGroup:
     """Servers, and per node a monitor and the tracker of the node's own server."""
 
--- a/tests/instance/servers.py
+++ b/tests/instance/servers.py
@@ -20,7 +20,7 @@
     ServerUnreachable,
     StatementRefused,
 )
-from tests.coordination.failover.builders import SimulatedServer
+from standins.simulated_server import SimulatedServer
 
 READ = "SELECT marker FROM writes"
 WRITE = "INSERT INTO writes VALUES (?)"
--- a/tests/processes/builders.py
+++ b/tests/processes/builders.py
@@ -8,26 +8,13 @@
 from benchmarks.callers import Caller, Reply
 from benchmarks.fleet import Fleet
 from benchmarks.history import Findings
-from benchmarks.plans import AccountPlan, FleetPlan
+from benchmarks.plans import SMALL_FLEET, FleetPlan
 from benchmarks.workload import Pace, Workload
 
 # Objective of the design page for the failover gap.
 MAX_GAP_S = 12.0
 
-PLAN = FleetPlan(
-    region="jm-south",
-    domains=("santa-cruz", "black-river", "mandeville"),
-    databases=("orders", "stock"),
-    entries=6,
-    slots=3,
-    connections=40,
-    accounts=(
-        AccountPlan("admin", 200, 200),
-        AccountPlan("hotel-orders", 300, 150),
-        AccountPlan("catalogue", 300, 150, "500ms"),
-        AccountPlan("dispatch", 200, 100),
-    ),
-)
+PLAN = SMALL_FLEET._replace(entries=6)
 
 
 @contextmanager
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -4,6 +4,7 @@
 import time
 
 from benchmarks import processes
+from benchmarks.plans import AccountPlan
 from tests.processes import builders
 
 RATE = 60.0
@@ -12,8 +13,8 @@
 
 def plan():
     accounts = [
-        builders.AccountPlan("admin", 200, 200),
-        builders.AccountPlan("greedy", RATE, BURST),
+        AccountPlan("admin", 200, 200),
+        AccountPlan("greedy", RATE, BURST),
     ]
     return builders.PLAN._replace(databases=("orders",), accounts=tuple(accounts))
 
