Use the field's names for issuer, transaction manager and network faults

Cause: some names were figurative (desk, heir, weather, wish) and had to be explained. Conclusion: behaviour is the same.

--- a/bulrushloom/coordination/failover/planning.py
+++ b/bulrushloom/coordination/failover/planning.py
@@ -12,7 +12,7 @@
 from bulrushloom.coordination.failover.servers import ServerRecord, ServerTable
 
 
-class _Wish(NamedTuple):
+class _PlannedRound(NamedTuple):
     kind: RoundKind
     since: timedelta
 
@@ -22,7 +22,7 @@
 
     def __init__(self, policy: FailoverPolicy):
         self._policy = policy
-        self._wish: _Wish | None = None
+        self._planned: _PlannedRound | None = None
         self._started = 0
 
     @property
@@ -41,11 +41,11 @@
         """Return the planned round whose time has come."""
         kind = wanted_round(table, primary, term, now)
         if kind is None:
-            self._wish, self._started = None, 0
+            self._planned, self._started = None, 0
             return None
-        if self._wish is None or self._wish.kind is not kind:
-            self._wish = _Wish(kind, now)
-        if rank is None or now - self._wish.since < self._delay(kind, rank):
+        if self._planned is None or self._planned.kind is not kind:
+            self._planned = _PlannedRound(kind, now)
+        if rank is None or now - self._planned.since < self._delay(kind, rank):
             return None
         return kind
 
@@ -55,7 +55,7 @@
 
     def restart(self) -> None:
         """Measure the delay anew, from the next time that a round is wanted."""
-        self._wish = None
+        self._planned = None
 
     def _delay(self, kind: RoundKind, rank: int) -> timedelta:
         delay = rank * self._policy.rank_delay
--- a/bulrushloom/coordination/limits/holder.py
+++ b/bulrushloom/coordination/limits/holder.py
@@ -27,8 +27,8 @@
     TokenLoan,
     TokenLoanRequest,
 )
-from bulrushloom.coordination.limits.desk import TokenDesk
 from bulrushloom.coordination.limits.electorate import AUTHORITY, Elector
+from bulrushloom.coordination.limits.issuer import TokenIssuer
 from bulrushloom.coordination.limits.loans import Borrower
 from bulrushloom.coordination.limits.succession import Succession
 from bulrushloom.coordination.limits.utils import share_subject
@@ -48,8 +48,8 @@
         self.key = share_subject(domain, shard)
         self._limit_by_account: dict[str, AccountLimit] = {}
         self._parts = 1
-        self._desk = TokenDesk(domain, shard)
-        self._borrower = Borrower(domain, shard, incarnation, self._desk)
+        self._issuer = TokenIssuer(domain, shard)
+        self._borrower = Borrower(domain, shard, incarnation, self._issuer)
         self._elector = Elector(domain, shard, incarnation)
         self._succession = Succession(self.member, domain, shard, self._elector)
         self._in_tenure = False
@@ -97,7 +97,7 @@
         self._limit_by_account = dict(limit_by_account)
         self._parts = domains
         if self._in_tenure:
-            self._desk.update_accounts(
+            self._issuer.update_accounts(
                 self._limit_by_account, domains, now, now + AUTHORITY
             )
         return []
@@ -110,8 +110,8 @@
         version = self._succession.version
         tenure = self._succession.tenure
         self._succession.retire()
-        heir = self._succession.heir()
-        if until is None or tenure is None or not heir or not self._in_tenure:
+        next_holder = self._succession.next_holder()
+        if until is None or tenure is None or not next_holder or not self._in_tenure:
             return self._stop(now)
         lifetime = -((now - until) // timedelta(milliseconds=1))
         message = ShareHandover(
@@ -120,12 +120,12 @@
             tenure.epoch,
             version,
             lifetime,
-            self._desk.levels(now),
+            self._issuer.levels(now),
         )
         effects = self._stop(now)
-        self._handover = (message, heir)
+        self._handover = (message, next_holder)
         effects += self._send_handover()
-        return [*effects, self._log("share_handed_over", heir=heir)]
+        return [*effects, self._log("share_handed_over", next_holder=next_holder)]
 
     def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
         """Handle a message of a peer, the store or the own instance."""
@@ -151,14 +151,14 @@
             until = self._succession.authority_until(now)
             if until is not None:
                 effects += self._borrower.tick(now)
-            effects += self._desk.tick(until, now)
+            effects += self._issuer.tick(until, now)
         return effects
 
     def next_tick(self, last: timedelta) -> timedelta:
         """Return ``last`` while tokens are granted, lent or waited for."""
         if self._handover is not None or self._in_tenure != self._succession.holding:
             return last
-        if self._in_tenure and not (self._desk.is_idle and self._borrower.is_idle):
+        if self._in_tenure and not (self._issuer.is_idle and self._borrower.is_idle):
             return last
         return self._succession.next_tick(last)
 
@@ -197,11 +197,11 @@
     ) -> list[Effect]:
         until = self._succession.authority_until(now)
         if until is not None and self._in_tenure:
-            effects = self._desk.handle_request(sender, request, until, now)
+            effects = self._issuer.handle_request(sender, request, until, now)
             accounts = {demand.account for demand in request.demands}
             accounts |= {settlement.account for settlement in request.settlements}
             # Demand that waits is served by what came back with the settlements.
-            effects += self._desk.serve(sorted(accounts), until, now)
+            effects += self._issuer.serve(sorted(accounts), until, now)
             return effects + self._borrower.react(sorted(accounts), now)
         refusal = ShareRefused(
             self.domain,
@@ -220,14 +220,14 @@
             return []
         accounts = sorted({item.account for item in loan.loans})
         until = self._succession.authority_until(now)
-        return self._desk.serve(accounts, until, now)
+        return self._issuer.serve(accounts, until, now)
 
     def _handle_loan_request(
         self, sender: str, request: TokenLoanRequest, now: timedelta
     ) -> list[Effect]:
         until = self._succession.authority_until(now)
         if until is not None and self._in_tenure:
-            return self._desk.handle_loan_request(sender, request, until, now)
+            return self._issuer.handle_loan_request(sender, request, until, now)
         # Naming itself tells the borrower to look elsewhere for a while.
         holder = self.known_holder(now) or self.member.name
         refusal = TokenLoan(
@@ -248,31 +248,31 @@
         self._in_tenure = True
         # Tokens that nobody could spend since the old epoch ended are available.
         since = min(self._succession.ready_at, now)
-        self._desk.update_accounts(self._limit_by_account, self._parts, since, since)
+        self._issuer.update_accounts(self._limit_by_account, self._parts, since, since)
         inherited = self._succession.take_inherited()
         if inherited is not None:
             handover, received = inherited
             expires = received + timedelta(milliseconds=handover.lifetime_ms)
-            self._desk.take_over(handover.buckets, expires)
+            self._issuer.take_over(handover.buckets, expires)
         return [self._log("share_held")]
 
     def _stop(self, now: timedelta) -> list[Effect]:
-        effects = self._desk.give_up(now) if self._in_tenure else []
+        effects = self._issuer.give_up(now) if self._in_tenure else []
         self._in_tenure = False
-        self._desk.clear()
+        self._issuer.clear()
         self._borrower.clear()
         return effects
 
     def _send_handover(self) -> list[Effect]:
         """Repeat the handover a few times, because any copy may be lost."""
-        message, heir = self._handover or (None, "")
+        message, next_holder = self._handover or (None, "")
         self._handover_sent += 1
         if message is None or self._elector.known_epoch > message.epoch:
             self._handover = None
             return []
         if self._handover_sent >= 10:
             self._handover = None
-        return [SendMessage(heir, message)]
+        return [SendMessage(next_holder, message)]
 
     def _log(self, event: str, **fields: Any) -> Effect:
         fields |= {"domain": self.domain, "shard": self.shard, "epoch": self.epoch}
--- a/bulrushloom/coordination/limits/desk.py
+++ b/bulrushloom/coordination/limits/issuer.py
@@ -41,7 +41,7 @@
     until: timedelta
 
 
-class TokenDesk:
+class TokenIssuer:
     """Grant tokens to entries and lend them to holders of other domains."""
 
     bucket_class = ShareBucket
--- a/bulrushloom/coordination/limits/loans.py
+++ b/bulrushloom/coordination/limits/loans.py
@@ -16,8 +16,8 @@
     Lot,
     ShareBucket,
 )
-from bulrushloom.coordination.limits.desk import TokenDesk
 from bulrushloom.coordination.limits.finder import HolderFinder
+from bulrushloom.coordination.limits.issuer import TokenIssuer
 from bulrushloom.coordination.limits.utils import exchange_interval, is_small
 
 # A lender that has not answered by then is skipped for a while.
@@ -57,11 +57,11 @@
 class Borrower:
     """Borrow tokens in proportion to unmet and expected demand."""
 
-    def __init__(self, domain: str, shard: int, incarnation: str, desk: TokenDesk):
+    def __init__(self, domain: str, shard: int, incarnation: str, issuer: TokenIssuer):
         self._domain = domain
         self._shard = shard
         self._incarnation = incarnation
-        self._desk = desk
+        self._issuer = issuer
         self._sequence = 0
         self._finder_by_domain: dict[str, HolderFinder] = {}
         self._in_flight_by_sequence: dict[int, LoanInFlight] = {}
@@ -102,15 +102,15 @@
             expires = request.sent + timedelta(milliseconds=item.lifetime_ms)
             if expires > now:
                 lot = Lot(sender, loan.sequence, item.tokens, now, expires)
-                self._desk.credit(item.account, lot)
+                self._issuer.credit(item.account, lot)
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Return what nobody needs, report what was spent and ask for more."""
         self._time_out(now)
         self._read_demand(now)
-        pending = self._desk.pending_by_account.keys()
+        pending = self._issuer.pending_by_account.keys()
         return self._exchange(
-            self._desk.active_accounts,
+            self._issuer.active_accounts,
             sorted(self._demand_by_account.keys() | pending),
             now,
         )
@@ -120,7 +120,7 @@
         recent = now - self._exchanged_at < REACT_DISTANCE
         known = []
         for account in accounts:
-            bucket = self._desk.bucket_by_account.get(account)
+            bucket = self._issuer.bucket_by_account.get(account)
             urgent = bucket and self._interval(bucket) < REACT_DISTANCE
             if bucket is not None and (urgent or not recent):
                 known.append(account)
@@ -134,7 +134,7 @@
         exchanged = {account for asked in demands.values() for account in asked}
         exchanged |= {item.account for items in settlements.values() for item in items}
         for account in exchanged:
-            bucket = self._desk.bucket_by_account[account]
+            bucket = self._issuer.bucket_by_account[account]
             self._due_by_account[account] = now + self._interval(bucket)
         if exchanged:
             self._exchanged_at = now
@@ -192,7 +192,7 @@
         if elapsed < DEMAND_INTERVAL:
             return
         self._demand_read_at = now
-        demanded = self._desk.demanded_by_account
+        demanded = self._issuer.demanded_by_account
         for account in self._demand_by_account.keys() | demanded.keys():
             reading = demanded.get(account, 0) / elapsed.total_seconds()
             previous = self._demand_by_account.get(account, 0.0)
@@ -207,7 +207,7 @@
     def _due(self, accounts: Iterable[str], now: timedelta) -> list[str]:
         """Return the accounts that are due, or so soon that they share a message."""
         due = self._due_by_account
-        known = [a for a in accounts if a in self._desk.bucket_by_account]
+        known = [a for a in accounts if a in self._issuer.bucket_by_account]
         limit = now + SLACK
         if not any(due.get(account, now) <= now for account in known):
             return []
@@ -222,8 +222,8 @@
     ) -> dict[str, list[Settlement]]:
         settlements_by_lender: dict[str, list[Settlement]] = {}
         for account in accounts:
-            bucket = self._desk.bucket_by_account[account]
-            idle = not self._desk.pending_by_account.get(account)
+            bucket = self._issuer.bucket_by_account[account]
+            idle = not self._issuer.pending_by_account.get(account)
             keep = SMALL_IDLE_LOT if self._is_small(bucket) else IDLE_LOT
             for lot in bucket.lots:
                 if idle and now - lot.taken >= keep:
@@ -244,7 +244,7 @@
         if not lenders:
             return tokens_by_lender
         for account in accounts:
-            bucket = self._desk.bucket_by_account.get(account)
+            bucket = self._issuer.bucket_by_account.get(account)
             each = self._wanted(account, bucket, len(lenders)) if bucket else 0.0
             # Lenders give whole pieces, whose numbers are short in a message.
             each = ceil(each * PIECES_PER_TOKEN) / PIECES_PER_TOKEN
@@ -257,8 +257,8 @@
     def _wanted(self, account: str, bucket: ShareBucket, lenders: int) -> float:
         """Return what to ask of each lender for waiting and for expected callers."""
         demand = self._demand_by_account.get(account, 0.0)
-        spare = max(0.0, bucket.available() - self._desk.waiting(account))
-        unmet = self._desk.unmet(account)
+        spare = max(0.0, bucket.available() - self._issuer.waiting(account))
+        unmet = self._issuer.unmet(account)
         if self._is_small(bucket):
             return self._wanted_at_home(bucket, demand, spare, unmet, lenders)
         ahead = max(0.0, demand - bucket.rate) * AHEAD.total_seconds()
--- a/bulrushloom/coordination/limits/succession.py
+++ b/bulrushloom/coordination/limits/succession.py
@@ -101,7 +101,7 @@
         if self._next_try is None:
             self._next_try = now + START_DELAY + self._rank_delay()
 
-    def heir(self) -> str:
+    def next_holder(self) -> str:
         """Return the name of the first other instance in rank order."""
         names = [m.name for m in self._presence.ranked if m != self._member]
         return names[0] if names else ""
--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -15,7 +15,7 @@
     StatementRequest,
     TransactionRequest,
 )
-from bulrushloom.instance.transaction_desk import UNASKED, TransactionDesk
+from bulrushloom.instance.transaction_manager import UNASKED, TransactionManager
 from bulrushloom.instance.transactions import TransactionTable
 from bulrushloom.instance.utils import request_hash
 from bulrushloom.rules.base import TargetRule
@@ -45,7 +45,7 @@
         self._jobs = JobTable()
         capacity = max(1, connection_limit(rule) - rule.slots)
         table = TransactionTable(handle_prefix, capacity)
-        self._desk = TransactionDesk(rule.name, self._jobs, table)
+        self._transactions = TransactionManager(rule.name, self._jobs, table)
         self._running = 0
         self._term = 0
         self._is_primary = False
@@ -54,7 +54,7 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request and no transaction is open."""
-        return not self._jobs.job_by_id and self._desk.is_idle
+        return not self._jobs.job_by_id and self._transactions.is_idle
 
     @property
     def queue_length(self) -> int:
@@ -98,7 +98,7 @@
         late = Failure(ErrorKind.OVERLOADED, "no slot became free in time", False)
         for request_id in self._queue.expired(now):
             effects += self._fail(request_id, late, now)
-        effects += self._desk.roll_back_idle(now)
+        effects += self._transactions.roll_back_idle(now)
         self._jobs.forget_answers(now)
         return effects + self._start_queued(now)
 
@@ -108,7 +108,7 @@
         if job is None:
             return []
         if isinstance(job.request, TransactionRequest):
-            return self._desk.durable(job, job.request, now)
+            return self._transactions.durable(job, job.request, now)
         return self._jobs.reply(self._success(job), now)
 
     def undecided(self, request_id: str, reason: str, now: timedelta) -> list[Effect]:
@@ -117,7 +117,7 @@
         if job is None:
             return []
         if isinstance(job.request, TransactionRequest):
-            self._desk.undecided(job.request, now)
+            self._transactions.undecided(job.request, now)
         failure = Failure(ErrorKind.OUTCOME_UNKNOWN, reason, False)
         return self._fail(request_id, failure, now)
 
@@ -139,7 +139,7 @@
                 request.read_only,
             )
             return [
-                *self._desk.leave(request, failure, now),
+                *self._transactions.leave(request, failure, now),
                 self._jobs.refuse(job, failure, now),
             ]
         self._jobs.add(job)
@@ -147,7 +147,7 @@
 
     def _refusal(self, request: StatementRequest, now: timedelta) -> Failure | None:
         if request.transaction:
-            return self._desk.enter(request, now)
+            return self._transactions.enter(request, now)
         if self._draining:
             return Failure(ErrorKind.DRAINING, "the owner is shutting down", True)
         if self.rule.leaving:
@@ -171,18 +171,18 @@
         deadline = now + timedelta(milliseconds=request.timeout_ms)
         job = Job(sender, request, deadline, self._term, None)
         if request.action != "begin":
-            return [self._desk.end(job, request, now)]
+            return [self._transactions.end(job, request, now)]
         failure = self._begin_refusal()
         if failure is not None:
             return [self._jobs.refuse(job, failure, now)]
-        return [self._desk.begin(job, request, now)]
+        return [self._transactions.begin(job, request, now)]
 
     def _begin_refusal(self) -> Failure | None:
         if self._draining:
             return Failure(ErrorKind.DRAINING, "the owner is shutting down", True)
         if not self._is_primary or self.rule.leaving:
             return self._not_primary()
-        if self._desk.is_full:
+        if self._transactions.is_full:
             message = f"{self.rule.name} has no free connection"
             return Failure(ErrorKind.OVERLOADED, message, False)
         return None
@@ -228,13 +228,13 @@
 
     def _executed(self, executed: Executed, now: timedelta) -> list[Effect]:
         if executed.request_id.startswith(UNASKED):
-            self._desk.rolled_back(executed.request_id, now)
+            self._transactions.rolled_back(executed.request_id, now)
             return []
         job = self._jobs.job_by_id.get(executed.request_id)
         if job is None:
             return []
         if isinstance(job.request, TransactionRequest):
-            return self._desk.executed(job, job.request, executed, now)
+            return self._transactions.executed(job, job.request, executed, now)
         self._running -= 1
         self._queue.charge(job.request.account, executed.duration)
         effects = self._statement_executed(job, job.request, executed, now)
@@ -249,7 +249,7 @@
             self._jobs.add(job)
             if not request.transaction and not request.read_only:
                 return [job.await_durable()]
-            effects = self._desk.leave(request, None, now)
+            effects = self._transactions.leave(request, None, now)
             return effects + self._jobs.reply(self._success(job), now)
         error = result if isinstance(result, Exception) else RuntimeError("no result")
         failure = classify(error, request.read_only)
@@ -263,7 +263,7 @@
             return []
         effects: list[Effect] = []
         if isinstance(job.request, StatementRequest):
-            effects = self._desk.leave(job.request, failure, now)
+            effects = self._transactions.leave(job.request, failure, now)
         return effects + self._jobs.fail(job.request, failure, now)
 
     def _success(self, job: Job) -> StatementAnswer:
--- a/bulrushloom/instance/transaction_desk.py
+++ b/bulrushloom/instance/transaction_manager.py
@@ -20,7 +20,7 @@
 UNASKED = "unasked."
 
 
-class TransactionDesk:
+class TransactionManager:
     """Lead the transactions of one target through their state chart."""
 
     def __init__(self, target: str, jobs: JobTable, table: TransactionTable):
--- a/tests/coordination/failover/builders.py
+++ b/tests/coordination/failover/builders.py
@@ -43,7 +43,7 @@
 ACK_DEADLINE = timedelta(seconds=3)
 
 
-class Weather(NamedTuple):
+class Network(NamedTuple):
     loss: float = 0.0
     doubled: float = 0.0
     max_delay: timedelta = timedelta(milliseconds=2)
@@ -58,7 +58,7 @@
     def __init__(self, seed: int = 0):
         self.random = random.Random(seed)
         self.now = timedelta()
-        self.weather = Weather()
+        self.network = Network()
         self.copied_per_step = 3
         self.lagging: set[str] = set()
         self.isolated: frozenset[str] = frozenset()
@@ -95,7 +95,7 @@
         self.server_by_name[name].up = False
 
     def heal(self) -> None:
-        self.weather = Weather()
+        self.network = Network()
         self.isolated = frozenset()
         self.paused_nodes.clear()
         self.copied_per_step = 1000
@@ -151,11 +151,11 @@
             if self._connected(one, other):
                 arrive()
 
-        copies = 2 if self.random.random() < self.weather.doubled else 1
+        copies = 2 if self.random.random() < self.network.doubled else 1
         for _ in range(copies):
-            if self.random.random() < self.weather.loss:
+            if self.random.random() < self.network.loss:
                 continue
-            delay = self.weather.max_delay * self.random.random()
+            delay = self.network.max_delay * self.random.random()
             self._schedule(delay, deliver)
 
     def _schedule(self, delay: timedelta, action: Callable[[], Any]) -> None:
--- a/tests/coordination/failover/test_monitor.py
+++ b/tests/coordination/failover/test_monitor.py
@@ -7,8 +7,8 @@
 from tests.coordination.failover.builders import (
     NODES,
     SERVERS,
+    Network,
     SimulatedGroup,
-    Weather,
 )
 
 SECOND = timedelta(seconds=1)
@@ -63,7 +63,7 @@
 def test_lost_answers_do_not_start_a_second_term(group):
     # Guards against giving up a round although the servers granted it.
     before = len(rounds(group))
-    group.weather = Weather(loss=0.25)
+    group.network = Network(loss=0.25)
     group.crash("a")
     failover_time(group, "a")
     assert len(rounds(group)) == before + 1
--- a/tests/coordination/failover/test_state_machine.py
+++ b/tests/coordination/failover/test_state_machine.py
@@ -23,8 +23,8 @@
     GROUP,
     NODES,
     SERVERS,
+    Network,
     SimulatedGroup,
-    Weather,
 )
 
 PROGRESS_LIMIT = timedelta(seconds=12)
@@ -78,8 +78,8 @@
         doubled=st.sampled_from([0.0, 0.3]),
         delay=st.sampled_from([2, 100, 1000]),
     )
-    def change_weather(self, loss, doubled, delay):
-        self.group.weather = Weather(loss, doubled, timedelta(milliseconds=delay))
+    def change_network(self, loss, doubled, delay):
+        self.group.network = Network(loss, doubled, timedelta(milliseconds=delay))
 
     @rule(count=st.sampled_from([0, 1, 3]))
     def change_replication_speed(self, count):
--- a/tests/coordination/limits/builders.py
+++ b/tests/coordination/limits/builders.py
@@ -38,7 +38,7 @@
     return timedelta(seconds=value)
 
 
-class Weather(NamedTuple):
+class Network(NamedTuple):
     """Give the faults of the message layer and of the store."""
 
     loss: float = 0.0
@@ -83,7 +83,7 @@
         self.client_class = client_class
         self.limits = limits
         self.domains = list(domain_sizes)
-        self.weather = Weather()
+        self.network = Network()
         # Names of the domains and instances that are cut off from all others.
         self.cut: set[str] = set()
         self.now = timedelta()
@@ -228,13 +228,13 @@
         local = recipient is node
         if not local:
             self._measure(node, effect.message)
-        lost = self.random.random() < self.weather.loss
+        lost = self.random.random() < self.network.loss
         ends = {node.name, recipient.name}
         if node.domain != recipient.domain:
             ends |= {node.domain, recipient.domain}
         if not local and (lost or self.cut & ends):
             return
-        doubled = not local and self.random.random() < self.weather.doubling
+        doubled = not local and self.random.random() < self.network.doubling
         for _ in range(2 if doubled else 1):
             delay = timedelta() if local else self._delay()
             self._deliver(node.name, recipient, effect.message, delay)
@@ -245,7 +245,7 @@
 
     def _delay(self) -> timedelta:
         return seconds(
-            self.random.uniform(self.weather.min_delay, self.weather.max_delay)
+            self.random.uniform(self.network.min_delay, self.network.max_delay)
         )
 
     def _deliver(
@@ -263,8 +263,8 @@
 
     def _call_store(self, node: Node, effect: Any) -> None:
         self.store_calls += 1
-        lost = self.random.random() < self.weather.store_lost
-        takes_effect = self.weather.store_up and not (
+        lost = self.random.random() < self.network.store_lost
+        takes_effect = self.network.store_up and not (
             lost and self.random.random() < 0.3
         )
         answer: Any = StoreFailed(effect.key, "no answer")
--- a/tests/coordination/limits/test_availability.py
+++ b/tests/coordination/limits/test_availability.py
@@ -13,7 +13,7 @@
     StaticShareClient,
     UnlimitedShareClient,
 )
-from tests.coordination.limits.builders import Fleet, Weather, seconds
+from tests.coordination.limits.builders import Fleet, Network, seconds
 
 NAMES_A = ["a0", "a1", "a2", "a3"]
 SIZES = {"a": 4, "b": 4, "c": 3, "d": 3}
@@ -111,7 +111,7 @@
 def test_store_outage_changes_nothing_while_holders_live():
     fleet = loaded_fleet(100, 50)
     calls = fleet.store_calls
-    fleet.weather = Weather(store_up=False)
+    fleet.network = Network(store_up=False)
     call_evenly(fleet, list(fleet.nodes), 100, 8)
     assert not fleet.refused
     assert fleet.store_calls == calls
@@ -120,7 +120,7 @@
 def test_domain_without_a_holder_borrows_during_a_store_outage():
     fleet = loaded_fleet(100, 50)
     holder = fleet.holders("a")[0]
-    fleet.weather = Weather(store_up=False)
+    fleet.network = Network(store_up=False)
     fleet.kill(holder)
     fleet.run(5)
     assert not fleet.holders("a")
--- a/tests/coordination/limits/test_holder.py
+++ b/tests/coordination/limits/test_holder.py
@@ -27,7 +27,7 @@
     TokenLoanRequest,
 )
 from bulrushloom.coordination.limits.holder import ShareHolder
-from tests.coordination.limits.builders import Fleet, Weather, seconds
+from tests.coordination.limits.builders import Fleet, Network, seconds
 
 KEY = "shares/a/0"
 SELF = Member("a0", "a0/1")
@@ -174,7 +174,7 @@
     assert ask(holder, now).grants[0].tokens == 1
     spent = [Settlement(1, "x", 1.0, 0.0)]
     holder.handle("e", ShareRequest("a", 0, "e/1", 2, [], spent), now)
-    assert holder._desk.levels(now)[0].outstanding == 2.0
+    assert holder._issuer.levels(now)[0].outstanding == 2.0
 
 
 def test_changed_electorate_needs_both_majorities_until_it_is_written():
@@ -240,7 +240,7 @@
 
 def test_holder_survives_lost_store_answers():
     fleet = Fleet({"a": 4}, {"x": AccountLimit(10, 10)}, seed=3)
-    fleet.weather = Weather(store_lost=0.6)
+    fleet.network = Network(store_lost=0.6)
     fleet.run(20)
     assert len(fleet.holders("a")) == 1
     first = fleet.holders("a")[0]
--- a/tests/coordination/limits/test_invariant.py
+++ b/tests/coordination/limits/test_invariant.py
@@ -11,7 +11,7 @@
 from bulrushloom.coordination.limits.electorate import AUTHORITY
 from bulrushloom.coordination.limits.holder import ShareHolder
 from bulrushloom.coordination.limits.succession import Succession
-from tests.coordination.limits.builders import Fleet, Weather, seconds
+from tests.coordination.limits.builders import Fleet, Network, seconds
 
 LIMITS = {"large": AccountLimit(40, 30), "small": AccountLimit(8, 4)}
 SIZES = {"a": 3, "b": 2}
@@ -61,17 +61,17 @@
         max_delay=st.sampled_from([0.002, 0.1, 1.5]),
     )
     def change_network(self, loss, doubling, max_delay):
-        self.fleet.weather = self.fleet.weather._replace(
+        self.fleet.network = self.fleet.network._replace(
             loss=loss, doubling=doubling, max_delay=max_delay
         )
 
     @rule(up=st.booleans(), lost=st.sampled_from([0.0, 0.5]))
     def change_store(self, up, lost):
-        self.fleet.weather = self.fleet.weather._replace(store_up=up, store_lost=lost)
+        self.fleet.network = self.fleet.network._replace(store_up=up, store_lost=lost)
 
     @rule()
     def heal(self):
-        self.fleet.weather = Weather()
+        self.fleet.network = Network()
         self.fleet.cut.clear()
 
     @rule(name=st.sampled_from([*SIZES, *NAMES]))
@@ -129,7 +129,7 @@
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self._desk.bucket_class = ForgettingBucket
+        self._issuer.bucket_class = ForgettingBucket
 
 
 class FreeLoanBucket(ShareBucket):
@@ -147,7 +147,7 @@
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self._desk.bucket_class = FreeLoanBucket
+        self._issuer.bucket_class = FreeLoanBucket
 
 
 class LastingSuccession(Succession):
@@ -202,7 +202,7 @@
 
 def spend_slow_grants_and_the_refill(*classes):
     fleet, holder, other = fill({"a": 3}, *classes)
-    fleet.weather = Weather(min_delay=0.13, max_delay=0.13)
+    fleet.network = Network(min_delay=0.13, max_delay=0.13)
     fleet.burst(other, "large", 30)
     fleet.run(0.255)
     fleet.burst(holder, "large", 30)
@@ -231,7 +231,7 @@
 
 def spend_doubled_grants(*classes):
     fleet, _, other = fill({"a": 3}, *classes)
-    fleet.weather = Weather(doubling=1.0, max_delay=0.002)
+    fleet.network = Network(doubling=1.0, max_delay=0.002)
     fleet.burst(other, "large", 40)
     fleet.run(1)
     return fleet
--- a/tests/instance/builders.py
+++ b/tests/instance/builders.py
@@ -64,7 +64,7 @@
     return timedelta(seconds=value)
 
 
-class Weather(NamedTuple):
+class Network(NamedTuple):
     """Probabilities of the faults of peer messages and of calls to servers."""
 
     loss: float = 0.0
@@ -275,7 +275,7 @@
         self.random = random.Random(seed)
         self.node_class, self.router_class = node_class, router_class
         self.now = timedelta()
-        self.weather = Weather()
+        self.network = Network()
         self.cut: set[str] = set()
         self.lagging: set[str] = set()
         self.logged: list[tuple[timedelta, str, LogEntry]] = []
@@ -312,7 +312,7 @@
         return bool(condition())
 
     def delay(self) -> timedelta:
-        return seconds(self.random.uniform(0.001, max(0.002, self.weather.max_delay)))
+        return seconds(self.random.uniform(0.001, max(0.002, self.network.max_delay)))
 
     # Processes
 
@@ -330,7 +330,7 @@
             client.drop_connections()
 
     def heal(self) -> None:
-        self.weather = Weather()
+        self.network = Network()
         self.cut.clear()
         self.lagging.clear()
         self.platform.heal()
@@ -349,7 +349,7 @@
 
     def send(self, sender: Process, recipient: str, message: Any) -> None:
         peer = self.processes.get(recipient)
-        weather, chance = self.weather, self.random.random
+        network, chance = self.network, self.random.random
         if peer is None or not self.connected(sender.domain, peer.domain):
             lost = PeerLost(recipient, "timeout")
             self.at(self.now + PEER_TIMEOUT, lambda: sender.receive(lost))
@@ -358,13 +358,13 @@
             undelivered = MessageUndelivered(recipient, message)
             self.at(self.now + self.delay(), lambda: sender.receive(undelivered))
             return
-        if chance() < weather.loss:
+        if chance() < network.loss:
             lost = PeerLost(recipient, "timeout")
             self.at(self.now + PEER_TIMEOUT, lambda: sender.receive(lost))
             if chance() < 0.5:
                 return
         again = seconds(self.random.uniform(0, 2))
-        delays = [self.delay(), again][: 1 + (chance() < weather.doubled)]
+        delays = [self.delay(), again][: 1 + (chance() < network.doubled)]
         for delay in delays:
             self.at(self.now + delay, lambda: self._arrive(sender, recipient, message))
 
@@ -379,7 +379,7 @@
             return Exchange(arrives=False, refused=True)
         if not self.connected(domain, server.domain):
             return Exchange(arrives=False, answered=False)
-        if chance() >= self.weather.call_loss:
+        if chance() >= self.network.call_loss:
             return Exchange()
         if chance() < 0.5:
             return Exchange(answered=False)
--- a/tests/instance/machine.py
+++ b/tests/instance/machine.py
@@ -18,7 +18,7 @@
     INSTANCES,
     TARGETS,
     Fleet,
-    Weather,
+    Network,
     seconds,
 )
 from tests.instance.callers import Callers, Session
@@ -133,17 +133,21 @@
         max_delay=st.sampled_from([0.002, 0.05, 0.5, 2.0]),
         call_loss=st.sampled_from([0.0, 0.05, 0.2]),
     )
-    def weather(
+    def network(
         self, loss: float, doubled: float, max_delay: float, call_loss: float
     ) -> None:
-        self.fleet.weather = Weather(loss, doubled, max_delay, call_loss)
+        self.fleet.network = Network(loss, doubled, max_delay, call_loss)
 
     @rule(
         number=session_numbers,
         keyed=st.booleans(),
         duration=durations,
-        weather=st.sampled_from(
-            [Weather(doubled=0.5), Weather(loss=0.3), Weather(call_loss=0.3)]
+        network=st.sampled_from(
+            [
+                Network(doubled=0.5),
+                Network(loss=0.3),
+                Network(call_loss=0.3),
+            ]
         ),
     )
     def write_in_storm(
@@ -151,9 +155,9 @@
         number: int,
         keyed: bool,
         duration: timedelta,
-        weather: Weather,
+        network: Network,
     ) -> None:
-        self.fleet.weather = weather
+        self.fleet.network = network
         self.write(number, keyed, 4)
         self.callers.transact(self.sessions[number], 2, True)
         self._run(duration)
--- a/tests/instance/test_broken_nodes.py
+++ b/tests/instance/test_broken_nodes.py
@@ -80,7 +80,7 @@
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
-        self._jobs = self._desk._jobs = ForgetfulJobs()
+        self._jobs = self._transactions._jobs = ForgetfulJobs()
 
 
 class StubbornOwner(TargetOwner):
--- a/tests/processes/test_logs.py
+++ b/tests/processes/test_logs.py
@@ -63,7 +63,7 @@
         assert finished["work_open"] is False
         assert events(fleet, "drain_started", incarnation=finished["incarnation"])
         [handed_over, *_] = events(fleet, "share_handed_over", instance=stopped)
-        assert handed_over["epoch"] > 0 and handed_over["heir"]
+        assert handed_over["epoch"] > 0 and handed_over["next_holder"]
         assert {each["version"] for each in events(fleet, "rules_changed")} == {1}
     text = "".join(path.read_text() for path in tmp_path.glob("*.log"))
     keys = [key.key for key in fleet.key_by_account.values()]
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -16,20 +16,9 @@
 
 def apply_rules(fleet: Fleet, path) -> subprocess.CompletedProcess:
     settings = fleet.directory / f"{fleet.entry_names[0]}.yaml"
-    return subprocess.run(
-        [
-            sys.executable,
-            "-m",
-            "bulrushloom",
-            "rules",
-            "apply",
-            str(path),
-            f"--settings={settings}",
-        ],
-        capture_output=True,
-        text=True,
-        timeout=60,
-    )
+    command = [sys.executable, "-m", "bulrushloom", "rules", "apply", str(path)]
+    command.append(f"--settings={settings}")
+    return subprocess.run(command, capture_output=True, text=True, timeout=60)
 
 
 def versions(fleet: Fleet) -> set[int]:
