Wait until a frozen server has stopped

Cause: SIGSTOP takes effect a moment after kill returns, and a thread of the server could still answer, so the test that expects no answer failed now and then.

Ruled out: the stand-in and its client; the assertion that failed was the first one after the signal.

Change: the test waits for the stop. Nothing that it checks has changed.

--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -78,6 +78,8 @@
     for server in servers[1:]:
         assert server.status(position, timedelta(seconds=5)).held >= position
     os.kill(frozen.pid, signal.SIGSTOP)
+    # The signal takes effect a moment later; until then a thread may still answer.
+    os.waitid(os.P_PID, frozen.pid, os.WSTOPPED)
     hasty = HttpDatabaseServer(first, "t/junction", timedelta(milliseconds=100))
     with pytest.raises(AnswerLost):
         hasty.status()
