Drop the unused name of the owner's instance

Cause: TargetOwner kept the own instance name and nothing read it (found by reading the change once more). Change: the parameter is gone. Figures: lint, types and the tests of the instance package pass. Conclusion: behaviour is the same.

--- a/bulrushloom/instance/groups.py
+++ b/bulrushloom/instance/groups.py
@@ -161,7 +161,7 @@
 
     def _add_owner(self, rule: TargetRule) -> TargetOwner:
         prefix = f"{self._handle_prefix}.{rule.name}"
-        owner = TargetOwner(rule, self._make_queue(), self._own, prefix)
+        owner = TargetOwner(rule, self._make_queue(), prefix)
         self.owner_by_target[rule.name] = owner
         names = [target.name for target in self._targets]
         self._tracker_by_target[rule.name] = AcknowledgementTracker(rule.name, names)
--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -36,12 +36,9 @@
 class TargetOwner(DecisionPart):
     """Run the statements of one target within its slots and connections."""
 
-    def __init__(
-        self, rule: TargetRule, queue: SlotQueue, own: str, handle_prefix: str
-    ):
+    def __init__(self, rule: TargetRule, queue: SlotQueue, handle_prefix: str):
         self.rule = rule
         self._queue = queue
-        self._own = own
         self._jobs = JobTable()
         capacity = max(1, connection_limit(rule) - rule.slots)
         table = TransactionTable(handle_prefix, capacity)
--- a/tests/instance/test_owner.py
+++ b/tests/instance/test_owner.py
@@ -28,9 +28,7 @@
     """Drive the owner of the primary ``orders-a``."""
 
     def __init__(self):
-        self.owner = TargetOwner(
-            builders.target_rule(slots=2), FairQueue(4), "east-1", "run"
-        )
+        self.owner = TargetOwner(builders.target_rule(slots=2), FairQueue(4), "run")
         self.owner.update_server(1, True, ZERO)
 
     def give(self, message, now=ZERO):
