--- /dev/null
+++ b/bulrushloom/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its messages, decides nothing."""
--- /dev/null
+++ b/bulrushloom/platform/documents.py
@@ -0,0 +1,127 @@
+"""Decoders of what operators and servers write into the platform's store."""
+
+from datetime import timedelta
+from typing import Any
+
+import orjson
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.configuration import (
+    Account,
+    Configuration,
+    Consistency,
+    Route,
+    Service,
+    Target,
+)
+
+_CONSISTENCY_BY_WORD = {
+    "primary": Consistency.PRIMARY,
+    "bounded_staleness": Consistency.BOUNDED_STALENESS,
+    "read_your_writes": Consistency.READ_YOUR_WRITES,
+}
+DEFAULT_IDLE_LIMIT_MS = 3000
+DEFAULT_STATEMENT_LIMIT_MS = 1000
+
+
+class DocumentError(ValueError):
+    """A document of the operators cannot be understood."""
+
+
+def decode_configuration(value: bytes, revision: int) -> Configuration:
+    """Return the configuration in ``value``; raise ``DocumentError`` if broken."""
+    try:
+        document = orjson.loads(value)
+        accounts = [_account(entry) for entry in document.get("Tenants") or ()]
+        return Configuration(
+            version=int(document["Version"]),
+            revision=revision,
+            # A route's host is the name of its database.
+            route_by_database={
+                entry["Host"]: _route(entry) for entry in document.get("Routes") or ()
+            },
+            service_by_name={
+                entry["Name"]: _service(entry)
+                for entry in document.get("Services") or ()
+            },
+            account_by_key={key: account for account, keys in accounts for key in keys},
+            account_by_name={account.name: account for account, _ in accounts},
+            transaction_idle_limit=_duration(
+                (document.get("Limits") or {}).get("TxIdleMs"), DEFAULT_IDLE_LIMIT_MS
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DocumentError(f"configuration at revision {revision}: {error}") from error
+
+
+def _duration(milliseconds: Any, default_ms: float) -> timedelta:
+    return timedelta(milliseconds=milliseconds or default_ms)
+
+
+def _route(entry: dict[str, Any]) -> Route:
+    return Route(
+        name=entry.get("Name", ""),
+        database=entry["Host"],
+        service=entry["Service"],
+        consistency=_CONSISTENCY_BY_WORD.get(entry.get("Type"), Consistency.PRIMARY),
+        max_staleness=timedelta(milliseconds=entry.get("MaxStalenessMs") or 0),
+        statement_timeout=_duration(
+            entry.get("TimeoutMs"), DEFAULT_STATEMENT_LIMIT_MS
+        ),
+        latency_objective=_duration(entry.get("SloMs"), DEFAULT_STATEMENT_LIMIT_MS),
+        priority=int(entry.get("Priority") or 0),
+        is_public=entry.get("Public") is True,
+    )
+
+
+def _service(entry: dict[str, Any]) -> Service:
+    return Service(
+        name=entry["Name"],
+        max_connections=int(entry.get("MaxConns") or 0),
+        sync_replicas=int(entry.get("SyncReplicas") or 0),
+    )
+
+
+def _account(entry: dict[str, Any]) -> tuple[Account, list[str]]:
+    account = Account(
+        name=entry["Name"],
+        rate_per_s=float(entry.get("RatePerS") or 0),
+        burst=float(entry.get("Burst") or 0),
+        priority=int(entry.get("Priority") or 0),
+    )
+    return account, list(entry.get("ApiKeys") or ())
+
+
+def decode_target(target_id: str, value: bytes, revision: int) -> Target | Missing:
+    """Return the target that an entry describes, or why it describes none."""
+    try:
+        entry = orjson.loads(value)
+    except orjson.JSONDecodeError:
+        return Missing("the entry is not JSON")
+    if not isinstance(entry, dict):
+        return Missing("the entry is not an object")
+    for field in ("Service", "Addr", "Zone"):
+        if not isinstance(entry.get(field), str) or not entry[field]:
+            return Missing(f"{field} is missing or no text")
+    if entry.get("State") not in ("ready", "draining"):
+        return Missing("the state is unknown")
+    if entry.get("DbRole") not in ("primary", "replica"):
+        return Missing("the role is unknown")
+    numbers = {}
+    for field, default in (("Slots", 1), ("ColdLeftMs", 0), ("born", 0), ("Seq", 0)):
+        number = entry.get(field, default)
+        if isinstance(number, bool) or not isinstance(number, int | float):
+            return Missing(f"{field} is not a number")
+        numbers[field] = number
+    return Target(
+        target_id=target_id,
+        service=entry["Service"],
+        address=entry["Addr"],
+        domain=entry["Zone"],
+        slots=max(1, int(numbers["Slots"])),
+        is_draining=entry["State"] == "draining",
+        claims_primary=entry["DbRole"] == "primary",
+        cold_left=timedelta(milliseconds=numbers["ColdLeftMs"]),
+        born_ms=int(numbers["born"]),
+        revision=revision,
+    )
--- /dev/null
+++ b/bulrushloom/platform/store.py
@@ -0,0 +1,264 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any
+from urllib.parse import quote
+
+import orjson
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.platform.documents import (
+    DocumentError,
+    decode_configuration,
+    decode_target,
+)
+from bulrushloom.proxy.configuration import Configuration, Target
+from bulrushloom.proxy.store import (
+    ExpectedRevision,
+    Lease,
+    Promotion,
+    ProxyStore,
+    Put,
+    Record,
+    StoreFailure,
+    StoreProblem,
+    StoreSnapshot,
+)
+from bulrushloom.runtime.http import HttpClient, HttpError, Response
+from bulrushloom.runtime.loop import Loop, Steps
+
+CONFIGURATION_KEY = "op/config"
+TARGET_PREFIX = "servers/"
+# Members sort before the configuration, so that a read can begin after them.
+MEMBER_PREFIX = "members/"
+AFTER_MEMBERS = "members0"
+# The slowest answers of the store so far were 60 to 90 times the usual 4 ms.
+CALL_LIMIT = timedelta(milliseconds=900)
+# A promotion is answered in milliseconds; a slow platform must not hold the duty.
+PROMOTION_LIMIT = timedelta(seconds=1)
+_MILLISECOND = timedelta(milliseconds=1)
+
+Log = Callable[..., None]
+
+
+class KeyValueStore(ProxyStore):
+    """Translate the proxy's calls; broken entries are logged once and left out."""
+
+    def __init__(self, loop: Loop, address: str, log: Log):
+        self._loop = loop
+        self._log = log
+        # A slow read must not hold up the renewal of a lease.
+        self._reader = HttpClient(loop, address)
+        self._writer = HttpClient(loop, address)
+        self._keeper = HttpClient(loop, address)
+        self._configuration: Configuration | None = None
+        self._target_by_key: dict[str, tuple[int, Target | Missing]] = {}
+        self.calls = 0
+
+    def snapshot(self, with_members: bool) -> "Future[StoreSnapshot | StoreFailure]":
+        """Read everything in one linearizable range."""
+        return self._loop.spawn(self._snapshot("" if with_members else AFTER_MEMBERS))
+
+    def _snapshot(self, first_after: str) -> Steps:
+        asked_at = self._loop.now()
+        items: list[dict[str, Any]] = []
+        after, revision = first_after, None
+        while True:
+            path = f"/v1/kv-range?Prefix=&after={quote(after, safe='')}"
+            page = yield from self._call(self._reader, "GET", path)
+            if isinstance(page, StoreFailure):
+                return page
+            items += page["items"]
+            # Pages are no snapshot; the first one's revision is certainly included.
+            revision = page["CurrentRev"] if revision is None else revision
+            if not page.get("HasMore") or not page["items"]:
+                break
+            after = page["items"][-1]["Key"]
+        try:
+            return self._read_items(asked_at, revision, items, first_after == "")
+        except (KeyError, TypeError, ValueError) as error:
+            return StoreFailure(StoreProblem.UNKNOWN, f"bad answer: {error!r}")
+
+    def _read_items(
+        self,
+        asked_at: timedelta,
+        revision: int,
+        items: list[dict[str, Any]],
+        with_members: bool,
+    ) -> StoreSnapshot:
+        records: dict[str, Record] = {}
+        members: dict[str, Record] = {}
+        target_by_key = {}
+        for item in items:
+            key = item["Key"]
+            if key == CONFIGURATION_KEY:
+                self._read_configuration(item)
+            elif key.startswith(TARGET_PREFIX):
+                target_by_key[key] = self._read_target(item)
+            elif key.startswith(MEMBER_PREFIX):
+                members[key] = _record(item)
+            else:
+                records[key] = _record(item)
+        self._target_by_key = target_by_key
+        targets = (target for _, target in target_by_key.values())
+        return StoreSnapshot(
+            asked_at,
+            revision,
+            self._configuration,
+            {t.target_id: t for t in targets if not isinstance(t, Missing)},
+            records,
+            members if with_members else None,
+        )
+
+    def _read_configuration(self, item: dict[str, Any]) -> None:
+        if self._configuration and item["Rev"] <= self._configuration.revision:
+            return
+        try:
+            value = base64.b64decode(item["Value"])
+            self._configuration = decode_configuration(value, item["Rev"])
+        except (DocumentError, binascii.Error) as error:
+            self._log("configuration_unreadable", reason=str(error))
+
+    def _read_target(self, item: dict[str, Any]) -> tuple[int, Target | Missing]:
+        key, revision = item["Key"], item["Rev"]
+        known = self._target_by_key.get(key)
+        if known is not None and known[0] == revision:
+            return known
+        try:
+            value = base64.b64decode(item["Value"])
+        except binascii.Error:
+            value = b""
+        target = decode_target(key.removeprefix(TARGET_PREFIX), value, revision)
+        if isinstance(target, Missing) and not (
+            known is not None and isinstance(known[1], Missing)
+        ):
+            self._log("target_entry_unreadable", key=key, reason=target.reason)
+        return revision, target
+
+    def create_lease(self, ttl: timedelta) -> "Future[Lease | StoreFailure]":
+        """Create a lease."""
+        body = orjson.dumps({"TtlMs": ttl // _MILLISECOND})
+        return self._loop.spawn(self._lease("/v1/kv-lease", body, None))
+
+    def renew_lease(self, lease_id: int) -> "Future[Lease | StoreFailure]":
+        """Extend a lease by its time to live."""
+        return self._loop.spawn(self._lease(f"/v1/kv-keep/{lease_id}", b"", lease_id))
+
+    def _lease(self, path: str, body: bytes, lease_id: int | None) -> Steps:
+        answer = yield from self._call(self._keeper, "POST", path, body)
+        if isinstance(answer, StoreFailure):
+            return answer
+        try:
+            ttl = timedelta(milliseconds=answer["TtlMs"])
+            return Lease(lease_id if lease_id else int(answer["Lease"]), ttl)
+        except (KeyError, TypeError, ValueError) as error:
+            return StoreFailure(StoreProblem.UNKNOWN, f"bad answer: {error!r}")
+
+    def end_lease(self, lease_id: int) -> "Future[StoreFailure | None]":
+        """End a lease at once; its records are removed."""
+        return self._loop.spawn(self._end_lease(lease_id))
+
+    def _end_lease(self, lease_id: int) -> Steps:
+        path = f"/v1/kv-lease-end/{lease_id}"
+        answer = yield from self._call(self._keeper, "DELETE", path)
+        return answer if isinstance(answer, StoreFailure) else None
+
+    def commit(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+    ) -> "Future[int | StoreFailure]":
+        """Write all ``puts`` if all expectations hold; give the new revision."""
+        return self._loop.spawn(self._commit(expected, puts))
+
+    def _commit(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+    ) -> Steps:
+        body = orjson.dumps(
+            {
+                "ExpectRev": [{"Key": e.key, "Rev": e.revision} for e in expected],
+                "Puts": [
+                    {
+                        "Key": put.key,
+                        "Value": base64.b64encode(put.value).decode(),
+                        "Lease": put.lease_id,
+                    }
+                    for put in puts
+                ],
+                "Deletes": [],
+            }
+        )
+        answer = yield from self._call(self._writer, "POST", "/v1/kv-txn", body)
+        if isinstance(answer, StoreFailure):
+            return answer
+        return int(answer.get("Rev", 0))
+
+    def _call(
+        self, client: HttpClient, method: str, path: str, body: bytes = b""
+    ) -> Steps:
+        self.calls += 1
+        try:
+            response = yield client.request(method, path, body, CALL_LIMIT)
+        except HttpError as error:
+            return StoreFailure(StoreProblem.UNKNOWN, str(error))
+        return _decode(method, path, response)
+
+    def close(self) -> None:
+        """Close the connections."""
+        for client in (self._reader, self._writer, self._keeper):
+            client.close()
+
+
+def _record(item: dict[str, Any]) -> Record:
+    return Record(item["Key"], base64.b64decode(item["Value"]), item["Rev"])
+
+
+_PROBLEM_BY_STATUS = {
+    404: StoreProblem.NO_LEASE,
+    412: StoreProblem.CONFLICT,
+    429: StoreProblem.NOT_DONE,
+    503: StoreProblem.NOT_DONE,
+    403: StoreProblem.NOT_DONE,
+    400: StoreProblem.NOT_DONE,
+}
+
+
+def _decode(method: str, path: str, response: Response) -> Any:
+    if response.status in (200, 204):
+        try:
+            return orjson.loads(response.body) if response.body else {}
+        except orjson.JSONDecodeError as error:
+            return StoreFailure(StoreProblem.UNKNOWN, f"bad answer: {error}")
+    problem = _PROBLEM_BY_STATUS.get(response.status, StoreProblem.UNKNOWN)
+    return StoreFailure(problem, f"{method} {path}: status {response.status}")
+
+
+class DutyPromotion(Promotion):
+    """Send promotions, which are the duty of one instance at a time."""
+
+    def __init__(self, loop: Loop, address: str):
+        self._loop = loop
+        self._address = address
+
+    def promote(
+        self, service: str, target_id: str, holder: str, fence: int
+    ) -> "Future[int]":
+        """Send the order; give the HTTP status, or 0 if there was no answer."""
+        body = orjson.dumps({"Service": service, "Id": target_id})
+        headers = (("Duty-Holder", holder), ("Fence-Token", str(fence)))
+        return self._loop.spawn(self._promote(body, headers))
+
+    def _promote(self, body: bytes, headers: tuple[tuple[str, str], ...]) -> Steps:
+        # A connection of its own each time: the order must not wait in an old buffer.
+        client = HttpClient(self._loop, self._address)
+        try:
+            response = yield client.request(
+                "POST", "/promote", body, PROMOTION_LIMIT, headers
+            )
+        except HttpError:
+            return 0
+        finally:
+            client.close()
+        return response.status
--- /dev/null
+++ b/bulrushloom/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Session proxy: client sessions on pooled server connections."""
--- /dev/null
+++ b/bulrushloom/proxy/connections.py
@@ -0,0 +1,332 @@
+"""Connections to targets and the pool that keeps them within their allowance."""
+
+import itertools
+from collections import deque
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future
+from datetime import timedelta
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.platform import wire
+from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.messages import (
+    NO_POSITION,
+    Failure,
+    LogPosition,
+    PreparedStatement,
+    ServerAnswer,
+    TransactionState,
+)
+from bulrushloom.runtime.loop import Loop, Steps, fail, settle
+from bulrushloom.runtime.streams import LineTooLong, Stream, connect
+
+# A connection in the same region takes two milliseconds.
+CONNECT_LIMIT = timedelta(milliseconds=500)
+# A server admits a connection when a slot is free; 24 statements may wait before.
+START_LIMIT = timedelta(milliseconds=1000)
+
+
+class ConnectionLost(Exception):
+    """A connection to a target ended or could not be opened.
+
+    ``refused`` tells that the target's machine answered that nobody listens.
+    """
+
+    def __init__(self, reason: str, refused: bool = False):
+        super().__init__(reason)
+        self.refused = refused
+
+
+class ConnectionRejected(Exception):
+    """A target answered that it does not take this connection."""
+
+    def __init__(self, failure: Failure):
+        super().__init__(f"{failure.code}: {failure.reason}")
+        self.failure = failure
+
+
+class ServerConnection:
+    """Own one connection to a target, opened for one account.
+
+    ``values`` and ``prepared_by_name`` are what the server keeps for this connection.
+    """
+
+    def __init__(self, loop: Loop, stream: Stream, target: Target, account: str):
+        self._loop = loop
+        self._stream = stream
+        self._rows: list[bytes] = []
+        self._signature = b""
+        self._failure: Failure | None = None
+        self._waiting: deque[Future[ServerAnswer]] = deque()
+        self.target = target
+        self.account = account
+        self.values: dict[bytes, bytes] = {}
+        self.prepared_by_name: dict[bytes, PreparedStatement] = {}
+        self.state = TransactionState.IDLE
+        self.position: LogPosition | Missing = NO_POSITION
+        self.released_at = loop.now()
+        self.in_use = True
+        self._started = False
+        self.on_close: Callable[[ServerConnection], None] | None = None
+        stream.on_data(self._on_data)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether statements can be sent."""
+        return self._stream.is_open
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another session may use the connection."""
+        idle = self.state is TransactionState.IDLE and not self._waiting
+        return idle and self._stream.is_open and not self._stream.has_ended
+
+    def start(self) -> "Future[ServerAnswer]":
+        """Open the session at the server."""
+        target = self.target
+        return self._send(
+            wire.encode_start(target.service, self.account, target.target_id)
+        )
+
+    def query(
+        self, request_id: bytes, text: bytes, after: LogPosition | None = None
+    ) -> "Future[ServerAnswer]":
+        """Send one statement; the future fails with ``ConnectionLost``."""
+        return self._send(wire.encode_query(request_id, text, after))
+
+    def _send(self, data: bytes) -> "Future[ServerAnswer]":
+        future: Future[ServerAnswer] = Future()
+        if not self._stream.is_open:
+            future.set_exception(ConnectionLost(self._stream.closed_reason))
+            return future
+        self._waiting.append(future)
+        self._stream.write(data)
+        return future
+
+    def _on_data(self) -> None:
+        try:
+            while self._stream.is_open:
+                line = self._stream.take_line(wire.MAX_LINE_BYTES)
+                if line is None:
+                    break
+                self._read_line(line)
+        except (LineTooLong, wire.ProtocolError) as error:
+            self._stream.close(f"protocol error: {error}")
+        if self._stream.has_ended:
+            self.close(self._stream.closed_reason or "closed by the target")
+
+    def _read_line(self, line: bytes) -> None:
+        if not self._waiting:
+            raise wire.ProtocolError("an answer to no statement")
+        word, _, rest = line.partition(b" ")
+        if word == b"ROW":
+            self._rows.append(line + wire.END)
+        elif word == b"DONE":
+            self._signature = rest
+        elif word == b"ERR":
+            self._failure = wire.decode_failure(rest)
+        elif word == b"READY":
+            self.state, self.position = wire.decode_ready(rest)
+            self._started = True
+            self._finish()
+        else:
+            raise wire.ProtocolError(f"unknown message {word[:20]!r}")
+
+    def _finish(self) -> None:
+        answer = ServerAnswer(
+            tuple(self._rows), self._signature, self._failure, self.state, self.position
+        )
+        self._rows.clear()
+        self._signature = b""
+        self._failure = None
+        settle(self._waiting.popleft(), answer)
+
+    def close(self, reason: str = "closed") -> None:
+        """Close the connection; the server rolls an open transaction back."""
+        self._stream.close(reason)
+        failure, self._failure = self._failure, None
+        while self._waiting:
+            waiting = self._waiting.popleft()
+            if failure is not None and not self._started:
+                fail(waiting, ConnectionRejected(failure))
+            else:
+                fail(waiting, ConnectionLost(reason))
+        on_close, self.on_close = self.on_close, None
+        if on_close is not None:
+            on_close(self)
+
+
+def open_connection(loop: Loop, target: Target, account: str) -> Steps:
+    """Connect and start a session; return a ``ServerConnection``.
+
+    Raise ``ConnectionLost`` or ``ConnectionRejected``.
+    """
+    try:
+        stream = yield connect(loop, target.address, CONNECT_LIMIT)
+    except ConnectionRefusedError as error:
+        raise ConnectionLost(str(error), refused=True) from error
+    except OSError as error:
+        raise ConnectionLost(str(error)) from error
+    connection = ServerConnection(loop, stream, target, account)
+    try:
+        yield loop.within(connection.start(), START_LIMIT)
+    except TimeoutError as error:
+        connection.close("no answer to the start")
+        raise ConnectionLost("no answer to the start") from error
+    return connection
+
+
+class ConnectionPool:
+    """Keep the connections of this instance to all targets.
+
+    ``allowance`` gives how many connections this instance may hold to a target.
+    """
+
+    def __init__(self, loop: Loop, allowance: Callable[[Target], int]):
+        self._loop = loop
+        self._allowance = allowance
+        self._connections_by_target: dict[str, list[ServerConnection]] = {}
+        self._opening_by_target: dict[str, int] = {}
+        self._waiters_by_target: dict[str, list[tuple[int, int, Future[None]]]] = {}
+        self._order = itertools.count()
+        self.opened = 0
+
+    def in_flight(self, target_id: str) -> int:
+        """Return how many connections to a target are in use or being opened."""
+        used = sum(c.in_use for c in self._connections_by_target.get(target_id, ()))
+        return used + self._opening_by_target.get(target_id, 0)
+
+    def has_idle(self, target_id: str, account: str) -> bool:
+        """Return whether an idle connection for the account exists."""
+        return any(
+            not c.in_use and c.account == account
+            for c in self._connections_by_target.get(target_id, ())
+        )
+
+    def size(self) -> int:
+        """Return the number of open connections."""
+        return sum(len(found) for found in self._connections_by_target.values())
+
+    def acquire(
+        self,
+        target: Target,
+        account: str,
+        values: Mapping[bytes, bytes],
+        priority: int,
+        limit: timedelta,
+    ) -> Steps:
+        """Return a connection for the account; wait ``limit`` at most for one.
+
+        Raise ``TimeoutError`` if none became free, or what ``open_connection`` raises.
+        """
+        deadline = self._loop.now() + limit
+        while True:
+            connection = self._take_idle(target.target_id, account, values)
+            if connection is not None:
+                return connection
+            if self._make_room(target):
+                return (yield from self._open(target, account))
+            yield from self._wait(target.target_id, priority, deadline)
+
+    def _take_idle(
+        self, target_id: str, account: str, values: Mapping[bytes, bytes]
+    ) -> ServerConnection | None:
+        idle = [
+            connection
+            for connection in self._connections_by_target.get(target_id, ())
+            if not connection.in_use and connection.account == account
+        ]
+        if not idle:
+            return None
+        same = [connection for connection in idle if connection.values == values]
+        connection = max(same or idle, key=lambda c: c.released_at)
+        connection.in_use = True
+        return connection
+
+    def _make_room(self, target: Target) -> bool:
+        """Return whether a connection may be opened; close an idle one if needed."""
+        found = self._connections_by_target.get(target.target_id, [])
+        held = len(found) + self._opening_by_target.get(target.target_id, 0)
+        if held < self._allowance(target):
+            return True
+        idle = [connection for connection in found if not connection.in_use]
+        if not idle:
+            return False
+        min(idle, key=lambda c: c.released_at).close("another account needs it")
+        return True
+
+    def _open(self, target: Target, account: str) -> Steps:
+        target_id = target.target_id
+        opening = self._opening_by_target
+        opening[target_id] = opening.get(target_id, 0) + 1
+        self.opened += 1
+        try:
+            connection = yield from open_connection(self._loop, target, account)
+        finally:
+            opening[target_id] -= 1
+            self._wake_waiter(target_id)
+        connection.on_close = self._remove
+        self._connections_by_target.setdefault(target_id, []).append(connection)
+        return connection
+
+    def _wait(self, target_id: str, priority: int, deadline: timedelta) -> Steps:
+        turn: Future[None] = Future()
+        waiters = self._waiters_by_target.setdefault(target_id, [])
+        entry = (priority, next(self._order), turn)
+        waiters.append(entry)
+        waiters.sort(key=lambda waiter: waiter[:2])
+        try:
+            yield self._loop.within(turn, deadline - self._loop.now())
+        finally:
+            if entry in waiters:
+                waiters.remove(entry)
+
+    def waiting(self, target_id: str) -> int:
+        """Return how many statements wait for a connection to a target."""
+        return len(self._waiters_by_target.get(target_id, ()))
+
+    def release(self, connection: ServerConnection) -> None:
+        """Take a connection back; one that cannot be reused is closed."""
+        if not connection.is_reusable:
+            connection.close("not reusable")
+            return
+        connection.in_use = False
+        connection.released_at = self._loop.now()
+        self._wake_waiter(connection.target.target_id)
+
+    def _remove(self, connection: ServerConnection) -> None:
+        found = self._connections_by_target.get(connection.target.target_id, [])
+        if connection in found:
+            found.remove(connection)
+        self._wake_waiter(connection.target.target_id)
+
+    def _wake_waiter(self, target_id: str) -> None:
+        waiters = self._waiters_by_target.get(target_id)
+        while waiters:
+            turn = waiters.pop(0)[2]
+            if not turn.done():
+                settle(turn, None)
+                return
+
+    def shrink(self, target_id: str, allowed: int) -> None:
+        """Close idle connections to a target beyond ``allowed``."""
+        found = self._connections_by_target.get(target_id, [])
+        idle = sorted((c for c in found if not c.in_use), key=lambda c: c.released_at)
+        for connection in idle[: max(0, len(found) - allowed)]:
+            connection.close("the target has too many connections")
+
+    def drop_target(self, target_id: str, reason: str) -> None:
+        """Close the idle connections to a target that is no longer used."""
+        for connection in list(self._connections_by_target.get(target_id, ())):
+            if not connection.in_use:
+                connection.close(reason)
+
+    def target_ids(self) -> list[str]:
+        """Return the targets to which connections exist."""
+        return [key for key, found in self._connections_by_target.items() if found]
+
+    def close(self) -> None:
+        """Close all connections."""
+        for found in list(self._connections_by_target.values()):
+            for connection in list(found):
+                connection.close("the instance stops")
--- /dev/null
+++ b/bulrushloom/proxy/execution.py
@@ -0,0 +1,425 @@
+"""Execution of single statements: where they run, and what is tried again."""
+
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import NamedTuple
+
+import xxhash
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.platform import wire
+from bulrushloom.proxy.configuration import Consistency, Route, Target
+from bulrushloom.proxy.connections import (
+    ConnectionLost,
+    ConnectionRejected,
+    ServerConnection,
+)
+from bulrushloom.proxy.messages import (
+    AnswerCode,
+    Failure,
+    LogPosition,
+    PreparedStatement,
+    ServerAnswer,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+from bulrushloom.proxy.routing import Candidate
+from bulrushloom.proxy.services import Services
+from bulrushloom.runtime.loop import Steps
+
+# A statement that no target has taken by this part of its latency objective is refused.
+OFFER_SHARE = 0.5
+# A read without an answer is sent to another target after this part of the objective.
+HEDGE_SHARE = 0.5
+# Pause before a target whose queue was full is tried again.
+BUSY_PAUSE = timedelta(milliseconds=15)
+# The announcement of a new primary normally comes first.
+PRIMARY_PAUSE = timedelta(milliseconds=100)
+MAX_ATTEMPTS = 8
+# Names on one connection; a reset drops them all.
+MAX_PREPARED = 200
+_ZERO = timedelta()
+
+
+class Attempt(NamedTuple):
+    """Hold a single statement with what decides where it runs."""
+
+    statement: Statement
+    prepared: PreparedStatement | None
+    route: Route
+    account: str
+    started_at: timedelta
+    session_position: LogPosition | Missing
+
+    @property
+    def deadline(self) -> timedelta:
+        """Return when the route's timeout is reached."""
+        return self.started_at + self.route.statement_timeout
+
+    @property
+    def offer_deadline(self) -> timedelta:
+        """Return when a statement that no target has taken is refused."""
+        return self.started_at + self.route.latency_objective * OFFER_SHARE
+
+
+class Outcome(NamedTuple):
+    """Hold what the caller is told: a failure or the answer of a target."""
+
+    failure: Failure | None
+    answer: ServerAnswer | None
+
+
+class NotOffered(Exception):
+    """No target has received the statement."""
+
+    def __init__(self, target: Target, reason: str, pause: timedelta = _ZERO):
+        super().__init__(reason)
+        self.target = target
+        self.pause = pause
+
+
+class AnswerLost(Exception):
+    """A target received the statement, and no answer came."""
+
+    def __init__(self, target: Target, code: AnswerCode, reason: str):
+        super().__init__(reason)
+        self.target = target
+        self.code = code
+
+
+class Runner:
+    """Run the statements of one session; ``values`` are its session values."""
+
+    def __init__(self, services: Services, values: dict[bytes, bytes]):
+        self._services = services
+        self._loop = services.loop
+        self._values = values
+
+    # Connections
+
+    def connection(
+        self, target: Target, account: str, priority: int, limit: timedelta
+    ) -> Steps:
+        """Return a connection whose values are the session's.
+
+        Raise ``NotOffered``.
+        """
+        services = self._services
+        health = services.router.health(target.target_id)
+        try:
+            connection = yield from services.pool.acquire(
+                target, account, self._values, priority, limit
+            )
+        except TimeoutError as error:
+            raise NotOffered(target, "no connection became free") from error
+        except ConnectionRejected as error:
+            if error.failure.code is AnswerCode.TOO_MANY_CONNECTIONS:
+                services.reject_connections(target)
+                health.was_busy(self._loop.now())
+            elif error.failure.code is AnswerCode.NOT_RUN:
+                health.was_busy(self._loop.now())
+            else:
+                health.failed(self._loop.now())
+            raise NotOffered(target, str(error), BUSY_PAUSE) from error
+        except ConnectionLost as error:
+            health.failed(self._loop.now())
+            services.suspect(target, str(error))
+            raise NotOffered(target, str(error)) from error
+        return connection
+
+    def adapt(
+        self, connection: ServerConnection, prepared: PreparedStatement | None
+    ) -> Steps:
+        """Give the connection the session's values and the prepared statement.
+
+        Raise ``NotOffered`` if the server does not confirm them.
+        """
+        texts = []
+        stale = connection.values.keys() - self._values.keys()
+        if stale or len(connection.prepared_by_name) > MAX_PREPARED:
+            texts.append(wire.RESET)
+            connection.values.clear()
+            connection.prepared_by_name.clear()
+        for name, value in self._values.items():
+            if connection.values.get(name) != value:
+                texts.append(wire.set_text(name, value))
+                connection.values[name] = value
+        if prepared is not None:
+            name = prepared_name(prepared)
+            if name not in connection.prepared_by_name:
+                texts.append(wire.prepare_text(name, prepared))
+                connection.prepared_by_name[name] = prepared
+        if not texts:
+            return
+        answers = [connection.query(wire.OWN_ID, text) for text in texts]
+        limit = self._loop.now() + PRIMARY_PAUSE * 5
+        for answer in answers:
+            try:
+                done = yield self._loop.within(answer, limit - self._loop.now())
+            except (ConnectionLost, ConnectionRejected, TimeoutError) as error:
+                connection.close("the session values were not confirmed")
+                raise NotOffered(connection.target, str(error)) from error
+            if done.failure is not None:
+                connection.close("the session values were refused")
+                raise NotOffered(connection.target, done.failure.reason)
+
+    def send(
+        self,
+        connection: ServerConnection,
+        attempt: Attempt,
+        after: LogPosition | None,
+    ) -> Steps:
+        """Send the statement and return the answer; raise ``AnswerLost``."""
+        text = statement_text(attempt.statement, attempt.prepared)
+        asked_at = self._loop.now()
+        answering = connection.query(attempt.statement.request_id, text, after)
+        target = connection.target
+        try:
+            answer = yield self._loop.within(answering, attempt.deadline - asked_at)
+        except TimeoutError as error:
+            connection.close("no answer within the statement timeout")
+            self._services.router.health(target.target_id).failed(self._loop.now())
+            self._services.suspect(target, "no answer within the statement timeout")
+            reason = "no answer within the statement timeout"
+            raise AnswerLost(target, AnswerCode.TIMEOUT, reason) from error
+        except (ConnectionLost, ConnectionRejected) as error:
+            self._services.router.health(target.target_id).failed(self._loop.now())
+            self._services.suspect(target, str(error))
+            raise AnswerLost(target, AnswerCode.IN_DOUBT, str(error)) from error
+        self._note(target, answer, asked_at)
+        return answer
+
+    def _note(
+        self, target: Target, answer: ServerAnswer, asked_at: timedelta
+    ) -> None:
+        services, now = self._services, self._loop.now()
+        services.note_answer(target, answer, asked_at)
+        services.absolve(target.target_id)
+        health = services.router.health(target.target_id)
+        code = answer.failure.code if answer.failure else None
+        if code is None:
+            health.answered(now, now - asked_at)
+            health.caught_up()
+        elif code is AnswerCode.LAGGING:
+            health.lagged(now)
+        elif code is AnswerCode.NOT_RUN:
+            health.was_busy(now)
+        else:
+            health.failed(now)
+
+    # Reads
+
+    def read(self, attempt: Attempt) -> Steps:
+        """Run a read where its consistency allows; return an ``Outcome``."""
+        tried: list[str] = []
+        running: list[Future[ServerAnswer]] = []
+        last = "no target is in reach"
+        hedge_after = attempt.route.latency_objective * HEDGE_SHARE
+        for _ in range(MAX_ATTEMPTS):
+            choice = self.choose_read(attempt, tried)
+            if isinstance(choice, Missing):
+                if not running:
+                    waited = yield from self._wait_for_target(attempt, choice, tried)
+                    if not waited:
+                        return self._refused(f"{choice.reason}; last: {last}")
+                    continue
+            else:
+                tried.append(choice.target.target_id)
+                steps = self._read_once(attempt, choice)
+                running.append(self._loop.spawn_quietly(steps))
+            timer = self._loop.sleep(hedge_after)
+            yield self._loop.first_of([*running, timer])
+            for future in [f for f in running if f.done()]:
+                running.remove(future)
+                outcome, last = self._read_outcome(future)
+                if outcome is not None:
+                    return outcome
+            if self._loop.now() >= attempt.deadline:
+                break
+        for future in running:
+            try:
+                yield self._loop.within(future, attempt.deadline - self._loop.now())
+            except (TimeoutError, NotOffered, AnswerLost):
+                continue
+            outcome, last = self._read_outcome(future)
+            if outcome is not None:
+                return outcome
+        return self._refused(f"the read was tried {len(tried)} times; last: {last}")
+
+    def _read_outcome(
+        self, future: "Future[ServerAnswer]"
+    ) -> tuple[Outcome | None, str]:
+        """Return the outcome, or ``None`` and the reason if another try may help."""
+        error = future.exception()
+        if error is not None:
+            if not isinstance(error, NotOffered | AnswerLost):
+                raise error
+            return None, str(error)
+        answer = future.result()
+        if answer.failure is None:
+            return Outcome(None, answer), ""
+        if answer.failure.code is AnswerCode.BAD_REQUEST:
+            return Outcome(answer.failure, None), ""
+        return None, f"{answer.failure.code.value}: {answer.failure.reason}"
+
+    def _read_once(self, attempt: Attempt, choice: Candidate) -> Steps:
+        limit = attempt.offer_deadline - self._loop.now()
+        connection = yield from self.connection(
+            choice.target, attempt.account, attempt.route.priority, max(limit, _ZERO)
+        )
+        try:
+            yield from self.adapt(connection, attempt.prepared)
+            after = self.required_position(attempt.route, attempt.session_position)
+            if choice.is_primary:
+                after = None
+            elif isinstance(after, Missing):
+                raise NotOffered(choice.target, after.reason)
+            answer = yield from self.send(connection, attempt, after)
+        finally:
+            self._services.pool.release(connection)
+        return answer
+
+    def choose_read(
+        self, attempt: Attempt, tried: list[str]
+    ) -> Candidate | Missing:
+        """Return the target for a read, leaving out those in ``tried``."""
+        services, route = self._services, attempt.route
+        if route.consistency is Consistency.PRIMARY:
+            primary = services.primary(route.service)
+            if isinstance(primary, Missing):
+                return primary
+            if tried.count(primary.target_id) >= 2:
+                return Missing("the primary did not serve the read")
+            return Candidate(primary, True, 0, True)
+        required = self.required_position(route, attempt.session_position)
+        candidates = [
+            candidate
+            for candidate in services.candidates(route.service, attempt.account)
+            if candidate.target.target_id not in tried
+        ]
+        return services.router.choose(candidates, required, self._loop.now())
+
+    def required_position(
+        self, route: Route, session_position: LogPosition | Missing
+    ) -> LogPosition | Missing:
+        """Return the position that a replica must have applied for a read."""
+        now = self._loop.now()
+        history = self._services.history(route.service)
+        bound = history.position_for(now, route.max_staleness)
+        if isinstance(bound, Missing) or isinstance(session_position, Missing):
+            return bound
+        if route.consistency is Consistency.READ_YOUR_WRITES:
+            return max(bound, session_position)
+        return bound
+
+    def _wait_for_target(
+        self, attempt: Attempt, missing: Missing, tried: list[str]
+    ) -> Steps:
+        """Wait for a primary or a replica; return whether trying again is of use."""
+        now = self._loop.now()
+        if tried and now < attempt.offer_deadline:
+            tried.clear()
+            yield self._loop.sleep(BUSY_PAUSE)
+            return True
+        return (yield from self.wait_for_primary(attempt))
+
+    def wait_for_primary(self, attempt: Attempt) -> Steps:
+        """Wait for a change of the primary if it can come in time."""
+        services, now = self._services, self._loop.now()
+        remaining = attempt.deadline - now
+        if self.time_to_primary(attempt.route.service) > remaining:
+            return False
+        changed = services.primary_changed(attempt.route.service)
+        pause = min(PRIMARY_PAUSE, max(remaining, _ZERO))
+        yield self._loop.first_of([changed, self._loop.sleep(pause)])
+        return self._loop.now() < attempt.deadline
+
+    def time_to_primary(self, service: str) -> timedelta:
+        """Return when a new primary can be expected."""
+        return self._services.time_to_primary(service)
+
+    # Writes
+
+    def write(self, attempt: Attempt) -> Steps:
+        """Run a single write at the primary; return an ``Outcome``."""
+        last = ""
+        services = self._services
+        service = attempt.route.service
+        while self._loop.now() < attempt.deadline:
+            primary = services.primary(service)
+            if isinstance(primary, Missing):
+                waited = yield from self.wait_for_primary(attempt)
+                if not waited:
+                    return self._refused(f"{primary.reason}; {last}", service)
+                continue
+            try:
+                answer = yield from self._write_once(attempt, primary)
+            except NotOffered as error:
+                last = str(error)
+                if self._loop.now() >= attempt.offer_deadline:
+                    waited = yield from self.wait_for_primary(attempt)
+                    if not waited:
+                        break
+                yield self._loop.sleep(max(error.pause, BUSY_PAUSE))
+                continue
+            except AnswerLost as error:
+                reason = f"the outcome of the write is not known: {error}"
+                return Outcome(Failure(error.code, reason), None)
+            if answer.failure is None:
+                services.note_commit(service, answer.position)
+                return Outcome(None, answer)
+            last = f"{answer.failure.code.value}: {answer.failure.reason}"
+            match answer.failure.code:
+                case AnswerCode.NOT_RUN:
+                    if self._loop.now() >= attempt.offer_deadline:
+                        break
+                    yield self._loop.sleep(BUSY_PAUSE)
+                case AnswerCode.READ_ONLY:
+                    services.suspect(primary, "the primary refuses writes")
+                    waited = yield from self.wait_for_primary(attempt)
+                    if not waited:
+                        break
+                case AnswerCode.LAGGING | AnswerCode.UNKNOWN_STATEMENT:
+                    yield self._loop.sleep(BUSY_PAUSE)
+                case _:
+                    return Outcome(answer.failure, None)
+        return self._refused(last, service)
+
+    def _write_once(self, attempt: Attempt, primary: Target) -> Steps:
+        limit = max(attempt.offer_deadline - self._loop.now(), _ZERO)
+        connection = yield from self.connection(
+            primary, attempt.account, attempt.route.priority, limit
+        )
+        try:
+            yield from self.adapt(connection, attempt.prepared)
+            answer = yield from self.send(connection, attempt, None)
+        finally:
+            self._services.pool.release(connection)
+        return answer
+
+    def _refused(self, reason: str, service: str = "") -> Outcome:
+        retry_after = PRIMARY_PAUSE
+        if service:
+            retry_after = max(retry_after, self.time_to_primary(service))
+        return Outcome(Failure(AnswerCode.NOT_RUN, reason, retry_after), None)
+
+
+def prepared_name(prepared: PreparedStatement) -> bytes:
+    """Return the name of a prepared statement that all sessions share."""
+    mode = b"w" if prepared.writes else b"r"
+    return mode + xxhash.xxh64_hexdigest(prepared.shape).encode()
+
+
+def statement_text(
+    statement: Statement, prepared: PreparedStatement | None
+) -> bytes:
+    """Return the text for a server: prepared names are the shared ones."""
+    if statement.kind is StatementKind.EXECUTE and prepared is not None:
+        return wire.execute_text(prepared_name(prepared), statement.arguments)
+    return statement.text
+
+
+def is_rolled_back(answer: ServerAnswer) -> bool:
+    """Return whether the server has no open transaction after this answer."""
+    return answer.state is not TransactionState.OPEN
--- /dev/null
+++ b/bulrushloom/proxy/node.py
@@ -0,0 +1,362 @@
+"""One running instance of the session proxy."""
+
+import os
+import signal
+import socket
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future
+from contextlib import ExitStack
+from datetime import timedelta
+from typing import Any
+
+import xxhash
+
+from bulrushloom.conf.exceptions import SettingsError
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.platform.store import DutyPromotion, KeyValueStore
+from bulrushloom.proxy.gossip import Gossip, Member, OwnReport, PeerReport
+from bulrushloom.proxy.groups import decode_group, group_records
+from bulrushloom.proxy.limits import PeerUsage
+from bulrushloom.proxy.membership import HEARD_LIMIT, Registration, decode_members
+from bulrushloom.proxy.positions import PositionSample
+from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.session import Session
+from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
+from bulrushloom.proxy.store import StoreFailure, StoreSnapshot
+from bulrushloom.proxy.telemetry import EventLog, Metrics
+from bulrushloom.runtime.http import HttpServer
+from bulrushloom.runtime.loop import Loop, Steps
+from bulrushloom.runtime.streams import Listener, Stream
+
+# The store is read once a second; a version is in force well within its bound.
+READ_INTERVAL = timedelta(seconds=1)
+READ_RETRY_INTERVAL = timedelta(milliseconds=200)
+# Callers with unknown keys must not make the store read more often than this.
+MIN_CONFIRM_INTERVAL = timedelta(milliseconds=250)
+GOSSIP_INTERVAL = timedelta(milliseconds=200)
+SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
+# The balancer asks once a second and takes an instance out after two misses.
+LEAVE_TIME = timedelta(milliseconds=2300)
+STOP_CHECK_INTERVAL = timedelta(milliseconds=50)
+# Kept of the grace for the last answers and the log.
+STOP_MARGIN = timedelta(milliseconds=700)
+READY_PATH = "/v1/ready"
+METRICS_PATH = "/metrics"
+_ZERO = timedelta()
+
+
+class Node:
+    """Compose one instance; ``run`` returns when it has stopped."""
+
+    def __init__(self, settings_path: str, loop: Loop, stack: ExitStack):
+        self._settings_path = settings_path
+        self.settings: ProxySettings = load_proxy_settings(settings_path)
+        self._settings_digest = _digest(settings_path)
+        self._loop = loop
+        self._stack = stack
+        settings = self.settings
+        self.log = EventLog(loop, settings.name)
+        stack.callback(self.log.close)
+        self.metrics = Metrics()
+        self.services = Services(loop, settings, self.log, self.metrics)
+        self.services.confirm_soon = self.confirm_soon
+        stack.callback(self.services.pool.close)
+        self._store = KeyValueStore(loop, settings.store_address, self.log.write)
+        stack.callback(self._store.close)
+        self.promotion = DutyPromotion(loop, settings.duties_address)
+        self.incarnation = os.urandom(6).hex()
+        self.member = Member(
+            settings.name, self.incarnation, settings.peer_address, settings.domain
+        )
+        self._registration = Registration(loop, self._store, self.log, self.member)
+        self.peers_by_name: dict[str, Member] = {}
+        self._heard_at_by_name: dict[str, timedelta] = {}
+        self.report_by_name: dict[str, PeerReport] = {}
+        self._sessions: set[Session] = set()
+        self._is_ready = False
+        self._store_is_lost = False
+        self._reading: Future[Any] | None = None
+        self._read_at = _ZERO
+        self.on_snapshot: list[Callable[[StoreSnapshot], None]] = []
+
+    # Start
+
+    def start(self) -> None:
+        """Open all addresses and start the tasks."""
+        settings, loop, stack = self.settings, self._loop, self._stack
+        self._gossip = Gossip(
+            loop, settings.peer_address, settings.name, self.incarnation, self._hear
+        )
+        stack.callback(self._gossip.close)
+        probe = HttpServer(loop, settings.probe_address, self._answer_probe)
+        stack.callback(probe.close)
+        metrics = HttpServer(loop, settings.metrics_address, self._answer_metrics)
+        stack.callback(metrics.close)
+        listener = Listener(loop, settings.session_address, self._accept)
+        stack.callback(listener.close)
+        self._catch_signals()
+        loop.spawn(self._follow_store())
+        loop.spawn(self._registration.run())
+        loop.spawn(self._send_gossip())
+        loop.spawn(self._follow_settings())
+        self.log.write("started", incarnation=self.incarnation, domain=settings.domain)
+
+    def _catch_signals(self) -> None:
+        wake, wake_writer = socket.socketpair()
+        for sock in (wake, wake_writer):
+            sock.setblocking(False)
+            self._stack.callback(sock.close)
+        signal.set_wakeup_fd(wake_writer.fileno(), warn_on_full_buffer=False)
+        self._stack.callback(signal.set_wakeup_fd, -1)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+
+        def on_signal(_: int) -> None:
+            for number in wake.recv(64):
+                self._on_signal(number)
+
+        self._loop.watch(wake, 1, on_signal)
+
+    def _on_signal(self, number: int) -> None:
+        if number == signal.SIGHUP:
+            self._reload()
+        elif not self.services.is_stopping:
+            self.services.is_stopping = True
+            self._loop.spawn(self._stop())
+
+    # Settings
+
+    def _follow_settings(self) -> Steps:
+        while True:
+            yield self._loop.sleep(SETTINGS_CHECK_INTERVAL)
+            if _digest(self._settings_path) != self._settings_digest:
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take the bounds of a changed file; addresses need a restart."""
+        self._settings_digest = _digest(self._settings_path)
+        try:
+            settings = load_proxy_settings(self._settings_path)
+        except SettingsError as error:
+            self.log.write("settings_refused", problems=error.problems)
+            return
+        fixed = {
+            field: getattr(self.settings, field)
+            for field in ("name", "domain", "session_address", "probe_address")
+            + ("peer_address", "metrics_address")
+        }
+        self.settings = settings._replace(**fixed)
+        self.services.apply_settings(self.settings)
+        self.log.write("settings_reloaded", changed=settings != self.settings)
+
+    # Store
+
+    def _follow_store(self) -> Steps:
+        while True:
+            result = yield self.confirm_soon()
+            failed = isinstance(result, StoreFailure)
+            interval = READ_RETRY_INTERVAL if failed else READ_INTERVAL
+            yield self._loop.sleep(self._read_at + interval - self._loop.now())
+
+    def confirm_soon(self) -> "Future[Any]":
+        """Read the store now, or join a read that is about to begin."""
+        if self._reading is None or self._reading.done():
+            self._reading = self._loop.spawn(self._read_store())
+        return self._reading
+
+    def _read_store(self) -> Steps:
+        pause = self._read_at + MIN_CONFIRM_INTERVAL - self._loop.now()
+        if pause > _ZERO:
+            yield self._loop.sleep(pause)
+        self._read_at = self._loop.now()
+        result = yield self._store.snapshot(True)
+        if isinstance(result, StoreFailure):
+            self._note_store(result)
+        else:
+            self._note_store(None)
+            self._take_snapshot(result)
+        return result
+
+    def _note_store(self, failure: StoreFailure | None) -> None:
+        self.metrics.count("store_reads", failure.problem.value if failure else "ok")
+        if failure is not None and not self._store_is_lost:
+            self._store_is_lost = True
+            self.log.write("store_lost", reason=failure.reason)
+        elif failure is None and self._store_is_lost:
+            self._store_is_lost = False
+            self.log.write("store_regained")
+
+    def _take_snapshot(self, snapshot: StoreSnapshot) -> None:
+        services = self.services
+        services.evidence.confirm(snapshot.asked_at)
+        configuration = snapshot.configuration
+        if configuration and configuration.revision > services.configuration.revision:
+            services.configuration = configuration
+            self.log.write(
+                "configuration_in_force",
+                version=configuration.version,
+                revision=configuration.revision,
+                routes=len(configuration.route_by_database),
+                accounts=len(configuration.account_by_name),
+            )
+        services.table.read_targets(snapshot.target_by_id, snapshot.asked_at)
+        services.take_groups(group_records(snapshot.record_by_key.values()))
+        services.record_seals(snapshot.asked_at)
+        if snapshot.member_by_key is not None:
+            self._take_members(decode_members(snapshot.member_by_key))
+        self._drop_targets()
+        for listener in self.on_snapshot:
+            listener(snapshot)
+
+    def _take_members(self, members: Mapping[str, Member]) -> None:
+        now = self._loop.now()
+        peers = {
+            name: member
+            for name, member in members.items()
+            if name != self.member.name
+        }
+        for name, member in self.peers_by_name.items():
+            heard_at = self._heard_at_by_name.get(name)
+            if name not in peers and heard_at and now - heard_at < HEARD_LIMIT:
+                peers[name] = member
+        if peers.keys() != self.peers_by_name.keys():
+            self.log.write("members_changed", members=sorted(peers))
+        self.peers_by_name = peers
+        names = frozenset(peers)
+        self.services.member_count = len(peers) + 1
+        self.services.limiter.set_members(names)
+        self.services.limiter.forget_old_reports(now)
+        self._gossip.forget_others(names)
+        self.report_by_name = {
+            name: report for name, report in self.report_by_name.items() if name in names
+        }
+
+    def _drop_targets(self) -> None:
+        services = self.services
+        known = services.table.known_by_id
+        services.router.forget_others(known)
+        for target_id in services.pool.target_ids():
+            if target_id not in known:
+                services.pool.drop_target(target_id, "the target is gone")
+
+    # Gossip
+
+    def _send_gossip(self) -> Steps:
+        while True:
+            yield self._loop.sleep(GOSSIP_INTERVAL)
+            self.gossip_now()
+
+    def gossip_now(self, group_values: Mapping[str, tuple[int, str]] = {}) -> None:  # noqa: B006
+        """Tell all members what this instance knows."""
+        services, now = self.services, self._loop.now()
+        positions: dict[str, PositionSample] = {}
+        for service, history in services.histories().items():
+            latest = history.latest()
+            if latest is not None and now - latest.taken_at < timedelta(seconds=3):
+                positions[service] = latest
+        report = OwnReport(
+            services.limiter.report(now),
+            positions,
+            services.followed_groups(),
+            frozenset(services.suspected_at_by_target),
+            group_values,
+        )
+        self._gossip.send(self.peers_by_name, report)
+
+    def _hear(self, report: PeerReport) -> None:
+        services = self.services
+        self._heard_at_by_name[report.name] = report.heard_at
+        self.report_by_name[report.name] = report
+        usage = PeerUsage(report.heard_at, report.usage_by_account)
+        services.limiter.hear(report.name, usage)
+        for service, sample in report.position_by_service.items():
+            services.history(service).record(sample)
+        groups = {}
+        for service, (revision, value) in report.group_values.items():
+            group = decode_group(value.encode(), revision)
+            if not isinstance(group, Missing):
+                groups[service] = group
+        if groups and services.take_groups(groups):
+            # The announcement waits for the confirmation of every instance.
+            self.gossip_now()
+
+    # Sessions and probes
+
+    def _accept(self, stream: Stream) -> None:
+        self._sessions.add(Session(self.services, stream, self._sessions.discard))
+
+    def _answer_probe(
+        self, method: str, path: str
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        if method != "GET" or path != READY_PATH:
+            return 404, {}, b""
+        reason = self._reason_not_ready()
+        if bool(reason) == self._is_ready:
+            self._is_ready = not reason
+            self.log.write("readiness_changed", ready=self._is_ready, reason=reason)
+        return (503 if reason else 200), {}, reason.encode()
+
+    def _reason_not_ready(self) -> str:
+        services = self.services
+        if services.is_stopping:
+            return "stopping"
+        if not services.configuration.version:
+            return "no configuration yet"
+        if not services.evidence.allows_readiness(self._loop.now()):
+            return "the store has not answered lately"
+        return ""
+
+    def _answer_metrics(
+        self, method: str, path: str
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        if method != "GET" or path != METRICS_PATH:
+            return 404, {}, b""
+        gauges = self.metrics.gauges
+        gauges["sessions"] = len(self._sessions)
+        gauges["server_connections"] = self.services.pool.size()
+        gauges["server_connections_opened"] = self.services.pool.opened
+        gauges["store_calls"] = self._store.calls
+        gauges["members"] = self.services.member_count
+        gauges["gossip_bytes"] = self._gossip.sent_bytes
+        return 200, {"Content-Type": "text/plain"}, self.metrics.text()
+
+    # Stop
+
+    def _stop(self) -> Steps:
+        """Leave without cutting an answer; then stop the loop."""
+        started_at = self._loop.now()
+        grace = self.settings.stop_grace
+        self.log.write("stopping", sessions=len(self._sessions))
+        leave_at = started_at + min(LEAVE_TIME, grace * 0.4)
+        last_at = started_at + max(grace - STOP_MARGIN, grace * 0.5)
+        yield from self.before_stop()
+        yield self._loop.sleep(leave_at - self._loop.now())
+        while self._sessions and self._loop.now() < last_at:
+            for session in list(self._sessions):
+                if session.is_idle:
+                    session.close("the instance stops")
+                elif self._loop.now() >= started_at + grace * 0.5:
+                    session.end_transaction("the instance stops")
+            yield self._loop.sleep(STOP_CHECK_INTERVAL)
+        try:
+            yield self._loop.within(
+                self._loop.spawn(self._registration.end()), STOP_MARGIN * 0.5
+            )
+        except TimeoutError:
+            self.log.write("registration_not_ended")
+        self.log.write("stopped", sessions=len(self._sessions))
+        self._loop.stop()
+
+    def before_stop(self) -> Steps:
+        """Give up what this instance holds for the fleet."""
+        yield self._loop.sleep(_ZERO)
+
+
+def _digest(path: str) -> str:
+    try:
+        with open(path, "rb") as file:
+            return str(xxhash.xxh64_hexdigest(file.read()))
+    except OSError:
+        return ""
+
+
--- /dev/null
+++ b/bulrushloom/proxy/services.py
@@ -0,0 +1,219 @@
+"""What all sessions of one instance share."""
+
+from collections.abc import Mapping
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
+from bulrushloom.proxy.connections import ConnectionPool
+from bulrushloom.proxy.evidence import Evidence
+from bulrushloom.proxy.groups import GroupPhase, GroupRecord, GroupTable
+from bulrushloom.proxy.limits import AccountLimiter, RateWindow
+from bulrushloom.proxy.messages import LogPosition, ServerAnswer
+from bulrushloom.proxy.positions import PositionHistory, PositionSample
+from bulrushloom.proxy.routing import Candidate, ReadRouter
+from bulrushloom.proxy.settings import ProxySettings
+from bulrushloom.proxy.telemetry import EventLog, Metrics
+from bulrushloom.runtime.loop import Loop
+
+# A connection of every instance to every target for at least one account.
+MIN_ALLOWANCE = 1
+# From the announcement of a change of primary to the first write at its successor.
+FAILOVER_TIME = timedelta(milliseconds=1200)
+# An instance that lost the store tries again twice in this time.
+STORE_RETURN_TIME = timedelta(seconds=2)
+# Part of a target's connections that is kept for the failover of a group.
+KEPT_CONNECTIONS = 2
+_ZERO = timedelta()
+
+
+class Services:
+    """Hold the state and the decisions of one instance that sessions use."""
+
+    def __init__(
+        self, loop: Loop, settings: ProxySettings, log: EventLog, metrics: Metrics
+    ):
+        self.loop = loop
+        self.settings = settings
+        self.log = log
+        self.metrics = metrics
+        self.configuration: Configuration = EMPTY_CONFIGURATION
+        self.evidence = Evidence(settings)
+        self.table = GroupTable(settings.target_drain_bound)
+        window = RateWindow(
+            settings.rate_window, settings.rate_excess, settings.rate_slack
+        )
+        self.limiter = AccountLimiter(window, loop.now())
+        self.router = ReadRouter(settings.domain)
+        self.pool = ConnectionPool(loop, self.allowance)
+        self.member_count = 1
+        self.is_stopping = False
+        self._history_by_service: dict[str, PositionHistory] = {}
+        self._too_many_by_target: dict[str, timedelta] = {}
+        self.acknowledged_by_service: dict[str, LogPosition] = {}
+        self.suspected_at_by_target: dict[str, timedelta] = {}
+        self._waiting_for_primary: dict[str, Future[None]] = {}
+        self.replacing_since: dict[str, timedelta] = {}
+        self.confirm_soon: Any = None
+
+    def allowance(self, target: Target) -> int:
+        """Return how many connections this instance may hold to ``target``."""
+        service = self.configuration.service_by_name.get(target.service)
+        most = service.max_connections if service else 0
+        share = (most - KEPT_CONNECTIONS) // max(self.member_count, 1)
+        return max(MIN_ALLOWANCE, share)
+
+    def history(self, service: str) -> PositionHistory:
+        """Return the positions of a service's primary."""
+        history = self._history_by_service.get(service)
+        if history is None:
+            history = self._history_by_service[service] = PositionHistory()
+        return history
+
+    def histories(self) -> dict[str, PositionHistory]:
+        """Return all histories by service."""
+        return self._history_by_service
+
+    def note_answer(
+        self, target: Target, answer: ServerAnswer, asked_at: timedelta
+    ) -> None:
+        """Learn from the position that came with an answer."""
+        position = answer.position
+        if isinstance(position, Missing):
+            return
+        self.router.health(target.target_id).applied_position(position)
+        primary = self.primary(target.service)
+        if not isinstance(primary, Missing) and primary.target_id == target.target_id:
+            sample = PositionSample(asked_at, position)
+            self.history(target.service).record(sample)
+
+    def note_commit(self, service: str, position: LogPosition | Missing) -> None:
+        """Remember the highest position whose commit a caller was told of."""
+        if isinstance(position, Missing):
+            return
+        known = self.acknowledged_by_service.get(service)
+        if known is None or position > known:
+            self.acknowledged_by_service[service] = position
+
+    def primary(self, service: str) -> Target | Missing:
+        """Return the primary that may be used now, or why there is none."""
+        if not self.evidence.allows_primary(self.loop.now()):
+            return Missing("the last read of the store is too old")
+        return self.table.primary_of(service)
+
+    def candidates(self, service: str, account: str) -> list[Candidate]:
+        """Return the targets that may run a read."""
+        now = self.loop.now()
+        primary = self.primary(service)
+        primary_id = None if isinstance(primary, Missing) else primary.target_id
+        group = self.table.group_by_service.get(service)
+        left_id = group.old_id if group and primary_id is None else None
+        found = []
+        for known in self.table.targets_of(service):
+            target = known.target
+            if not self.table.may_receive(target.target_id, now):
+                continue
+            is_primary = target.target_id == primary_id
+            if target.target_id == left_id or (
+                target.claims_primary and not is_primary and primary_id is None
+            ):
+                continue
+            if target.is_draining and not is_primary:
+                continue
+            found.append(
+                Candidate(
+                    target,
+                    is_primary,
+                    self.pool.in_flight(target.target_id),
+                    self.pool.has_idle(target.target_id, account),
+                )
+            )
+        return found
+
+    def suspect(self, target: Target, reason: str) -> None:
+        """Report that a target did not answer."""
+        target_id = target.target_id
+        if target_id not in self.suspected_at_by_target:
+            self.log.write("target_suspected", target=target_id, reason=reason)
+        self.suspected_at_by_target[target_id] = self.loop.now()
+
+    def absolve(self, target_id: str) -> None:
+        """Note that a target answered."""
+        if self.suspected_at_by_target.pop(target_id, None) is not None:
+            self.log.write("target_recovered", target=target_id)
+
+    def reject_connections(self, target: Target) -> None:
+        """Note that a target had too many connections."""
+        self.metrics.count("too_many_connections", target.target_id)
+        self.pool.shrink(target.target_id, self.allowance(target) // 2)
+
+    def primary_changed(self, service: str) -> "Future[None]":
+        """Return a future that is done at the next change of the primary."""
+        future = self._waiting_for_primary.get(service)
+        if future is None:
+            future = self._waiting_for_primary[service] = Future()
+        return future
+
+    def apply_settings(self, settings: ProxySettings) -> None:
+        """Use changed bounds from now on."""
+        self.settings = settings
+        self.evidence.settings = settings
+        self.table.drain_bound = settings.target_drain_bound
+        self.limiter.window = RateWindow(
+            settings.rate_window, settings.rate_excess, settings.rate_slack
+        )
+
+    def take_groups(self, groups: Mapping[str, GroupRecord]) -> bool:
+        """Follow announcements of primaries; return whether any was new."""
+        changed = self.table.read_groups(groups)
+        for group in changed:
+            self.log.write(
+                "group_changed",
+                service=group.service,
+                phase=group.phase.value,
+                primary=group.primary_id,
+                term=group.term,
+                fence=group.fence,
+                revision=group.revision,
+            )
+            if group.phase is GroupPhase.STEADY:
+                self.replacing_since.pop(group.service, None)
+                self.announce_primary(group.service)
+            else:
+                self.replacing_since.setdefault(group.service, self.loop.now())
+        return bool(changed)
+
+    def record_seals(self, asked_at: timedelta) -> None:
+        """Use sealed positions: nothing was acknowledged beyond them so far."""
+        for group in self.table.group_by_service.values():
+            if group.phase is GroupPhase.REPLACING and group.sealed is not None:
+                sample = PositionSample(asked_at, group.sealed)
+                self.history(group.service).record(sample)
+
+    def followed_groups(self) -> dict[str, int]:
+        """Return the revision of each group record that this instance follows."""
+        return {
+            service: group.revision
+            for service, group in self.table.group_by_service.items()
+        }
+
+    def time_to_primary(self, service: str) -> timedelta:
+        """Return when a statement that needs the primary can be expected to run."""
+        now = self.loop.now()
+        if not self.evidence.allows_primary(now):
+            return STORE_RETURN_TIME
+        started_at = self.replacing_since.get(service)
+        if started_at is None:
+            return FAILOVER_TIME if self._is_primary_missing(service) else _ZERO
+        return max(FAILOVER_TIME - (now - started_at), _ZERO)
+
+    def _is_primary_missing(self, service: str) -> bool:
+        return isinstance(self.table.primary_of(service), Missing)
+
+    def announce_primary(self, service: str) -> None:
+        """Wake the statements that wait for a primary."""
+        future = self._waiting_for_primary.pop(service, None)
+        if future is not None:
+            future.set_result(None)
--- /dev/null
+++ b/bulrushloom/proxy/session.py
@@ -0,0 +1,442 @@
+"""One caller's session: a connection with its values, names and transaction."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.platform import wire
+from bulrushloom.proxy.configuration import Account, Route
+from bulrushloom.proxy.execution import Attempt, Outcome, Runner
+from bulrushloom.proxy.messages import (
+    NO_POSITION,
+    AnswerCode,
+    Failure,
+    Goodbye,
+    LogPosition,
+    Malformed,
+    PreparedStatement,
+    StartRequest,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
+from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.transaction import Transaction
+from bulrushloom.runtime.loop import Steps
+from bulrushloom.runtime.streams import LineTooLong, Stream
+
+# A caller gives up on a session that takes longer to start.
+START_LIMIT = timedelta(seconds=5)
+# An operation may wait this part of its latency objective for a rate token.
+TOKEN_WAIT_SHARE = 0.2
+# An unknown key or database is looked up in the store again before it is refused.
+LOOKUP_LIMIT = timedelta(milliseconds=600)
+_ZERO = timedelta()
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class Session:
+    """Serve one caller; ``on_end`` is called once when the connection is closed."""
+
+    def __init__(
+        self, services: Services, stream: Stream, on_end: Callable[["Session"], None]
+    ):
+        self._services = services
+        self._loop = services.loop
+        self._stream = stream
+        self._on_end = on_end
+        self._line: Future[bytes | None] | None = None
+        self._database = ""
+        self._key = ""
+        self._values: dict[bytes, bytes] = {}
+        self._prepared_by_name: dict[bytes, PreparedStatement] = {}
+        self._position: LogPosition | Missing = NO_POSITION
+        self._transaction: Transaction | None = None
+        self._runner = Runner(services, self._values)
+        self.is_waiting = True
+        stream.on_data(self._on_data)
+        services.loop.spawn(self._run())
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the session can be closed without cutting anything."""
+        return self.is_waiting and self._transaction is None and not self._stream.unread
+
+    @property
+    def has_transaction(self) -> bool:
+        """Return whether a transaction is open."""
+        return self._transaction is not None
+
+    def end_transaction(self, reason: str) -> None:
+        """Give up a transaction that waits for its caller."""
+        if self._transaction is not None and self.is_waiting:
+            self._transaction.fail(reason)
+            self._services.log.write(
+                "transaction_ended", database=self._database, reason=reason
+            )
+
+    def close(self, reason: str) -> None:
+        """Close the caller's connection."""
+        self._stream.close(reason)
+
+    # Reading
+
+    def _on_data(self) -> None:
+        line = self._line
+        if line is None or line.done():
+            return
+        try:
+            text = self._stream.take_line(wire.MAX_LINE_BYTES)
+        except LineTooLong as error:
+            self._stream.close(str(error))
+            text = None
+        if text is not None:
+            line.set_result(text)
+        elif self._stream.has_ended:
+            line.set_result(None)
+
+    def _next_line(self) -> "Future[bytes | None]":
+        self._line = Future()
+        self._on_data()
+        return self._line
+
+    def _run(self) -> Steps:
+        try:
+            yield from self._serve()
+        finally:
+            if self._transaction is not None:
+                self._transaction.abandon("the caller left")
+                self._transaction = None
+            self._stream.close("the session ended")
+            self._on_end(self)
+
+    def _serve(self) -> Steps:
+        try:
+            line = yield self._loop.within(self._next_line(), START_LIMIT)
+        except TimeoutError:
+            return
+        if line is None:
+            return
+        started = yield from self._start(wire.decode_client_line(line))
+        if not started:
+            return
+        while True:
+            self.is_waiting = True
+            line = yield from self._await_line()
+            self.is_waiting = False
+            if line is None:
+                return
+            message = wire.decode_client_line(line)
+            if isinstance(message, Goodbye):
+                return
+            yield from self._handle(message)
+
+    def _await_line(self) -> Steps:
+        """Return the next line; end a transaction that stays idle for too long."""
+        line = self._next_line()
+        transaction = self._transaction
+        if transaction is not None and not line.done():
+            limit = self._services.configuration.transaction_idle_limit
+            try:
+                yield self._loop.within(line, limit)
+            except TimeoutError:
+                transaction.fail("the transaction was idle for too long")
+                self._services.log.write(
+                    "transaction_idle", database=self._database, limit=limit
+                )
+        return (yield line)
+
+    # Starting
+
+    def _start(self, message: Any) -> Steps:
+        if not isinstance(message, StartRequest):
+            self._send_failure(Failure(AnswerCode.BAD_REQUEST, "no session started"))
+            return False
+        self._database, self._key = message.database, message.key
+        failure = self._refusal()
+        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
+            yield from self._look_up()
+            failure = self._refusal()
+        if failure is not None:
+            self._services.metrics.count("sessions_refused", failure.code.value)
+            self._services.log.write(
+                "session_refused",
+                database=self._database,
+                code=failure.code.value,
+                reason=failure.reason,
+                configuration=self._services.configuration.version,
+                evidence_age=self._services.evidence.age(self._loop.now()),
+            )
+            self._send_failure(failure)
+            return False
+        self._services.metrics.count("sessions_started")
+        self._send(wire.encode_ready(TransactionState.IDLE, NO_POSITION))
+        return True
+
+    def _look_up(self) -> Steps:
+        """Read the store once more: the key or the database may be new."""
+        confirm = self._services.confirm_soon
+        if confirm is None:
+            return
+        try:
+            yield self._loop.within(confirm(), LOOKUP_LIMIT)
+        except TimeoutError:
+            return
+
+    def _refusal(self) -> Failure | None:
+        """Return why the session may not run anything now, or ``None``."""
+        configuration = self._services.configuration
+        route = configuration.route_by_database.get(self._database)
+        if route is None:
+            return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
+        if route.is_public:
+            return None
+        if self._key not in configuration.account_by_key:
+            return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
+        if not self._services.evidence.allows_keys(self._loop.now()):
+            reason = "keys cannot be checked: the store has not answered lately"
+            return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
+        return None
+
+    def _route(self) -> Route:
+        return self._services.configuration.route_by_database[self._database]
+
+    def _account(self) -> Account | None:
+        return self._services.configuration.account_by_key.get(self._key)
+
+    # Statements
+
+    def _handle(self, message: Any) -> Steps:
+        if isinstance(message, Malformed) or not isinstance(message, Statement):
+            reason = getattr(message, "reason", "a session is open already")
+            self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
+            return
+        transaction = self._transaction
+        if transaction is not None and transaction.failure is not None:
+            self._answer_in_failed(message, transaction)
+            return
+        match message.kind:
+            case StatementKind.SET_VALUE:
+                self._values[message.name] = message.arguments
+                self._answer_local()
+            case StatementKind.PREPARE:
+                assert message.prepared is not None
+                self._prepared_by_name[message.name] = message.prepared
+                self._answer_local()
+            case StatementKind.DEALLOCATE:
+                if self._prepared_by_name.pop(message.name, None) is None:
+                    self._answer_unknown_name(message)
+                else:
+                    self._answer_local()
+            case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
+                yield from self._begin(message)
+            case StatementKind.COMMIT | StatementKind.ROLLBACK:
+                yield from self._end_transaction(message)
+            case _:
+                yield from self._run_statement(message)
+
+    def _answer_in_failed(self, message: Statement, transaction: Transaction) -> None:
+        assert transaction.failure is not None
+        if message.kind is StatementKind.ROLLBACK:
+            self._transaction = None
+            self._answer_local()
+        elif message.kind is StatementKind.COMMIT:
+            self._transaction = None
+            self._answer_failure(transaction.failure)
+        else:
+            failure = Failure(AnswerCode.BAD_REQUEST, transaction.failure.reason)
+            self._answer_failure(failure)
+
+    def _admit(self, request_id: bytes, route: Route) -> Steps:
+        """Return why an operation may not start now, or ``None``."""
+        failure = self._refusal()
+        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
+            yield from self._look_up()
+            failure = self._refusal()
+        if failure is not None:
+            return failure
+        account = self._account()
+        if account is None:
+            return None
+        limiter, now = self._services.limiter, self._loop.now()
+        limiter.ask(account, now)
+        deadline = now + route.latency_objective * TOKEN_WAIT_SHARE
+        while True:
+            wait = limiter.try_admit(account, now)
+            if wait <= _ZERO:
+                return None
+            if now + wait > deadline:
+                self._services.metrics.count("rate_limited", account.name)
+                reason = f"account {account.name} is above its rate"
+                return Failure(AnswerCode.NOT_RUN, reason, wait)
+            yield self._loop.sleep(wait)
+            now = self._loop.now()
+
+    def _begin(self, message: Statement) -> Steps:
+        if self._transaction is not None:
+            reason = "a transaction is open already"
+            self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
+            return
+        route = self._services.configuration.route_by_database.get(self._database)
+        failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
+        if route is not None:
+            failure = yield from self._admit(message.request_id, route)
+        if failure is not None or route is None:
+            assert failure is not None
+            self._log_failure(message, failure)
+            self._answer_failure(failure)
+            return
+        account = self._account()
+        self._transaction = Transaction(
+            self._services,
+            self._runner,
+            route,
+            account.name if account is not None else "",
+            message.kind is StatementKind.BEGIN_READ_ONLY,
+            self._position,
+        )
+        self._answer_local()
+
+    def _end_transaction(self, message: Statement) -> Steps:
+        transaction = self._transaction
+        if transaction is None:
+            reason = "no transaction is open"
+            self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
+            return
+        if message.kind is StatementKind.ROLLBACK:
+            self._transaction = None
+            transaction.roll_back()
+            self._answer_local()
+            return
+        refusal = self._refusal()
+        if refusal is not None:
+            transaction.fail(refusal.reason)
+            outcome = Outcome(refusal, None)
+        else:
+            outcome = yield from transaction.commit(message)
+        self._transaction = None
+        if outcome.answer is not None and transaction.wrote:
+            self._advance_position(outcome.answer.position)
+        self._answer(message, outcome)
+
+    def _run_statement(self, message: Statement) -> Steps:
+        prepared = None
+        if message.kind is StatementKind.EXECUTE:
+            prepared = self._prepared_by_name.get(message.name)
+            if prepared is None:
+                self._answer_unknown_name(message)
+                return
+        writes = message.kind is StatementKind.WRITE or (
+            prepared is not None and prepared.writes
+        )
+        if self._transaction is not None:
+            yield from self._run_in_transaction(message, prepared, writes)
+            return
+        started_at = self._loop.now()
+        route = self._services.configuration.route_by_database.get(self._database)
+        failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
+        if route is not None:
+            failure = yield from self._admit(message.request_id, route)
+        if failure is not None or route is None:
+            assert failure is not None
+            self._answer(message, Outcome(failure, None))
+            return
+        account = self._account()
+        attempt = Attempt(
+            message,
+            prepared,
+            route,
+            account.name if account is not None else "",
+            started_at,
+            self._position,
+        )
+        if writes:
+            outcome = yield from self._runner.write(attempt)
+        else:
+            outcome = yield from self._runner.read(attempt)
+        if outcome.answer is not None and writes:
+            self._advance_position(outcome.answer.position)
+        kind = "write" if writes else "read"
+        self._services.metrics.record(f"{kind}_latency", self._loop.now() - started_at)
+        self._answer(message, outcome)
+
+    def _run_in_transaction(
+        self, message: Statement, prepared: PreparedStatement | None, writes: bool
+    ) -> Steps:
+        transaction = self._transaction
+        assert transaction is not None
+        refusal = self._refusal()
+        if refusal is not None:
+            transaction.fail(refusal.reason)
+            outcome = Outcome(refusal, None)
+        else:
+            outcome = yield from transaction.run(message, prepared, writes)
+        self._answer(message, outcome)
+
+    def _advance_position(self, position: LogPosition | Missing) -> None:
+        if isinstance(position, Missing):
+            return
+        if isinstance(self._position, Missing) or position > self._position:
+            self._position = position
+
+    # Answering
+
+    def _state(self) -> TransactionState:
+        if self._transaction is None:
+            return TransactionState.IDLE
+        if self._transaction.failure is not None:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    def _answer(self, message: Statement, outcome: Outcome) -> None:
+        if outcome.failure is not None or outcome.answer is None:
+            failure = outcome.failure or Failure(AnswerCode.FAILED, "no answer")
+            self._log_failure(message, failure)
+            self._answer_failure(failure)
+            return
+        answer = outcome.answer
+        self._send(
+            wire.encode_rows_and_signature(answer.rows, answer.signature)
+            + wire.encode_ready(self._state(), answer.position)
+        )
+
+    def _log_failure(self, message: Statement, failure: Failure) -> None:
+        services = self._services
+        services.metrics.count("statements_failed", failure.code.value)
+        services.log.write(
+            "statement_failed",
+            request_id=message.request_id,
+            kind=message.kind.value,
+            database=self._database,
+            code=failure.code.value,
+            reason=failure.reason,
+            retry_after=failure.retry_after,
+            configuration=services.configuration.version,
+            evidence_age=services.evidence.age(self._loop.now()),
+        )
+
+    def _answer_local(self) -> None:
+        self._send(
+            wire.LOCAL_DONE + wire.encode_ready(self._state(), self._position)
+        )
+
+    def _answer_unknown_name(self, message: Statement) -> None:
+        failure = Failure(AnswerCode.UNKNOWN_STATEMENT, "no such prepared statement")
+        if self._transaction is not None:
+            self._transaction.fail(failure.reason)
+        self._log_failure(message, failure)
+        self._answer_failure(failure)
+
+    def _answer_failure(self, failure: Failure) -> None:
+        self._send(
+            wire.encode_failure(failure)
+            + wire.encode_ready(self._state(), self._position)
+        )
+
+    def _send_failure(self, failure: Failure) -> None:
+        self._send(wire.encode_failure(failure))
+
+    def _send(self, data: bytes) -> None:
+        self._stream.write(data)
--- /dev/null
+++ b/bulrushloom/proxy/settings.py
@@ -0,0 +1,130 @@
+"""Settings of the session proxy: a YAML file whose fields are checked at start."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import yaml
+
+from bulrushloom.conf.exceptions import SettingsError
+from bulrushloom.runtime.streams import split_address
+
+SETTINGS_VARIABLE = "BULRUSHLOOM_CONFIG"
+MAX_SETTINGS_BYTES = 64 * 1024
+
+
+class ProxySettings(NamedTuple):
+    """Hold the checked settings of one session proxy; addresses are ``host:port``.
+
+    ``withdrawn_key_bound`` is the time after which a withdrawn key must not work.
+    ``configuration_bound`` is the time in which a version must be in force.
+    ``rate_window`` is the span over which the use of an account is bounded;
+    ``rate_excess`` (a share) and ``rate_slack`` (operations) are added to its limit.
+    ``target_drain_bound`` is how long a leaving target may get new work.
+    ``stop_grace`` is the time from SIGTERM to SIGKILL.
+    """
+
+    name: str
+    domain: str
+    session_address: str
+    probe_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    duties_address: str
+    withdrawn_key_bound: timedelta
+    configuration_bound: timedelta
+    target_drain_bound: timedelta
+    target_heartbeat: timedelta
+    stop_grace: timedelta
+    rate_window: timedelta
+    rate_excess: float
+    rate_slack: float
+    lease_minimum: timedelta
+
+
+def _address(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError("must be host:port")
+    split_address(value)
+    return value
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or not value or len(value) > 100:
+        raise ValueError("must be a text of 1 to 100 characters")
+    return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError("must be a number that is not negative")
+    return float(value)
+
+
+def _milliseconds(value: Any) -> timedelta:
+    return timedelta(milliseconds=_number(value))
+
+
+def _seconds(value: Any) -> timedelta:
+    return timedelta(seconds=_number(value))
+
+
+_FIELDS: dict[str, tuple[str, Callable[[Any], Any]]] = {
+    "name": ("name", _name),
+    "domain": ("domain", _name),
+    "session_address": ("session_address", _address),
+    "probe_address": ("probe_address", _address),
+    "peer_address": ("peer_address", _address),
+    "metrics_address": ("metrics_address", _address),
+    "store_address": ("store_address", _address),
+    "duties_address": ("duties_address", _address),
+    "withdrawn_key_bound_ms": ("withdrawn_key_bound", _milliseconds),
+    "configuration_bound_ms": ("configuration_bound", _milliseconds),
+    "target_drain_bound_ms": ("target_drain_bound", _milliseconds),
+    "target_heartbeat_ms": ("target_heartbeat", _milliseconds),
+    "stop_grace_s": ("stop_grace", _seconds),
+    "rate_window_s": ("rate_window", _seconds),
+    "rate_excess": ("rate_excess", _number),
+    "rate_slack": ("rate_slack", _number),
+    "lease_minimum_ms": ("lease_minimum", _milliseconds),
+}
+
+
+def load_proxy_settings(path: str) -> ProxySettings:
+    """Read the YAML file at ``path``; raise ``SettingsError`` with all problems.
+
+    Keys that are not known are ignored: the platform may add fields at any time.
+    """
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from error
+    return parse_proxy_settings(data, path)
+
+
+def parse_proxy_settings(data: bytes, path: str) -> ProxySettings:
+    """Check the YAML text ``data``; ``path`` only appears in errors."""
+    if len(data) > MAX_SETTINGS_BYTES:
+        raise SettingsError([f"{path}: is larger than {MAX_SETTINGS_BYTES} bytes"])
+    try:
+        content = yaml.load(data, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except (UnicodeDecodeError, yaml.YAMLError, RecursionError) as error:
+        reason = " ".join(str(error).split())
+        raise SettingsError([f"{path}: is not YAML: {reason}"]) from error
+    if not isinstance(content, dict):
+        raise SettingsError([f"{path}: does not hold keys and values"])
+    problems: list[str] = []
+    values: dict[str, Any] = {}
+    for key, (field, parse) in _FIELDS.items():
+        if key not in content:
+            problems.append(f"{path}: {key}: the key is missing")
+            continue
+        try:
+            values[field] = parse(content[key])
+        except ValueError as error:
+            problems.append(f"{path}: {key}: {str(content[key])[:80]!r}: {error}")
+    if problems:
+        raise SettingsError(problems)
+    return ProxySettings(**values)
--- /dev/null
+++ b/bulrushloom/runtime/http.py
@@ -0,0 +1,204 @@
+"""HTTP/1.1 client and server of the event loop, on top of h11."""
+
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import NamedTuple
+
+import h11
+
+from bulrushloom.runtime.loop import Loop, Steps, fail, settle
+from bulrushloom.runtime.streams import Listener, Stream, connect
+
+# A request of a probe is one short head; anything larger is refused.
+MAX_REQUEST_BYTES = 64 * 1024
+
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class HttpError(Exception):
+    """No complete answer; the request may or may not have been carried out."""
+
+
+class Response(NamedTuple):
+    """Hold a complete answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Keep one connection to a server; requests are sent one after the other."""
+
+    def __init__(self, loop: Loop, address: str):
+        self._loop = loop
+        self.address = address
+        self._stream: Stream | None = None
+        self._http: h11.Connection | None = None
+        self._waiting: Future[Response] | None = None
+        self._in_turn: Future[None] | None = None
+        self._status = 0
+        self._body = bytearray()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        limit: timedelta,
+        headers: Headers = (),
+    ) -> "Future[Response]":
+        """Send a request; fail with ``HttpError`` if there is no answer in time."""
+        return self._loop.spawn(self._request(method, path, body, limit, headers))
+
+    def _request(
+        self, method: str, path: str, body: bytes, limit: timedelta, headers: Headers
+    ) -> Steps:
+        deadline = self._loop.now() + limit
+        while self._in_turn is not None:
+            yield self._in_turn
+        in_turn: Future[None] = Future()
+        self._in_turn = in_turn
+        try:
+            if self._stream is None or not self._stream.is_open:
+                yield from self._open(limit)
+            answer = self._send(method, path, body, headers)
+            response = yield self._loop.within(answer, deadline - self._loop.now())
+        except (OSError, h11.ProtocolError) as error:
+            self.close()
+            raise HttpError(f"{method} {self.address}: {error}") from error
+        finally:
+            self._in_turn = None
+            in_turn.set_result(None)
+        return response
+
+    def _open(self, limit: timedelta) -> Steps:
+        self._stream = yield connect(self._loop, self.address, limit)
+        self._http = h11.Connection(h11.CLIENT)
+        self._stream.on_data(self._on_data)
+
+    def _send(
+        self, method: str, path: str, body: bytes, headers: Headers
+    ) -> "Future[Response]":
+        assert self._http is not None
+        assert self._stream is not None
+        fields = [("Host", self.address), ("Content-Length", str(len(body))), *headers]
+        if body:
+            fields.append(("Content-Type", "application/json"))
+        request = h11.Request(method=method, target=path, headers=fields)
+        data = self._http.send(request) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._body.clear()
+        self._waiting = Future()
+        self._stream.write(data)
+        return self._waiting
+
+    def _on_data(self) -> None:
+        stream, http = self._stream, self._http
+        if stream is None or http is None:
+            return
+        try:
+            data = stream.take_all()
+            if data:
+                http.receive_data(data)
+            if stream.has_ended:
+                http.receive_data(b"")
+            self._read_events(http)
+        except h11.ProtocolError as error:
+            self._abandon(f"bad answer: {error}")
+            return
+        if stream.has_ended:
+            self._abandon(stream.closed_reason or "closed by the server")
+
+    def _read_events(self, http: h11.Connection) -> None:
+        while True:
+            event = http.next_event()
+            if isinstance(event, h11.Response):
+                self._status = event.status_code
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                waiting, self._waiting = self._waiting, None
+                if http.our_state is h11.DONE and http.their_state is h11.DONE:
+                    http.start_next_cycle()
+                if waiting is not None:
+                    settle(waiting, Response(self._status, bytes(self._body)))
+                if http.their_state is h11.MUST_CLOSE:
+                    self.close()
+                return
+            else:
+                return
+
+    def _abandon(self, reason: str) -> None:
+        waiting, self._waiting = self._waiting, None
+        self.close()
+        if waiting is not None:
+            fail(waiting, OSError(reason))
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
+        stream, self._stream = self._stream, None
+        self._http = None
+        self._waiting = None
+        if stream is not None:
+            stream.close()
+
+
+Handler = Callable[[str, str], tuple[int, Mapping[str, str], bytes]]
+
+
+class HttpServer:
+    """Answer requests without a body; ``handler`` maps method and path."""
+
+    def __init__(self, loop: Loop, address: str, handler: Handler):
+        self._handler = handler
+        self._listener = Listener(loop, address, self._accept)
+        self.port = self._listener.port
+
+    def _accept(self, stream: Stream) -> None:
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES)
+        stream.on_data(lambda: self._on_data(stream, http))
+
+    def _on_data(self, stream: Stream, http: h11.Connection) -> None:
+        if not stream.is_open:
+            return
+        try:
+            http.receive_data(stream.take_all())
+            self._answer(stream, http)
+        except h11.ProtocolError as error:
+            stream.close(f"bad request: {error}")
+            return
+        if stream.has_ended or http.our_state is h11.MUST_CLOSE:
+            stream.close("closed")
+
+    def _answer(self, stream: Stream, http: h11.Connection) -> None:
+        request: h11.Request | None = None
+        while True:
+            event = http.next_event()
+            if isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                self._respond(stream, http, request)
+                if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                    return
+                http.start_next_cycle()
+            elif not isinstance(event, h11.Data):
+                return
+
+    def _respond(
+        self, stream: Stream, http: h11.Connection, request: h11.Request
+    ) -> None:
+        method, path = request.method.decode(), request.target.decode("latin-1")
+        status, headers, body = self._handler(method, path)
+        fields = [*headers.items(), ("Content-Length", str(len(body)))]
+        data = http.send(h11.Response(status_code=status, headers=fields)) or b""
+        data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        stream.write(data)
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        self._listener.close()
--- /dev/null
+++ b/bulrushloom/runtime/streams.py
@@ -0,0 +1,275 @@
+"""Non-blocking TCP streams of the event loop."""
+
+import contextlib
+import errno
+import selectors
+import socket
+from collections.abc import Callable
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any
+
+from bulrushloom.runtime.loop import Loop, fail, settle
+
+RECEIVE_BYTES = 65_536
+# A peer that does not read is cut off beyond this; two of the largest messages.
+MAX_UNSENT_BYTES = 2 * 1024 * 1024
+# Reading pauses while this much is waiting to be consumed.
+MAX_UNREAD_BYTES = 2 * 1024 * 1024
+LISTEN_BACKLOG = 512
+# An unacknowledged segment means a dead path; three minimal retransmissions.
+UNACKNOWLEDGED_LIMIT = timedelta(milliseconds=900)
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PROBES = 2
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class LineTooLong(Exception):
+    """The peer sent a line beyond the limit."""
+
+
+class Stream:
+    """Own one connected socket with its buffers.
+
+    ``closed_reason`` is empty while the stream is open.
+    """
+
+    def __init__(self, loop: Loop, sock: socket.socket):
+        self._loop = loop
+        self._sock = sock
+        self._received = bytearray()
+        self._scanned = 0
+        self._unsent = bytearray()
+        self._reader: Callable[[], None] | None = None
+        self._paused = False
+        self._ended = False
+        self.closed_reason = ""
+        loop.watch(sock, selectors.EVENT_READ, self._on_event)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether data can still be sent."""
+        return not self.closed_reason
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the peer has closed its side or the stream is closed."""
+        return self._ended or not self.is_open
+
+    @property
+    def unread(self) -> int:
+        """Return the number of bytes that are received and not consumed."""
+        return len(self._received)
+
+    def on_data(self, reader: Callable[[], None]) -> None:
+        """Call ``reader`` whenever data or the end of the stream has arrived."""
+        self._reader = reader
+
+    def take_line(self, limit: int) -> bytes | None:
+        """Consume one line without its line end, or return ``None``.
+
+        Raise ``LineTooLong`` if more than ``limit`` bytes arrived without a line end.
+        """
+        end = self._received.find(b"\n", self._scanned)
+        if end < 0:
+            self._scanned = len(self._received)
+            if self._scanned > limit:
+                raise LineTooLong(f"more than {limit} bytes without a line end")
+            return None
+        if end > limit:
+            raise LineTooLong(f"a line of {end} bytes; the limit is {limit}")
+        line = bytes(self._received[:end])
+        del self._received[: end + 1]
+        self._scanned = 0
+        self._resume_reading()
+        return line.removesuffix(b"\r")
+
+    def take_all(self) -> bytes:
+        """Consume everything that has arrived."""
+        data = bytes(self._received)
+        self._received.clear()
+        self._scanned = 0
+        self._resume_reading()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Send ``data``; what the socket does not take now is sent later."""
+        if not self.is_open:
+            return
+        if not self._unsent:
+            try:
+                sent = self._sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError as error:
+                self.close(f"send failed: {error.strerror}")
+                return
+            if sent == len(data):
+                return
+            data = data[sent:]
+        self._unsent += data
+        if len(self._unsent) > MAX_UNSENT_BYTES:
+            self.close("the peer does not read")
+            return
+        self._update_interest()
+
+    def close(self, reason: str = "closed") -> None:
+        """Close the socket; a second call does nothing."""
+        if self.closed_reason:
+            return
+        self.closed_reason = reason
+        self._loop.unwatch(self._sock)
+        self._sock.close()
+        self._unsent.clear()
+        if self._reader is not None:
+            self._loop.call_soon(self._reader)
+
+    def _resume_reading(self) -> None:
+        if self._paused and len(self._received) < MAX_UNREAD_BYTES // 2:
+            self._paused = False
+            self._update_interest()
+
+    def _update_interest(self) -> None:
+        if not self.is_open:
+            return
+        events = 0 if self._paused or self._ended else selectors.EVENT_READ
+        if self._unsent:
+            events |= selectors.EVENT_WRITE
+        if events:
+            self._loop.watch(self._sock, events, self._on_event)
+        else:
+            self._loop.unwatch(self._sock)
+
+    def _on_event(self, events: int) -> None:
+        if events & selectors.EVENT_WRITE and self._unsent:
+            self._send_rest()
+        if events & selectors.EVENT_READ and self.is_open:
+            self._receive()
+
+    def _send_rest(self) -> None:
+        try:
+            sent = self._sock.send(self._unsent)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self.close(f"send failed: {error.strerror}")
+            return
+        del self._unsent[:sent]
+        if not self._unsent:
+            self._update_interest()
+
+    def _receive(self) -> None:
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self.close(f"receive failed: {error.strerror}")
+            return
+        if data:
+            self._received += data
+            if len(self._received) > MAX_UNREAD_BYTES:
+                self._paused = True
+                self._update_interest()
+        else:
+            self._ended = True
+            self._update_interest()
+        if self._reader is not None:
+            self._reader()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``; raise ``ValueError`` if malformed."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{address!r} is not host:port")
+    return host, int(port)
+
+
+def connect(loop: Loop, address: str, limit: timedelta) -> "Future[Stream]":
+    """Open a connection; the future fails with ``OSError`` or ``TimeoutError``."""
+    future: Future[Stream] = Future()
+    try:
+        peer = split_address(address)
+    except ValueError as error:
+        future.set_exception(OSError(errno.EINVAL, str(error)))
+        return future
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    _set_options(sock)
+    status = sock.connect_ex(peer)
+    if status not in (0, errno.EINPROGRESS):
+        sock.close()
+        future.set_exception(OSError(status, f"connect to {address} failed"))
+        return future
+
+    def give_up(error: OSError) -> None:
+        timer.cancel()
+        loop.unwatch(sock)
+        sock.close()
+        fail(future, error)
+
+    def connected(_: int) -> None:
+        status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if status:
+            give_up(OSError(status, f"connect to {address} failed"))
+            return
+        timer.cancel()
+        loop.unwatch(sock)
+        settle(future, Stream(loop, sock))
+
+    timer = loop.call_later(
+        limit, lambda: give_up(TimeoutError(f"no connection to {address} in {limit}"))
+    )
+    loop.watch(sock, selectors.EVENT_WRITE, connected)
+    return future
+
+
+class Listener:
+    """Accept connections on one address and pass each on as a ``Stream``."""
+
+    def __init__(self, loop: Loop, address: str, accept: Callable[[Stream], None]):
+        self._loop = loop
+        self._accept = accept
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(split_address(address))
+        self._sock.listen(LISTEN_BACKLOG)
+        self._sock.setblocking(False)
+        self.port: int = self._sock.getsockname()[1]
+        loop.watch(self._sock, selectors.EVENT_READ, self._on_event)
+
+    def _on_event(self, _: int) -> None:
+        for _attempt in range(LISTEN_BACKLOG):
+            try:
+                sock, _address = self._sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                # Out of descriptors or reset before accept; the next event retries.
+                return
+            sock.setblocking(False)
+            _set_options(sock)
+            self._accept(Stream(self._loop, sock))
+
+    def close(self) -> None:
+        """Stop accepting."""
+        self._loop.unwatch(self._sock)
+        self._sock.close()
+
+
+def _set_options(sock: socket.socket) -> None:
+    """Disable Nagle's algorithm and let the kernel notice dead paths."""
+    limit_ms = UNACKNOWLEDGED_LIMIT // _MILLISECOND
+    options: list[tuple[int, int, Any]] = [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms),
+    ]
+    for level, name, value in options:
+        # An option that a network does not know leaves the timers of the tasks.
+        with contextlib.suppress(OSError):
+            sock.setsockopt(level, name, value)
--- a/bundling/launcher.py
+++ b/bundling/launcher.py
@@ -7,7 +7,9 @@
 from pathlib import Path
 
 UNPACK_VARIABLE = "SHIV_ROOT"
-RAM_FOLDER = Path("/dev/shm")
+# The instances have no disk: their temporary folder is backed by RAM. Elsewhere
+# ``SHIV_ROOT`` names such a folder.
+TEMPORARY_FOLDER = Path("/tmp")
 BAD_INPUT_STATUS = 2
 
 
@@ -17,7 +19,7 @@
     The environment variable ``SHIV_ROOT`` names another folder for them.
     """
     if not os.environ.get(UNPACK_VARIABLE):
-        folder = RAM_FOLDER / f"bulrushloom-{os.geteuid()}"
+        folder = TEMPORARY_FOLDER / f"bulrushloom-{os.geteuid()}"
         try:
             prepare_folder(folder)
         except OSError as error:
