--- a/bulrushloom/platform/documents.py
+++ b/bulrushloom/platform/documents.py
@@ -63,11 +63,9 @@
         name=entry.get("Name", ""),
         database=entry["Host"],
         service=entry["Service"],
-        consistency=_CONSISTENCY_BY_WORD.get(entry.get("Type"), Consistency.PRIMARY),
+        consistency=_CONSISTENCY_BY_WORD.get(entry["Type"], Consistency.PRIMARY),
         max_staleness=timedelta(milliseconds=entry.get("MaxStalenessMs") or 0),
-        statement_timeout=_duration(
-            entry.get("TimeoutMs"), DEFAULT_STATEMENT_LIMIT_MS
-        ),
+        statement_timeout=_duration(entry.get("TimeoutMs"), DEFAULT_STATEMENT_LIMIT_MS),
         latency_objective=_duration(entry.get("SloMs"), DEFAULT_STATEMENT_LIMIT_MS),
         priority=int(entry.get("Priority") or 0),
         is_public=entry.get("Public") is True,
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -190,9 +190,7 @@
         self._note(target, answer, asked_at)
         return answer
 
-    def _note(
-        self, target: Target, answer: ServerAnswer, asked_at: timedelta
-    ) -> None:
+    def _note(self, target: Target, answer: ServerAnswer, asked_at: timedelta) -> None:
         services, now = self._services, self._loop.now()
         services.note_answer(target, answer, asked_at)
         services.absolve(target.target_id)
@@ -270,19 +268,17 @@
         )
         try:
             yield from self.adapt(connection, attempt.prepared)
-            after = self.required_position(attempt.route, attempt.session_position)
-            if choice.is_primary:
-                after = None
-            elif isinstance(after, Missing):
-                raise NotOffered(choice.target, after.reason)
+            after = None
+            if not choice.is_primary:
+                after = self.position_or_refusal(
+                    choice.target, attempt.route, attempt.session_position
+                )
             answer = yield from self.send(connection, attempt, after)
         finally:
             self._services.pool.release(connection)
         return answer
 
-    def choose_read(
-        self, attempt: Attempt, tried: list[str]
-    ) -> Candidate | Missing:
+    def choose_read(self, attempt: Attempt, tried: list[str]) -> Candidate | Missing:
         """Return the target for a read, leaving out those in ``tried``."""
         services, route = self._services, attempt.route
         if route.consistency is Consistency.PRIMARY:
@@ -313,6 +309,15 @@
             return max(bound, session_position)
         return bound
 
+    def position_or_refusal(
+        self, target: Target, route: Route, session_position: LogPosition | Missing
+    ) -> LogPosition:
+        """Return what a replica must have applied; raise ``NotOffered`` if unknown."""
+        position = self.required_position(route, session_position)
+        if isinstance(position, Missing):
+            raise NotOffered(target, position.reason)
+        return position
+
     def _wait_for_target(
         self, attempt: Attempt, missing: Missing, tried: list[str]
     ) -> Steps:
@@ -411,9 +416,7 @@
     return mode + xxhash.xxh64_hexdigest(prepared.shape).encode()
 
 
-def statement_text(
-    statement: Statement, prepared: PreparedStatement | None
-) -> bytes:
+def statement_text(statement: Statement, prepared: PreparedStatement | None) -> bytes:
     """Return the text for a server: prepared names are the shared ones."""
     if statement.kind is StatementKind.EXECUTE and prepared is not None:
         return wire.execute_text(prepared_name(prepared), statement.arguments)
--- /dev/null
+++ b/bulrushloom/proxy/failover.py
@@ -0,0 +1,121 @@
+"""Decisions of a change of primary; no I/O.
+
+A commit is acknowledged once the primary and, where the service asks for it, one
+replica have it. A successor is safe if no replica can receive from the old primary any
+more and the successor has the highest position among all that could have acknowledged.
+"""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import NamedTuple
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
+
+# A heartbeat and a half were missed.
+SILENT_BEATS = 1.6
+# Two statements in a row that nobody answers.
+UNREACHABLE_LIMIT = timedelta(milliseconds=700)
+# A process that restarts is back later than this.
+REFUSED_LIMIT = timedelta(milliseconds=150)
+# A commit whose replicas are reachable takes a tenth of this.
+STALLED_LIMIT = timedelta(milliseconds=900)
+_ZERO = timedelta()
+
+
+class PrimaryProbe(NamedTuple):
+    """Hold what the leader sees of a primary.
+
+    The times are since when without interruption: ``refused_since`` its machine
+    refuses connections, ``silent_since`` it does not answer, ``stalled_since`` its
+    log is ahead of all replicas. ``entry_changed_at`` is its last heartbeat as seen
+    by the store.
+    """
+
+    refused_since: timedelta | None = None
+    silent_since: timedelta | None = None
+    stalled_since: timedelta | None = None
+    entry_changed_at: timedelta = _ZERO
+    is_suspected: bool = False
+    status: ServerStatus | None = None
+
+
+def reason_to_replace(
+    target: Target | Missing,
+    probe: PrimaryProbe,
+    heartbeat: timedelta,
+    now: timedelta,
+) -> str:
+    """Return why a primary must be replaced, or an empty text."""
+    if isinstance(target, Missing):
+        return target.reason
+    if target.is_draining:
+        return "it is leaving"
+    if probe.refused_since is not None and now - probe.refused_since >= REFUSED_LIMIT:
+        return "it refuses connections"
+    silent = probe.silent_since
+    sends_no_heartbeat = now - probe.entry_changed_at >= heartbeat * SILENT_BEATS
+    is_silent = silent is not None and now - silent >= UNREACHABLE_LIMIT
+    if is_silent and sends_no_heartbeat:
+        return "it does not answer and sends no heartbeat"
+    stalled = probe.stalled_since
+    if stalled is not None and now - stalled >= STALLED_LIMIT:
+        return "no replica receives its commits"
+    if probe.status is not None and probe.status.role is ServerRole.REPLICA:
+        return "it is a replica"
+    return ""
+
+
+class Succession(NamedTuple):
+    """Hold what is known of the servers of a group while the primary is replaced.
+
+    ``status_by_id`` holds the servers that confirmed that they receive nothing more.
+    ``missing`` are listed servers that did not. ``demoted`` is the status of the old
+    primary once it confirmed that it is a replica.
+    """
+
+    status_by_id: Mapping[str, ServerStatus]
+    missing: frozenset[str]
+    demoted: ServerStatus | None
+    acknowledged: LogPosition | None
+    all_instances_left: bool
+
+
+def choose_successor(
+    target_by_id: Mapping[str, Target], succession: Succession
+) -> str | Missing:
+    """Return the server to promote, or why none is safe yet."""
+    promoted = [
+        target_id
+        for target_id, status in succession.status_by_id.items()
+        if status.role is ServerRole.PRIMARY
+    ]
+    if promoted:
+        return max(promoted, key=lambda i: succession.status_by_id[i].term)
+    candidates = {
+        target_id: status
+        for target_id, status in succession.status_by_id.items()
+        if target_id in target_by_id
+    }
+    if not candidates:
+        return Missing("no server of the group answers")
+    highest = max(status.received for status in candidates.values())
+    if not _covers_all_commits(highest, succession):
+        return Missing("a server that may have acknowledged commits does not answer")
+    holders = [i for i, status in candidates.items() if status.received == highest]
+    staying = [i for i in holders if not target_by_id[i].is_draining]
+    return min(staying or holders)
+
+
+def _covers_all_commits(highest: LogPosition, succession: Succession) -> bool:
+    if succession.demoted is not None:
+        return highest >= succession.demoted.received or not succession.missing
+    if not succession.missing:
+        return True
+    # Only the instances acknowledge commits to callers: if all of them have left the
+    # old primary, the highest position that they acknowledged is all that counts.
+    acknowledged = succession.acknowledged
+    return succession.all_instances_left and (
+        acknowledged is None or highest >= acknowledged
+    )
--- /dev/null
+++ b/bulrushloom/proxy/fleet.py
@@ -0,0 +1,284 @@
+"""What this instance learns from the others, and what it tells them."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.gossip import (
+    Directory,
+    DomainUsage,
+    Gossip,
+    Member,
+    Report,
+    StoreView,
+)
+from bulrushloom.proxy.groups import decode_group
+from bulrushloom.proxy.limits import PeerUsage, Usage
+from bulrushloom.proxy.services import Services
+from bulrushloom.runtime.loop import Steps
+
+# Within a domain traffic is free and fast.
+DOMAIN_INTERVAL = timedelta(milliseconds=200)
+# Every second datagram to the other domains; their traffic is paid for.
+TURNS_BETWEEN_DOMAINS = 2
+# Targets and members change slowly.
+TURNS_BETWEEN_DIRECTORIES = 4
+# Three datagrams in a row were lost, or the instance stands still.
+HEARD_LIMIT = timedelta(milliseconds=900)
+SPEAKER_LIMIT = timedelta(milliseconds=1600)
+DOMAIN_USAGE_LIMIT = timedelta(milliseconds=2000)
+# While the store is away entries can lapse; an instance that is heard is still there.
+MEMBER_HEARD_LIMIT = timedelta(seconds=4)
+POSITION_LIMIT = timedelta(seconds=3)
+
+
+class Fleet:
+    """Follow the other instances; ``read_store`` is called when they know more."""
+
+    def __init__(
+        self,
+        services: Services,
+        member: Member,
+        gossip: Callable[[Callable[[Report], None]], Gossip],
+        read_store: Callable[[], object],
+    ):
+        self._services = services
+        self._loop = services.loop
+        self._member = member
+        self._gossip = gossip(self._hear)
+        self._read_store = read_store
+        self._turn = 0
+        self._domain_usage: dict[str, DomainUsage] = {}
+        self._directory: Directory | None = None
+        self.is_leader = False
+        self.peers_by_name: dict[str, Member] = {}
+        self.report_by_name: dict[str, Report] = {}
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of all datagrams sent."""
+        return self._gossip.sent_bytes
+
+    # Members
+
+    def take_directory(self, directory: Directory) -> None:
+        """Follow the targets and members that a read of the store listed."""
+        if self._directory and directory.listed_at <= self._directory.listed_at:
+            return
+        self._directory = directory
+        services, now = self._services, self._loop.now()
+        services.take_targets(directory.target_by_id, directory.listed_at)
+        peers = {
+            name: member
+            for name, member in directory.member_by_name.items()
+            if name != self._member.name
+        }
+        for name, report in self.report_by_name.items():
+            if now - report.heard_at < MEMBER_HEARD_LIMIT:
+                peers[name] = report.member
+        self._set_peers(peers)
+        self._gossip.forget_silent()
+        services.limiter.forget_old_reports(now)
+
+    def _set_peers(self, peers: dict[str, Member]) -> None:
+        if peers.keys() != self.peers_by_name.keys():
+            self._services.log.write("members_changed", members=sorted(peers))
+        self.peers_by_name = peers
+        self._services.member_count = len(peers) + 1
+        self._services.limiter.member_count = len(peers) + 1
+        self.report_by_name = {
+            name: report
+            for name, report in self.report_by_name.items()
+            if name in peers
+        }
+
+    def heard_within(self, limit: timedelta) -> list[Report]:
+        """Return the last reports that are not older than ``limit``."""
+        now = self._loop.now()
+        return [r for r in self.report_by_name.values() if now - r.heard_at <= limit]
+
+    def is_speaker(self) -> bool:
+        """Return whether this instance talks to the other domains."""
+        if self.is_leader:
+            return True
+        own = self._member
+        for report in self.heard_within(HEARD_LIMIT):
+            if report.member.domain != own.domain:
+                continue
+            if report.is_leader or report.member.name < own.name:
+                return False
+        return True
+
+    # Sending
+
+    def run(self) -> Steps:
+        """Send reports at fixed intervals."""
+        while True:
+            yield self._loop.sleep(DOMAIN_INTERVAL)
+            self._turn += 1
+            self._send_turn()
+
+    def _send_turn(self) -> None:
+        own = self._member.domain
+        speaks = self.is_speaker()
+        neighbours = [m for m in self.peers_by_name.values() if m.domain == own]
+        report = self._report(speaks)
+        if speaks and self._turn % TURNS_BETWEEN_DIRECTORIES == 0:
+            report = report._replace(directory=self._directory)
+        self._gossip.send(neighbours, report)
+        if speaks and self._turn % TURNS_BETWEEN_DOMAINS == 0:
+            total = self._domain_total()
+            self._gossip.send(
+                self._other_speakers(),
+                report._replace(usage_by_account={}, usage_by_domain={own: total}),
+            )
+
+    def _other_speakers(self) -> list[Member]:
+        """Return a speaker of each other domain, or all members where none is known."""
+        speakers = {
+            report.member.name
+            for report in self.heard_within(SPEAKER_LIMIT)
+            if report.is_speaker
+        }
+        members_by_domain: dict[str, list[Member]] = {}
+        for member in self.peers_by_name.values():
+            if member.domain != self._member.domain:
+                members_by_domain.setdefault(member.domain, []).append(member)
+        chosen: list[Member] = []
+        for members in members_by_domain.values():
+            known = [member for member in members if member.name in speakers]
+            chosen += known or members
+        return chosen
+
+    def _report(self, speaks: bool) -> Report:
+        services, now = self._services, self._loop.now()
+        positions = {}
+        for service, history in services.histories().items():
+            latest = history.latest()
+            if latest is not None and now - latest.taken_at < POSITION_LIMIT:
+                positions[service] = latest
+        view = None
+        if services.evidence.allows_keys(now):
+            revision = services.configuration.revision
+            view = StoreView(services.evidence.confirmed_at, revision)
+        return Report(
+            member=self._member,
+            heard_at=now,
+            is_speaker=speaks,
+            is_leader=self.is_leader,
+            usage_by_account=services.limiter.report(now),
+            usage_by_domain=self._domain_usage if speaks else {},
+            position_by_service=positions,
+            acknowledged_by_service=services.acknowledged_by_service,
+            suspected=self.all_suspected() if speaks else self._own_suspected(),
+            view=view,
+            directory=None,
+            followed_by_service=services.followed_groups(),
+            group_by_service={},
+        )
+
+    def _own_suspected(self) -> frozenset[str]:
+        return frozenset(self._services.suspected_at_by_target)
+
+    def all_suspected(self) -> frozenset[str]:
+        """Return the targets that this instance or one in its reach suspects."""
+        suspected = set(self._own_suspected())
+        for report in self.heard_within(HEARD_LIMIT):
+            if report.member.domain == self._member.domain and not report.is_speaker:
+                suspected |= report.suspected
+        return frozenset(suspected)
+
+    def reported_suspects(self) -> frozenset[str]:
+        """Return the targets that anybody suspects."""
+        suspected = set(self._own_suspected())
+        for report in self.heard_within(SPEAKER_LIMIT):
+            suspected |= report.suspected
+        return frozenset(suspected)
+
+    def _domain_total(self) -> DomainUsage:
+        now = self._loop.now()
+        admitted: Counter[str] = Counter()
+        demand: Counter[str] = Counter()
+        heard = 1
+        usages: list[Mapping[str, Usage]] = [self._services.limiter.report(now)]
+        for report in self.heard_within(HEARD_LIMIT):
+            if report.member.domain == self._member.domain:
+                heard += 1
+                usages.append(report.usage_by_account)
+        for usage_by_account in usages:
+            for account, usage in usage_by_account.items():
+                admitted[account] += usage.admitted  # type: ignore[assignment]
+                demand[account] += usage.demand_per_s  # type: ignore[assignment]
+        total = {name: Usage(admitted[name], demand[name]) for name in admitted}
+        return DomainUsage(heard, now, total)
+
+    def announce(
+        self, members: Iterable[Member], group_by_service: Mapping[str, tuple[int, str]]
+    ) -> None:
+        """Send group records to ``members`` at once."""
+        report = self._report(self.is_speaker())
+        self._gossip.send(members, report._replace(group_by_service=group_by_service))
+
+    # Hearing
+
+    def _hear(self, report: Report) -> None:
+        services, name = self._services, report.member.name
+        known = self.report_by_name.get(name)
+        self.report_by_name[name] = report
+        if known is None and name not in self.peers_by_name:
+            self._set_peers(self.peers_by_name | {name: report.member})
+        if report.member.domain == self._member.domain:
+            services.limiter.hear(
+                f"{name}/{report.member.incarnation}",
+                PeerUsage(report.heard_at, report.usage_by_account, 1, HEARD_LIMIT),
+            )
+        self._hear_domains(report)
+        for service, sample in report.position_by_service.items():
+            services.history(service).record(sample)
+        for service, position in report.acknowledged_by_service.items():
+            services.note_commit(service, position)
+        self._hear_groups(report)
+        if report.view is not None:
+            self._hear_view(report.view, report.followed_by_service)
+        if report.directory is not None:
+            self.take_directory(report.directory)
+
+    def _hear_domains(self, report: Report) -> None:
+        for domain, usage in report.usage_by_domain.items():
+            known = self._domain_usage.get(domain)
+            if domain == self._member.domain or (known and known.at > usage.at):
+                continue
+            self._domain_usage[domain] = usage
+            peer = PeerUsage(
+                usage.at, usage.usage_by_account, usage.heard, DOMAIN_USAGE_LIMIT
+            )
+            self._services.limiter.hear(f"domain {domain}", peer)
+
+    def _hear_groups(self, report: Report) -> None:
+        groups = {}
+        for service, (revision, value) in report.group_by_service.items():
+            group = decode_group(value.encode(), revision)
+            if not isinstance(group, Missing):
+                groups[service] = group
+        if groups:
+            self._services.take_groups(groups)
+            # The sender waits until every instance follows the announcement.
+            self.announce([report.member], {})
+
+    def _hear_view(self, view: StoreView, followed: Mapping[str, int]) -> None:
+        """Rely on what another instance read, if this one knows as much."""
+        services = self._services
+        own = services.followed_groups()
+        knows_groups = all(
+            own.get(service, 0) >= revision for service, revision in followed.items()
+        )
+        knows_rules = services.configuration.revision >= view.configuration_revision
+        if knows_groups and knows_rules:
+            services.evidence.confirm(view.confirmed_at)
+        elif view.confirmed_at > services.evidence.confirmed_at:
+            self._read_store()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._gossip.close()
--- a/bulrushloom/proxy/gossip.py
+++ b/bulrushloom/proxy/gossip.py
@@ -1,19 +1,24 @@
-"""Datagrams that the instances send each other: usage, positions, group revisions.
+"""Datagrams that the instances send each other.
 
-A position is only as good as its age. A datagram therefore repeats the last time stamp
-that it got from the receiver: the receiver knows from its own clock how old the content
-can be at most, however long the datagram was on its way.
+Within a domain every instance tells every other one what it admitted and knows. Between
+domains one instance of each domain, its speaker, tells the others' speakers the sum.
+
+What an instance learned from the store or from a primary is only as good as its age.
+A datagram therefore repeats the last time stamp that its sender got from the receiver:
+the receiver knows from its own clock how old the content can be at most, however long
+the datagram was on its way.
 """
 
 import contextlib
 import selectors
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import Any, NamedTuple
 
 import orjson
 
+from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.limits import Usage
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.positions import PositionSample
@@ -21,6 +26,8 @@
 from bulrushloom.runtime.streams import split_address
 
 MAX_DATAGRAM_BYTES = 60_000
+# Time stamps of instances that were not heard for this long are dropped.
+STAMP_LIFETIME = timedelta(seconds=5)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -33,31 +40,56 @@
     domain: str
 
 
-class PeerReport(NamedTuple):
-    """Hold the content of a datagram in terms of the receiver's clock.
+class DomainUsage(NamedTuple):
+    """Sum up the usage of the instances of one domain that were heard."""
+
+    heard: int
+    at: timedelta
+    usage_by_account: Mapping[str, Usage]
+
+
+class StoreView(NamedTuple):
+    """Tell up to when the sender knows the store.
 
-    ``position_by_service`` is empty if the sender has not heard this process yet.
-    ``group_revision_by_service`` tells which announcements the sender follows.
+    Every change of the configuration and of the group records that the store
+    acknowledged before ``confirmed_at`` is known to the sender.
     """
 
-    name: str
-    incarnation: str
-    heard_at: timedelta
-    usage_by_account: Mapping[str, Usage]
-    position_by_service: Mapping[str, PositionSample]
-    group_revision_by_service: Mapping[str, int]
-    suspected: frozenset[str]
-    group_values: Mapping[str, tuple[int, str]]
+    confirmed_at: timedelta
+    configuration_revision: int
+
+
+class Directory(NamedTuple):
+    """Hold the targets and the members that a read of the store listed."""
 
+    listed_at: timedelta
+    target_by_id: Mapping[str, Target]
+    member_by_name: Mapping[str, Member]
 
-class OwnReport(NamedTuple):
-    """Hold what this instance tells the others."""
 
+class Report(NamedTuple):
+    """Hold the content of a datagram; times are on the clock of who holds it.
+
+    ``view``, ``directory`` and ``position_by_service`` are empty in a report whose
+    sender has not heard the receiver yet. ``usage_by_account`` is the sender's own
+    usage, and ``usage_by_domain`` what it knows of domains. ``followed_by_service``
+    gives the revision of the group records that the sender acts on, and
+    ``group_by_service`` announces group records as revision and value.
+    """
+
+    member: Member
+    heard_at: timedelta
+    is_speaker: bool
+    is_leader: bool
     usage_by_account: Mapping[str, Usage]
+    usage_by_domain: Mapping[str, DomainUsage]
     position_by_service: Mapping[str, PositionSample]
-    group_revision_by_service: Mapping[str, int]
+    acknowledged_by_service: Mapping[str, LogPosition]
     suspected: frozenset[str]
-    group_values: Mapping[str, tuple[int, str]]
+    view: StoreView | None
+    directory: Directory | None
+    followed_by_service: Mapping[str, int]
+    group_by_service: Mapping[str, tuple[int, str]]
 
 
 class Gossip:
@@ -67,13 +99,11 @@
         self,
         loop: Loop,
         address: str,
-        name: str,
-        incarnation: str,
-        on_report: Callable[[PeerReport], None],
+        member: Member,
+        on_report: Callable[[Report], None],
     ):
         self._loop = loop
-        self._name = name
-        self._incarnation = incarnation
+        self._member = member
         self._on_report = on_report
         self._stamp_by_peer: dict[str, tuple[int, timedelta]] = {}
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -82,39 +112,18 @@
         self.sent_bytes = 0
         loop.watch(self._sock, selectors.EVENT_READ, self._on_event)
 
-    def send(self, members: Mapping[str, Member], report: OwnReport) -> None:
-        """Send ``report`` to all members."""
+    def send(self, members: Iterable[Member], report: Report) -> None:
+        """Send ``report`` to each of ``members``."""
         now = self._loop.now()
-        content: dict[str, Any] = {
-            "name": self._name,
-            "incarnation": self._incarnation,
-            "stamp": now // _MILLISECOND,
-            "echo": {
-                peer: [stamp, (now - heard_at) // _MILLISECOND]
-                for peer, (stamp, heard_at) in self._stamp_by_peer.items()
-            },
-            "usage": {
-                account: [round(usage.admitted, 1), round(usage.demand_per_s, 2)]
-                for account, usage in report.usage_by_account.items()
-            },
-            "positions": {
-                service: [
-                    sample.position.term,
-                    sample.position.number,
-                    # Rounded up: the position must not seem younger than it is.
-                    (now - sample.taken_at) // _MILLISECOND + 1,
-                ]
-                for service, sample in report.position_by_service.items()
-            },
-            "groups": report.group_revision_by_service,
-            "suspected": sorted(report.suspected),
-            "values": report.group_values,
-        }
-        data = orjson.dumps(content)
-        if len(data) > MAX_DATAGRAM_BYTES:
-            content["usage"] = {}
+        content = _encode(report, now)
+        for member in members:
+            stamp, heard_at = self._stamp_by_peer.get(member.name, (None, now))
+            content["echo"] = [stamp, (now - heard_at) // _MILLISECOND]
             data = orjson.dumps(content)
-        for member in members.values():
+            if len(data) > MAX_DATAGRAM_BYTES:
+                # The receivers read the store themselves then.
+                content.pop("directory", None)
+                data = orjson.dumps(content)
             # A datagram that cannot be sent is as good as lost; the next one follows.
             with contextlib.suppress(OSError):
                 self._sock.sendto(data, split_address(member.address))
@@ -123,50 +132,157 @@
     def _on_event(self, _: int) -> None:
         while True:
             try:
-                data = self._sock.recv(MAX_DATAGRAM_BYTES + 1)
+                data = self._sock.recv(MAX_DATAGRAM_BYTES)
             except (BlockingIOError, InterruptedError, ConnectionError):
                 return
             try:
-                report = self._decode(data)
+                content = orjson.loads(data)
+                if content["from"][0] == self._member.name:
+                    continue
+                report = _decode(content, self._loop.now())
+                stamp = int(content["stamp"])
             except (KeyError, TypeError, ValueError, AttributeError):
                 # Anybody can send a datagram here; one that is no report is ignored.
                 continue
-            if report is not None:
-                self._on_report(report)
-
-    def _decode(self, data: bytes) -> PeerReport | None:
-        content = orjson.loads(data)
-        name = content["name"]
-        if name == self._name:
-            return None
-        now = self._loop.now()
-        echo = content["echo"].get(self._name)
-        positions = {}
-        if echo is not None:
-            written_at = (echo[0] + echo[1]) * _MILLISECOND
-            for service, (term, number, age_ms) in content["positions"].items():
-                taken_at = written_at - age_ms * _MILLISECOND
-                position = LogPosition(term, number)
-                positions[service] = PositionSample(taken_at, position)
-        self._stamp_by_peer[name] = (content["stamp"], now)
-        return PeerReport(
-            name,
-            content["incarnation"],
-            now,
-            {a: Usage(*usage) for a, usage in content["usage"].items()},
-            positions,
-            content["groups"],
-            frozenset(content["suspected"]),
-            {s: (v[0], v[1]) for s, v in content["values"].items()},
-        )
-
-    def forget_others(self, names: frozenset[str]) -> None:
+            self._stamp_by_peer[report.member.name] = (stamp, report.heard_at)
+            self._on_report(report)
+
+    def forget_silent(self) -> None:
         """Drop the time stamps of instances that are gone."""
+        horizon = self._loop.now() - STAMP_LIFETIME
         self._stamp_by_peer = {
-            name: stamp for name, stamp in self._stamp_by_peer.items() if name in names
+            name: stamp
+            for name, stamp in self._stamp_by_peer.items()
+            if stamp[1] > horizon
         }
 
     def close(self) -> None:
         """Close the socket."""
         self._loop.unwatch(self._sock)
         self._sock.close()
+
+
+def _age_ms(now: timedelta, at: timedelta) -> int:
+    """Return an age, rounded up: nothing must seem younger than it is."""
+    return (now - at) // _MILLISECOND + 1
+
+
+def _encode_usage(usage_by_account: Mapping[str, Usage]) -> dict[str, Any]:
+    return {
+        account: [round(usage.admitted, 1), round(usage.demand_per_s, 2)]
+        for account, usage in usage_by_account.items()
+    }
+
+
+def _encode(report: Report, now: timedelta) -> dict[str, Any]:
+    content: dict[str, Any] = {
+        "from": list(report.member),
+        "stamp": now // _MILLISECOND,
+    }
+    if report.is_speaker:
+        content["speaker"] = 1
+    if report.is_leader:
+        content["leader"] = 1
+    if report.usage_by_account:
+        content["usage"] = _encode_usage(report.usage_by_account)
+    if report.usage_by_domain:
+        content["domains"] = {
+            domain: [
+                known.heard,
+                _age_ms(now, known.at),
+                _encode_usage(known.usage_by_account),
+            ]
+            for domain, known in report.usage_by_domain.items()
+        }
+    if report.position_by_service:
+        content["positions"] = {
+            service: [*sample.position, _age_ms(now, sample.taken_at)]
+            for service, sample in report.position_by_service.items()
+        }
+    if report.acknowledged_by_service:
+        content["acked"] = {
+            service: list(position)
+            for service, position in report.acknowledged_by_service.items()
+        }
+    if report.suspected:
+        content["suspected"] = list(report.suspected)
+    if report.view is not None:
+        content["view"] = [
+            _age_ms(now, report.view.confirmed_at),
+            report.view.configuration_revision,
+        ]
+    if report.directory is not None:
+        content["directory"] = [
+            _age_ms(now, report.directory.listed_at),
+            [_encode_target(t) for t in report.directory.target_by_id.values()],
+            [list(member) for member in report.directory.member_by_name.values()],
+        ]
+    if report.followed_by_service:
+        content["followed"] = report.followed_by_service
+    if report.group_by_service:
+        content["groups"] = report.group_by_service
+    return content
+
+
+def _encode_target(target: Target) -> list[Any]:
+    cold_left_ms = target.cold_left // _MILLISECOND
+    return list(target._replace(cold_left=cold_left_ms))  # type: ignore[arg-type]
+
+
+def _decode_target(fields: list[Any]) -> Target:
+    target = Target(*fields)
+    cold_left = timedelta(milliseconds=target.cold_left)  # type: ignore[arg-type]
+    return target._replace(cold_left=cold_left)
+
+
+def _decode_usage(content: Mapping[str, Any]) -> dict[str, Usage]:
+    return {account: Usage(*usage) for account, usage in content.items()}
+
+
+def _decode(content: dict[str, Any], now: timedelta) -> Report:
+    """Return the report; what needs an age is left out without an echo."""
+    echo, held_ms = content["echo"]
+    positions = {}
+    view = None
+    directory = None
+    if echo is not None:
+        written_at = (echo + held_ms) * _MILLISECOND
+        for service, (term, number, age_ms) in content.get("positions", {}).items():
+            taken_at = written_at - age_ms * _MILLISECOND
+            positions[service] = PositionSample(taken_at, LogPosition(term, number))
+        if "view" in content:
+            age_ms, revision = content["view"]
+            view = StoreView(written_at - age_ms * _MILLISECOND, revision)
+        if "directory" in content:
+            age_ms, targets, members = content["directory"]
+            directory = Directory(
+                written_at - age_ms * _MILLISECOND,
+                {target[0]: _decode_target(target) for target in targets},
+                {member[0]: Member(*member) for member in members},
+            )
+    return Report(
+        member=Member(*content["from"]),
+        heard_at=now,
+        is_speaker="speaker" in content,
+        is_leader="leader" in content,
+        usage_by_account=_decode_usage(content.get("usage", {})),
+        usage_by_domain={
+            domain: DomainUsage(
+                heard, now - age_ms * _MILLISECOND, _decode_usage(usage)
+            )
+            for domain, (heard, age_ms, usage) in content.get("domains", {}).items()
+        },
+        position_by_service=positions,
+        acknowledged_by_service={
+            service: LogPosition(*position)
+            for service, position in content.get("acked", {}).items()
+        },
+        suspected=frozenset(content.get("suspected", ())),
+        view=view,
+        directory=directory,
+        followed_by_service=content.get("followed", {}),
+        group_by_service={
+            service: (value[0], value[1])
+            for service, value in content.get("groups", {}).items()
+        },
+    )
--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -110,11 +110,17 @@
         self.drain_bound = drain_bound
         self.group_by_service: dict[str, GroupRecord] = {}
         self.known_by_id: dict[str, KnownTarget] = {}
+        self._listed_at: timedelta | None = None
+
+    def is_listed_since(self, at: timedelta) -> bool:
+        """Return whether the targets were listed after ``at``."""
+        return self._listed_at is not None and self._listed_at >= at
 
     def read_targets(
         self, target_by_id: Mapping[str, Target], asked_at: timedelta
     ) -> None:
         """Take the targets that a read of the store listed."""
+        self._listed_at = asked_at
         known_by_id = {}
         for target_id, target in target_by_id.items():
             known = self.known_by_id.get(target_id)
--- /dev/null
+++ b/bulrushloom/proxy/leadership.py
@@ -0,0 +1,137 @@
+"""The lease of the one instance that reads the store for all and changes primaries."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+import orjson
+
+from bulrushloom.proxy.groups import FENCE_KEY, LEADER_KEY
+from bulrushloom.proxy.store import (
+    ExpectedRevision,
+    Lease,
+    ProxyStore,
+    Put,
+    Record,
+    StoreFailure,
+    StoreProblem,
+    StoreSnapshot,
+)
+from bulrushloom.proxy.telemetry import EventLog
+from bulrushloom.runtime.loop import Loop, Steps
+
+LEASE_TTL = timedelta(milliseconds=2500)
+RENEW_INTERVAL = timedelta(milliseconds=700)
+RENEW_RETRY_INTERVAL = timedelta(milliseconds=200)
+# Covers the time between the check of the lease and the arrival of a call.
+LEASE_MARGIN = timedelta(milliseconds=500)
+# Candidates try one after the other, so that few of them write to the store.
+RANK_DELAY = timedelta(milliseconds=120)
+MAX_RANK = 8
+_EXPIRED = timedelta(days=-1)
+
+
+class Holder(NamedTuple):
+    """Hold the leader's record: who it is and its fencing token."""
+
+    name: str
+    incarnation: str
+    fence: int
+
+
+class Leadership:
+    """Acquire the lease when nobody has it, and keep it."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: ProxyStore,
+        log: EventLog,
+        name: str,
+        incarnation: str,
+    ):
+        self._loop = loop
+        self._store = store
+        self._log = log
+        self._name = name
+        self._incarnation = incarnation
+        self._lease: Lease | None = None
+        self._held_until = _EXPIRED
+        self._is_acquiring = False
+        self._is_stopped = False
+        self.fence = 0
+
+    def holds(self) -> bool:
+        """Return whether no other instance can hold the lease now."""
+        return self._lease is not None and self._loop.now() < self._held_until
+
+    def on_snapshot(self, snapshot: StoreSnapshot, rank: int) -> None:
+        """Look whether the lease is free; ``rank`` orders the candidates."""
+        if LEADER_KEY in snapshot.record_by_key or self._is_stopped:
+            return
+        if self._is_acquiring or self._lease is not None:
+            return
+        self._is_acquiring = True
+        fence = snapshot.record_by_key.get(FENCE_KEY)
+        self._loop.spawn(self._acquire(fence, rank))
+
+    def _acquire(self, fence: Record | None, rank: int) -> Steps:
+        try:
+            yield self._loop.sleep(RANK_DELAY * min(rank, MAX_RANK))
+            asked_at = self._loop.now()
+            lease = yield self._store.create_lease(LEASE_TTL)
+            if isinstance(lease, StoreFailure) or self._is_stopped:
+                return
+            taken = yield from self._take(fence, lease)
+            if taken:
+                self._lease = lease
+                self._held_until = asked_at + lease.ttl - LEASE_MARGIN
+                self._log.write("leader_acquired", fence=self.fence)
+                self._loop.spawn(self._keep())
+        finally:
+            self._is_acquiring = False
+
+    def _take(self, fence: Record | None, lease: Lease) -> Steps:
+        """Write the record; return whether this instance is the leader."""
+        number = 1 + (int(fence.value) if fence is not None else 0)
+        holder = Holder(self._name, self._incarnation, number)
+        written = yield self._store.commit(
+            (
+                ExpectedRevision(LEADER_KEY, 0),
+                ExpectedRevision(FENCE_KEY, fence.revision if fence else 0),
+            ),
+            (
+                Put(LEADER_KEY, orjson.dumps(holder._asdict()), lease.lease_id),
+                Put(FENCE_KEY, str(number).encode()),
+            ),
+        )
+        if isinstance(written, StoreFailure):
+            # A lost answer leaves a record of a lease that nobody renews.
+            self._log.write("leader_not_acquired", reason=written.reason)
+            yield self._store.end_lease(lease.lease_id)
+            return False
+        self.fence = number
+        return True
+
+    def _keep(self) -> Steps:
+        while self._lease is not None and not self._is_stopped:
+            lease, asked_at = self._lease, self._loop.now()
+            renewed = yield self._store.renew_lease(lease.lease_id)
+            if not isinstance(renewed, StoreFailure):
+                self._held_until = asked_at + renewed.ttl - LEASE_MARGIN
+                yield self._loop.sleep(RENEW_INTERVAL)
+                continue
+            if renewed.problem is StoreProblem.NO_LEASE:
+                self._lease = None
+                self._held_until = _EXPIRED
+                self._log.write("leader_lost", fence=self.fence)
+                return
+            yield self._loop.sleep(RENEW_RETRY_INTERVAL)
+
+    def end(self) -> Steps:
+        """Give the lease up, so that another instance can take it at once."""
+        self._is_stopped = True
+        lease, self._lease = self._lease, None
+        self._held_until = _EXPIRED
+        if lease is not None:
+            yield self._store.end_lease(lease.lease_id)
+            self._log.write("leader_resigned", fence=self.fence)
--- a/bulrushloom/proxy/limits.py
+++ b/bulrushloom/proxy/limits.py
@@ -19,8 +19,6 @@
 # A view of the others may be this old; admissions per second are the room divided by
 # it, so one stale view cannot fill the room.
 ROOM_SPREAD = timedelta(seconds=1)
-# A member that was not heard for this long may be admitting on its own.
-HEARD_LIMIT = timedelta(milliseconds=1000)
 # Demand is averaged over this time; a shift of callers is followed within it.
 DEMAND_HALF_LIFE = timedelta(milliseconds=500)
 # An instance without recent demand counts as this share of the average one.
@@ -44,10 +42,16 @@
 
 
 class PeerUsage(NamedTuple):
-    """Hold the last report of another instance."""
+    """Hold the last report of one or more other instances.
+
+    ``instances`` is how many of them the report sums up, ``fresh_for`` how long it
+    speaks for what they are doing.
+    """
 
     heard_at: timedelta
     usage_by_account: Mapping[str, Usage]
+    instances: int
+    fresh_for: timedelta
 
 
 class RateWindow(NamedTuple):
@@ -100,11 +104,7 @@
         self._started_at = started_at
         self._state_by_account: dict[str, _AccountState] = {}
         self._peer_by_name: dict[str, PeerUsage] = {}
-        self._members: frozenset[str] = frozenset()
-
-    def set_members(self, names: frozenset[str]) -> None:
-        """Name the other instances that may be admitting operations."""
-        self._members = names
+        self.member_count = 1
 
     def forget_old_reports(self, now: timedelta) -> None:
         """Drop reports whose operations have all left the window."""
@@ -115,8 +115,10 @@
         }
 
     def hear(self, name: str, report: PeerUsage) -> None:
-        """Take the report of another instance."""
-        self._peer_by_name[name] = report
+        """Take the report of another instance, or of another domain's instances."""
+        known = self._peer_by_name.get(name)
+        if known is None or known.heard_at <= report.heard_at:
+            self._peer_by_name[name] = report
 
     def report(self, now: timedelta) -> dict[str, Usage]:
         """Return the usage of this instance for the others; idle accounts left out."""
@@ -150,9 +152,7 @@
             state = self._state_by_account[account.name] = _AccountState(now)
         return state
 
-    def _refill(
-        self, account: Account, state: _AccountState, now: timedelta
-    ) -> float:
+    def _refill(self, account: Account, state: _AccountState, now: timedelta) -> float:
         """Fill the tokens of this instance and return its speed per second."""
         state.expire(now - self.window.length)
         state.decay_demand(now)
@@ -169,17 +169,17 @@
         used, demand = state.admitted, state.demand_per_s
         heard = 1
         others_demand = 0.0
-        for name, peer in self._peer_by_name.items():
+        for peer in self._peer_by_name.values():
             age = now - peer.heard_at
             usage = peer.usage_by_account.get(account.name)
-            if age <= HEARD_LIMIT and name in self._members:
-                heard += 1
+            if age <= peer.fresh_for:
+                heard += peer.instances
                 others_demand += usage.demand_per_s if usage else 0.0
-            if usage is not None and age < self.window.length:
-                fresh = 1.0 - age / self.window.length
-                used += usage.admitted * (1.0 if age <= HEARD_LIMIT else fresh)
-        members = 1 + len(self._members)
-        room = self._limit(account, now) * heard / max(members, heard) - used
+                used += usage.admitted if usage else 0.0
+            elif usage is not None and age < self.window.length:
+                used += usage.admitted * (1.0 - age / self.window.length)
+        members = max(self.member_count, heard)
+        room = self._limit(account, now) * heard / members - used
         if room <= 0.0:
             return 0.0
         least = IDLE_DEMAND_SHARE * (demand + others_demand) / heard
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -3,7 +3,7 @@
 import os
 import signal
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from concurrent.futures import Future
 from contextlib import ExitStack
 from datetime import timedelta
@@ -12,13 +12,13 @@
 import xxhash
 
 from bulrushloom.conf.exceptions import SettingsError
-from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
-from bulrushloom.proxy.gossip import Gossip, Member, OwnReport, PeerReport
-from bulrushloom.proxy.groups import decode_group, group_records
-from bulrushloom.proxy.limits import PeerUsage
-from bulrushloom.proxy.membership import HEARD_LIMIT, Registration, decode_members
-from bulrushloom.proxy.positions import PositionSample
+from bulrushloom.proxy.fleet import Fleet
+from bulrushloom.proxy.gossip import Directory, Gossip, Member
+from bulrushloom.proxy.groups import group_records
+from bulrushloom.proxy.leadership import Leadership
+from bulrushloom.proxy.membership import Registration, decode_members
+from bulrushloom.proxy.primaries import PrimaryKeeper
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
@@ -28,18 +28,23 @@
 from bulrushloom.runtime.loop import Loop, Steps
 from bulrushloom.runtime.streams import Listener, Stream
 
-# The store is read once a second; a version is in force well within its bound.
-READ_INTERVAL = timedelta(seconds=1)
-READ_RETRY_INTERVAL = timedelta(milliseconds=200)
+# The leader's reads; a version is in force well within its bound.
+READ_INTERVAL = timedelta(milliseconds=700)
+READ_CHECK_INTERVAL = timedelta(milliseconds=50)
+READ_RETRY_INTERVAL = timedelta(milliseconds=150)
+# The leader's news take its interval and two datagrams; later an instance reads itself.
+RELAY_LIMIT = timedelta(milliseconds=1600)
+DIRECTORY_LIMIT = timedelta(milliseconds=3500)
 # Callers with unknown keys must not make the store read more often than this.
 MIN_CONFIRM_INTERVAL = timedelta(milliseconds=250)
-GOSSIP_INTERVAL = timedelta(milliseconds=200)
 SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
 # The balancer asks once a second and takes an instance out after two misses.
 LEAVE_TIME = timedelta(milliseconds=2300)
 STOP_CHECK_INTERVAL = timedelta(milliseconds=50)
 # Kept of the grace for the last answers and the log.
 STOP_MARGIN = timedelta(milliseconds=700)
+# The lease lapses by itself if the store does not answer in this time.
+RESIGN_LIMIT = timedelta(milliseconds=500)
 READY_PATH = "/v1/ready"
 METRICS_PATH = "/metrics"
 _ZERO = timedelta()
@@ -63,31 +68,40 @@
         stack.callback(self.services.pool.close)
         self._store = KeyValueStore(loop, settings.store_address, self.log.write)
         stack.callback(self._store.close)
-        self.promotion = DutyPromotion(loop, settings.duties_address)
         self.incarnation = os.urandom(6).hex()
         self.member = Member(
             settings.name, self.incarnation, settings.peer_address, settings.domain
         )
         self._registration = Registration(loop, self._store, self.log, self.member)
-        self.peers_by_name: dict[str, Member] = {}
-        self._heard_at_by_name: dict[str, timedelta] = {}
-        self.report_by_name: dict[str, PeerReport] = {}
+        self.leadership = Leadership(
+            loop, self._store, self.log, settings.name, self.incarnation
+        )
         self._sessions: set[Session] = set()
         self._is_ready = False
         self._store_is_lost = False
         self._reading: Future[Any] | None = None
         self._read_at = _ZERO
-        self.on_snapshot: list[Callable[[StoreSnapshot], None]] = []
 
     # Start
 
     def start(self) -> None:
         """Open all addresses and start the tasks."""
         settings, loop, stack = self.settings, self._loop, self._stack
-        self._gossip = Gossip(
-            loop, settings.peer_address, settings.name, self.incarnation, self._hear
+        self.fleet = Fleet(
+            self.services,
+            self.member,
+            lambda hear: Gossip(loop, settings.peer_address, self.member, hear),
+            self.confirm_soon,
+        )
+        stack.callback(self.fleet.close)
+        self.keeper = PrimaryKeeper(
+            self.services,
+            self._store,
+            DutyPromotion(loop, settings.duties_address),
+            self.leadership,
+            self.fleet,
+            settings.name,
         )
-        stack.callback(self._gossip.close)
         probe = HttpServer(loop, settings.probe_address, self._answer_probe)
         stack.callback(probe.close)
         metrics = HttpServer(loop, settings.metrics_address, self._answer_metrics)
@@ -95,10 +109,11 @@
         listener = Listener(loop, settings.session_address, self._accept)
         stack.callback(listener.close)
         self._catch_signals()
-        loop.spawn(self._follow_store())
-        loop.spawn(self._registration.run())
-        loop.spawn(self._send_gossip())
-        loop.spawn(self._follow_settings())
+        loop.supervise(self._follow_store)
+        loop.supervise(self._registration.run)
+        loop.supervise(self.fleet.run)
+        loop.supervise(self.keeper.run)
+        loop.supervise(self._follow_settings)
         self.log.write("started", incarnation=self.incarnation, domain=settings.domain)
 
     def _catch_signals(self) -> None:
@@ -152,11 +167,21 @@
     # Store
 
     def _follow_store(self) -> Steps:
+        """Read the store at intervals; only the leader reads while it is heard."""
         while True:
-            result = yield self.confirm_soon()
-            failed = isinstance(result, StoreFailure)
-            interval = READ_RETRY_INTERVAL if failed else READ_INTERVAL
-            yield self._loop.sleep(self._read_at + interval - self._loop.now())
+            self.fleet.is_leader = self.leadership.holds()
+            if self._needs_read():
+                result = yield self.confirm_soon()
+                if isinstance(result, StoreFailure):
+                    yield self._loop.sleep(READ_RETRY_INTERVAL)
+            yield self._loop.sleep(READ_CHECK_INTERVAL)
+
+    def _needs_read(self) -> bool:
+        now = self._loop.now()
+        if self.leadership.holds() or not self.fleet.peers_by_name:
+            return now - self._read_at >= READ_INTERVAL
+        is_listed = self.services.table.is_listed_since(now - DIRECTORY_LIMIT)
+        return self.services.evidence.age(now) >= RELAY_LIMIT or not is_listed
 
     def confirm_soon(self) -> "Future[Any]":
         """Read the store now, or join a read that is about to begin."""
@@ -177,6 +202,12 @@
             self._take_snapshot(result)
         return result
 
+    def _rank(self) -> int:
+        """Return the place of this instance among the candidates for the lease."""
+        names = {self.member.name, *self.fleet.peers_by_name}
+        ordered = sorted(names, key=lambda name: xxhash.xxh64_intdigest(name.encode()))
+        return ordered.index(self.member.name)
+
     def _note_store(self, failure: StoreFailure | None) -> None:
         self.metrics.count("store_reads", failure.problem.value if failure else "ok")
         if failure is not None and not self._store_is_lost:
@@ -199,86 +230,14 @@
                 routes=len(configuration.route_by_database),
                 accounts=len(configuration.account_by_name),
             )
-        services.table.read_targets(snapshot.target_by_id, snapshot.asked_at)
         services.take_groups(group_records(snapshot.record_by_key.values()))
         services.record_seals(snapshot.asked_at)
-        if snapshot.member_by_key is not None:
-            self._take_members(decode_members(snapshot.member_by_key))
-        self._drop_targets()
-        for listener in self.on_snapshot:
-            listener(snapshot)
-
-    def _take_members(self, members: Mapping[str, Member]) -> None:
-        now = self._loop.now()
-        peers = {
-            name: member
-            for name, member in members.items()
-            if name != self.member.name
-        }
-        for name, member in self.peers_by_name.items():
-            heard_at = self._heard_at_by_name.get(name)
-            if name not in peers and heard_at and now - heard_at < HEARD_LIMIT:
-                peers[name] = member
-        if peers.keys() != self.peers_by_name.keys():
-            self.log.write("members_changed", members=sorted(peers))
-        self.peers_by_name = peers
-        names = frozenset(peers)
-        self.services.member_count = len(peers) + 1
-        self.services.limiter.set_members(names)
-        self.services.limiter.forget_old_reports(now)
-        self._gossip.forget_others(names)
-        self.report_by_name = {
-            name: report for name, report in self.report_by_name.items() if name in names
-        }
-
-    def _drop_targets(self) -> None:
-        services = self.services
-        known = services.table.known_by_id
-        services.router.forget_others(known)
-        for target_id in services.pool.target_ids():
-            if target_id not in known:
-                services.pool.drop_target(target_id, "the target is gone")
-
-    # Gossip
-
-    def _send_gossip(self) -> Steps:
-        while True:
-            yield self._loop.sleep(GOSSIP_INTERVAL)
-            self.gossip_now()
-
-    def gossip_now(self, group_values: Mapping[str, tuple[int, str]] = {}) -> None:  # noqa: B006
-        """Tell all members what this instance knows."""
-        services, now = self.services, self._loop.now()
-        positions: dict[str, PositionSample] = {}
-        for service, history in services.histories().items():
-            latest = history.latest()
-            if latest is not None and now - latest.taken_at < timedelta(seconds=3):
-                positions[service] = latest
-        report = OwnReport(
-            services.limiter.report(now),
-            positions,
-            services.followed_groups(),
-            frozenset(services.suspected_at_by_target),
-            group_values,
+        members = decode_members(snapshot.member_by_key or {})
+        self.fleet.take_directory(
+            Directory(snapshot.asked_at, snapshot.target_by_id, members)
         )
-        self._gossip.send(self.peers_by_name, report)
-
-    def _hear(self, report: PeerReport) -> None:
-        services = self.services
-        self._heard_at_by_name[report.name] = report.heard_at
-        self.report_by_name[report.name] = report
-        usage = PeerUsage(report.heard_at, report.usage_by_account)
-        services.limiter.hear(report.name, usage)
-        for service, sample in report.position_by_service.items():
-            services.history(service).record(sample)
-        groups = {}
-        for service, (revision, value) in report.group_values.items():
-            group = decode_group(value.encode(), revision)
-            if not isinstance(group, Missing):
-                groups[service] = group
-        if groups and services.take_groups(groups):
-            # The announcement waits for the confirmation of every instance.
-            self.gossip_now()
+        self.keeper.note_entries(snapshot.target_by_id.values())
+        self.leadership.on_snapshot(snapshot, self._rank())
 
     # Sessions and probes
 
@@ -317,7 +276,7 @@
         gauges["server_connections_opened"] = self.services.pool.opened
         gauges["store_calls"] = self._store.calls
         gauges["members"] = self.services.member_count
-        gauges["gossip_bytes"] = self._gossip.sent_bytes
+        gauges["gossip_bytes"] = self.fleet.sent_bytes
         return 200, {"Content-Type": "text/plain"}, self.metrics.text()
 
     # Stop
@@ -349,7 +308,12 @@
 
     def before_stop(self) -> Steps:
         """Give up what this instance holds for the fleet."""
-        yield self._loop.sleep(_ZERO)
+        try:
+            yield self._loop.within(
+                self._loop.spawn(self.leadership.end()), RESIGN_LIMIT
+            )
+        except TimeoutError:
+            self.log.write("leader_not_resigned")
 
 
 def _digest(path: str) -> str:
@@ -358,5 +322,3 @@
             return str(xxhash.xxh64_hexdigest(file.read()))
     except OSError:
         return ""
-
-
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -165,6 +165,25 @@
             settings.rate_window, settings.rate_excess, settings.rate_slack
         )
 
+    def take_targets(
+        self, target_by_id: Mapping[str, Target], listed_at: timedelta
+    ) -> None:
+        """Follow the targets that a read of the store listed."""
+        before = self.table.known_by_id
+        self.table.read_targets(target_by_id, listed_at)
+        known_by_id = self.table.known_by_id
+        for target_id, known in known_by_id.items():
+            old = before.get(target_id)
+            if old is None or _shown(old.target) != _shown(known.target):
+                self.log.write("target_changed", **_shown(known.target))
+        for target_id in before.keys() - known_by_id.keys():
+            self.log.write("target_gone", target_id=target_id)
+            self.suspected_at_by_target.pop(target_id, None)
+        self.router.forget_others(known_by_id)
+        for target_id in self.pool.target_ids():
+            if target_id not in known_by_id:
+                self.pool.drop_target(target_id, "the target is gone")
+
     def take_groups(self, groups: Mapping[str, GroupRecord]) -> bool:
         """Follow announcements of primaries; return whether any was new."""
         changed = self.table.read_groups(groups)
@@ -217,3 +236,15 @@
         future = self._waiting_for_primary.pop(service, None)
         if future is not None:
             future.set_result(None)
+
+
+def _shown(target: Target) -> dict[str, Any]:
+    """Return what tells one state of a target from another."""
+    return {
+        "target_id": target.target_id,
+        "service": target.service,
+        "address": target.address,
+        "is_draining": target.is_draining,
+        "claims_primary": target.claims_primary,
+        "born_ms": target.born_ms,
+    }
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -418,9 +418,7 @@
         )
 
     def _answer_local(self) -> None:
-        self._send(
-            wire.LOCAL_DONE + wire.encode_ready(self._state(), self._position)
-        )
+        self._send(wire.LOCAL_DONE + wire.encode_ready(self._state(), self._position))
 
     def _answer_unknown_name(self, message: Statement) -> None:
         failure = Failure(AnswerCode.UNKNOWN_STATEMENT, "no such prepared statement")
--- a/bulrushloom/proxy/telemetry.py
+++ b/bulrushloom/proxy/telemetry.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import eliot
+import orjson
 from hdrh.histogram import HdrHistogram
 
 from bulrushloom.runtime.loop import Loop
@@ -67,7 +68,7 @@
         message.pop("task_level", None)
         message["instance"] = self._instance
         message["monotonic_ms"] = self._loop.now() // _MILLISECOND
-        self._lines.append(eliot.json.json_dumps_bytes(message) + b"\n")
+        self._lines.append(orjson.dumps(message, default=str) + b"\n")
 
     def _on_timer(self) -> None:
         self._timer = self._loop.call_later(FLUSH_INTERVAL, self._on_timer)
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -111,9 +111,7 @@
                 break
             yield self._loop.sleep(BUSY_PAUSE)
         assert answer.failure is not None
-        return self._fail_with(
-            f"{answer.failure.code.value}: {answer.failure.reason}"
-        )
+        return self._fail_with(f"{answer.failure.code.value}: {answer.failure.reason}")
 
     def _fail_with(self, reason: str) -> Outcome:
         self.fail(reason)
@@ -151,8 +149,7 @@
         self, attempt: Attempt, tried: list[str]
     ) -> tuple[Target, bool] | Missing:
         reads_anywhere = (
-            self._is_read_only
-            and self._route.consistency is not Consistency.PRIMARY
+            self._is_read_only and self._route.consistency is not Consistency.PRIMARY
         )
         if reads_anywhere:
             choice = self._runner.choose_read(attempt, tried)
@@ -196,12 +193,9 @@
         target = connection.target
         after = None
         if not is_primary:
-            position = self._runner.required_position(
-                self._route, self._session_position
+            after = self._runner.position_or_refusal(
+                target, self._route, self._session_position
             )
-            if isinstance(position, Missing):
-                raise NotOffered(target, position.reason)
-            after = position
         text = wire.BEGIN_READ if self._is_read_only else wire.BEGIN
         asked_at = self._loop.now()
         answering = connection.query(wire.OWN_ID, text, after)
--- a/bulrushloom/runtime/loop.py
+++ b/bulrushloom/runtime/loop.py
@@ -18,6 +18,8 @@
 
 # Longest sleep of the selector, so that a stop flag is noticed.
 MAX_SLEEP = timedelta(seconds=1)
+# A task that fails at once must not keep the processor busy.
+RESTART_DELAY = timedelta(milliseconds=200)
 _SECOND = timedelta(seconds=1)
 _ZERO = timedelta()
 
@@ -47,7 +49,7 @@
         self.callback = None
 
 
-class Task(Future):  # type: ignore[type-arg]
+class Task(Future):
     """Run a generator; its return value is the result of this future."""
 
     def __init__(self, loop: "Loop", steps: Steps):
@@ -119,6 +121,15 @@
         self.call_soon(task.advance)
         return task
 
+    def supervise(self, make_steps: Callable[[], Steps]) -> None:
+        """Run a task for as long as the loop runs; start it again if it fails."""
+
+        def restart(task: "Future[Any]") -> None:
+            if task.exception() is not None:
+                self.call_later(RESTART_DELAY, lambda: self.supervise(make_steps))
+
+        self.spawn(make_steps()).add_done_callback(restart)
+
     def spawn_quietly(self, steps: Steps) -> Task:
         """Start a task whose exceptions its owner looks at."""
         task = Task(self, steps)
