--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -18,7 +18,7 @@
     TransactionState,
 )
 from bulrushloom.runtime.loop import Loop, Steps, fail, settle
-from bulrushloom.runtime.streams import LineTooLong, Stream, connect
+from bulrushloom.runtime.streams import LineTooLong, Network, Stream
 
 # A connection in the same region takes two milliseconds.
 CONNECT_LIMIT = timedelta(milliseconds=500)
@@ -156,13 +156,15 @@
             on_close(self)
 
 
-def open_connection(loop: Loop, target: Target, account: str) -> Steps:
+def open_connection(
+    loop: Loop, network: Network, target: Target, account: str
+) -> Steps:
     """Connect and start a session; return a ``ServerConnection``.
 
     Raise ``ConnectionLost`` or ``ConnectionRejected``.
     """
     try:
-        stream = yield connect(loop, target.address, CONNECT_LIMIT)
+        stream = yield network.connect(target.address, CONNECT_LIMIT)
     except ConnectionRefusedError as error:
         raise ConnectionLost(str(error), refused=True) from error
     except OSError as error:
@@ -182,8 +184,11 @@
     ``allowance`` gives how many connections this instance may hold to a target.
     """
 
-    def __init__(self, loop: Loop, allowance: Callable[[Target], int]):
+    def __init__(
+        self, loop: Loop, network: Network, allowance: Callable[[Target], int]
+    ):
         self._loop = loop
+        self._network = network
         self._allowance = allowance
         self._connections_by_target: dict[str, list[ServerConnection]] = {}
         self._opening_by_target: dict[str, int] = {}
@@ -261,7 +266,9 @@
         opening[target_id] = opening.get(target_id, 0) + 1
         self.opened += 1
         try:
-            connection = yield from open_connection(self._loop, target, account)
+            connection = yield from open_connection(
+                self._loop, self._network, target, account
+            )
         finally:
             opening[target_id] -= 1
             self._wake_waiter(target_id)
--- a/bulrushloom/proxy/evidence.py
+++ b/bulrushloom/proxy/evidence.py
@@ -12,8 +12,8 @@
 # Covers the time between the check and the arrival of the statement at its server.
 KEY_MARGIN = timedelta(milliseconds=300)
 # A successor is announced only after this long, or when all instances confirmed that
-# they left its predecessor. Two reads of the store and one lost answer fit into it.
-PRIMARY_LIMIT = timedelta(milliseconds=2500)
+# they left its predecessor. The way of the leader's news and one read fit into it.
+PRIMARY_LIMIT = timedelta(milliseconds=2000)
 # Three reads in a row failed; new sessions are better off at another instance.
 READY_LIMIT = timedelta(milliseconds=3000)
 
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -107,6 +107,9 @@
         """
         services = self._services
         health = services.router.health(target.target_id)
+        full_for = health.full_until - self._loop.now()
+        if full_for > _ZERO and not services.pool.has_idle(target.target_id, account):
+            raise NotOffered(target, "the target has too many connections", full_for)
         try:
             connection = yield from services.pool.acquire(
                 target, account, self._values, priority, limit
@@ -116,7 +119,7 @@
         except ConnectionRejected as error:
             if error.failure.code is AnswerCode.TOO_MANY_CONNECTIONS:
                 services.reject_connections(target)
-                health.was_busy(self._loop.now())
+                health.was_full(self._loop.now())
             elif error.failure.code is AnswerCode.NOT_RUN:
                 health.was_busy(self._loop.now())
             else:
@@ -214,7 +217,8 @@
         running: list[Future[ServerAnswer]] = []
         last = "no target is in reach"
         hedge_after = attempt.route.latency_objective * HEDGE_SHARE
-        for _ in range(MAX_ATTEMPTS):
+        offers = 0
+        while offers < MAX_ATTEMPTS and self._loop.now() < attempt.deadline:
             choice = self.choose_read(attempt, tried)
             if isinstance(choice, Missing):
                 if not running:
@@ -222,19 +226,24 @@
                     if not waited:
                         return self._refused(f"{choice.reason}; last: {last}")
                     continue
+                # Every target has the read; the first one may be asked again.
+                tried.clear()
             else:
                 tried.append(choice.target.target_id)
                 steps = self._read_once(attempt, choice)
                 running.append(self._loop.spawn_quietly(steps))
+                offers += 1
             timer = self._loop.sleep(hedge_after)
             yield self._loop.first_of([*running, timer])
+            if timer.done():
+                # Under load every target is slow, and more copies make it worse.
+                hedge_after *= 2
             for future in [f for f in running if f.done()]:
                 running.remove(future)
+                offers -= isinstance(future.exception(), NotOffered)
                 outcome, last = self._read_outcome(future)
                 if outcome is not None:
                     return outcome
-            if self._loop.now() >= attempt.deadline:
-                break
         for future in running:
             try:
                 yield self._loop.within(future, attempt.deadline - self._loop.now())
@@ -325,7 +334,7 @@
         now = self._loop.now()
         if tried and now < attempt.offer_deadline:
             tried.clear()
-            yield self._loop.sleep(BUSY_PAUSE)
+            yield self._loop.sleep(BUSY_PAUSE * 2)
             return True
         return (yield from self.wait_for_primary(attempt))
 
--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -13,15 +13,12 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
 
-# A heartbeat and a half were missed.
-SILENT_BEATS = 1.6
-# Two statements in a row that nobody answers.
-UNREACHABLE_LIMIT = timedelta(milliseconds=700)
+# Two attempts in a row that nobody answers.
+SILENT_LIMIT = timedelta(milliseconds=600)
 # A process that restarts is back later than this.
 REFUSED_LIMIT = timedelta(milliseconds=150)
 # A commit whose replicas are reachable takes a tenth of this.
 STALLED_LIMIT = timedelta(milliseconds=900)
-_ZERO = timedelta()
 
 
 class PrimaryProbe(NamedTuple):
@@ -29,36 +26,31 @@
 
     The times are since when without interruption: ``refused_since`` its machine
     refuses connections, ``silent_since`` it does not answer, ``stalled_since`` its
-    log is ahead of all replicas. ``entry_changed_at`` is its last heartbeat as seen
-    by the store.
+    log is ahead of all replicas. ``is_suspected_widely`` tells that most domains do
+    not reach it either: the leader's own link may be cut, also with a refusal.
     """
 
     refused_since: timedelta | None = None
     silent_since: timedelta | None = None
     stalled_since: timedelta | None = None
-    entry_changed_at: timedelta = _ZERO
-    is_suspected: bool = False
+    is_suspected_widely: bool = False
     status: ServerStatus | None = None
 
 
 def reason_to_replace(
-    target: Target | Missing,
-    probe: PrimaryProbe,
-    heartbeat: timedelta,
-    now: timedelta,
+    target: Target | Missing, probe: PrimaryProbe, now: timedelta
 ) -> str:
     """Return why a primary must be replaced, or an empty text."""
     if isinstance(target, Missing):
         return target.reason
     if target.is_draining:
         return "it is leaving"
-    if probe.refused_since is not None and now - probe.refused_since >= REFUSED_LIMIT:
-        return "it refuses connections"
-    silent = probe.silent_since
-    sends_no_heartbeat = now - probe.entry_changed_at >= heartbeat * SILENT_BEATS
-    is_silent = silent is not None and now - silent >= UNREACHABLE_LIMIT
-    if is_silent and sends_no_heartbeat:
-        return "it does not answer and sends no heartbeat"
+    if probe.is_suspected_widely:
+        refused, silent = probe.refused_since, probe.silent_since
+        if refused is not None and now - refused >= REFUSED_LIMIT:
+            return "it refuses connections"
+        if silent is not None and now - silent >= SILENT_LIMIT:
+            return "it does not answer"
     stalled = probe.stalled_since
     if stalled is not None and now - stalled >= STALLED_LIMIT:
         return "no replica receives its commits"
--- a/bulrushloom/proxy/fleet.py
+++ b/bulrushloom/proxy/fleet.py
@@ -27,6 +27,7 @@
 # Three datagrams in a row were lost, or the instance stands still.
 HEARD_LIMIT = timedelta(milliseconds=900)
 SPEAKER_LIMIT = timedelta(milliseconds=1600)
+LEADER_LIMIT = timedelta(milliseconds=1300)
 DOMAIN_USAGE_LIMIT = timedelta(milliseconds=2000)
 # While the store is away entries can lapse; an instance that is heard is still there.
 MEMBER_HEARD_LIMIT = timedelta(seconds=4)
@@ -189,6 +190,22 @@
                 suspected |= report.suspected
         return frozenset(suspected)
 
+    def suspecting_domains(self, target_id: str) -> tuple[int, int]:
+        """Return how many domains suspect a target, and how many were heard."""
+        own = self._member.domain
+        suspects_by_domain = {own: set(self._own_suspected())}
+        for report in self.heard_within(SPEAKER_LIMIT):
+            suspects = suspects_by_domain.setdefault(report.member.domain, set())
+            suspects |= report.suspected
+        suspecting = sum(target_id in found for found in suspects_by_domain.values())
+        return suspecting, len(suspects_by_domain)
+
+    def hears_leader(self) -> bool:
+        """Return whether this instance is the leader or heard it lately."""
+        return self.is_leader or any(
+            report.is_leader for report in self.heard_within(LEADER_LIMIT)
+        )
+
     def reported_suspects(self) -> frozenset[str]:
         """Return the targets that anybody suspects."""
         suspected = set(self._own_suspected())
--- a/bulrushloom/proxy/leadership.py
+++ b/bulrushloom/proxy/leadership.py
@@ -1,7 +1,9 @@
 """The lease of the one instance that reads the store for all and changes primaries."""
 
+from collections.abc import Callable
+from concurrent.futures import Future
 from datetime import timedelta
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import orjson
 
@@ -19,9 +21,11 @@
 from bulrushloom.proxy.telemetry import EventLog
 from bulrushloom.runtime.loop import Loop, Steps
 
-LEASE_TTL = timedelta(milliseconds=2500)
-RENEW_INTERVAL = timedelta(milliseconds=700)
+LEASE_TTL = timedelta(milliseconds=2000)
+RENEW_INTERVAL = timedelta(milliseconds=500)
 RENEW_RETRY_INTERVAL = timedelta(milliseconds=200)
+# The lease has ended by its own clock; the store is asked only to make sure.
+LAPSED_RETRY_INTERVAL = timedelta(seconds=1)
 # Covers the time between the check of the lease and the arrival of a call.
 LEASE_MARGIN = timedelta(milliseconds=500)
 # Candidates try one after the other, so that few of them write to the store.
@@ -38,6 +42,14 @@
     fence: int
 
 
+class Candidacy(NamedTuple):
+    """Name this instance as a candidate; ``read_store`` gives a new snapshot."""
+
+    name: str
+    incarnation: str
+    read_store: Callable[[], "Future[Any]"]
+
+
 class Leadership:
     """Acquire the lease when nobody has it, and keep it."""
 
@@ -46,14 +58,12 @@
         loop: Loop,
         store: ProxyStore,
         log: EventLog,
-        name: str,
-        incarnation: str,
+        candidacy: Candidacy,
     ):
         self._loop = loop
         self._store = store
         self._log = log
-        self._name = name
-        self._incarnation = incarnation
+        self._candidacy = candidacy
         self._lease: Lease | None = None
         self._held_until = _EXPIRED
         self._is_acquiring = False
@@ -71,12 +81,18 @@
         if self._is_acquiring or self._lease is not None:
             return
         self._is_acquiring = True
-        fence = snapshot.record_by_key.get(FENCE_KEY)
-        self._loop.spawn(self._acquire(fence, rank))
+        self._loop.spawn(self._acquire(rank))
 
-    def _acquire(self, fence: Record | None, rank: int) -> Steps:
+    def _acquire(self, rank: int) -> Steps:
         try:
             yield self._loop.sleep(RANK_DELAY * min(rank, MAX_RANK))
+            # Candidates of a lower rank may have been faster.
+            snapshot = yield self._candidacy.read_store()
+            if isinstance(snapshot, StoreFailure):
+                return
+            if LEADER_KEY in snapshot.record_by_key:
+                return
+            fence = snapshot.record_by_key.get(FENCE_KEY)
             asked_at = self._loop.now()
             lease = yield self._store.create_lease(LEASE_TTL)
             if isinstance(lease, StoreFailure) or self._is_stopped:
@@ -93,7 +109,8 @@
     def _take(self, fence: Record | None, lease: Lease) -> Steps:
         """Write the record; return whether this instance is the leader."""
         number = 1 + (int(fence.value) if fence is not None else 0)
-        holder = Holder(self._name, self._incarnation, number)
+        candidacy = self._candidacy
+        holder = Holder(candidacy.name, candidacy.incarnation, number)
         written = yield self._store.commit(
             (
                 ExpectedRevision(LEADER_KEY, 0),
@@ -125,7 +142,9 @@
                 self._held_until = _EXPIRED
                 self._log.write("leader_lost", fence=self.fence)
                 return
-            yield self._loop.sleep(RENEW_RETRY_INTERVAL)
+            yield self._loop.sleep(
+                RENEW_RETRY_INTERVAL if self.holds() else LAPSED_RETRY_INTERVAL
+            )
 
     def end(self) -> Steps:
         """Give the lease up, so that another instance can take it at once."""
--- a/bulrushloom/proxy/limits.py
+++ b/bulrushloom/proxy/limits.py
@@ -29,7 +29,7 @@
 # Part of the excess and slack that covers views in flight and new members.
 USED_EXCESS = 0.8
 # A process that has just started knows nothing of what its predecessors admitted.
-START_SHARE = 0.3
+START_SHARE = 0.15
 _SECOND = timedelta(seconds=1)
 _ZERO = timedelta()
 
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -21,7 +21,8 @@
 # A killed instance is listed for this long; its part of the limits stays reserved.
 MEMBER_TTL = timedelta(seconds=6)
 RENEW_INTERVAL = timedelta(seconds=2)
-RETRY_INTERVAL = timedelta(milliseconds=400)
+# Calls to a store that is away are paid for, and the lease lasts three of these.
+RETRY_INTERVAL = timedelta(milliseconds=1200)
 # While the store is away entries can lapse; an instance that is heard is still there.
 HEARD_LIMIT = timedelta(seconds=5)
 
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -16,7 +16,7 @@
 from bulrushloom.proxy.fleet import Fleet
 from bulrushloom.proxy.gossip import Directory, Gossip, Member
 from bulrushloom.proxy.groups import group_records
-from bulrushloom.proxy.leadership import Leadership
+from bulrushloom.proxy.leadership import MAX_RANK, Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration, decode_members
 from bulrushloom.proxy.primaries import PrimaryKeeper
 from bulrushloom.proxy.services import Services
@@ -26,14 +26,16 @@
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.http import HttpServer
 from bulrushloom.runtime.loop import Loop, Steps
-from bulrushloom.runtime.streams import Listener, Stream
+from bulrushloom.runtime.streams import Listener, Stream, TcpNetwork
 
 # The leader's reads; a version is in force well within its bound.
-READ_INTERVAL = timedelta(milliseconds=700)
+READ_INTERVAL = timedelta(milliseconds=500)
+LEADERLESS_READ_INTERVAL = timedelta(milliseconds=400)
 READ_CHECK_INTERVAL = timedelta(milliseconds=50)
 READ_RETRY_INTERVAL = timedelta(milliseconds=150)
+MAX_DOUBLINGS = 2
 # The leader's news take its interval and two datagrams; later an instance reads itself.
-RELAY_LIMIT = timedelta(milliseconds=1600)
+RELAY_LIMIT = timedelta(milliseconds=1300)
 DIRECTORY_LIMIT = timedelta(milliseconds=3500)
 # Callers with unknown keys must not make the store read more often than this.
 MIN_CONFIRM_INTERVAL = timedelta(milliseconds=250)
@@ -63,7 +65,9 @@
         self.log = EventLog(loop, settings.name)
         stack.callback(self.log.close)
         self.metrics = Metrics()
-        self.services = Services(loop, settings, self.log, self.metrics)
+        self.services = Services(
+            loop, TcpNetwork(loop), settings, self.log, self.metrics
+        )
         self.services.confirm_soon = self.confirm_soon
         stack.callback(self.services.pool.close)
         self._store = KeyValueStore(loop, settings.store_address, self.log.write)
@@ -74,7 +78,10 @@
         )
         self._registration = Registration(loop, self._store, self.log, self.member)
         self.leadership = Leadership(
-            loop, self._store, self.log, settings.name, self.incarnation
+            loop,
+            self._store,
+            self.log,
+            Candidacy(settings.name, self.incarnation, self.confirm_soon),
         )
         self._sessions: set[Session] = set()
         self._is_ready = False
@@ -106,7 +113,12 @@
         stack.callback(probe.close)
         metrics = HttpServer(loop, settings.metrics_address, self._answer_metrics)
         stack.callback(metrics.close)
-        listener = Listener(loop, settings.session_address, self._accept)
+        listener = Listener(
+            loop,
+            settings.session_address,
+            self._accept,
+            lambda reason: self.log.write("session_not_accepted", reason=reason),
+        )
         stack.callback(listener.close)
         self._catch_signals()
         loop.supervise(self._follow_store)
@@ -168,18 +180,24 @@
 
     def _follow_store(self) -> Steps:
         """Read the store at intervals; only the leader reads while it is heard."""
+        failures = 0
         while True:
             self.fleet.is_leader = self.leadership.holds()
             if self._needs_read():
                 result = yield self.confirm_soon()
-                if isinstance(result, StoreFailure):
-                    yield self._loop.sleep(READ_RETRY_INTERVAL)
+                failures = failures + 1 if isinstance(result, StoreFailure) else 0
+                if failures:
+                    pause = READ_RETRY_INTERVAL * 2 ** min(failures - 1, MAX_DOUBLINGS)
+                    yield self._loop.sleep(pause)
             yield self._loop.sleep(READ_CHECK_INTERVAL)
 
     def _needs_read(self) -> bool:
         now = self._loop.now()
         if self.leadership.holds() or not self.fleet.peers_by_name:
             return now - self._read_at >= READ_INTERVAL
+        if self.fleet.is_speaker() and not self.fleet.hears_leader():
+            # The lease may end any moment; speakers are the first candidates.
+            return now - self._read_at >= LEADERLESS_READ_INTERVAL
         is_listed = self.services.table.is_listed_since(now - DIRECTORY_LIMIT)
         return self.services.evidence.age(now) >= RELAY_LIMIT or not is_listed
 
@@ -204,9 +222,13 @@
 
     def _rank(self) -> int:
         """Return the place of this instance among the candidates for the lease."""
-        names = {self.member.name, *self.fleet.peers_by_name}
-        ordered = sorted(names, key=lambda name: xxhash.xxh64_intdigest(name.encode()))
-        return ordered.index(self.member.name)
+        if not self.fleet.peers_by_name:
+            # All instances start at once and know nobody yet.
+            return xxhash.xxh32_intdigest(self.member.name.encode()) % MAX_RANK
+        domains = {m.domain for m in self.fleet.peers_by_name.values()}
+        ordered = sorted(domains | {self.member.domain})
+        behind = 0 if self.fleet.is_speaker() else len(ordered)
+        return ordered.index(self.member.domain) + behind
 
     def _note_store(self, failure: StoreFailure | None) -> None:
         self.metrics.count("store_reads", failure.problem.value if failure else "ok")
@@ -236,7 +258,6 @@
         self.fleet.take_directory(
             Directory(snapshot.asked_at, snapshot.target_by_id, members)
         )
-        self.keeper.note_entries(snapshot.target_by_id.values())
         self.leadership.on_snapshot(snapshot, self._rank())
 
     # Sessions and probes
@@ -245,7 +266,7 @@
         self._sessions.add(Session(self.services, stream, self._sessions.discard))
 
     def _answer_probe(
-        self, method: str, path: str
+        self, method: str, path: str, _body: bytes
     ) -> tuple[int, Mapping[str, str], bytes]:
         if method != "GET" or path != READY_PATH:
             return 404, {}, b""
@@ -266,7 +287,7 @@
         return ""
 
     def _answer_metrics(
-        self, method: str, path: str
+        self, method: str, path: str, _body: bytes
     ) -> tuple[int, Mapping[str, str], bytes]:
         if method != "GET" or path != METRICS_PATH:
             return 404, {}, b""
--- a/bulrushloom/proxy/primaries.py
+++ b/bulrushloom/proxy/primaries.py
@@ -78,7 +78,6 @@
         self._fleet = fleet
         self._name = name
         self._probe_by_service: dict[str, PrimaryProbe] = {}
-        self._entry_seen: dict[str, tuple[int, timedelta]] = {}
         self._replacing: set[str] = set()
         self._probing: set[str] = set()
 
@@ -93,14 +92,6 @@
                 if service not in self._replacing:
                     self._watch(service)
 
-    def note_entries(self, targets: Iterable[Target]) -> None:
-        """Note the heartbeats that the store has seen."""
-        now = self._loop.now()
-        for target in targets:
-            seen = self._entry_seen.get(target.target_id)
-            if seen is None or seen[0] != target.revision:
-                self._entry_seen[target.target_id] = (target.revision, now)
-
     def _watch(self, service: str) -> None:
         if not self._services.table.targets_of(service):
             return
@@ -110,8 +101,7 @@
             return
         primary = self._services.table.primary_of(service)
         probe = self._probe(service, primary)
-        heartbeat = self._services.settings.target_heartbeat
-        reason = reason_to_replace(primary, probe, heartbeat, self._loop.now())
+        reason = reason_to_replace(primary, probe, self._loop.now())
         if isinstance(primary, Missing) and group is None:
             # The servers have not agreed on their first primary yet.
             return
@@ -126,14 +116,13 @@
         if isinstance(primary, Missing):
             return probe
         target_id = primary.target_id
-        suspected = target_id in self._fleet.reported_suspects()
-        changed_at = self._entry_seen.get(target_id, (0, self._loop.now()))[1]
-        if not suspected:
-            probe = PrimaryProbe(entry_changed_at=changed_at)
+        suspecting, heard = self._fleet.suspecting_domains(target_id)
+        if not suspecting:
+            probe = PrimaryProbe()
         elif service not in self._probing:
             self._probing.add(service)
             self._loop.spawn(self._ask(service, primary))
-        probe = probe._replace(is_suspected=suspected, entry_changed_at=changed_at)
+        probe = probe._replace(is_suspected_widely=suspecting * 2 > heard)
         self._probe_by_service[service] = probe
         return probe
 
@@ -217,7 +206,9 @@
         """
         connection: ServerConnection | None = None
         try:
-            steps = open_connection(self._loop, target, self._name)
+            steps = open_connection(
+                self._loop, self._services.network, target, self._name
+            )
             opening = self._loop.spawn_quietly(steps)
             connection = yield self._loop.within(opening, STATUS_LIMIT)
             text = command if command is not None else wire.STATUS
--- a/bulrushloom/proxy/routing.py
+++ b/bulrushloom/proxy/routing.py
@@ -22,13 +22,16 @@
 # A new connection takes a slot of the server for 12 ms and two round trips.
 NEW_CONNECTION_COST = timedelta(milliseconds=14)
 OTHER_DOMAIN_COST = timedelta(milliseconds=3)
-# Writes and strict reads have no other place than the primary.
-PRIMARY_COST = timedelta(milliseconds=12)
+# Writes and strict reads have no other place than the primary; a read goes there only
+# when every replica is worse by the time of a usual statement.
+PRIMARY_COST = timedelta(milliseconds=25)
 # Doubles with each failure in a row; a read is the test whether it has recovered.
 FIRST_PENALTY = timedelta(milliseconds=200)
 MAX_PENALTY = timedelta(seconds=3)
 # A full queue is worked off in about this time.
 BUSY_PENALTY = timedelta(milliseconds=60)
+# Connections of machines that lost power fill a server for up to three seconds.
+FULL_PENALTY = timedelta(milliseconds=250)
 FIRST_LAG_PENALTY = timedelta(milliseconds=60)
 MAX_LAG_PENALTY = timedelta(milliseconds=800)
 _ZERO = timedelta()
@@ -52,6 +55,7 @@
         self.applied: LogPosition | None = None
         self.lagging_until = _ZERO
         self.avoided_until = _ZERO
+        self.full_until = _ZERO
         self._lag_penalty = FIRST_LAG_PENALTY
         self._penalty = FIRST_PENALTY
 
@@ -81,6 +85,11 @@
         """Note that the target's queue was full."""
         self.avoided_until = max(self.avoided_until, now + BUSY_PENALTY)
 
+    def was_full(self, now: timedelta) -> None:
+        """Note that the target had too many connections."""
+        self.full_until = now + FULL_PENALTY
+        self.avoided_until = max(self.avoided_until, self.full_until)
+
     def failed(self, now: timedelta) -> None:
         """Note a connection that broke or a statement without an answer."""
         if now >= self.avoided_until:
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -17,11 +17,14 @@
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.loop import Loop
+from bulrushloom.runtime.streams import Network
 
 # A connection of every instance to every target for at least one account.
 MIN_ALLOWANCE = 1
 # From the announcement of a change of primary to the first write at its successor.
 FAILOVER_TIME = timedelta(milliseconds=1200)
+# From the first failed statement to the announcement.
+DETECTION_TIME = timedelta(milliseconds=800)
 # An instance that lost the store tries again twice in this time.
 STORE_RETURN_TIME = timedelta(seconds=2)
 # Part of a target's connections that is kept for the failover of a group.
@@ -33,9 +36,15 @@
     """Hold the state and the decisions of one instance that sessions use."""
 
     def __init__(
-        self, loop: Loop, settings: ProxySettings, log: EventLog, metrics: Metrics
+        self,
+        loop: Loop,
+        network: Network,
+        settings: ProxySettings,
+        log: EventLog,
+        metrics: Metrics,
     ):
         self.loop = loop
+        self.network = network
         self.settings = settings
         self.log = log
         self.metrics = metrics
@@ -47,7 +56,7 @@
         )
         self.limiter = AccountLimiter(window, loop.now())
         self.router = ReadRouter(settings.domain)
-        self.pool = ConnectionPool(loop, self.allowance)
+        self.pool = ConnectionPool(loop, network, self.allowance)
         self.member_count = 1
         self.is_stopping = False
         self._history_by_service: dict[str, PositionHistory] = {}
@@ -137,7 +146,7 @@
         target_id = target.target_id
         if target_id not in self.suspected_at_by_target:
             self.log.write("target_suspected", target=target_id, reason=reason)
-        self.suspected_at_by_target[target_id] = self.loop.now()
+            self.suspected_at_by_target[target_id] = self.loop.now()
 
     def absolve(self, target_id: str) -> None:
         """Note that a target answered."""
@@ -224,12 +233,16 @@
         if not self.evidence.allows_primary(now):
             return STORE_RETURN_TIME
         started_at = self.replacing_since.get(service)
-        if started_at is None:
-            return FAILOVER_TIME if self._is_primary_missing(service) else _ZERO
-        return max(FAILOVER_TIME - (now - started_at), _ZERO)
-
-    def _is_primary_missing(self, service: str) -> bool:
-        return isinstance(self.table.primary_of(service), Missing)
+        if started_at is not None:
+            return max(FAILOVER_TIME - (now - started_at), _ZERO)
+        primary = self.table.primary_of(service)
+        if isinstance(primary, Missing):
+            return FAILOVER_TIME
+        suspected_at = self.suspected_at_by_target.get(primary.target_id)
+        if suspected_at is None:
+            return _ZERO
+        expected = DETECTION_TIME + FAILOVER_TIME
+        return max(expected - (now - suspected_at), _ZERO)
 
     def announce_primary(self, service: str) -> None:
         """Wake the statements that wait for a primary."""
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -176,9 +176,11 @@
         return True
 
     def _look_up(self) -> Steps:
-        """Read the store once more: the key or the database may be new."""
-        confirm = self._services.confirm_soon
-        if confirm is None:
+        """Read the store if what is known is old: the key or database may be new."""
+        services = self._services
+        confirm = services.confirm_soon
+        age = services.evidence.age(self._loop.now())
+        if confirm is None or age < services.settings.configuration_bound * 0.5:
             return
         try:
             yield self._loop.within(confirm(), LOOKUP_LIMIT)
--- a/bulrushloom/runtime/http.py
+++ b/bulrushloom/runtime/http.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from datetime import timedelta
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import h11
 
 from bulrushloom.runtime.loop import Loop, Steps, fail, settle
-from bulrushloom.runtime.streams import Listener, Stream, connect
+from bulrushloom.runtime.streams import Listener, Stream, TcpNetwork
 
 # A request of a probe is one short head; anything larger is refused.
 MAX_REQUEST_BYTES = 64 * 1024
@@ -50,7 +50,9 @@
         headers: Headers = (),
     ) -> "Future[Response]":
         """Send a request; fail with ``HttpError`` if there is no answer in time."""
-        return self._loop.spawn(self._request(method, path, body, limit, headers))
+        return self._loop.spawn_quietly(
+            self._request(method, path, body, limit, headers)
+        )
 
     def _request(
         self, method: str, path: str, body: bytes, limit: timedelta, headers: Headers
@@ -74,7 +76,7 @@
         return response
 
     def _open(self, limit: timedelta) -> Steps:
-        self._stream = yield connect(self._loop, self.address, limit)
+        self._stream = yield TcpNetwork(self._loop).connect(self.address, limit)
         self._http = h11.Connection(h11.CLIENT)
         self._stream.on_data(self._on_data)
 
@@ -147,11 +149,11 @@
             stream.close()
 
 
-Handler = Callable[[str, str], tuple[int, Mapping[str, str], bytes]]
+Handler = Callable[[str, str, bytes], tuple[int, Mapping[str, str], bytes]]
 
 
 class HttpServer:
-    """Answer requests without a body; ``handler`` maps method and path."""
+    """Answer requests at once; ``handler`` maps method, path and body."""
 
     def __init__(self, loop: Loop, address: str, handler: Handler):
         self._handler = handler
@@ -160,44 +162,50 @@
 
     def _accept(self, stream: Stream) -> None:
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES)
-        stream.on_data(lambda: self._on_data(stream, http))
+        # The request that is arriving: its head, then the parts of its body.
+        request: list[Any] = []
+        stream.on_data(lambda: self._on_data(stream, http, request))
 
-    def _on_data(self, stream: Stream, http: h11.Connection) -> None:
+    def _on_data(
+        self, stream: Stream, http: h11.Connection, request: list[Any]
+    ) -> None:
         if not stream.is_open:
             return
         try:
             http.receive_data(stream.take_all())
-            self._answer(stream, http)
+            self._answer(stream, http, request)
         except h11.ProtocolError as error:
             stream.close(f"bad request: {error}")
             return
         if stream.has_ended or http.our_state is h11.MUST_CLOSE:
             stream.close("closed")
 
-    def _answer(self, stream: Stream, http: h11.Connection) -> None:
-        request: h11.Request | None = None
+    def _answer(self, stream: Stream, http: h11.Connection, request: list[Any]) -> None:
         while True:
             event = http.next_event()
             if isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                self._respond(stream, http, request)
+                request.clear()
+                request.append(event)
+            elif isinstance(event, h11.Data):
+                request.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and request:
+                self._respond(stream, http, request[0], b"".join(request[1:]))
                 if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
-            elif not isinstance(event, h11.Data):
+            else:
                 return
 
     def _respond(
-        self, stream: Stream, http: h11.Connection, request: h11.Request
+        self, stream: Stream, http: h11.Connection, request: h11.Request, data: bytes
     ) -> None:
         method, path = request.method.decode(), request.target.decode("latin-1")
-        status, headers, body = self._handler(method, path)
+        status, headers, body = self._handler(method, path, data)
         fields = [*headers.items(), ("Content-Length", str(len(body)))]
-        data = http.send(h11.Response(status_code=status, headers=fields)) or b""
-        data += http.send(h11.Data(data=body)) or b""
-        data += http.send(h11.EndOfMessage()) or b""
-        stream.write(data)
+        answer = http.send(h11.Response(status_code=status, headers=fields)) or b""
+        answer += http.send(h11.Data(data=body)) or b""
+        answer += http.send(h11.EndOfMessage()) or b""
+        stream.write(answer)
 
     def close(self) -> None:
         """Stop accepting connections."""
--- a/bulrushloom/runtime/loop.py
+++ b/bulrushloom/runtime/loop.py
@@ -219,14 +219,24 @@
         while self._ready:
             self._ready.popleft()()
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether callbacks wait for the next turn."""
+        return bool(self._ready)
+
+    def next_timer_at(self) -> timedelta | None:
+        """Return when the next timer is due; used to advance a simulated clock."""
+        while self._timers and self._timers[0][2].callback is None:
+            heapq.heappop(self._timers)
+        return self._timers[0][0] if self._timers else None
+
     def _sleep_seconds(self, longest: timedelta) -> float:
         if self._ready:
             return 0.0
-        while self._timers and self._timers[0][2].callback is None:
-            heapq.heappop(self._timers)
-        if not self._timers:
+        due_at = self.next_timer_at()
+        if due_at is None:
             return longest / _SECOND
-        return max(0.0, min(longest, self._timers[0][0] - self.now()) / _SECOND)
+        return max(0.0, min(longest, due_at - self.now()) / _SECOND)
 
     def close(self) -> None:
         """Close the selector; the sockets belong to their tasks."""
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -4,6 +4,7 @@
 import errno
 import selectors
 import socket
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from concurrent.futures import Future
 from datetime import timedelta
@@ -28,23 +29,27 @@
     """The peer sent a line beyond the limit."""
 
 
-class Stream:
-    """Own one connected socket with its buffers.
+class Stream(ABC):
+    """Hold one connection with what has arrived on it.
 
     ``closed_reason`` is empty while the stream is open.
     """
 
-    def __init__(self, loop: Loop, sock: socket.socket):
+    def __init__(self, loop: Loop):
         self._loop = loop
-        self._sock = sock
         self._received = bytearray()
         self._scanned = 0
-        self._unsent = bytearray()
         self._reader: Callable[[], None] | None = None
-        self._paused = False
         self._ended = False
         self.closed_reason = ""
-        loop.watch(sock, selectors.EVENT_READ, self._on_event)
+
+    @abstractmethod
+    def write(self, data: bytes) -> None:
+        """Send ``data``; what cannot leave now is sent later."""
+
+    @abstractmethod
+    def close(self, reason: str = "closed") -> None:
+        """Close the connection; a second call does nothing."""
 
     @property
     def is_open(self) -> bool:
@@ -81,7 +86,7 @@
         line = bytes(self._received[:end])
         del self._received[: end + 1]
         self._scanned = 0
-        self._resume_reading()
+        self._after_reading()
         return line.removesuffix(b"\r")
 
     def take_all(self) -> bytes:
@@ -89,9 +94,28 @@
         data = bytes(self._received)
         self._received.clear()
         self._scanned = 0
-        self._resume_reading()
+        self._after_reading()
         return data
 
+    def _after_reading(self) -> None:
+        """Take note that room for more data was made."""
+        return
+
+    def _arrived(self) -> None:
+        if self._reader is not None:
+            self._reader()
+
+
+class TcpStream(Stream):
+    """Own one connected socket with its buffers."""
+
+    def __init__(self, loop: Loop, sock: socket.socket):
+        super().__init__(loop)
+        self._sock = sock
+        self._unsent = bytearray()
+        self._paused = False
+        loop.watch(sock, selectors.EVENT_READ, self._on_event)
+
     def write(self, data: bytes) -> None:
         """Send ``data``; what the socket does not take now is sent later."""
         if not self.is_open:
@@ -124,7 +148,7 @@
         if self._reader is not None:
             self._loop.call_soon(self._reader)
 
-    def _resume_reading(self) -> None:
+    def _after_reading(self) -> None:
         if self._paused and len(self._received) < MAX_UNREAD_BYTES // 2:
             self._paused = False
             self._update_interest()
@@ -174,8 +198,7 @@
         else:
             self._ended = True
             self._update_interest()
-        if self._reader is not None:
-            self._reader()
+        self._arrived()
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -186,8 +209,26 @@
     return host, int(port)
 
 
-def connect(loop: Loop, address: str, limit: timedelta) -> "Future[Stream]":
-    """Open a connection; the future fails with ``OSError`` or ``TimeoutError``."""
+class Network(ABC):
+    """Open connections."""
+
+    @abstractmethod
+    def connect(self, address: str, limit: timedelta) -> "Future[Stream]":
+        """Open a connection; the future fails with an ``OSError``."""
+
+
+class TcpNetwork(Network):
+    """Open TCP connections."""
+
+    def __init__(self, loop: Loop):
+        self._loop = loop
+
+    def connect(self, address: str, limit: timedelta) -> "Future[Stream]":
+        """Open a connection; the future fails with an ``OSError``."""
+        return _connect(self._loop, address, limit)
+
+
+def _connect(loop: Loop, address: str, limit: timedelta) -> "Future[Stream]":
     future: Future[Stream] = Future()
     try:
         peer = split_address(address)
@@ -216,7 +257,7 @@
             return
         timer.cancel()
         loop.unwatch(sock)
-        settle(future, Stream(loop, sock))
+        settle(future, TcpStream(loop, sock))
 
     timer = loop.call_later(
         limit, lambda: give_up(TimeoutError(f"no connection to {address} in {limit}"))
@@ -228,9 +269,16 @@
 class Listener:
     """Accept connections on one address and pass each on as a ``Stream``."""
 
-    def __init__(self, loop: Loop, address: str, accept: Callable[[Stream], None]):
+    def __init__(
+        self,
+        loop: Loop,
+        address: str,
+        accept: Callable[[Stream], None],
+        on_error: Callable[[str], None] = lambda _: None,
+    ):
         self._loop = loop
         self._accept = accept
+        self._on_error = on_error
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(split_address(address))
@@ -245,12 +293,13 @@
                 sock, _address = self._sock.accept()
             except (BlockingIOError, InterruptedError):
                 return
-            except OSError:
+            except OSError as error:
                 # Out of descriptors or reset before accept; the next event retries.
+                self._on_error(f"accept failed: {error.strerror}")
                 return
             sock.setblocking(False)
             _set_options(sock)
-            self._accept(Stream(self._loop, sock))
+            self._accept(TcpStream(self._loop, sock))
 
     def close(self) -> None:
         """Stop accepting."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated platform: network, database groups and store on a simulated clock."""
--- /dev/null
+++ b/tests/proxy/builders.py
@@ -0,0 +1,207 @@
+"""Builders of test data and of a simulated instance with its database group."""
+
+import os
+from contextlib import ExitStack
+from datetime import timedelta
+
+from bulrushloom.core.clock import ManualClock
+from bulrushloom.proxy.configuration import (
+    Account,
+    Configuration,
+    Consistency,
+    Route,
+    Service,
+    Target,
+)
+from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.session import Session
+from bulrushloom.proxy.settings import ProxySettings
+from bulrushloom.proxy.telemetry import EventLog, Metrics
+from bulrushloom.runtime.loop import Loop
+from standins.platform.group import SimulatedGroup
+from standins.platform.network import MemoryNetwork, MemoryStream, run_for
+
+SERVICE = "orders"
+SETTINGS = ProxySettings(
+    name="north-1",
+    domain="north",
+    session_address="127.0.0.1:7000",
+    probe_address="127.0.0.1:7001",
+    peer_address="127.0.0.1:7002",
+    metrics_address="127.0.0.1:7003",
+    store_address="127.0.0.1:7004",
+    duties_address="127.0.0.1:7005",
+    withdrawn_key_bound=timedelta(seconds=5),
+    configuration_bound=timedelta(seconds=3),
+    target_drain_bound=timedelta(seconds=7),
+    target_heartbeat=timedelta(milliseconds=1200),
+    stop_grace=timedelta(seconds=6),
+    rate_window=timedelta(seconds=5),
+    rate_excess=0.1,
+    rate_slack=20,
+    lease_minimum=timedelta(seconds=1),
+)
+
+
+def ms(value: float) -> timedelta:
+    """Return ``value`` milliseconds."""
+    return timedelta(milliseconds=value)
+
+
+BOUND = ms(1500)
+ANSWER_WAIT = ms(1500)
+
+
+def build_account(name="hotel", rate_per_s=1000.0, burst=1000.0):
+    return Account(name, rate_per_s, burst, 1)
+
+
+def build_route(database, consistency, max_staleness=BOUND, **changes):
+    route = Route(
+        name=f"route-{database}",
+        database=database,
+        service=SERVICE,
+        consistency=consistency,
+        max_staleness=max_staleness,
+        statement_timeout=ms(1000),
+        latency_objective=ms(400),
+        priority=1,
+        is_public=False,
+    )
+    return route._replace(**changes)
+
+
+def build_configuration(revision=1, routes=(), accounts=None, **changes):
+    accounts = accounts or {"key-1": build_account()}
+    routes = routes or (
+        build_route("strict", Consistency.PRIMARY),
+        build_route("bounded", Consistency.BOUNDED_STALENESS),
+        build_route("own", Consistency.READ_YOUR_WRITES),
+    )
+    configuration = Configuration(
+        version=revision,
+        revision=revision,
+        route_by_database={route.database: route for route in routes},
+        service_by_name={SERVICE: Service(SERVICE, 40, 1)},
+        account_by_key=accounts,
+        account_by_name={account.name: account for account in accounts.values()},
+        transaction_idle_limit=timedelta(seconds=3),
+    )
+    return configuration._replace(**changes)
+
+
+def build_target(target_id, domain="north", **changes):
+    target = Target(
+        target_id=target_id,
+        service=SERVICE,
+        address=f"{target_id}:1",
+        domain=domain,
+        slots=3,
+        is_draining=False,
+        claims_primary=False,
+        cold_left=timedelta(),
+        born_ms=1,
+        revision=1,
+    )
+    return target._replace(**changes)
+
+
+class SimulatedInstance:
+    """Hold one instance's sessions before a simulated group of three servers.
+
+    ``confirms_evidence`` stands for reads of the store that succeed.
+    """
+
+    def __init__(self, stack: ExitStack, **configuration_changes):
+        self.loop = Loop(ManualClock(), self._on_task_error)
+        self.errors: list[BaseException] = []
+        stack.callback(self.loop.close)
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        stack.callback(os.close, descriptor)
+        self.log = EventLog(self.loop, SETTINGS.name, descriptor)
+        stack.callback(self.log.close)
+        self.network = MemoryNetwork(self.loop)
+        self.services = Services(self.loop, self.network, SETTINGS, self.log, Metrics())
+        self.services.configuration = build_configuration(**configuration_changes)
+        self.group = SimulatedGroup(self.loop, SERVICE)
+        self.confirms_evidence = True
+        for number, target_id in enumerate(("a", "b", "c")):
+            server = self.group.add(target_id, f"{target_id}:1", number == 0)
+            self.network.accept_by_address[server.address] = server.accept
+        self.refresh()
+        self.run(ms(6000))
+
+    def _on_task_error(self, error: BaseException) -> None:
+        self.errors.append(error)
+
+    def refresh(self) -> None:
+        """Take a read of the store, as the instance does at intervals."""
+        if not self.confirms_evidence:
+            return
+        now = self.loop.now()
+        targets = {
+            server.server_id: build_target(
+                server.server_id, claims_primary=server.is_primary
+            )
+            for server in self.group.server_by_id.values()
+        }
+        self.services.evidence.confirm(now)
+        self.services.take_targets(targets, now)
+
+    def run(self, duration: timedelta) -> None:
+        """Let simulated time pass; the store is read four times a second."""
+        step = ms(250)
+        while duration > timedelta():
+            run_for(self.loop, min(step, duration))
+            duration -= step
+            self.refresh()
+        assert not self.errors, self.errors
+
+    def client(self, database: str, key: str = "key-1") -> "SimulatedClient":
+        """Open a session and wait until it is ready or refused."""
+        client = SimulatedClient(self)
+        client.send(f"START {database} {key}")
+        self.run(ms(100))
+        client.greeting = client.received()
+        return client
+
+
+class SimulatedClient:
+    """Speak to one session; ``lines`` holds what arrived and was not consumed."""
+
+    def __init__(self, instance: SimulatedInstance):
+        self.instance = instance
+        self.stream = MemoryStream(instance.loop)
+        far = MemoryStream(instance.loop)
+        self.stream.peer, far.peer = far, self.stream
+        self.is_ended = False
+        self.greeting: list[str] = []
+        self.session = Session(instance.services, far, self._on_end)
+        self.sent = 0
+
+    def _on_end(self, _: Session) -> None:
+        self.is_ended = True
+
+    def send(self, line: str) -> None:
+        """Send one line."""
+        self.stream.write(line.encode() + b"\r\n")
+
+    def received(self) -> list[str]:
+        """Return and consume the lines that have arrived."""
+        return self.stream.take_all().decode().splitlines()
+
+    def query(self, text: str, wait: timedelta = ANSWER_WAIT) -> list[str]:
+        """Send a statement and return the lines of its answer."""
+        self.sent += 1
+        self.send(f"QUERY {self.next_id(self.sent)} {text}")
+        lines: list[str] = []
+        for _ in range(int(wait / ms(10))):
+            self.instance.run(ms(10))
+            lines += self.received()
+            if lines and lines[-1].startswith("READY"):
+                break
+        return lines
+
+    def next_id(self, number: int) -> str:
+        """Return the request id of the session's statement ``number``."""
+        return f"{id(self) % 100_000:05d}x{number}"
--- /dev/null
+++ b/tests/proxy/test_limits.py
@@ -0,0 +1,165 @@
+"""The limit of an account over all instances, under cuts, kills and floods."""
+
+import random
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.proxy.limits import AccountLimiter, PeerUsage, RateWindow
+from tests.proxy.builders import build_account, ms
+
+WINDOW = RateWindow(timedelta(seconds=5), 0.1, 20.0)
+TICK = ms(20)
+REPORT_TICKS = 10
+HEARD_FOR = ms(900)
+LONG_AGO = timedelta(seconds=-60)
+
+
+class SimulatedFleet:
+    """Hold limiters that hear each other's reports with a delay of one report."""
+
+    def __init__(self, size, started_at=LONG_AGO):
+        self.now = timedelta()
+        self.limiters = [AccountLimiter(WINDOW, started_at) for _ in range(size)]
+        for limiter in self.limiters:
+            limiter.member_count = size
+        self.admitted_at: list[timedelta] = []
+        self.refused = 0
+        self.cut: set[int] = set()
+        self.ticks = 0
+
+    def step(self, account, asked_by_instance):
+        self.now += TICK
+        self.ticks += 1
+        for number, asked in enumerate(asked_by_instance):
+            for _ in range(asked):
+                self.ask(number, account)
+        if self.ticks % REPORT_TICKS == 0:
+            self.exchange()
+
+    def ask(self, number, account):
+        limiter = self.limiters[number]
+        limiter.ask(account, self.now)
+        if limiter.try_admit(account, self.now) <= timedelta():
+            self.admitted_at.append(self.now)
+        else:
+            self.refused += 1
+
+    def exchange(self):
+        for number, limiter in enumerate(self.limiters):
+            report = PeerUsage(self.now, limiter.report(self.now), 1, HEARD_FOR)
+            for other, peer in enumerate(self.limiters):
+                if other != number and (other in self.cut) == (number in self.cut):
+                    peer.hear(f"i{number}", report)
+
+    def most_in_window(self):
+        most = first = 0
+        for last, at in enumerate(self.admitted_at):
+            while self.admitted_at[first] <= at - WINDOW.length:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+def bound(account):
+    limit = account.rate_per_s * 5 + account.burst
+    return limit * (1 + WINDOW.excess) + WINDOW.slack
+
+
+def uneven_demand(size, per_tick, seed=7):
+    """Return who asks: a few instances have most of an account's callers."""
+    rng = random.Random(seed)
+    weights = [rng.random() ** 3 + 0.01 for _ in range(size)]
+    asked = [0] * size
+    for number in rng.choices(range(size), weights, k=per_tick):
+        asked[number] += 1
+    return asked
+
+
+@pytest.mark.parametrize("size", [2, 14, 22])
+@pytest.mark.parametrize("flood", [2.0, 7.5])
+def test_flood_stays_within_the_bound_and_gets_its_rate(size, flood):
+    # Guards against an account that passes its limit by using many instances.
+    account = build_account(rate_per_s=68.0, burst=68.0)
+    fleet = SimulatedFleet(size)
+    per_tick = int(account.rate_per_s * flood * 0.02) + 1
+    for tick in range(1500):
+        fleet.step(account, uneven_demand(size, per_tick, seed=tick // 300))
+    assert fleet.most_in_window() <= bound(account)
+    served_per_s = len(fleet.admitted_at) / (fleet.now / timedelta(seconds=1))
+    assert served_per_s >= account.rate_per_s
+
+
+@pytest.mark.parametrize("size", [2, 14, 22])
+def test_demand_within_the_rate_is_not_refused_though_it_is_uneven(size):
+    # Guards against refusals because an account's callers chose few instances.
+    account = build_account(rate_per_s=68.0, burst=68.0)
+    fleet = SimulatedFleet(size)
+    rng = random.Random(1)
+    asked = 0
+    for tick in range(1500):
+        due = 1 if rng.random() < 68.0 / 1.6 * 0.02 else 0
+        asked += due
+        fleet.step(account, uneven_demand(size, due, seed=tick))
+    assert fleet.refused <= asked * 0.02
+
+
+@pytest.mark.parametrize("cut", [1, 4, 7])
+def test_cut_fleet_keeps_the_bound(cut):
+    # Guards against two sides of a cut that each use the whole limit.
+    account = build_account(rate_per_s=40.0, burst=40.0)
+    fleet = SimulatedFleet(14)
+    for tick in range(1500):
+        if tick == 500:
+            fleet.cut = set(range(cut))
+        fleet.step(account, uneven_demand(14, 8, seed=tick))
+    assert fleet.most_in_window() <= bound(account)
+
+
+def test_restart_of_all_instances_keeps_the_bound():
+    # Guards against instances that start with the whole limit after a loss of power.
+    account = build_account(rate_per_s=68.0, burst=68.0)
+    fleet = SimulatedFleet(14)
+    for tick in range(500):
+        fleet.step(account, uneven_demand(14, 10, seed=tick))
+    fresh = SimulatedFleet(14, started_at=fleet.now)
+    fleet.limiters = fresh.limiters
+    for tick in range(500):
+        fleet.step(account, uneven_demand(14, 10, seed=tick))
+    assert fleet.most_in_window() <= bound(account)
+
+
+def test_instance_that_hears_nobody_uses_only_its_part():
+    # Guards against a frozen or cut instance that goes on with an old view.
+    account = build_account(rate_per_s=100.0, burst=100.0)
+    limiter = AccountLimiter(WINDOW, LONG_AGO)
+    limiter.member_count = 10
+    admitted = 0
+    for tick in range(1000):
+        now = TICK * tick
+        limiter.ask(account, now)
+        admitted += limiter.try_admit(account, now) <= timedelta()
+    assert admitted / 20 <= bound(account) / 5 / 10 * 1.5
+
+
+def test_lowered_limit_binds_after_one_window():
+    low = build_account(rate_per_s=10.0, burst=10.0)
+    high = build_account(rate_per_s=68.0, burst=68.0)
+    fleet = SimulatedFleet(14)
+    for tick in range(500):
+        fleet.step(high, uneven_demand(14, 2, seed=tick))
+    for tick in range(250):
+        fleet.step(low, uneven_demand(14, 2, seed=tick))
+    fleet.admitted_at.clear()
+    for tick in range(500):
+        fleet.step(low, uneven_demand(14, 2, seed=tick))
+    assert fleet.most_in_window() <= bound(low)
+
+
+def test_refusal_names_a_time_after_which_a_token_is_there():
+    account = build_account(rate_per_s=10.0, burst=0.0)
+    limiter = AccountLimiter(WINDOW, LONG_AGO)
+    now = timedelta()
+    while (wait := limiter.try_admit(account, now)) <= timedelta():
+        limiter.ask(account, now)
+    assert limiter.try_admit(account, now + wait + ms(1)) <= timedelta()
--- /dev/null
+++ b/tests/proxy/test_session.py
@@ -0,0 +1,300 @@
+"""Sessions before simulated servers: what runs where, and what callers are told."""
+
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.proxy.configuration import Consistency
+from tests.proxy.builders import build_account, build_configuration, build_route, ms
+
+
+def runs_of(instance, word):
+    return [run for run in instance.group.runs if run.text.startswith(word)]
+
+
+def test_read_answer_is_the_servers_own(instance):
+    # Guards against rows or a signature of another statement.
+    lines = instance.client("strict").query("READ 1a")
+    run = instance.group.runs[-1]
+    assert lines[:2] == [f"ROW {run.request_id}", f"DONE signed-{run.request_id}"]
+    assert lines[2].startswith("READY I")
+
+
+def test_unknown_database_and_key_are_refused_at_the_start(instance):
+    assert instance.client("nowhere").greeting[0].startswith("ERR NODB")
+    assert instance.client("strict", "stolen").greeting[0].startswith("ERR NOAUTH")
+    assert instance.group.runs == []
+
+
+def test_servers_are_told_the_account_and_never_the_key(instance):
+    instance.client("strict").query("READ 1")
+    assert instance.group.runs[-1].account == "hotel"
+
+
+def test_values_follow_the_session_over_shared_connections(instance):
+    # Guards against a statement that runs with another session's values.
+    first, second = instance.client("strict"), instance.client("strict")
+    first.query("SET zone east")
+    second.query("SET zone west")
+    for client, expected in ((first, "east"), (second, "west"), (first, "east")):
+        client.query("READ 1")
+        assert instance.group.runs[-1].values == {"zone": expected}
+
+
+def test_session_without_values_gets_a_connection_without_values(instance):
+    first, second = instance.client("strict"), instance.client("strict")
+    first.query("SET zone east")
+    first.query("READ 1")
+    second.query("READ 1")
+    assert instance.group.runs[-1].values == {}
+
+
+def test_equal_prepared_names_of_two_sessions_do_not_collide(instance):
+    first, second = instance.client("strict"), instance.client("strict")
+    first.query("PREPARE s READ shape-1")
+    second.query("PREPARE s WRITE shape-2")
+    first.query("EXEC s 1")
+    assert instance.group.runs[-1].shape == "shape-1"
+    second.query("EXEC s 1 data")
+    assert instance.group.runs[-1].shape == "shape-2"
+    assert first.query("DEALLOC s")[0] == "DONE -"
+    assert first.query("EXEC s 1")[0].startswith("ERR NOSTMT")
+
+
+def test_transaction_stays_on_one_connection(instance):
+    client, other = instance.client("strict"), instance.client("strict")
+    client.query("BEGIN")
+    client.query("READ 1")
+    other.query("READ 2")
+    client.query("WRITE 1 data")
+    lines = client.query("COMMIT")
+    assert lines[0].startswith("DONE signed-")
+    own = [
+        run
+        for run in instance.group.runs
+        if run.request_id.startswith(client.next_id(0)[:6])
+    ]
+    assert len({run.connection for run in own}) == 1
+    assert len({run.transaction for run in own[:2]}) == 1
+    assert {run.transaction for run in runs_of(instance, "READ 2")} == {0}
+
+
+def test_read_only_transaction_runs_at_a_replica(instance):
+    instance.client("strict").query("READ 1")
+    client = instance.client("bounded")
+    client.query("BEGIN READ")
+    client.query("READ 1")
+    assert instance.group.runs[-1].server in ("b", "c")
+    assert client.query("COMMIT")[0].startswith("DONE signed-")
+
+
+def test_own_write_is_read_although_replicas_lag(instance):
+    # Guards against a session that does not see what it has just written.
+    for server_id in ("b", "c"):
+        instance.group.server_by_id[server_id].lag = timedelta(seconds=2)
+    client = instance.client("own")
+    client.query("WRITE 1 data")
+    written = instance.group.server_by_id["a"].received()
+    client.query("READ 1")
+    assert instance.group.runs[-1].position >= written
+
+
+def test_reads_of_bounded_routes_prefer_replicas(instance):
+    client = instance.client("bounded")
+    instance.client("strict").query("READ 1")
+    for _ in range(5):
+        client.query("READ 1")
+    servers = [run.server for run in runs_of(instance, "READ 1")[1:]]
+    assert servers.count("a") == 0
+
+
+def test_refused_statement_is_tried_again_elsewhere(instance):
+    # Guards against a refusal that the caller sees although another server can run it.
+    client = instance.client("bounded")
+    client.query("READ 1")
+    for server in instance.group.server_by_id.values():
+        server.statements_to_refuse = 1
+    assert client.query("READ 1")[1].startswith("DONE")
+
+
+def test_lost_answer_to_a_read_is_asked_again(instance):
+    client = instance.client("bounded")
+    client.query("READ 1")
+    for server_id in ("b", "c"):
+        instance.group.server_by_id[server_id].answers_to_lose = 1
+    assert client.query("READ 1")[1].startswith("DONE")
+
+
+@pytest.mark.parametrize("fault", ["answers_to_lose", "answers_to_cut"])
+def test_lost_answer_to_a_write_is_never_run_twice(instance, fault):
+    # Guards against a second effect and against a promise that nothing is kept.
+    client = instance.client("strict")
+    setattr(instance.group.primary(), fault, 1)
+    lines = client.query("WRITE 1 data")
+    assert lines[0].split()[1] in ("INDOUBT", "TIMEOUT")
+    assert len(runs_of(instance, "WRITE")) == 1
+
+
+def test_lost_commit_of_a_writing_transaction_is_in_doubt(instance):
+    client = instance.client("strict")
+    client.query("BEGIN")
+    client.query("WRITE 1 data")
+    instance.group.primary().answers_to_cut = 1
+    lines = client.query("COMMIT")
+    assert lines[0].split()[1] == "INDOUBT"
+    assert lines[1].startswith("READY I")
+
+
+def test_lost_commit_without_writes_promises_that_nothing_is_kept(instance):
+    client = instance.client("strict")
+    client.query("BEGIN")
+    client.query("READ 1")
+    instance.group.primary().answers_to_cut = 1
+    assert client.query("COMMIT")[0].split()[1] == "ABORTED"
+
+
+def test_lost_statement_in_a_transaction_aborts_it(instance):
+    client = instance.client("strict")
+    client.query("BEGIN")
+    instance.group.primary().answers_to_cut = 1
+    lines = client.query("WRITE 1 data")
+    assert lines[0].split()[1] == "ABORTED"
+    assert lines[1].startswith("READY E")
+    assert client.query("READ 1")[0].startswith("ERR BADMSG")
+    assert client.query("ROLLBACK")[-1].startswith("READY I")
+    assert instance.group.acknowledged == []
+
+
+def test_commit_of_a_failed_transaction_is_no_success(instance):
+    client = instance.client("strict")
+    client.query("BEGIN")
+    instance.group.primary().answers_to_cut = 1
+    client.query("WRITE 1 data")
+    lines = client.query("COMMIT")
+    assert lines[0].startswith("ERR ABORTED")
+    assert lines[1].startswith("READY I")
+
+
+def test_caller_that_leaves_inside_a_transaction_rolls_back(instance):
+    client = instance.client("strict")
+    client.query("BEGIN")
+    client.query("WRITE 1 data")
+    client.stream.close("leaves")
+    instance.run(ms(500))
+    assert client.is_ended
+    assert instance.group.acknowledged == []
+    assert all(not s.transaction for s in instance.group.primary().connections)
+
+
+def test_idle_transaction_is_ended(instance):
+    client = instance.client("strict")
+    client.query("BEGIN")
+    client.query("WRITE 1 data")
+    instance.run(timedelta(seconds=4))
+    assert client.query("COMMIT")[0].startswith("ERR ABORTED")
+    assert instance.group.acknowledged == []
+
+
+def test_withdrawn_key_stops_an_open_session(instance):
+    client = instance.client("strict")
+    client.query("READ 1")
+    instance.services.configuration = build_configuration(
+        2, accounts={"key-2": build_account("other")}
+    )
+    assert client.query("READ 1")[0].startswith("ERR NOAUTH")
+    assert len(instance.group.runs) == 1
+
+
+def test_key_is_not_used_beyond_the_age_of_the_last_read(instance):
+    # Guards against a withdrawn key at an instance that the store does not answer.
+    client = instance.client("strict")
+    client.query("READ 1")
+    instance.confirms_evidence = False
+    instance.run(timedelta(seconds=5))
+    lines = client.query("READ 1")
+    assert lines[0].startswith("ERR BUSY")
+    assert "retry after" in lines[0]
+    assert len(instance.group.runs) == 1
+
+
+def test_primary_is_not_used_beyond_the_age_of_the_last_read(instance):
+    # Guards against a read at a primary that was replaced behind a cut.
+    client = instance.client("strict")
+    instance.confirms_evidence = False
+    instance.run(timedelta(seconds=3))
+    assert client.query("READ 1")[0].startswith("ERR BUSY")
+    assert instance.group.runs == []
+
+
+def test_bounded_read_without_a_recent_position_goes_to_the_primary(instance):
+    client = instance.client("bounded")
+    assert client.query("READ 1")[1].startswith("DONE")
+    assert instance.group.runs[-1].server == "a"
+
+
+def test_account_above_its_rate_is_refused_at_once(instance):
+    slow = build_account("slow", rate_per_s=1.0, burst=1.0)
+    instance.services.configuration = build_configuration(2, accounts={"key-1": slow})
+    client = instance.client("strict")
+    answers = [client.query("READ 1")[0] for _ in range(60)]
+    refused = [answer for answer in answers if answer.startswith("ERR BUSY")]
+    assert refused and "retry after" in refused[0]
+    # Rate and burst over the window, with the excess and the slack of the settings.
+    assert len(instance.group.runs) <= (1 * 5 + 1) * 1.1 + 20
+
+
+def test_public_route_needs_no_key_and_no_evidence(instance):
+    route = build_route("open", Consistency.BOUNDED_STALENESS, is_public=True)
+    instance.services.configuration = build_configuration(2, (route,))
+    client = instance.client("open", "")
+    assert client.query("READ 1")[1].startswith("DONE")
+
+
+@pytest.mark.parametrize(
+    "line", ["QUERY", "QUERY x", "QUERY x EXPLODE 1", "HELLO", "QUERY x READ"]
+)
+def test_broken_message_is_answered_and_the_session_goes_on(instance, line):
+    client = instance.client("strict")
+    client.send(line)
+    instance.run(ms(50))
+    assert client.received()[0].startswith("ERR BADMSG")
+    assert client.query("READ 1")[1].startswith("DONE")
+
+
+def test_line_beyond_the_limit_closes_the_session(instance):
+    client = instance.client("strict")
+    client.stream.write(b"QUERY x WRITE 1 " + b"d" * (1024 * 1024 + 10))
+    instance.run(ms(100))
+    assert client.is_ended
+    assert instance.group.runs == []
+
+
+def test_half_a_line_runs_nothing(instance):
+    client = instance.client("strict")
+    client.stream.write(b"QUERY x WRITE 1 da")
+    instance.run(timedelta(seconds=2))
+    client.stream.close("leaves")
+    instance.run(ms(100))
+    assert instance.group.runs == []
+
+
+def test_connection_that_falls_silent_does_not_hold_a_read_to_the_end(instance):
+    client = instance.client("bounded")
+    client.query("READ 1")
+    for server_id in ("a", "b", "c"):
+        instance.network.silence(f"{server_id}:1")
+    assert client.query("READ 1", ms(900))[1].startswith("DONE")
+
+
+def test_wait_for_a_primary_that_is_expected_in_time_is_served(instance):
+    client = instance.client("strict")
+    client.query("READ 1")
+    instance.network.accept_by_address.pop("a:1")
+    instance.network.cut("a:1")
+    client.sent += 1
+    client.send(f"QUERY {client.next_id(client.sent)} WRITE 1 data")
+    instance.run(ms(200))
+    instance.group.server_by_id["a"].is_primary = False
+    instance.group.promote("b", ms(10))
+    instance.run(ms(700))
+    assert client.received()[-2].startswith("DONE")
