--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -13,6 +13,7 @@
     Service,
     Target,
 )
+from bulrushloom.proxy.groups import GroupPhase, GroupRecord
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings
@@ -106,6 +107,11 @@
     return target._replace(**changes)
 
 
+def build_group(service=SERVICE, **changes):
+    group = GroupRecord(service, GroupPhase.REPLACING, 2, "", "a", 1, 10)
+    return group._replace(**changes)
+
+
 class SimulatedInstance:
     """Hold one instance's sessions before a simulated group of three servers.
 
