--- a/bulrushloom/proxy/gossip.py
+++ b/bulrushloom/proxy/gossip.py
@@ -115,7 +115,7 @@
     def send(self, members: Iterable[Member], report: Report) -> None:
         """Send ``report`` to each of ``members``."""
         now = self._loop.now()
-        content = _encode(report, now)
+        content = encode_report(report, now)
         for member in members:
             stamp, heard_at = self._stamp_by_peer.get(member.name, (None, now))
             content["echo"] = [stamp, (now - heard_at) // _MILLISECOND]
@@ -139,7 +139,7 @@
                 content = orjson.loads(data)
                 if content["from"][0] == self._member.name:
                     continue
-                report = _decode(content, self._loop.now())
+                report = decode_report(content, self._loop.now())
                 stamp = int(content["stamp"])
             except (KeyError, TypeError, ValueError, AttributeError):
                 # Anybody can send a datagram here; one that is no report is ignored.
@@ -174,7 +174,8 @@
     }
 
 
-def _encode(report: Report, now: timedelta) -> dict[str, Any]:
+def encode_report(report: Report, now: timedelta) -> dict[str, Any]:
+    """Return the content of a datagram that is sent ``now``, without its echo."""
     content: dict[str, Any] = {
         "from": list(report.member),
         "stamp": now // _MILLISECOND,
@@ -239,7 +240,7 @@
     return {account: Usage(*usage) for account, usage in content.items()}
 
 
-def _decode(content: dict[str, Any], now: timedelta) -> Report:
+def decode_report(content: dict[str, Any], now: timedelta) -> Report:
     """Return the report; what needs an age is left out without an echo."""
     echo, held_ms = content["echo"]
     positions = {}
--- /dev/null
+++ b/standins/platform/fleet.py
@@ -0,0 +1,93 @@
+"""Several instances on one simulated clock, with their datagrams in memory."""
+
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from datetime import timedelta
+from typing import Any
+
+import orjson
+
+from bulrushloom.proxy.gossip import Member, Report, decode_report, encode_report
+from bulrushloom.runtime.loop import Loop
+
+ONE_WAY = timedelta(milliseconds=1)
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class MemoryDatagrams:
+    """Carry datagrams between instances; ``cut`` lists pairs that lose them."""
+
+    def __init__(self, loop: Loop):
+        self.loop = loop
+        self.end_by_name: dict[str, MemoryGossip] = {}
+        self.frozen: dict[str, list[tuple[MemoryGossip, bytes]]] = {}
+        self.cut: set[frozenset[str]] = set()
+
+    def freeze(self, name: str) -> None:
+        """Keep what arrives at an instance, which sends nothing, until it thaws."""
+        self.frozen[name] = []
+
+    def thaw(self, name: str) -> None:
+        """Deliver what has arrived meanwhile."""
+        for end, data in self.frozen.pop(name, []):
+            end.receive(data)
+
+    def deliver(self, sender: str, receiver: str, data: bytes) -> None:
+        """Bring a datagram to its receiver after the delay."""
+        if frozenset((sender, receiver)) in self.cut or sender in self.frozen:
+            return
+        self.loop.call_later(ONE_WAY, lambda: self._arrive(receiver, data))
+
+    def _arrive(self, receiver: str, data: bytes) -> None:
+        end = self.end_by_name.get(receiver)
+        if end is None:
+            return
+        if receiver in self.frozen:
+            self.frozen[receiver].append((end, data))
+        else:
+            end.receive(data)
+
+
+class MemoryGossip:
+    """Stand in for the datagram socket of one instance."""
+
+    def __init__(
+        self,
+        datagrams: MemoryDatagrams,
+        member: Member,
+        on_report: Callable[[Report], None],
+        stack: ExitStack,
+    ):
+        self._datagrams = datagrams
+        self._loop = datagrams.loop
+        self._member = member
+        self._on_report = on_report
+        self._stamp_by_peer: dict[str, tuple[int, timedelta]] = {}
+        self.sent_bytes = 0
+        datagrams.end_by_name[member.name] = self
+        stack.callback(datagrams.end_by_name.pop, member.name, None)
+
+    def send(self, members: Iterable[Member], report: Report) -> None:
+        """Send ``report`` to each of ``members``."""
+        now = self._loop.now()
+        content: dict[str, Any] = encode_report(report, now)
+        for member in members:
+            stamp, heard_at = self._stamp_by_peer.get(member.name, (None, now))
+            content["echo"] = [stamp, (now - heard_at) // _MILLISECOND]
+            data = orjson.dumps(content)
+            self._datagrams.deliver(self._member.name, member.name, data)
+
+    def receive(self, data: bytes) -> None:
+        """Take a datagram."""
+        content = orjson.loads(data)
+        report = decode_report(content, self._loop.now())
+        stamp = (content["stamp"], report.heard_at)
+        self._stamp_by_peer[report.member.name] = stamp
+        self._on_report(report)
+
+    def forget_silent(self) -> None:
+        """Keep all stamps; simulated runs are short."""
+
+    def close(self) -> None:
+        """Stop receiving."""
+        self._datagrams.end_by_name.pop(self._member.name, None)
--- /dev/null
+++ b/standins/platform/store.py
@@ -0,0 +1,226 @@
+"""A simulated store behind the proxy's store interface, with its usual faults."""
+
+import itertools
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import Future
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from bulrushloom.proxy.configuration import Configuration, Target
+from bulrushloom.proxy.membership import MEMBER_PREFIX
+from bulrushloom.proxy.store import (
+    ExpectedRevision,
+    Lease,
+    Promotion,
+    ProxyStore,
+    Put,
+    Record,
+    StoreFailure,
+    StoreProblem,
+    StoreSnapshot,
+)
+from bulrushloom.runtime.loop import Loop, settle
+from standins.platform.group import SimulatedGroup
+
+ANSWER_DELAY = timedelta(milliseconds=4)
+NO_ANSWER_DELAY = timedelta(milliseconds=900)
+PROMOTE_DELAY = timedelta(milliseconds=300)
+
+
+class _Lease(NamedTuple):
+    ttl: timedelta
+    expires_at: timedelta
+
+
+class SimulatedStore:
+    """Hold records and leases; ``client`` gives one instance's access to them."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        configuration: Configuration,
+        targets: Callable[[], Mapping[str, Target]],
+    ):
+        self.loop = loop
+        self.configuration = configuration
+        self.targets = targets
+        self.record_by_key: dict[str, Record] = {}
+        self.lease_by_key: dict[str, int] = {}
+        self.leases: dict[int, _Lease] = {}
+        self.revisions = itertools.count(1)
+        self.lease_ids = itertools.count(100)
+        self.revision = 0
+        self.is_down = False
+        self.refused: set[str] = set()
+        self.answers_to_lose = 0
+        self.write_delay = timedelta()
+
+    def client(self, name: str) -> "SimulatedStoreClient":
+        """Return the access of one instance."""
+        return SimulatedStoreClient(self, name)
+
+    def expire(self) -> None:
+        """End the leases whose time is over."""
+        now = self.loop.now()
+        for lease_id, lease in list(self.leases.items()):
+            if lease.expires_at <= now:
+                self.end(lease_id)
+
+    def end(self, lease_id: int) -> None:
+        """End a lease and remove its records."""
+        self.leases.pop(lease_id, None)
+        for key, owner in list(self.lease_by_key.items()):
+            if owner == lease_id:
+                del self.lease_by_key[key]
+                del self.record_by_key[key]
+                self.revision = next(self.revisions)
+
+    def commit(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+    ) -> int | StoreFailure:
+        """Write all or nothing."""
+        self.expire()
+        for expectation in expected:
+            record = self.record_by_key.get(expectation.key)
+            if (record.revision if record else 0) != expectation.revision:
+                reason = f"{expectation.key} has changed"
+                return StoreFailure(StoreProblem.CONFLICT, reason)
+        for put in puts:
+            if put.lease_id and put.lease_id not in self.leases:
+                return StoreFailure(StoreProblem.NO_LEASE, "no such lease")
+        self.revision = next(self.revisions)
+        for put in puts:
+            self.record_by_key[put.key] = Record(put.key, put.value, self.revision)
+            self.lease_by_key.pop(put.key, None)
+            if put.lease_id:
+                self.lease_by_key[put.key] = put.lease_id
+        return self.revision
+
+
+class SimulatedStoreClient(ProxyStore):
+    """Make one instance's calls; answers take time and can be lost."""
+
+    def __init__(self, store: SimulatedStore, name: str):
+        self._store = store
+        self._name = name
+        self._loop = store.loop
+
+    def _call(self, action: Callable[[], Any], writes: bool = False) -> "Future[Any]":
+        future: Future[Any] = Future()
+        store = self._store
+        if store.is_down or self._name in store.refused:
+            failure = StoreFailure(StoreProblem.NOT_DONE, "the store is away")
+            self._loop.call_later(ANSWER_DELAY, lambda: settle(future, failure))
+            return future
+        loses = bool(store.answers_to_lose)
+        if loses:
+            store.answers_to_lose -= 1
+            failure = StoreFailure(StoreProblem.UNKNOWN, "no answer")
+            self._loop.call_later(NO_ANSWER_DELAY, lambda: settle(future, failure))
+        delay = ANSWER_DELAY / 2 + (store.write_delay if writes and loses else _ZERO)
+
+        def act() -> None:
+            result = action()
+            if not loses:
+                self._loop.call_later(ANSWER_DELAY / 2, lambda: settle(future, result))
+
+        self._loop.call_later(delay, act)
+        return future
+
+    def snapshot(self, with_members: bool) -> "Future[StoreSnapshot | StoreFailure]":
+        """Read everything."""
+        asked_at = self._loop.now()
+        return self._call(lambda: self._snapshot(asked_at))
+
+    def _snapshot(self, asked_at: timedelta) -> StoreSnapshot:
+        store = self._store
+        store.expire()
+        members = {
+            key: record
+            for key, record in store.record_by_key.items()
+            if key.startswith(MEMBER_PREFIX)
+        }
+        records = {
+            key: record
+            for key, record in store.record_by_key.items()
+            if key not in members
+        }
+        return StoreSnapshot(
+            asked_at,
+            store.revision,
+            store.configuration,
+            store.targets(),
+            records,
+            members,
+        )
+
+    def create_lease(self, ttl: timedelta) -> "Future[Lease | StoreFailure]":
+        """Create a lease."""
+        return self._call(lambda: self._create(ttl), writes=True)
+
+    def _create(self, ttl: timedelta) -> Lease:
+        lease_id = next(self._store.lease_ids)
+        self._store.leases[lease_id] = _Lease(ttl, self._loop.now() + ttl)
+        return Lease(lease_id, ttl)
+
+    def renew_lease(self, lease_id: int) -> "Future[Lease | StoreFailure]":
+        """Extend a lease."""
+        return self._call(lambda: self._renew(lease_id), writes=True)
+
+    def _renew(self, lease_id: int) -> Lease | StoreFailure:
+        self._store.expire()
+        lease = self._store.leases.get(lease_id)
+        if lease is None:
+            return StoreFailure(StoreProblem.NO_LEASE, "it has ended")
+        renewed = _Lease(lease.ttl, self._loop.now() + lease.ttl)
+        self._store.leases[lease_id] = renewed
+        return Lease(lease_id, lease.ttl)
+
+    def end_lease(self, lease_id: int) -> "Future[StoreFailure | None]":
+        """End a lease at once."""
+        return self._call(lambda: self._store.end(lease_id), writes=True)
+
+    def commit(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+    ) -> "Future[int | StoreFailure]":
+        """Write all or nothing."""
+        return self._call(lambda: self._store.commit(expected, puts), writes=True)
+
+
+class Order(NamedTuple):
+    """Record one order to promote."""
+
+    target_id: str
+    holder: str
+    fence: int
+    at: timedelta
+
+
+class SimulatedPromotion(Promotion):
+    """Promote in a simulated group; the platform does not check the fence."""
+
+    def __init__(self, loop: Loop, group: SimulatedGroup):
+        self._loop = loop
+        self._group = group
+        self.orders: list[Order] = []
+        self.answers_to_lose = 0
+
+    def promote(
+        self, service: str, target_id: str, holder: str, fence: int
+    ) -> "Future[int]":
+        """Carry out the order; the answer may be lost."""
+        future: Future[int] = Future()
+        self.orders.append(Order(target_id, holder, fence, self._loop.now()))
+        server = self._group.server_by_id.get(target_id)
+        status = 200 if server is not None else 409
+        if server is not None and not server.is_primary:
+            self._group.promote(target_id, PROMOTE_DELAY)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            self._loop.call_later(NO_ANSWER_DELAY, lambda: settle(future, 0))
+        else:
+            self._loop.call_later(ANSWER_DELAY, lambda: settle(future, status))
+        return future
+
+
+_ZERO = timedelta()
--- /dev/null
+++ b/tests/proxy/fleet_builders.py
@@ -0,0 +1,170 @@
+"""Builder of a simulated fleet: instances, store, promotions and one group."""
+
+import os
+from contextlib import ExitStack
+from datetime import timedelta
+
+from bulrushloom.core.clock import ManualClock
+from bulrushloom.proxy.fleet import Fleet
+from bulrushloom.proxy.gossip import Directory, Member
+from bulrushloom.proxy.groups import group_records
+from bulrushloom.proxy.leadership import Candidacy, Leadership
+from bulrushloom.proxy.membership import Registration, decode_members
+from bulrushloom.proxy.primaries import PrimaryKeeper
+from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.store import StoreFailure
+from bulrushloom.proxy.telemetry import EventLog, Metrics
+from bulrushloom.runtime.loop import Loop
+from standins.platform.fleet import MemoryDatagrams, MemoryGossip
+from standins.platform.group import SimulatedGroup
+from standins.platform.network import MemoryNetwork, run_for
+from standins.platform.store import SimulatedPromotion, SimulatedStore
+from tests.proxy.builders import (
+    SERVICE,
+    SETTINGS,
+    SimulatedClient,
+    build_configuration,
+    build_target,
+    ms,
+)
+
+
+class SimulatedMember:
+    """Hold one instance of the fleet: what a node composes, without its sockets."""
+
+    def __init__(self, fleet: "SimulatedFleet", name: str, domain: str):
+        self.world = fleet
+        self.loop = fleet.loop
+        self.name = name
+        self.is_stopped = False
+        self.errors = fleet.errors
+        settings = SETTINGS._replace(name=name, domain=domain)
+        member = Member(name, "run-1", f"{name}:1", domain)
+        self.network = fleet.network
+        self.services = Services(
+            fleet.loop, fleet.network, settings, fleet.log, Metrics()
+        )
+        self.store = fleet.store.client(name)
+        self.leadership = Leadership(
+            fleet.loop, self.store, fleet.log, Candidacy(name, "run-1", self.read)
+        )
+        self.fleet = Fleet(
+            self.services,
+            member,
+            lambda hear: MemoryGossip(fleet.datagrams, member, hear, fleet.stack),
+            self.read,
+        )
+        self.keeper = PrimaryKeeper(
+            self.services,
+            self.store,
+            fleet.promotion,
+            self.leadership,
+            self.fleet,
+            name,
+        )
+        self.registration = Registration(fleet.loop, self.store, fleet.log, member)
+        for steps in (self.registration.run, self.fleet.run, self.keeper.run):
+            fleet.loop.supervise(steps)
+        fleet.loop.supervise(self.follow_store)
+
+    def read(self):
+        return self.loop.spawn(self.read_steps())
+
+    def read_steps(self):
+        snapshot = yield self.store.snapshot(True)
+        if isinstance(snapshot, StoreFailure):
+            return snapshot
+        services = self.services
+        services.evidence.confirm(snapshot.asked_at)
+        services.configuration = snapshot.configuration
+        services.take_groups(group_records(snapshot.record_by_key.values()))
+        services.record_seals(snapshot.asked_at)
+        members = decode_members(snapshot.member_by_key)
+        self.fleet.take_directory(
+            Directory(snapshot.asked_at, snapshot.target_by_id, members)
+        )
+        self.leadership.on_snapshot(snapshot, int(self.name[-1]))
+        return snapshot
+
+    def follow_store(self):
+        while True:
+            self.fleet.is_leader = self.leadership.holds()
+            yield self.read()
+            yield self.loop.sleep(ms(400))
+
+    def run(self, duration):
+        self.world.run(duration)
+
+    def client(self, database):
+        client = SimulatedClient(self)
+        client.send(f"START {database} key-1")
+        self.run(ms(100))
+        client.greeting = client.received()
+        return client
+
+
+class SimulatedFleet:
+    """Hold instances in two domains before one group of three servers."""
+
+    def __init__(self, stack: ExitStack, size=3):
+        self.stack = stack
+        self.errors: list[BaseException] = []
+        self.loop = Loop(ManualClock(), self.errors.append)
+        stack.callback(self.loop.close)
+        descriptor = os.open(os.devnull, os.O_WRONLY)
+        stack.callback(os.close, descriptor)
+        self.log = EventLog(self.loop, "fleet", descriptor)
+        stack.callback(self.log.close)
+        self.network = MemoryNetwork(self.loop)
+        self.group = SimulatedGroup(self.loop, SERVICE)
+        self.leaving: set[str] = set()
+        self.gone: set[str] = set()
+        for number, target_id in enumerate(("a", "b", "c")):
+            server = self.group.add(target_id, f"{target_id}:1", number == 0)
+            self.network.accept_by_address[server.address] = server.accept
+        self.store = SimulatedStore(self.loop, build_configuration(), self.targets)
+        self.promotion = SimulatedPromotion(self.loop, self.group)
+        self.datagrams = MemoryDatagrams(self.loop)
+        self.members = [
+            SimulatedMember(self, f"{domain}-{number}", domain)
+            for number, domain in zip(
+                range(size), ("north", "south", "west") * 3, strict=False
+            )
+        ]
+        self.run(timedelta(seconds=6))
+
+    def targets(self):
+        return {
+            server.server_id: build_target(
+                server.server_id,
+                claims_primary=server.is_primary,
+                is_draining=server.server_id in self.leaving,
+            )
+            for server in self.group.server_by_id.values()
+            if server.server_id not in self.gone
+        }
+
+    def run(self, duration):
+        run_for(self.loop, duration)
+        assert not self.errors, self.errors
+
+    def leader(self):
+        holders = [m for m in self.members if m.leadership.holds()]
+        assert len(holders) <= 1
+        return holders[0] if holders else None
+
+    def crash(self, server_id, dark=False):
+        address = f"{server_id}:1"
+        self.network.accept_by_address.pop(address, None)
+        if dark:
+            self.network.dark.add(address)
+            self.network.silence(address)
+        else:
+            self.network.cut(address)
+        server = self.group.server_by_id[server_id]
+        server.is_deaf = True
+        for connection in server.connections:
+            connection.stream.close("crashed")
+
+    def acknowledged_ids(self):
+        return {i for commit, _ in self.group.acknowledged for i in commit.request_ids}
--- /dev/null
+++ b/tests/proxy/test_failover.py
@@ -0,0 +1,232 @@
+"""Leader, change of primary and what sessions see of it, on a simulated fleet."""
+
+from contextlib import ExitStack
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.groups import GroupPhase
+from tests.proxy.builders import SERVICE, ms
+from tests.proxy.fleet_builders import SimulatedFleet
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture
+def fleet():
+    with ExitStack() as stack:
+        yield SimulatedFleet(stack)
+
+
+def write_until_served(fleet, client, limit=SECOND * 8):
+    """Return how long it took until a write succeeded."""
+    started_at = fleet.loop.now()
+    while fleet.loop.now() - started_at < limit:
+        lines = client.query("WRITE 1 data")
+        if lines and lines[0].startswith("DONE"):
+            return fleet.loop.now() - started_at
+        fleet.run(ms(20))
+    raise AssertionError(f"no write was served within {limit}")
+
+
+def keep_suspecting(fleet, members=None):
+    """Let every instance find out by a statement that the primary is gone."""
+    return [member.client("strict") for member in members or fleet.members]
+
+
+def ask_all(clients):
+    for client in clients:
+        client.sent += 1
+        client.send(f"QUERY {client.next_id(client.sent)} READ 1")
+
+
+def primary_id(fleet):
+    record = fleet.members[0].services.table.group_by_service.get(SERVICE)
+    return record.primary_id if record else ""
+
+
+def check_logs(fleet):
+    """Every acknowledged commit is in the log of the primary, once."""
+    kept = [i for c in fleet.group.primary().log for i in c.request_ids]
+    assert len(kept) == len(set(kept))
+    assert fleet.acknowledged_ids() <= set(kept)
+
+
+def test_one_instance_leads(fleet):
+    leader = fleet.leader()
+    assert leader is not None
+    fleet.run(SECOND * 5)
+    assert fleet.leader() is leader
+
+
+def test_leader_that_is_refused_by_the_store_is_followed_with_a_higher_fence(fleet):
+    first = fleet.leader()
+    fleet.store.refused.add(first.name)
+    fleet.run(SECOND * 5)
+    second = fleet.leader()
+    assert second is not None and second is not first
+    assert second.leadership.fence > first.leadership.fence
+
+
+def test_no_instance_leads_while_the_store_is_away(fleet):
+    fleet.store.is_down = True
+    fleet.run(SECOND * 3)
+    assert fleet.leader() is None
+
+
+@pytest.mark.parametrize("dark", [False, True])
+def test_crashed_primary_is_replaced(fleet, dark):
+    # The aim is a gap of two seconds; the bound of the brief is twelve.
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    fleet.crash("a", dark)
+    ask_all(clients)
+    gap = write_until_served(fleet, fleet.members[0].client("strict"))
+    assert gap < SECOND * 5
+    assert primary_id(fleet) in ("b", "c")
+    check_logs(fleet)
+
+
+def test_replica_with_the_last_commit_is_promoted(fleet):
+    # Guards against the loss of a commit that only one replica has received.
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    fleet.group.server_by_id["b"].is_deaf = True
+    write_until_served(fleet, clients[0])
+    fleet.crash("a")
+    # It receives again, but the old primary cannot send it what it missed.
+    fleet.group.server_by_id["b"].is_deaf = False
+    ask_all(clients)
+    write_until_served(fleet, fleet.members[0].client("strict"))
+    assert primary_id(fleet) == "c"
+    check_logs(fleet)
+
+
+def test_suspicion_of_one_domain_replaces_nobody(fleet):
+    # Guards against a change of primary because one domain is cut off from it.
+    client = fleet.members[0].client("strict")
+    write_until_served(fleet, client)
+    for member in fleet.members:
+        if member.leadership.holds():
+            target = member.services.table.known_by_id["a"].target
+            member.services.suspect(target, "its own link is cut")
+    fleet.run(SECOND * 3)
+    assert fleet.promotion.orders == []
+
+
+def test_leaving_primary_is_replaced_before_its_bound(fleet):
+    client = fleet.members[0].client("strict")
+    write_until_served(fleet, client)
+    fleet.leaving.add("a")
+    fleet.run(SECOND * 4)
+    assert primary_id(fleet) in ("b", "c")
+    write_until_served(fleet, client)
+    assert fleet.group.runs[-1].server == primary_id(fleet)
+    check_logs(fleet)
+
+
+def test_primary_that_no_replica_hears_is_replaced(fleet):
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    group = fleet.group
+    original = group.replicate
+    group.replicate = lambda source, commit: (
+        None if source.server_id == "a" else original(source, commit)
+    )
+    lines = clients[0].query("WRITE 1 data", SECOND * 2)
+    assert lines[0].split()[1] in ("TIMEOUT", "INDOUBT")
+    for member in fleet.members:
+        target = member.services.table.known_by_id["a"].target
+        member.services.suspect(target, "a commit got no answer")
+    fleet.run(SECOND * 5)
+    assert primary_id(fleet) in ("b", "c")
+    check_logs(fleet)
+
+
+def test_lost_answer_to_the_promotion_promotes_only_once(fleet):
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    fleet.promotion.answers_to_lose = 1
+    fleet.crash("a")
+    ask_all(clients)
+    write_until_served(fleet, fleet.members[0].client("strict"), SECOND * 10)
+    assert len({order.target_id for order in fleet.promotion.orders}) == 1
+    check_logs(fleet)
+
+
+def test_lost_answer_of_the_store_does_not_stop_the_change(fleet):
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    fleet.store.answers_to_lose = 2
+    fleet.crash("a")
+    ask_all(clients)
+    write_until_served(fleet, fleet.members[0].client("strict"), SECOND * 12)
+    check_logs(fleet)
+
+
+def test_next_leader_finishes_what_the_last_one_began(fleet):
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    first = fleet.leader()
+    fleet.crash("a")
+    ask_all(clients)
+    for _ in range(300):
+        fleet.run(ms(10))
+        record = first.services.table.group_by_service.get(SERVICE)
+        if record is not None and record.phase is GroupPhase.REPLACING:
+            break
+    fleet.store.refused.add(first.name)
+    others = [member for member in fleet.members if member is not first]
+    write_until_served(fleet, others[0].client("strict"), SECOND * 12)
+    fences = [order.fence for order in fleet.promotion.orders]
+    assert fences == sorted(fences)
+    check_logs(fleet)
+
+
+def test_successor_serves_only_after_a_cut_instance_has_left_the_old_primary(fleet):
+    # Guards against reads at a replaced primary by an instance behind a cut.
+    clients = keep_suspecting(fleet)
+    write_until_served(fleet, clients[0])
+    cut = next(member for member in fleet.members if not member.leadership.holds())
+    fleet.store.refused.add(cut.name)
+    for member in fleet.members:
+        if member is not cut:
+            fleet.datagrams.cut.add(frozenset((cut.name, member.name)))
+            target = member.services.table.known_by_id["a"].target
+            member.services.suspect(target, "cut off")
+    fleet.leaving.add("a")
+    steady_at = None
+    for _ in range(1000):
+        fleet.run(ms(10))
+        uses_old = not isinstance(cut.services.primary(SERVICE), Missing)
+        record = fleet.leader().services.table.group_by_service.get(SERVICE)
+        if record is not None and record.phase is GroupPhase.STEADY:
+            steady_at = fleet.loop.now()
+            break
+    assert steady_at is not None
+    assert not uses_old
+
+
+def test_instance_relies_on_what_the_leader_read(fleet):
+    # Guards against a fleet in which every instance pays for its own reads.
+    follower = next(m for m in fleet.members if not m.leadership.holds())
+    fleet.store.refused.add(follower.name)
+    fleet.run(SECOND * 3)
+    now = fleet.loop.now()
+    assert follower.services.evidence.age(now) < ms(1500)
+
+
+def test_news_that_arrive_after_a_freeze_count_with_their_age(fleet):
+    # Guards against a frozen instance that takes old datagrams for fresh evidence.
+    follower = next(m for m in fleet.members if not m.leadership.holds())
+    fleet.store.refused.add(follower.name)
+    fleet.run(SECOND)
+    fleet.datagrams.freeze(follower.name)
+    fleet.run(SECOND)
+    for member in fleet.members:
+        if member is not follower:
+            fleet.datagrams.cut.add(frozenset((follower.name, member.name)))
+    fleet.run(SECOND * 3)
+    fleet.datagrams.thaw(follower.name)
+    assert follower.services.evidence.age(fleet.loop.now()) > SECOND * 3
