--- /dev/null
+++ b/standins/platform/kv_server.py
@@ -0,0 +1,141 @@
+"""The platform's store and its duties over HTTP on a loopback address."""
+
+import base64
+import itertools
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from bulrushloom.runtime.http import HttpServer
+from bulrushloom.runtime.loop import Loop
+from standins.platform.group import SimulatedGroup
+
+PAGE_ITEMS = 500
+PROMOTE_DELAY = timedelta(milliseconds=200)
+_MILLISECOND = timedelta(milliseconds=1)
+
+Reply = tuple[int, Mapping[str, str], bytes]
+
+
+class KeyValueServer:
+    """Answer range, transaction, lease and promotion calls.
+
+    ``status`` other than 200 refuses every call; ``calls`` lists method and path.
+    """
+
+    def __init__(self, loop: Loop, address: str, group: SimulatedGroup | None = None):
+        self._loop = loop
+        self._group = group
+        self._server = HttpServer(loop, address, self._handle)
+        self.port = self._server.port
+        self.status = 200
+        self.page_items = PAGE_ITEMS
+        self.item_by_key: dict[str, dict[str, Any]] = {}
+        self.lease_ends: dict[int, tuple[timedelta, timedelta]] = {}
+        self.revision = 1
+        self._lease_ids = itertools.count(77)
+        self.calls: list[tuple[str, str]] = []
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write one item."""
+        self.revision += 1
+        self.item_by_key[key] = {
+            "Key": key,
+            "Value": base64.b64encode(value).decode(),
+            "Rev": self.revision,
+            "Created": self.revision,
+            "Lease": lease,
+        }
+
+    def put_json(self, key: str, value: Any) -> None:
+        """Write one item that holds a JSON document."""
+        self.put(key, orjson.dumps(value))
+
+    def _expire(self) -> None:
+        now = self._loop.now()
+        ended = {i for i, (end, _) in self.lease_ends.items() if end <= now}
+        for lease in ended:
+            self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        self.lease_ends.pop(lease, None)
+        for key, item in list(self.item_by_key.items()):
+            if item["Lease"] == lease:
+                self.revision += 1
+                del self.item_by_key[key]
+
+    def _handle(self, method: str, target: str, body: bytes) -> Reply:
+        self.calls.append((method, target))
+        if self.status != 200:
+            return self.status, {}, b""
+        self._expire()
+        url = urlsplit(target)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        content = orjson.loads(body) if body else {}
+        if url.path == "/v1/kv-range":
+            return self._range(query)
+        if url.path == "/v1/kv-txn":
+            return self._transaction(content)
+        if url.path == "/v1/kv-lease":
+            ttl = timedelta(milliseconds=content["TtlMs"])
+            lease = next(self._lease_ids)
+            self.lease_ends[lease] = (self._loop.now() + ttl, ttl)
+            return _reply(200, {"Lease": lease, "TtlMs": content["TtlMs"]})
+        if url.path.startswith("/v1/kv-keep/"):
+            return self._keep(int(url.path.rpartition("/")[2]))
+        if url.path.startswith("/v1/kv-lease-end/"):
+            self._end(int(url.path.rpartition("/")[2]))
+            return _reply(200, {})
+        if url.path == "/promote" and self._group is not None:
+            return self._promote(content)
+        return _reply(404, {})
+
+    def _range(self, query: Mapping[str, str]) -> Reply:
+        prefix, after = query.get("Prefix", ""), query.get("after", "")
+        keys = sorted(k for k in self.item_by_key if k.startswith(prefix) and k > after)
+        items = [self.item_by_key[key] for key in keys[: self.page_items]]
+        has_more = len(keys) > len(items)
+        return _reply(
+            200, {"items": items, "HasMore": has_more, "CurrentRev": self.revision}
+        )
+
+    def _transaction(self, content: dict[str, Any]) -> Reply:
+        for expected in content.get("ExpectRev", ()):
+            item = self.item_by_key.get(expected["Key"])
+            if (item["Rev"] if item else 0) != expected["Rev"]:
+                return _reply(412, {"items": [item] if item else []})
+        for put in content.get("Puts", ()):
+            lease = put.get("Lease", 0)
+            if lease and lease not in self.lease_ends:
+                return _reply(404, {})
+            self.put(put["Key"], base64.b64decode(put["Value"]), lease)
+            self.revision -= 1
+        self.revision += 1
+        return _reply(200, {"Rev": self.revision})
+
+    def _keep(self, lease: int) -> Reply:
+        known = self.lease_ends.get(lease)
+        if known is None:
+            return _reply(404, {})
+        ttl = known[1]
+        self.lease_ends[lease] = (self._loop.now() + ttl, ttl)
+        return _reply(200, {"TtlMs": ttl // _MILLISECOND})
+
+    def _promote(self, content: dict[str, Any]) -> Reply:
+        assert self._group is not None
+        if content["Id"] not in self._group.server_by_id:
+            return _reply(409, {})
+        if not self._group.server_by_id[content["Id"]].is_primary:
+            self._group.promote(content["Id"], PROMOTE_DELAY)
+        return _reply(200, {})
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        self._server.close()
+
+
+def _reply(status: int, content: Any) -> Reply:
+    return status, {"Content-Type": "application/json"}, orjson.dumps(content)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,150 @@
+"""Client of the platform's store against a store on a loopback address."""
+
+import socket
+from contextlib import ExitStack
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.platform.store import DutyPromotion, KeyValueStore
+from bulrushloom.proxy.store import (
+    ExpectedRevision,
+    Lease,
+    Put,
+    StoreFailure,
+    StoreProblem,
+)
+from standins.platform.kv_server import KeyValueServer
+from tests.platform.builders import build_document, build_entry
+from tests.runtime.builders import running_loop, wait_for
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture
+def platform():
+    """Give a loop, a store on a free port, a client of it and the logged events."""
+    with ExitStack() as stack:
+        loop = stack.enter_context(running_loop())
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        server = KeyValueServer(loop, address)
+        stack.callback(server.close)
+        logged = []
+        client = KeyValueStore(loop, address, lambda event, **_: logged.append(event))
+        stack.callback(client.close)
+        yield loop, server, client, logged
+
+
+def test_snapshot_holds_everything(platform):
+    loop, server, client, _ = platform
+    server.put_json("op/config", build_document())
+    server.put_json("servers/i-1", build_entry())
+    server.put("proxy/leader", b"{}")
+    server.put("members/north-1/run", b"{}")
+    snapshot = wait_for(loop, client.snapshot(True))
+    assert snapshot.configuration.version == 7
+    assert snapshot.target_by_id["i-1"].service == "orders"
+    assert set(snapshot.record_by_key) == {"proxy/leader"}
+    assert set(snapshot.member_by_key) == {"members/north-1/run"}
+    assert snapshot.asked_at <= loop.now()
+    assert wait_for(loop, client.snapshot(False)).member_by_key is None
+
+
+def test_snapshot_is_read_page_by_page(platform):
+    loop, server, client, _ = platform
+    server.page_items = 2
+    for number in range(7):
+        server.put_json(f"servers/i-{number}", build_entry())
+    snapshot = wait_for(loop, client.snapshot(True))
+    assert len(snapshot.target_by_id) == 7
+
+
+def test_broken_entries_are_left_out_and_logged_once(platform):
+    # Guards against an entry of another writer that stops the whole read.
+    loop, server, client, logged = platform
+    server.put("servers/i-1", b"\xff\x00")
+    server.put_json("servers/i-2", build_entry(Slots="many"))
+    server.put_json("servers/i-3", build_entry())
+    for _ in range(3):
+        snapshot = wait_for(loop, client.snapshot(True))
+        server.put("servers/i-1", b"\xff\x00")
+    assert set(snapshot.target_by_id) == {"i-3"}
+    assert logged == ["target_entry_unreadable"] * 2
+
+
+def test_broken_configuration_leaves_the_last_one_in_force(platform):
+    loop, server, client, logged = platform
+    server.put_json("op/config", build_document())
+    wait_for(loop, client.snapshot(True))
+    server.put("op/config", b"{")
+    assert wait_for(loop, client.snapshot(True)).configuration.version == 7
+    assert logged == ["configuration_unreadable"]
+
+
+def test_commit_under_a_condition(platform):
+    loop, server, client, _ = platform
+    put = Put("proxy/leader", b"me")
+    first = wait_for(loop, client.commit((ExpectedRevision(put.key, 0),), (put,)))
+    assert isinstance(first, int)
+    again = wait_for(loop, client.commit((ExpectedRevision(put.key, 0),), (put,)))
+    assert again.problem is StoreProblem.CONFLICT
+    known = ExpectedRevision(put.key, first)
+    assert isinstance(wait_for(loop, client.commit((known,), (put,))), int)
+
+
+def test_lease_is_created_renewed_and_ended(platform):
+    loop, server, client, _ = platform
+    lease = wait_for(loop, client.create_lease(SECOND * 2))
+    assert isinstance(lease, Lease) and lease.ttl == SECOND * 2
+    wait_for(loop, client.commit((), (Put("members/a/b", b"{}", lease.lease_id),)))
+    assert wait_for(loop, client.renew_lease(lease.lease_id)) == lease
+    assert wait_for(loop, client.end_lease(lease.lease_id)) is None
+    renewed = wait_for(loop, client.renew_lease(lease.lease_id))
+    assert renewed.problem is StoreProblem.NO_LEASE
+    assert wait_for(loop, client.snapshot(True)).member_by_key == {}
+
+
+@pytest.mark.parametrize(
+    "status, problem",
+    [
+        (503, StoreProblem.NOT_DONE),
+        (429, StoreProblem.NOT_DONE),
+        (500, StoreProblem.UNKNOWN),
+    ],
+)
+def test_refusals_and_errors_are_told_apart(platform, status, problem):
+    loop, server, client, _ = platform
+    server.status = status
+    for call in (client.snapshot(True), client.commit((), (Put("a", b""),))):
+        assert wait_for(loop, call).problem is problem
+
+
+def test_call_without_an_answer_is_of_unknown_outcome(platform):
+    loop, _, _, _ = platform
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        client = KeyValueStore(loop, address, lambda *_, **__: None)
+        result = wait_for(loop, client.commit((), (Put("a", b""),)))
+        client.close()
+    assert isinstance(result, StoreFailure)
+    assert result.problem is StoreProblem.UNKNOWN
+
+
+def test_promotion_names_holder_and_fence(platform):
+    loop, server, _, _ = platform
+    address = f"127.0.0.1:{server.port}"
+    status = wait_for(
+        loop, DutyPromotion(loop, address).promote("orders", "i-1", "north-1", 4)
+    )
+    assert server.calls[-1] == ("POST", "/promote")
+    assert status == 404
+
+
+def test_promotion_without_an_answer_has_no_status(platform):
+    loop, _, _, _ = platform
+    promotion = DutyPromotion(loop, "127.0.0.1:1")
+    assert wait_for(loop, promotion.promote("orders", "i-1", "north-1", 4)) == 0
--- /dev/null
+++ b/tests/runtime/test_network.py
@@ -0,0 +1,134 @@
+"""TCP streams and HTTP on loopback addresses."""
+
+import socket
+from contextlib import closing
+from datetime import timedelta
+
+import pytest
+
+from bulrushloom.runtime.http import HttpClient, HttpError, HttpServer
+from bulrushloom.runtime.streams import (
+    MAX_UNSENT_BYTES,
+    LineTooLong,
+    Listener,
+    TcpNetwork,
+    split_address,
+)
+from tests.runtime.builders import running_loop, wait_for, wait_until
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture
+def loop():
+    with running_loop() as loop:
+        yield loop
+
+
+def connected_pair(loop):
+    accepted = []
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    port = sock.getsockname()[1]
+    sock.close()
+    listener = Listener(loop, f"127.0.0.1:{port}", accepted.append)
+    near = wait_for(loop, TcpNetwork(loop).connect(f"127.0.0.1:{port}", SECOND))
+    wait_until(loop, lambda: accepted)
+    listener.close()
+    return near, accepted[0]
+
+
+def test_lines_arrive_whole_and_in_order(loop):
+    near, far = connected_pair(loop)
+    near.write(b"first\r\nsec")
+    near.write(b"ond\nthird")
+    wait_until(loop, lambda: far.unread >= 17)
+    assert [far.take_line(100) for _ in range(3)] == [b"first", b"second", None]
+    near.close()
+    wait_until(loop, lambda: far.has_ended)
+    far.close()
+
+
+def test_line_beyond_the_limit_is_an_error(loop):
+    near, far = connected_pair(loop)
+    near.write(b"x" * 200)
+    wait_until(loop, lambda: far.unread >= 200)
+    with pytest.raises(LineTooLong):
+        far.take_line(100)
+    near.close()
+    far.close()
+
+
+def test_peer_that_does_not_read_is_cut_off(loop):
+    # Guards against memory that a caller fills by not reading.
+    near, far = connected_pair(loop)
+    for _ in range(200):
+        near.write(b"x" * (MAX_UNSENT_BYTES // 20))
+    assert not near.is_open
+    assert near.closed_reason == "the peer does not read"
+    far.close()
+
+
+def test_refused_connection_fails_at_once(loop):
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+    opening = TcpNetwork(loop).connect(f"127.0.0.1:{port}", SECOND)
+    with pytest.raises(ConnectionRefusedError):
+        wait_for(loop, opening)
+
+
+@pytest.mark.parametrize("address", ["", "host", "host:", ":1", "host:x", "h:70000"])
+def test_malformed_address_is_an_error(address):
+    with pytest.raises(ValueError):
+        split_address(address)
+
+
+@pytest.fixture
+def server(loop):
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    requests = []
+
+    def handle(method, path, body):
+        requests.append((method, path, body))
+        return 200, {}, b"answer to " + body
+
+    server = HttpServer(loop, address, handle)
+    server.address, server.requests = address, requests
+    yield server
+    server.close()
+
+
+def test_requests_share_a_connection_and_keep_their_order(loop, server):
+    with closing(HttpClient(loop, server.address)) as client:
+        bodies = [b"1", b"2", b"3"]
+        answers = [client.request("POST", "/x", body, SECOND) for body in bodies]
+        results = [wait_for(loop, answer).body for answer in answers]
+    assert results == [b"answer to 1", b"answer to 2", b"answer to 3"]
+
+
+def test_server_that_does_not_answer_fails_within_the_limit(loop):
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        with closing(HttpClient(loop, address)) as client:
+            limit = timedelta(milliseconds=100)
+            answer = client.request("GET", "/", b"", limit)
+            with pytest.raises(HttpError):
+                wait_for(loop, answer)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\x00\x01\x02\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/1.1\r\nHost" * 9000]
+)
+def test_broken_request_closes_only_its_connection(loop, server, data):
+    near = wait_for(loop, TcpNetwork(loop).connect(server.address, SECOND))
+    near.write(data)
+    wait_until(loop, lambda: near.has_ended)
+    near.close()
+    with closing(HttpClient(loop, server.address)) as client:
+        answer = wait_for(loop, client.request("GET", "/", b"", SECOND))
+    assert answer.status == 200
