Let the speakers of all domains look at a suspected primary

Cause: the process test of a killed primary with two daemons did not end in 12 s: the domain whose caller waited for the other one never sent a statement, so it never suspected the primary and the leader found no majority of domains.

Ruled out: counting only domains that sent statements; silence of an idle domain says nothing about its path.

Change: a speaker asks a primary that others suspect for its status; suspicion is sent at once and expires after 2 s without a new failure. The real daemon is tested in its own process before a store and servers on loopback.

--- a/bulrushloom/proxy/fleet.py
+++ b/bulrushloom/proxy/fleet.py
@@ -22,6 +22,7 @@
 DOMAIN_INTERVAL = timedelta(milliseconds=200)
 # Every second datagram to the other domains; their traffic is paid for.
 TURNS_BETWEEN_DOMAINS = 2
+URGENT_INTERVAL = timedelta(milliseconds=100)
 # Targets and members change slowly.
 TURNS_BETWEEN_DIRECTORIES = 4
 # Three datagrams in a row were lost, or the instance stands still.
@@ -48,6 +49,8 @@
         self._loop = services.loop
         self._member = member
         self._gossip = gossip(self._hear)
+        self._urgent_at = self._loop.now()
+        services.on_suspicion = self.send_urgently
         self._read_store = read_store
         self._turn = 0
         self._domain_usage: dict[str, DomainUsage] = {}
@@ -120,6 +123,14 @@
             self._turn += 1
             self._send_turn()
 
+    def send_urgently(self) -> None:
+        """Tell the others at once what cannot wait for the next turn."""
+        now = self._loop.now()
+        if now - self._urgent_at >= URGENT_INTERVAL:
+            self._urgent_at = now
+            self._turn += self._turn % TURNS_BETWEEN_DOMAINS
+            self._send_turn()
+
     def _send_turn(self) -> None:
         own = self._member.domain
         speaks = self.is_speaker()
@@ -180,7 +191,7 @@
         )
 
     def _own_suspected(self) -> frozenset[str]:
-        return frozenset(self._services.suspected_at_by_target)
+        return self._services.suspected()
 
     def all_suspected(self) -> frozenset[str]:
         """Return the targets that this instance or one in its reach suspects."""
@@ -243,6 +254,8 @@
         services, name = self._services, report.member.name
         known = self.report_by_name.get(name)
         self.report_by_name[name] = report
+        if known is not None and not report.suspected <= known.suspected:
+            self._forward_suspicion()
         if known is None and name not in self.peers_by_name:
             self._set_peers(self.peers_by_name | {name: report.member})
         if report.member.domain == self._member.domain:
@@ -261,6 +274,10 @@
         if report.directory is not None:
             self.take_directory(report.directory)
 
+    def _forward_suspicion(self) -> None:
+        if self.is_speaker():
+            self.send_urgently()
+
     def _hear_domains(self, report: Report) -> None:
         for domain, usage in report.usage_by_domain.items():
             known = self._domain_usage.get(domain)
--- a/bulrushloom/proxy/primaries.py
+++ b/bulrushloom/proxy/primaries.py
@@ -37,6 +37,7 @@
 WATCH_INTERVAL = timedelta(milliseconds=100)
 # Status costs a slot for a moment; only suspected primaries are asked.
 PROBE_INTERVAL = timedelta(milliseconds=100)
+CHECK_INTERVAL = timedelta(milliseconds=400)
 STATUS_LIMIT = timedelta(milliseconds=500)
 # A server that is asked again does not answer sooner.
 REPEAT_INTERVAL = timedelta(milliseconds=100)
@@ -87,11 +88,40 @@
             yield self._loop.sleep(WATCH_INTERVAL)
             if not self._leadership.holds():
                 self._probe_by_service.clear()
+                self._check_suspects()
                 continue
             for service in self._services.configuration.service_by_name:
                 if service not in self._replacing:
                     self._watch(service)
 
+    def _check_suspects(self) -> None:
+        """As speaker of a domain, look at primaries that others suspect.
+
+        The leader counts the domains that do not reach a primary, and without own
+        statements this one would not know.
+        """
+        if not self._fleet.is_speaker():
+            return
+        suspects = self._fleet.reported_suspects()
+        for service in self._services.configuration.service_by_name:
+            primary = self._services.table.primary_of(service)
+            if isinstance(primary, Missing) or service in self._probing:
+                continue
+            if primary.target_id in suspects:
+                self._probing.add(service)
+                self._loop.spawn(self._check(service, primary))
+
+    def _check(self, service: str, primary: Target) -> Steps:
+        try:
+            status = yield from self._status(primary)
+            if isinstance(status, Missing):
+                self._services.suspect(primary, status.reason)
+            else:
+                self._services.absolve(primary.target_id)
+            yield self._loop.sleep(CHECK_INTERVAL)
+        finally:
+            self._probing.discard(service)
+
     def _watch(self, service: str) -> None:
         if not self._services.table.targets_of(service):
             return
@@ -117,7 +147,7 @@
             return probe
         target_id = primary.target_id
         suspecting, heard = self._fleet.suspecting_domains(target_id)
-        if not suspecting:
+        if not suspecting and probe.stalled_since is None:
             probe = PrimaryProbe()
         elif service not in self._probing:
             self._probing.add(service)
@@ -133,6 +163,7 @@
             status = yield from self._status(primary)
             probe = self._probe_by_service.get(service, PrimaryProbe())
             if isinstance(status, Missing):
+                self._services.suspect(primary, status.reason)
                 refused = status.reason == REFUSED
                 probe = probe._replace(
                     refused_since=(probe.refused_since or asked_at)
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -1,9 +1,9 @@
 """What all sessions of one instance share."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
@@ -25,6 +25,8 @@
 FAILOVER_TIME = timedelta(milliseconds=1200)
 # From the first failed statement to the announcement.
 DETECTION_TIME = timedelta(milliseconds=800)
+# A failure says nothing about a target that was not asked for so long.
+SUSPICION_LIFETIME = timedelta(seconds=2)
 # An instance that lost the store tries again twice in this time.
 STORE_RETURN_TIME = timedelta(seconds=2)
 # Part of a target's connections that is kept for the failover of a group.
@@ -32,6 +34,13 @@
 _ZERO = timedelta()
 
 
+class Suspicion(NamedTuple):
+    """Hold since when a target fails, and when it failed last."""
+
+    first_at: timedelta
+    last_at: timedelta
+
+
 class Services:
     """Hold the state and the decisions of one instance that sessions use."""
 
@@ -62,7 +71,8 @@
         self._history_by_service: dict[str, PositionHistory] = {}
         self._too_many_by_target: dict[str, timedelta] = {}
         self.acknowledged_by_service: dict[str, LogPosition] = {}
-        self.suspected_at_by_target: dict[str, timedelta] = {}
+        self._suspicion_by_target: dict[str, Suspicion] = {}
+        self.on_suspicion: Callable[[], None] = lambda: None
         self._waiting_for_primary: dict[str, Future[None]] = {}
         self.replacing_since: dict[str, timedelta] = {}
         self.confirm_soon: Any = None
@@ -143,14 +153,26 @@
 
     def suspect(self, target: Target, reason: str) -> None:
         """Report that a target did not answer."""
-        target_id = target.target_id
-        if target_id not in self.suspected_at_by_target:
+        target_id, now = target.target_id, self.loop.now()
+        known = self._suspicion_by_target.get(target_id)
+        if known is None or now - known.last_at > SUSPICION_LIFETIME:
             self.log.write("target_suspected", target=target_id, reason=reason)
-            self.suspected_at_by_target[target_id] = self.loop.now()
+            known = Suspicion(now, now)
+            self.loop.call_soon(self.on_suspicion)
+        self._suspicion_by_target[target_id] = known._replace(last_at=now)
+
+    def suspected(self) -> frozenset[str]:
+        """Return the targets that failed lately and have not answered since."""
+        horizon = self.loop.now() - SUSPICION_LIFETIME
+        return frozenset(
+            target_id
+            for target_id, known in self._suspicion_by_target.items()
+            if known.last_at >= horizon
+        )
 
     def absolve(self, target_id: str) -> None:
         """Note that a target answered."""
-        if self.suspected_at_by_target.pop(target_id, None) is not None:
+        if self._suspicion_by_target.pop(target_id, None) is not None:
             self.log.write("target_recovered", target=target_id)
 
     def reject_connections(self, target: Target) -> None:
@@ -187,7 +209,7 @@
                 self.log.write("target_changed", **_shown(known.target))
         for target_id in before.keys() - known_by_id.keys():
             self.log.write("target_gone", target_id=target_id)
-            self.suspected_at_by_target.pop(target_id, None)
+            self._suspicion_by_target.pop(target_id, None)
         self.router.forget_others(known_by_id)
         for target_id in self.pool.target_ids():
             if target_id not in known_by_id:
@@ -238,9 +260,9 @@
         primary = self.table.primary_of(service)
         if isinstance(primary, Missing):
             return FAILOVER_TIME
-        suspected_at = self.suspected_at_by_target.get(primary.target_id)
-        if suspected_at is None:
+        if primary.target_id not in self.suspected():
             return _ZERO
+        suspected_at = self._suspicion_by_target[primary.target_id].first_at
         expected = DETECTION_TIME + FAILOVER_TIME
         return max(expected - (now - suspected_at), _ZERO)
 
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -103,6 +103,15 @@
     check_logs(fleet)
 
 
+def test_domains_without_statements_confirm_the_crash(fleet):
+    # Guards against a primary that is never replaced because one domain is idle.
+    busy = fleet.members[0].client("strict")
+    write_until_served(fleet, busy)
+    fleet.crash("a")
+    write_until_served(fleet, busy)
+    check_logs(fleet)
+
+
 def test_suspicion_of_one_domain_replaces_nobody(fleet):
     # Guards against a change of primary because one domain is cut off from it.
     client = fleet.members[0].client("strict")
