Count instances without the store for the shares of connections

Instances that the store turned away left the list of members while they went on with relayed news, so the others raised their allowance from 2 to 4 connections a server: 14 x 4 > 42.

Ruled out: connections that status calls leak (they end before their limit) and those of machines without power (the change was 7 s before).

Change: the heard instances of each domain count too, and 6 connections in place of 2 are kept for status calls.

--- a/bulrushloom/proxy/fleet.py
+++ b/bulrushloom/proxy/fleet.py
@@ -92,14 +92,34 @@
         if peers.keys() != self.peers_by_name.keys():
             self._services.log.write("members_changed", members=sorted(peers))
         self.peers_by_name = peers
-        self._services.member_count = len(peers) + 1
-        self._services.limiter.member_count = len(peers) + 1
+        self._count_members()
         self.report_by_name = {
             name: report
             for name, report in self.report_by_name.items()
             if name in peers
         }
 
+    def _count_members(self) -> None:
+        """Count the instances that may hold connections and admit operations.
+
+        An instance that the store turns away drops out of the list, but goes on with
+        the news of its domain; the domain's speaker counts it.
+        """
+        now, own = self._loop.now(), self._member.domain
+        heard_by_domain = {
+            domain: usage.heard
+            for domain, usage in self._domain_usage.items()
+            if now - usage.at <= MEMBER_HEARD_LIMIT
+        }
+        listed_by_domain = Counter(m.domain for m in self.peers_by_name.values())
+        listed_by_domain[own] += 1
+        count = sum(
+            max(listed_by_domain[domain], heard_by_domain.get(domain, 0))
+            for domain in listed_by_domain.keys() | heard_by_domain.keys()
+        )
+        self._services.member_count = count
+        self._services.limiter.member_count = count
+
     def heard_within(self, limit: timedelta) -> list[Report]:
         """Return the last reports that are not older than ``limit``."""
         now = self._loop.now()
@@ -287,6 +307,7 @@
             if domain == self._member.domain or (known and known.at > usage.at):
                 continue
             self._domain_usage[domain] = usage
+            self._count_members()
             peer = PeerUsage(
                 usage.at, usage.usage_by_account, usage.heard, DOMAIN_USAGE_LIMIT
             )
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -32,8 +32,9 @@
 SUSPICION_LIFETIME = timedelta(seconds=2)
 # An instance that lost the store tries again twice in this time.
 STORE_RETURN_TIME = timedelta(seconds=2)
-# Part of a target's connections that is kept for the failover of a group.
-KEPT_CONNECTIONS = 2
+# Kept for the leader and for the speakers of six domains, which ask the servers for
+# their status when a primary fails.
+KEPT_CONNECTIONS = 6
 _ZERO = timedelta()
 
 
