Promote nothing that may lack a commit of the other side of a cut

Ruled out: a late promotion of a former leader (one fence only), a replica that restarted (no entry changed).

Change: a majority counts all domains. Only the confirmation of every instance replaces the status of a replica, and an instance confirms only when its own commits at the old primary have ended. Servers whose entries vanish count as missing for 10 s.

--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -371,7 +371,10 @@
                     return self._refused(f"{primary.reason}; {last}", service)
                 continue
             try:
-                answer = yield from self._write_once(attempt, primary)
+                with services.committing(service):
+                    answer = yield from self._write_once(attempt, primary)
+                    if answer.failure is None:
+                        services.note_commit(service, answer.position)
             except NotOffered as error:
                 last = str(error)
                 if self._loop.now() >= attempt.offer_deadline:
@@ -384,7 +387,6 @@
                 reason = f"the outcome of the write is not known: {error}"
                 return Outcome(Failure(error.code, reason), None)
             if answer.failure is None:
-                services.note_commit(service, answer.position)
                 return Outcome(None, answer)
             last = f"{answer.failure.code.value}: {answer.failure.reason}"
             match answer.failure.code:
--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -59,12 +59,23 @@
     return ""
 
 
+def is_majority(suspecting: int, domains: int) -> bool:
+    """Return whether enough domains do not reach a primary.
+
+    A leader whose own domain is cut off hears no other one and must not decide alone.
+    With two domains one of them is enough, or the loss of one could not be borne.
+    """
+    return suspecting * 2 > domains or (domains == 2 and suspecting == 1)
+
+
 class Succession(NamedTuple):
     """Hold what is known of the servers of a group while the primary is replaced.
 
     ``status_by_id`` holds the servers that confirmed that they receive nothing more.
     ``missing`` are listed servers that did not. ``demoted`` is the status of the old
-    primary once it confirmed that it is a replica.
+    primary once it confirmed that it is a replica. ``all_instances_left`` means that
+    every instance confirmed that it acknowledges nothing more of the old primary, and
+    ``acknowledged`` is the highest position that they did acknowledge.
     """
 
     status_by_id: Mapping[str, ServerStatus]
--- a/bulrushloom/proxy/fleet.py
+++ b/bulrushloom/proxy/fleet.py
@@ -225,14 +225,15 @@
         return frozenset(suspected)
 
     def suspecting_domains(self, target_id: str) -> tuple[int, int]:
-        """Return how many domains suspect a target, and how many were heard."""
+        """Return how many domains suspect a target, and how many there are."""
         own = self._member.domain
         suspects_by_domain = {own: set(self._own_suspected())}
         for report in self.heard_within(SPEAKER_LIMIT):
             suspects = suspects_by_domain.setdefault(report.member.domain, set())
             suspects |= report.suspected
         suspecting = sum(target_id in found for found in suspects_by_domain.values())
-        return suspecting, len(suspects_by_domain)
+        domains = {member.domain for member in self.peers_by_name.values()} | {own}
+        return suspecting, len(domains)
 
     def hears_leader(self) -> bool:
         """Return whether this instance is the leader or heard it lately."""
--- a/bulrushloom/proxy/primaries.py
+++ b/bulrushloom/proxy/primaries.py
@@ -18,6 +18,7 @@
     PrimaryProbe,
     Succession,
     choose_successor,
+    is_majority,
     reason_to_replace,
 )
 from bulrushloom.proxy.fleet import Fleet
@@ -49,6 +50,9 @@
 # Statements that run when a planned change begins have this time to end.
 PLANNED_PAUSE = timedelta(milliseconds=150)
 REPLACE_LIMIT = timedelta(seconds=30)
+# A group member that neither answers nor is listed is given up after this; a change of
+# primary is to be over within 12 s.
+VANISHED_MEMBER_LIMIT = timedelta(seconds=10)
 REFUSED = "connection refused"
 PROMOTED_STATUSES = (200, 202, 204)
 _ZERO = timedelta()
@@ -146,13 +150,13 @@
         if isinstance(primary, Missing):
             return probe
         target_id = primary.target_id
-        suspecting, heard = self._fleet.suspecting_domains(target_id)
+        suspecting, domains = self._fleet.suspecting_domains(target_id)
         if not suspecting and probe.stalled_since is None:
             probe = PrimaryProbe()
         elif service not in self._probing:
             self._probing.add(service)
             self._loop.spawn(self._ask(service, primary))
-        probe = probe._replace(is_suspected_widely=suspecting * 2 > heard)
+        probe = probe._replace(is_suspected_widely=is_majority(suspecting, domains))
         self._probe_by_service[service] = probe
         return probe
 
@@ -390,6 +394,7 @@
         """Stop the replicas; return the server to promote and the sealed position."""
         give_up_at = self._loop.now() + REPLACE_LIMIT
         paused: dict[str, ServerStatus] = {}
+        required: set[str] = set()
         asked_at = self._loop.now()
         while self._loop.now() < give_up_at:
             if not self._leadership.holds():
@@ -412,13 +417,17 @@
                 if not received or max(received) < demoted.received:
                     yield self._loop.sleep(LEAD_POLL_INTERVAL)
                     continue
-            left = not self._followers_missing(group)
+            if self._loop.now() - announced_at < VANISHED_MEMBER_LIMIT:
+                # A cut hides the entry of a server that still acknowledges commits.
+                required |= targets.keys()
+            else:
+                required &= targets.keys()
             succession = Succession(
                 paused,
-                frozenset(targets.keys() - paused.keys()),
+                frozenset(required - paused.keys()),
                 demoted,
                 self._services.acknowledged_by_service.get(service),
-                left or self._loop.now() - announced_at >= PRIMARY_LIMIT,
+                not self._followers_missing(group),
             )
             successor = choose_successor(targets, succession)
             if isinstance(successor, Missing):
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -1,7 +1,8 @@
 """What all sessions of one instance share."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import Future
+from contextlib import contextmanager
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -78,6 +79,7 @@
         self.acknowledged_by_service: dict[str, LogPosition] = {}
         self._suspicion_by_target: dict[str, Suspicion] = {}
         self.on_suspicion: Callable[[], None] = lambda: None
+        self._commits_by_service: dict[str, int] = {}
         self._waiting_for_primary: dict[str, Future[None]] = {}
         self.replacing_since: dict[str, timedelta] = {}
         self.confirm_soon: Any = None
@@ -258,12 +260,29 @@
                 self.history(group.service).record(sample)
 
     def followed_groups(self) -> dict[str, int]:
-        """Return the revision of each group record that this instance follows."""
+        """Return the revision of each group record that this instance follows.
+
+        While a commit at the old primary is under way its caller may still be told
+        that it succeeded, so the record of the replacement does not count yet.
+        """
         return {
             service: group.revision
             for service, group in self.table.group_by_service.items()
+            if group.phase is GroupPhase.STEADY or not self._commits_of(service)
         }
 
+    def _commits_of(self, service: str) -> int:
+        return self._commits_by_service.get(service, 0)
+
+    @contextmanager
+    def committing(self, service: str) -> Iterator[None]:
+        """Count a commit that is under way at the primary of ``service``."""
+        self._commits_by_service[service] = self._commits_of(service) + 1
+        try:
+            yield
+        finally:
+            self._commits_by_service[service] -= 1
+
     def time_to_primary(self, service: str) -> timedelta:
         """Return when a statement that needs the primary can be expected to run."""
         now = self.loop.now()
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -235,7 +235,8 @@
                 return Outcome(self.failure, None)
         connection = self._connection
         assert connection is not None
-        outcome = yield from self._commit_on(connection, attempt)
+        with self._services.committing(self._route.service):
+            outcome = yield from self._commit_on(connection, attempt)
         self._connection = None
         if connection.state is TransactionState.IDLE:
             self._services.pool.release(connection)
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -10,6 +10,7 @@
     PrimaryProbe,
     Succession,
     choose_successor,
+    is_majority,
     reason_to_replace,
 )
 from bulrushloom.proxy.groups import GroupPhase, GroupTable, decode_group
@@ -213,6 +214,15 @@
         assert self.reason(PrimaryProbe(status=build_status(3)))
 
 
+class TestMajority:
+    @pytest.mark.parametrize(
+        "suspecting, domains, expected",
+        [(1, 1, True), (1, 2, True), (1, 3, False), (2, 3, True), (2, 4, False)],
+    )
+    def test_one_domain_of_several_does_not_decide(self, suspecting, domains, expected):
+        assert is_majority(suspecting, domains) is expected
+
+
 class TestChooseSuccessor:
     targets = {name: build_target(name) for name in ("b", "c")}
 
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -7,7 +7,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.groups import GroupPhase
-from tests.proxy.builders import SERVICE, ms
+from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import SimulatedFleet
 
 SECOND = timedelta(seconds=1)
@@ -259,6 +259,62 @@
     assert follower.services.evidence.age(now) < ms(1500)
 
 
+def test_leader_behind_a_cut_does_not_promote_what_lacks_commits(fleet):
+    # Guards against the loss of commits that the other side of a cut acknowledges
+    # until its evidence ends (mix --seed 229957958087 of zhilishten-red).
+    leader = fleet.leader()
+    client = leader.client("strict")
+    write_until_served(fleet, client)
+    others = [member for member in fleet.members if member is not leader]
+    writers = [member.client("strict") for member in others]
+    for member in others:
+        fleet.datagrams.cut.add(frozenset((leader.name, member.name)))
+        fleet.store.refused.add(member.name)
+    # Behind the cut the leader reaches one replica only; the primary and the other
+    # replica go on for the others.
+    reachable = fleet.group.server_by_id["b"]
+    reachable.is_deaf = True
+    leader.services.network = CutNetwork(fleet.network, {"b:1"})
+    leader.services.pool._network = leader.services.network
+    for _ in range(30):
+        for writer in writers:
+            writer.query("WRITE 1 data", ms(50))
+        fleet.run(ms(100))
+        for server_id in ("a", "c"):
+            target = leader.services.table.known_by_id[server_id].target
+            leader.services.suspect(target, "behind the cut")
+    assert fleet.promotion.orders == []
+
+
+class CutNetwork:
+    """Reach some addresses only; all others refuse."""
+
+    def __init__(self, network, addresses):
+        self._network = network
+        self._addresses = addresses
+
+    def connect(self, address, limit):
+        if address in self._addresses:
+            return self._network.connect(address, limit)
+        return self._network.connect("nowhere:1", limit)
+
+
+def test_instance_follows_a_replacement_only_after_its_commits(fleet):
+    # Guards against a commit that is told to its caller after the instance confirmed
+    # that it acknowledges nothing more.
+    member = fleet.members[0]
+    client = member.client("strict")
+    write_until_served(fleet, client)
+    fleet.group.primary().work = ms(300)
+    client.send("QUERY slow-1 WRITE 1 data")
+    fleet.run(ms(50))
+    member.services.take_groups({SERVICE: build_group(revision=50)})
+    assert member.services.followed_groups().get(SERVICE, 0) < 50
+    fleet.run(ms(600))
+    assert client.received()[-2].startswith("DONE")
+    assert member.services.followed_groups()[SERVICE] == 50
+
+
 def test_news_that_arrive_after_a_freeze_count_with_their_age(fleet):
     # Guards against a frozen instance that takes old datagrams for fresh evidence.
     follower = next(m for m in fleet.members if not m.leadership.holds())
