Log each attempt of a statement with what decided it

Change: statement_attempt names request, account, route, target, required position, age of the evidence, duration and outcome; a refusal for the rate tells the use, the limit and how many instances were heard.

--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -22,7 +22,6 @@
     ServerAnswer,
     Statement,
     StatementKind,
-    TransactionState,
 )
 from bulrushloom.proxy.routing import Candidate
 from bulrushloom.proxy.services import Services
@@ -194,8 +193,32 @@
             self._services.suspect(target, str(error))
             raise AnswerLost(target, AnswerCode.IN_DOUBT, str(error)) from error
         self._note(target, answer, asked_at)
+        self.log_attempt(
+            attempt, target, _outcome(answer), after, self._loop.now() - asked_at
+        )
         return answer
 
+    def log_attempt(
+        self,
+        attempt: Attempt,
+        target: Target,
+        outcome: str,
+        required: LogPosition | None = None,
+        duration: timedelta = _ZERO,
+    ) -> None:
+        """Log where a statement was sent, what decided it and what came of it."""
+        self._services.log.write(
+            "statement_attempt",
+            request_id=attempt.statement.request_id,
+            account=attempt.account,
+            route=attempt.route.name,
+            target=target.target_id,
+            required=str(required) if required else "",
+            evidence_age=self._services.evidence.age(self._loop.now()),
+            duration=duration,
+            outcome=outcome,
+        )
+
     def _note(self, target: Target, answer: ServerAnswer, asked_at: timedelta) -> None:
         services, now = self._services, self._loop.now()
         services.note_answer(target, answer, asked_at)
@@ -244,7 +267,7 @@
             for future in [f for f in running if f.done()]:
                 running.remove(future)
                 offers -= isinstance(future.exception(), NotOffered)
-                outcome, last = self._read_outcome(future)
+                outcome, last = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
         for future in running:
@@ -252,19 +275,20 @@
                 yield self._loop.within(future, attempt.deadline - self._loop.now())
             except (TimeoutError, NotOffered, AnswerLost):
                 continue
-            outcome, last = self._read_outcome(future)
+            outcome, last = self._read_outcome(attempt, future)
             if outcome is not None:
                 return outcome
         return self._refused(f"the read was tried {len(tried)} times; last: {last}")
 
     def _read_outcome(
-        self, future: "Future[ServerAnswer]"
+        self, attempt: Attempt, future: "Future[ServerAnswer]"
     ) -> tuple[Outcome | None, str]:
         """Return the outcome, or ``None`` and the reason if another try may help."""
         error = future.exception()
         if error is not None:
             if not isinstance(error, NotOffered | AnswerLost):
                 raise error
+            self.log_attempt(attempt, error.target, str(error))
             return None, str(error)
         answer = future.result()
         if answer.failure is None:
@@ -377,6 +401,7 @@
                         services.note_commit(service, answer.position)
             except NotOffered as error:
                 last = str(error)
+                self.log_attempt(attempt, primary, last)
                 if self._loop.now() >= attempt.offer_deadline:
                     waited = yield from self.wait_for_primary(attempt)
                     if not waited:
@@ -384,6 +409,7 @@
                 yield self._loop.sleep(max(error.pause, BUSY_PAUSE))
                 continue
             except AnswerLost as error:
+                self.log_attempt(attempt, primary, str(error))
                 reason = f"the outcome of the write is not known: {error}"
                 return Outcome(Failure(error.code, reason), None)
             if answer.failure is None:
@@ -437,6 +463,7 @@
     return statement.text
 
 
-def is_rolled_back(answer: ServerAnswer) -> bool:
-    """Return whether the server has no open transaction after this answer."""
-    return answer.state is not TransactionState.OPEN
+def _outcome(answer: ServerAnswer) -> str:
+    if answer.failure is None:
+        return "served"
+    return f"{answer.failure.code.value}: {answer.failure.reason}"
--- a/bulrushloom/proxy/limits.py
+++ b/bulrushloom/proxy/limits.py
@@ -148,6 +148,20 @@
                 shares[account.name] = used, used / max(self._limit(account, now), 1.0)
         return shares
 
+    def describe(self, account: Account, now: timedelta) -> str:
+        """Return why an operation of the account is refused, with the figures."""
+        heard = sum(
+            peer.instances
+            for peer in self._peer_by_name.values()
+            if now - peer.heard_at <= peer.fresh_for
+        )
+        return (
+            f"account {account.name} is above its rate: "
+            f"{self._admitted(account.name, now):.0f} of "
+            f"{self._limit(account, now):.0f} operations in the window, "
+            f"{heard + 1} of {self.member_count} instances heard"
+        )
+
     def _admitted(self, name: str, now: timedelta) -> float:
         state = self._state_by_account.get(name)
         used = 0.0
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from bulrushloom.conf.exceptions import SettingsError
+from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
 from bulrushloom.proxy.fleet import Fleet
 from bulrushloom.proxy.gossip import Directory, Gossip, Member
@@ -48,7 +49,6 @@
 STOP_MARGIN = timedelta(milliseconds=700)
 # The lease lapses by itself if the store does not answer in this time.
 RESIGN_LIMIT = timedelta(milliseconds=500)
-READY_PATH = "/v1/ready"
 METRICS_PATH = "/metrics"
 _ZERO = timedelta()
 
--- a/bulrushloom/proxy/serve.py
+++ b/bulrushloom/proxy/serve.py
@@ -5,8 +5,8 @@
 from contextlib import ExitStack
 
 from bulrushloom.conf.exceptions import SettingsError
+from bulrushloom.platform.process import SETTINGS_VARIABLE
 from bulrushloom.proxy.node import Node
-from bulrushloom.proxy.settings import SETTINGS_VARIABLE
 from bulrushloom.runtime.loop import BootClock, Loop
 
 BAD_SETTINGS_STATUS = 2
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -271,7 +271,7 @@
                 return None
             if now + wait > deadline:
                 self._services.metrics.count("rate_limited", account.name)
-                reason = f"account {account.name} is above its rate"
+                reason = limiter.describe(account, now)
                 return Failure(AnswerCode.NOT_RUN, reason, wait)
             yield self._loop.sleep(wait)
             now = self._loop.now()
--- a/bulrushloom/proxy/settings.py
+++ b/bulrushloom/proxy/settings.py
@@ -10,7 +10,6 @@
 from bulrushloom.conf.exceptions import SettingsError
 from bulrushloom.runtime.streams import split_address
 
-SETTINGS_VARIABLE = "BULRUSHLOOM_CONFIG"
 MAX_SETTINGS_BYTES = 64 * 1024
 
 
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -100,6 +100,7 @@
             try:
                 answer = yield from self._runner.send(connection, attempt, None)
             except AnswerLost as error:
+                self._runner.log_attempt(attempt, connection.target, str(error))
                 return self._fail_with(f"a statement got no answer: {error}")
             if answer.failure is None:
                 return Outcome(None, answer)
@@ -137,6 +138,7 @@
                 answer = yield from self._begin_at(attempt, target, is_primary)
             except NotOffered as error:
                 last = str(error)
+                self._runner.log_attempt(attempt, target, last)
                 continue
             if answer.failure is None:
                 return True
@@ -249,6 +251,7 @@
             try:
                 answer = yield from self._runner.send(connection, attempt, None)
             except AnswerLost as error:
+                self._runner.log_attempt(attempt, connection.target, str(error))
                 return Outcome(self._lost_commit(error), None)
             if answer.failure is None:
                 if self.wrote:
--- /dev/null
+++ b/tests/proxy/test_settings.py
@@ -0,0 +1,74 @@
+"""Settings of the session proxy: checked at start, unknown keys ignored."""
+
+import pytest
+import yaml
+
+from bulrushloom.conf.exceptions import SettingsError
+from bulrushloom.proxy.settings import load_proxy_settings, parse_proxy_settings
+
+VALID = {
+    "name": "north-1",
+    "domain": "north",
+    "session_address": "10.1.0.2:8465",
+    "probe_address": "10.1.0.2:8460",
+    "peer_address": "10.1.0.2:7560",
+    "metrics_address": "10.1.0.2:7561",
+    "store_address": "10.200.1.7:8466",
+    "duties_address": "10.200.0.2:8466",
+    "withdrawn_key_bound_ms": 5000,
+    "configuration_bound_ms": 3000,
+    "target_drain_bound_ms": 7000,
+    "target_heartbeat_ms": 1200,
+    "stop_grace_s": 6,
+    "rate_window_s": 5,
+    "rate_excess": 0.1,
+    "rate_slack": 20,
+    "lease_minimum_ms": 1000,
+}
+
+
+def parse(**changes):
+    return parse_proxy_settings(yaml.safe_dump(VALID | changes).encode(), "s.yaml")
+
+
+def test_valid_settings_are_read_and_unknown_keys_ignored():
+    settings = parse(something_new={"a": 1})
+    assert settings.domain == "north"
+    assert settings.withdrawn_key_bound.total_seconds() == 5
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": ""},
+        {"name": 7},
+        {"session_address": "10.1.0.2"},
+        {"store_address": None},
+        {"stop_grace_s": -1},
+        {"rate_excess": "much"},
+        {"rate_slack": True},
+    ],
+)
+def test_wrong_value_names_its_key(changes):
+    with pytest.raises(SettingsError) as caught:
+        parse(**changes)
+    assert next(iter(changes)) in str(caught.value.problems)
+
+
+def test_all_problems_are_told_at_once(tmp_path):
+    with pytest.raises(SettingsError) as caught:
+        parse_proxy_settings(b"name: x\n", "s.yaml")
+    assert len(caught.value.problems) == len(VALID) - 1
+
+
+@pytest.mark.parametrize("data", [b"", b"- 1", b"a: [", b"\xff\xfe", b"x" * 70_000])
+def test_what_is_no_settings_file_is_an_error(data, tmp_path):
+    path = tmp_path / "s.yaml"
+    path.write_bytes(data)
+    with pytest.raises(SettingsError):
+        load_proxy_settings(str(path))
+
+
+def test_missing_file_is_an_error():
+    with pytest.raises(SettingsError):
+        load_proxy_settings("missing.yaml")
--- /dev/null
+++ b/tests/proxy/test_telemetry.py
@@ -0,0 +1,98 @@
+"""Logs that never block and metrics as text."""
+
+import fcntl
+import os
+from datetime import timedelta
+
+import orjson
+import pytest
+
+from bulrushloom.core.clock import ManualClock
+from bulrushloom.proxy.telemetry import (
+    LINES_PER_S,
+    MAX_WAITING_LINES,
+    EventLog,
+    Metrics,
+)
+from bulrushloom.runtime.loop import Loop
+from standins.platform.network import run_for
+from tests.proxy.builders import ms
+
+SECOND = timedelta(seconds=1)
+
+
+@pytest.fixture
+def logged():
+    """Give a loop, a log that writes to a pipe, and the pipe's other end."""
+    loop = Loop(ManualClock())
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    log = EventLog(loop, "north-1", writer)
+    yield loop, log, reader
+    log.close()
+    loop.close()
+    os.close(reader)
+    os.close(writer)
+
+
+def read_lines(reader):
+    try:
+        data = os.read(reader, 1 << 20)
+    except BlockingIOError:
+        return []
+    return [orjson.loads(line) for line in data.splitlines()]
+
+
+def test_event_is_one_json_line_with_its_inputs(logged):
+    loop, log, reader = logged
+    log.write("statement_failed", request_id=b"x1", evidence_age=ms(1500), code="busy")
+    run_for(loop, SECOND)
+    (line,) = read_lines(reader)
+    assert line["message_type"] == "statement_failed"
+    assert (line["request_id"], line["evidence_age"]) == ("x1", 1500.0)
+    assert line["instance"] == "north-1"
+
+
+def test_flood_of_events_is_bounded_and_counted(logged):
+    # Guards against a log that takes the processor while load is at its worst.
+    loop, log, reader = logged
+    for _ in range(LINES_PER_S * 3):
+        log.write("statement_failed", request_id="x")
+    run_for(loop, SECOND)
+    lines = read_lines(reader)
+    assert len(lines) <= LINES_PER_S * 2
+    dropped = [x for x in lines if x["message_type"] == "log_lines_dropped"]
+    assert dropped[0]["count_by_event"]["statement_failed"] >= LINES_PER_S
+
+
+def test_reader_that_does_not_read_blocks_nothing(logged):
+    # Guards against an instance that stands still because nobody reads its output.
+    loop, log, reader = logged
+    size = fcntl.fcntl(reader, fcntl.F_GETPIPE_SZ)
+    for _ in range(MAX_WAITING_LINES):
+        log.write("statement_failed", reason="x" * (size // 1000))
+        loop.clock.advance(ms(5))
+        run_for(loop, ms(0))
+    run_for(loop, SECOND)
+    assert loop.now() > SECOND
+
+
+def test_metrics_are_text_with_counts_and_quantiles():
+    metrics = Metrics()
+    metrics.count("statements_failed", "not run")
+    metrics.count("statements_failed", "not run")
+    metrics.gauges["sessions"] = 3
+    for latency in (10, 20, 30):
+        metrics.record("read_latency", ms(latency))
+    text = metrics.text().decode()
+    assert 'bulrushloom_statements_failed_total{case="not run"} 2' in text
+    assert "bulrushloom_sessions 3" in text
+    assert "bulrushloom_read_latency_seconds_count 3" in text
+    assert 'quantile="0.5"} 0.02' in text
+
+
+def test_latency_beyond_the_range_is_counted_at_its_end():
+    metrics = Metrics()
+    metrics.record("read_latency", timedelta(hours=1))
+    metrics.record("read_latency", timedelta())
+    assert b"bulrushloom_read_latency_seconds_count 2" in metrics.text()
