--- a/specs/check.py
+++ b/specs/check.py
@@ -77,6 +77,12 @@
     return Run(name, "coordination.pml", tuple(defines), violated)
 
 
+def promotion(fault: str = "", violated: str = "") -> Run:
+    """Return a run of the change of primary on the platform."""
+    defines = (f"-DFAULT_{fault}",) if fault else ()
+    return Run(f"promotion {fault}".rstrip(), "promotion.pml", defines, violated)
+
+
 RUNS = (
     failover("failover, two watchers with two rounds", 2, 2, 1),
     failover("failover, two watchers and two writes", 2, 1, 2),
@@ -96,6 +102,13 @@
     ),
     failover_fault("ACK_ALONE", "acknowledged_write_lost"),
     failover_fault("ACK_ANY_TERM", "replaced_primary_acknowledged"),
+    promotion(),
+    promotion("TIMEOUT_CONFIRMS", "acknowledged_write_lost"),
+    promotion("CONFIRM_EARLY", "replaced_primary_acknowledged"),
+    promotion("NO_PAUSE", "replaced_primary_acknowledged"),
+    promotion("PROMOTE_ANY", "replaced_primary_acknowledged"),
+    promotion("PUBLISH_EARLY", "stale_primary_read"),
+    promotion("EVIDENCE_FROM_ANSWER", "stale_primary_read"),
     coordination("RULES"),
     coordination("RULES", "BLIND_WRITE", "accepted_configuration_reverted"),
     coordination("RULES", "TAKE_ANY_VERSION", "accepted_configuration_reverted"),
--- /dev/null
+++ b/specs/promotion.pml
@@ -0,0 +1,167 @@
+/*
+ * Change of primary on the platform (docs/design/platform.md, questions 1 to 3).
+ *
+ * One leader, two instances that send commits and reads, an old primary and two
+ * replicas. A commit is acknowledged once one replica has received it. Any call may
+ * come at any later time or never, so cuts, freezes and lost answers are covered.
+ * Time passes in ticks; the age limit of evidence is LIMIT ticks.
+ */
+
+#define INSTANCES 2
+#define LIMIT 0
+#define LAST_TICK 2
+#define COMMITS 1
+#define READS 1               /* reads of the store by each instance */
+
+/* Phases of the group record. */
+#define STEADY_OLD 0
+#define REPLACING 1
+#define STEADY_NEW 2
+
+byte now = 0;
+byte record = STEADY_OLD;
+byte announced_at = 0;
+
+byte primary_log = 0;           /* commits at the old primary */
+byte replica_log[2];            /* commits that each replica has received */
+bool paused[2];
+bool promoted = false;
+byte successor_log = 0;         /* commits with which the successor began */
+bool successor_acknowledged = false;
+
+byte evidence_at[INSTANCES];
+byte known[INSTANCES];          /* phase that the instance follows */
+byte in_flight[INSTANCES];      /* number of the commit under way, 0 for none */
+bool confirmed[INSTANCES];
+byte acknowledged[INSTANCES];   /* highest commit that a caller was told of */
+byte reported[INSTANCES];       /* the same, as the leader was told with the
+                                   confirmation */
+
+bool acknowledged_write_lost = false;
+bool replaced_primary_acknowledged = false;
+bool stale_primary_read = false;
+
+#define IS_FRESH(i) (now - evidence_at[i] <= LIMIT)
+#define USES_OLD(i) (known[i] == STEADY_OLD && IS_FRESH(i))
+#define ALL_CONFIRMED (confirmed[0] && confirmed[1])
+#ifdef FAULT_CONFIRM_EARLY
+#define MAY_CONFIRM(i) true
+#else
+#define MAY_CONFIRM(i) (in_flight[i] == 0)
+#endif
+#define COVERS(r) (replica_log[r] >= reported[0] && replica_log[r] >= reported[1])
+#define LATE (now > announced_at + LIMIT)
+
+proctype clock() {
+    do
+    :: now < LAST_TICK -> now++
+    :: else -> break
+    od
+}
+
+proctype replicate() {
+    do
+    :: d_step { !paused[0] && replica_log[0] < primary_log -> replica_log[0]++ }
+    :: d_step { !paused[1] && replica_log[1] < primary_log -> replica_log[1]++ }
+    :: now >= LAST_TICK -> break
+    od
+}
+
+/*
+ * A read of the store is one step: if its answer comes late, it counts from when it was
+ * asked for, which is the same as an earlier read that was answered at once. The first
+ * instance sends the commits.
+ */
+proctype instance(byte i) {
+    byte reads = 0;
+    byte seen = STEADY_OLD;
+    do
+#ifdef FAULT_EVIDENCE_FROM_ANSWER
+    :: reads < READS -> reads++; seen = record
+    :: d_step { reads > 0 ->
+           known[i] = (seen > known[i] -> seen : known[i]);
+           evidence_at[i] = now }
+#else
+    :: d_step { reads < READS && known[i] != STEADY_NEW ->
+           reads++;
+           known[i] = record;
+           evidence_at[i] = now }
+#endif
+    :: d_step { i == 0 && USES_OLD(i) && in_flight[i] == 0 && primary_log < COMMITS ->
+           primary_log++;
+           in_flight[i] = primary_log }
+    /* The answer to a commit that a replica has received, at any later time. */
+    :: d_step { in_flight[i] > 0 &&
+           (replica_log[0] >= in_flight[i] || replica_log[1] >= in_flight[i]) ->
+           acknowledged[i] = in_flight[i];
+           in_flight[i] = 0;
+           replaced_primary_acknowledged =
+               (promoted && acknowledged[i] > successor_log) }
+    :: d_step { known[i] >= REPLACING && !confirmed[i] && MAY_CONFIRM(i) ->
+           confirmed[i] = true;
+           reported[i] = acknowledged[i] }
+    :: d_step { known[i] == STEADY_NEW && IS_FRESH(i) && !successor_acknowledged ->
+           successor_acknowledged = true }
+    :: USES_OLD(i) && successor_acknowledged -> stale_primary_read = true; break
+    :: replaced_primary_acknowledged -> break
+    :: now >= LAST_TICK -> break
+    od;
+    assert(!stale_primary_read);
+    assert(!replaced_primary_acknowledged)
+}
+
+proctype leader() {
+    byte candidate;
+    d_step { record = REPLACING; announced_at = now };
+#ifndef FAULT_NO_PAUSE
+    /* The replicas that are in reach are paused one after the other. */
+    do
+    :: d_step { !paused[0] -> paused[0] = true }
+    :: d_step { !paused[1] -> paused[1] = true }
+    :: paused[0] || paused[1] -> break
+    od;
+    skip;
+#endif
+    d_step {
+        candidate = (replica_log[1] > replica_log[0] -> 1 : 0);
+#ifndef FAULT_NO_PAUSE
+        candidate = (!paused[0] -> 1 : (!paused[1] -> 0 : candidate))
+#endif
+#ifdef FAULT_PROMOTE_ANY
+        candidate = 0
+#endif
+    };
+#ifndef FAULT_NO_PAUSE
+    if
+    :: paused[0] && paused[1]
+    :: ALL_CONFIRMED && COVERS(candidate)
+#ifdef FAULT_TIMEOUT_CONFIRMS
+    :: LATE && COVERS(candidate)
+#endif
+    fi;
+#endif
+    d_step {
+        promoted = true;
+        successor_log = replica_log[candidate];
+        if
+        :: acknowledged[0] > successor_log || acknowledged[1] > successor_log ->
+           acknowledged_write_lost = true
+        :: else
+        fi
+    };
+    assert(!acknowledged_write_lost);
+#ifndef FAULT_PUBLISH_EARLY
+    (ALL_CONFIRMED || LATE);
+#endif
+    record = STEADY_NEW
+}
+
+init {
+    atomic {
+        run clock();
+        run replicate();
+        run instance(0);
+        run instance(1);
+        run leader()
+    }
+}
