Copy a newer configuration from an instance of the own domain

Ruled out: the configuration inside datagrams; 280 routes take 80 KB.

Change: GET /configuration/REVISION on the metrics address; speakers still read the store.

--- a/bulrushloom/platform/documents.py
+++ b/bulrushloom/platform/documents.py
@@ -14,6 +14,7 @@
     Service,
     Target,
 )
+from bulrushloom.proxy.store import DocumentError
 
 _CONSISTENCY_BY_WORD = {
     "primary": Consistency.PRIMARY,
@@ -24,10 +25,6 @@
 DEFAULT_STATEMENT_LIMIT_MS = 1000
 
 
-class DocumentError(ValueError):
-    """A document of the operators cannot be understood."""
-
-
 def decode_configuration(value: bytes, revision: int) -> Configuration:
     """Return the configuration in ``value``; raise ``DocumentError`` if broken."""
     try:
--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -11,13 +11,11 @@
 import orjson
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.platform.documents import (
-    DocumentError,
-    decode_configuration,
-    decode_target,
-)
+from bulrushloom.platform.documents import decode_configuration, decode_target
 from bulrushloom.proxy.configuration import Configuration, Target
 from bulrushloom.proxy.store import (
+    ConfigurationDocument,
+    DocumentError,
     ExpectedRevision,
     Lease,
     Promotion,
@@ -56,6 +54,7 @@
         self._writer = HttpClient(loop, address)
         self._keeper = HttpClient(loop, address)
         self._configuration: Configuration | None = None
+        self._document: ConfigurationDocument | None = None
         self._target_by_key: dict[str, tuple[int, Target | Missing]] = {}
         self.calls = 0
 
@@ -119,10 +118,22 @@
             return
         try:
             value = base64.b64decode(item["Value"])
-            self._configuration = decode_configuration(value, item["Rev"])
+            self.adopt(ConfigurationDocument(item["Rev"], value))
         except (DocumentError, binascii.Error) as error:
             self._log("configuration_unreadable", reason=str(error))
 
+    def document(self) -> ConfigurationDocument | None:
+        """Return the configuration in force as it was written."""
+        return self._document
+
+    def adopt(self, document: ConfigurationDocument) -> Configuration:
+        """Take a version from another instance; raise ``DocumentError`` if broken."""
+        known = self._configuration
+        if known is None or known.revision < document.revision:
+            known = decode_configuration(document.value, document.revision)
+            self._configuration, self._document = known, document
+        return known
+
     def _read_target(self, item: dict[str, Any]) -> tuple[int, Target | Missing]:
         key, revision = item["Key"], item["Rev"]
         known = self._target_by_key.get(key)
--- a/bulrushloom/proxy/fleet.py
+++ b/bulrushloom/proxy/fleet.py
@@ -36,7 +36,11 @@
 
 
 class Fleet:
-    """Follow the other instances; ``read_store`` is called when they know more."""
+    """Follow the other instances.
+
+    ``read_store`` is called when they know more, and ``fetch_configuration`` when one
+    of the own domain has a newer version.
+    """
 
     def __init__(
         self,
@@ -44,6 +48,7 @@
         member: Member,
         gossip: Callable[[Callable[[Report], None]], Gossip],
         read_store: Callable[[], object],
+        fetch_configuration: Callable[[Member, int], object],
     ):
         self._services = services
         self._loop = services.loop
@@ -52,6 +57,7 @@
         self._urgent_at = self._loop.now()
         services.on_suspicion = self.send_urgently
         self._read_store = read_store
+        self._fetch_configuration = fetch_configuration
         self._turn = 0
         self._domain_usage: dict[str, DomainUsage] = {}
         self._directory: Directory | None = None
@@ -294,7 +300,7 @@
             services.note_commit(service, position)
         self._hear_groups(report)
         if report.view is not None:
-            self._hear_view(report.view, report.followed_by_service)
+            self._hear_view(report)
         if report.directory is not None:
             self.take_directory(report.directory)
 
@@ -325,9 +331,11 @@
             # The sender waits until every instance follows the announcement.
             self.announce([report.member], {})
 
-    def _hear_view(self, view: StoreView, followed: Mapping[str, int]) -> None:
+    def _hear_view(self, report: Report) -> None:
         """Rely on what another instance read, if this one knows as much."""
-        services = self._services
+        services, view = self._services, report.view
+        assert view is not None
+        followed = report.followed_by_service
         own = services.followed_groups()
         knows_groups = all(
             own.get(service, 0) >= revision for service, revision in followed.items()
@@ -337,7 +345,11 @@
             services.evidence.confirm(view.confirmed_at)
             services.record_seals(view.confirmed_at)
         elif view.confirmed_at > services.evidence.confirmed_at:
-            self._read_store()
+            if knows_groups and report.member.domain == self._member.domain:
+                # Within a domain a copy is free; the speaker read the store.
+                self._fetch_configuration(report.member, view.configuration_revision)
+            else:
+                self._read_store()
 
     def close(self) -> None:
         """Close the socket."""
--- a/bulrushloom/proxy/gossip.py
+++ b/bulrushloom/proxy/gossip.py
@@ -32,12 +32,16 @@
 
 
 class Member(NamedTuple):
-    """Name one running instance; ``incarnation`` differs with each start."""
+    """Name one running instance; ``incarnation`` differs with each start.
+
+    ``address`` takes datagrams; ``document_address`` serves the configuration.
+    """
 
     name: str
     incarnation: str
     address: str
     domain: str
+    document_address: str
 
 
 class DomainUsage(NamedTuple):
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -38,6 +38,7 @@
                 fields["incarnation"],
                 fields["address"],
                 fields["domain"],
+                fields["document_address"],
             )
         except (KeyError, TypeError, ValueError):
             continue
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -14,6 +14,7 @@
 from bulrushloom.conf.exceptions import SettingsError
 from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
+from bulrushloom.proxy.configuration import Configuration
 from bulrushloom.proxy.fleet import Fleet
 from bulrushloom.proxy.gossip import Directory, Gossip, Member
 from bulrushloom.proxy.groups import group_records
@@ -24,9 +25,14 @@
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
-from bulrushloom.proxy.store import StoreFailure, StoreSnapshot
+from bulrushloom.proxy.store import (
+    ConfigurationDocument,
+    DocumentError,
+    StoreFailure,
+    StoreSnapshot,
+)
 from bulrushloom.proxy.telemetry import EventLog, Metrics
-from bulrushloom.runtime.http import HttpServer
+from bulrushloom.runtime.http import HttpClient, HttpError, HttpServer
 from bulrushloom.runtime.loop import Loop, Steps
 from bulrushloom.runtime.streams import Listener, Stream, TcpNetwork
 
@@ -50,6 +56,9 @@
 # The lease lapses by itself if the store does not answer in this time.
 RESIGN_LIMIT = timedelta(milliseconds=500)
 METRICS_PATH = "/metrics"
+DOCUMENT_PATH = "/configuration/"
+# A copy within a domain takes milliseconds; then the store is read.
+FETCH_LIMIT = timedelta(milliseconds=500)
 _ZERO = timedelta()
 
 
@@ -75,7 +84,11 @@
         stack.callback(self._store.close)
         self.incarnation = os.urandom(6).hex()
         self.member = Member(
-            settings.name, self.incarnation, settings.peer_address, settings.domain
+            settings.name,
+            self.incarnation,
+            settings.peer_address,
+            settings.domain,
+            settings.metrics_address,
         )
         self._registration = Registration(loop, self._store, self.log, self.member)
         self.leadership = Leadership(
@@ -88,6 +101,7 @@
         self._is_ready = False
         self._store_is_lost = False
         self._reading: Future[Any] | None = None
+        self._fetching: Future[Any] | None = None
         self._read_at = _ZERO
 
     # Start
@@ -100,6 +114,7 @@
             self.member,
             lambda hear: Gossip(loop, settings.peer_address, self.member, hear),
             self.confirm_soon,
+            self._fetch_configuration,
         )
         stack.callback(self.fleet.close)
         self.keeper = PrimaryKeeper(
@@ -233,6 +248,42 @@
         behind = 0 if self.fleet.is_speaker() else len(ordered)
         return ordered.index(self.member.domain) + behind
 
+    def _fetch_configuration(self, member: Member, revision: int) -> None:
+        """Copy a newer configuration from an instance of the own domain."""
+        if self._fetching is None or self._fetching.done():
+            self._fetching = self._loop.spawn(self._fetch(member, revision))
+
+    def _fetch(self, member: Member, revision: int) -> Steps:
+        client = HttpClient(self._loop, member.document_address)
+        path = f"{DOCUMENT_PATH}{revision}"
+        try:
+            response = yield client.request("GET", path, b"", FETCH_LIMIT)
+            if response.status != 200:
+                raise HttpError(f"status {response.status}")
+            document = ConfigurationDocument(revision, response.body)
+            self._take_configuration(self._store.adopt(document), member.name)
+        except (HttpError, DocumentError) as error:
+            self.log.write(
+                "configuration_not_fetched", source=member.name, reason=str(error)
+            )
+            yield self.confirm_soon()
+        finally:
+            client.close()
+
+    def _take_configuration(self, configuration: Configuration, source: str) -> None:
+        services = self.services
+        if configuration.revision <= services.configuration.revision:
+            return
+        services.configuration = configuration
+        self.log.write(
+            "configuration_in_force",
+            version=configuration.version,
+            revision=configuration.revision,
+            routes=len(configuration.route_by_database),
+            accounts=len(configuration.account_by_name),
+            source=source,
+        )
+
     def _note_store(self, failure: StoreFailure | None) -> None:
         self.metrics.count("store_reads", failure.problem.value if failure else "ok")
         if failure is not None and not self._store_is_lost:
@@ -249,16 +300,8 @@
             services.limiter.start_from(noted)
             self.log.write("limits_started", noted=noted)
         services.evidence.confirm(snapshot.asked_at)
-        configuration = snapshot.configuration
-        if configuration and configuration.revision > services.configuration.revision:
-            services.configuration = configuration
-            self.log.write(
-                "configuration_in_force",
-                version=configuration.version,
-                revision=configuration.revision,
-                routes=len(configuration.route_by_database),
-                accounts=len(configuration.account_by_name),
-            )
+        if snapshot.configuration is not None:
+            self._take_configuration(snapshot.configuration, "store")
         services.take_groups(group_records(snapshot.record_by_key.values()))
         services.record_seals(snapshot.asked_at)
         members = decode_members(snapshot.member_by_key or {})
@@ -296,6 +339,8 @@
     def _answer_metrics(
         self, method: str, path: str, _body: bytes
     ) -> tuple[int, Mapping[str, str], bytes]:
+        if method == "GET" and path.startswith(DOCUMENT_PATH):
+            return self._answer_document(path.removeprefix(DOCUMENT_PATH))
         if method != "GET" or path != METRICS_PATH:
             return 404, {}, b""
         gauges = self.metrics.gauges
@@ -307,6 +352,12 @@
         gauges["gossip_bytes"] = self.fleet.sent_bytes
         return 200, {"Content-Type": "text/plain"}, self.metrics.text()
 
+    def _answer_document(self, revision: str) -> tuple[int, Mapping[str, str], bytes]:
+        document = self._store.document()
+        if document is None or str(document.revision) != revision:
+            return 404, {}, b""
+        return 200, {"Content-Type": "application/json"}, document.value
+
     # Stop
 
     def _stop(self) -> Steps:
--- a/bulrushloom/proxy/store.py
+++ b/bulrushloom/proxy/store.py
@@ -76,6 +76,17 @@
     lease_id: int = 0
 
 
+class DocumentError(ValueError):
+    """A document of the operators cannot be understood."""
+
+
+class ConfigurationDocument(NamedTuple):
+    """Hold a version of the configuration as the operators wrote it."""
+
+    revision: int
+    value: bytes
+
+
 class ProxyStore(ABC):
     """Read and change the platform's store; every call ends within its own limit.
 
@@ -86,6 +97,17 @@
     def snapshot(self, with_members: bool) -> "Future[StoreSnapshot | StoreFailure]":
         """Read configuration, targets and records; linearizable."""
 
+    @abstractmethod
+    def document(self) -> ConfigurationDocument | None:
+        """Return the configuration in force as it was written."""
+
+    @abstractmethod
+    def adopt(self, document: ConfigurationDocument) -> Configuration:
+        """Take a version from another instance; raise ``DocumentError`` if broken.
+
+        The newest version that is known is returned, whatever ``document`` holds.
+        """
+
     @abstractmethod
     def create_lease(self, ttl: timedelta) -> "Future[Lease | StoreFailure]":
         """Create a lease."""
--- a/standins/platform/kv_server.py
+++ b/standins/platform/kv_server.py
@@ -29,7 +29,7 @@
     def __init__(self, loop: Loop, address: str, group: SimulatedGroup | None = None):
         self._loop = loop
         self._group = group
-        self._server = HttpServer(loop, address, self._handle)
+        self._server = HttpServer(loop, address, self.handle)
         self.port = self._server.port
         self.status = 200
         self.page_items = PAGE_ITEMS
@@ -67,7 +67,8 @@
                 self.revision += 1
                 del self.item_by_key[key]
 
-    def _handle(self, method: str, target: str, body: bytes) -> Reply:
+    def handle(self, method: str, target: str, body: bytes) -> Reply:
+        """Answer one call."""
         self.calls.append((method, target))
         if self.status != 200:
             return self.status, {}, b""
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -9,6 +9,7 @@
 from bulrushloom.proxy.configuration import Configuration, Target
 from bulrushloom.proxy.membership import MEMBER_PREFIX
 from bulrushloom.proxy.store import (
+    ConfigurationDocument,
     ExpectedRevision,
     Lease,
     Promotion,
@@ -154,6 +155,14 @@
             members,
         )
 
+    def document(self) -> ConfigurationDocument | None:
+        """Return nothing; simulated instances read the store themselves."""
+        return None
+
+    def adopt(self, document: ConfigurationDocument) -> Configuration:
+        """Return the configuration of the store."""
+        return self._store.configuration
+
     def create_lease(self, ttl: timedelta) -> "Future[Lease | StoreFailure]":
         """Create a lease."""
         return self._call(lambda: self._create(ttl), writes=True)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,12 +8,9 @@
 from hypothesis import strategies as st
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.platform.documents import (
-    DocumentError,
-    decode_configuration,
-    decode_target,
-)
+from bulrushloom.platform.documents import decode_configuration, decode_target
 from bulrushloom.proxy.configuration import Consistency
+from bulrushloom.proxy.store import DocumentError
 from tests.platform.builders import build_document, build_entry
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,10 +4,13 @@
 from contextlib import ExitStack
 from datetime import timedelta
 
+import orjson
 import pytest
 
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
 from bulrushloom.proxy.store import (
+    ConfigurationDocument,
+    DocumentError,
     ExpectedRevision,
     Lease,
     Put,
@@ -83,6 +86,21 @@
     assert logged == ["configuration_unreadable"]
 
 
+def test_version_of_another_instance_is_adopted_and_never_goes_back(platform):
+    # Guards against a configuration that regresses because a peer is behind.
+    loop, server, client, _ = platform
+    server.put_json("op/config", build_document(7))
+    wait_for(loop, client.snapshot(True))
+    known = client.document()
+    newer = ConfigurationDocument(known.revision + 5, orjson.dumps(build_document(9)))
+    assert client.adopt(newer).version == 9
+    assert client.adopt(known).version == 9
+    assert client.document() == newer
+    with pytest.raises(DocumentError):
+        client.adopt(ConfigurationDocument(known.revision + 9, b"{"))
+    assert client.document() == newer
+
+
 def test_commit_under_a_condition(platform):
     loop, server, client, _ = platform
     put = Put("proxy/leader", b"me")
--- a/tests/processes/test_proxy_daemon.py
+++ b/tests/processes/test_proxy_daemon.py
@@ -14,6 +14,7 @@
 import yaml
 
 from bulrushloom.proxy.membership import MEMBER_PREFIX
+from bulrushloom.runtime.http import HttpServer
 from bulrushloom.runtime.streams import Listener, TcpNetwork
 from standins.platform.group import SimulatedGroup
 from standins.platform.kv_server import KeyValueServer
@@ -70,20 +71,20 @@
                 self.store.put_json(f"servers/{server.server_id}", entry)
         self.loop.call_later(HEARTBEAT, self.beat)
 
-    def start(self, name):
+    def start(self, name, store=""):
         ports = free_ports(4)
         fields = ("session", "probe", "peer", "metrics")
         addresses = {
             f"{field}_address": f"127.0.0.1:{port}"
             for field, port in zip(fields, ports, strict=True)
         }
-        store = f"127.0.0.1:{self.store.port}"
+        store = store or f"127.0.0.1:{self.store.port}"
         path = self.folder / f"{name}.yaml"
         settings = {
             "name": name,
             "domain": name.rpartition("-")[0],
             "store_address": store,
-            "duties_address": store,
+            "duties_address": f"127.0.0.1:{self.store.port}",
             "withdrawn_key_bound_ms": 5000,
             "configuration_bound_ms": 3000,
             "target_drain_bound_ms": 7000,
@@ -256,6 +257,44 @@
     assert daemon.session(key="key-2").query("READ 1")[-2].startswith("DONE")
 
 
+def test_instance_without_the_store_gets_changes_from_its_domain(platform):
+    # Guards against an instance that the store turns away and that then refuses all
+    # keys although its neighbours know the rules in force.
+    entrance = StoreEntrance(platform)
+    first = platform.start("north-1")
+    first.wait_ready()
+    second = platform.start("north-2", entrance.address)
+    second.wait_ready()
+    wait_until(
+        platform.loop, lambda: "members 2" in first.get("metrics", "/metrics")[1]
+    )
+    entrance.is_closed = True
+    document = build_document(2)
+    document["Tenants"][0]["ApiKeys"] = ["key-2"]
+    platform.store.put_json("op/config", document)
+    end = platform.loop.now() + SECOND * 6
+    wait_until(platform.loop, lambda: platform.loop.now() > end, SECOND * 7)
+    assert second.session().greeting[0].startswith("ERR NOAUTH")
+    assert second.session(key="key-2").query("READ 1")[-2].startswith("DONE")
+    assert '"source":"north-1"' in (platform.folder / "north-2.log").read_text()
+
+
+class StoreEntrance:
+    """Pass calls on to the store, or refuse them for the instances that use it."""
+
+    def __init__(self, platform):
+        self._store = platform.store
+        self.is_closed = False
+        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        server = HttpServer(platform.loop, self.address, self._handle)
+        platform.stack.callback(server.close)
+
+    def _handle(self, method, path, body):
+        if self.is_closed:
+            return 503, {}, b""
+        return self._store.handle(method, path, body)
+
+
 def test_bad_settings_end_the_daemon_with_a_reason(tmp_path):
     path = tmp_path / "settings.yaml"
     path.write_text("name: north-1\nsession_address: nowhere\n")
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -39,7 +39,7 @@
         self.is_stopped = False
         self.errors = fleet.errors
         settings = SETTINGS._replace(name=name, domain=domain)
-        member = Member(name, "run-1", f"{name}:1", domain)
+        member = Member(name, "run-1", f"{name}:1", domain, f"{name}:2")
         self.network = fleet.network
         self.services = Services(
             fleet.loop, fleet.network, settings, fleet.log, Metrics()
@@ -53,6 +53,7 @@
             member,
             lambda hear: MemoryGossip(fleet.datagrams, member, hear, fleet.stack),
             self.read,
+            lambda *_: self.read(),
         )
         self.keeper = PrimaryKeeper(
             self.services,
--- a/tests/proxy/test_gossip.py
+++ b/tests/proxy/test_gossip.py
@@ -37,7 +37,7 @@
             clock = ManualClock()
             loop = Loop(clock)
             stack.callback(loop.close)
-            member = Member(name, "run", free_address(), name[:5])
+            member = Member(name, "run", free_address(), name[:5], "127.0.0.1:1")
             heard = []
             gossip = Gossip(loop, member.address, member, heard.append)
             stack.callback(gossip.close)
