--- a/bulrushloom/proxy/fleet.py
+++ b/bulrushloom/proxy/fleet.py
@@ -169,11 +169,12 @@
             report = report._replace(directory=self._directory)
         self._gossip.send(neighbours, report)
         if speaks and self._turn % TURNS_BETWEEN_DOMAINS == 0:
-            total = self._domain_total()
-            self._gossip.send(
-                self._other_speakers(),
-                report._replace(usage_by_account={}, usage_by_domain={own: total}),
-            )
+            total = {own: self._domain_total()}
+            report = report._replace(usage_by_account={}, usage_by_domain=total)
+            if not self.is_leader:
+                # The leader tells the speakers itself; traffic there is paid for.
+                report = report._replace(directory=None)
+            self._gossip.send(self._other_speakers(), report)
 
     def _other_speakers(self) -> list[Member]:
         """Return a speaker of each other domain, or all members where none is known."""
