--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -242,6 +242,7 @@
         tried: list[str] = []
         running: list[Future[ServerAnswer]] = []
         last = "no target is in reach"
+        service = attempt.route.service
         hedge_after = attempt.route.latency_objective * HEDGE_SHARE
         offers = 0
         while offers < MAX_ATTEMPTS and self._loop.now() < attempt.deadline:
@@ -250,7 +251,7 @@
                 if not running:
                     waited = yield from self._wait_for_target(attempt, choice, tried)
                     if not waited:
-                        return self._refused(f"{choice.reason}; last: {last}")
+                        return self._refused(f"{choice.reason}; last: {last}", service)
                     continue
                 # Every target has the read; the first one may be asked again.
                 tried.clear()
@@ -278,7 +279,7 @@
             outcome, last = self._read_outcome(attempt, future)
             if outcome is not None:
                 return outcome
-        return self._refused(f"the read was tried {len(tried)} times; last: {last}")
+        return self._refused(f"the last of {len(tried)} tries: {last}", service)
 
     def _read_outcome(
         self, attempt: Attempt, future: "Future[ServerAnswer]"
@@ -443,10 +444,8 @@
             self._services.pool.release(connection)
         return answer
 
-    def _refused(self, reason: str, service: str = "") -> Outcome:
-        retry_after = PRIMARY_PAUSE
-        if service:
-            retry_after = max(retry_after, self.time_to_primary(service))
+    def _refused(self, reason: str, service: str) -> Outcome:
+        retry_after = max(PRIMARY_PAUSE, self.time_to_primary(service))
         return Outcome(Failure(AnswerCode.NOT_RUN, reason, retry_after), None)
 
 
--- a/tests/proxy/test_session.py
+++ b/tests/proxy/test_session.py
@@ -317,4 +317,8 @@
 def test_write_is_refused_at_once_when_a_change_of_primary_has_just_begun(instance):
     client = instance.client("strict")
     instance.services.take_groups({SERVICE: build_group(SERVICE, old_id="a")})
-    assert client.query("WRITE 1 data", ms(100))[0].startswith("ERR BUSY")
+    for text in ("WRITE 1 data", "READ 1"):
+        answer = client.query(text, ms(100))[0]
+        assert answer.startswith("ERR BUSY")
+        # The caller is told when the change can be over, not to come back at once.
+        assert int(answer.split()[-2]) >= 1000
