--- a/bulrushloom/coordination/sessions/base.py
+++ b/bulrushloom/coordination/sessions/base.py
@@ -13,5 +13,8 @@
     term: int
     offset: int
 
+    def __str__(self) -> str:
+        return f"{self.term}.{self.offset}"
+
 
 ORIGIN = LogPosition(0, 0)
--- a/bulrushloom/platform/wire.py
+++ b/bulrushloom/platform/wire.py
@@ -149,7 +149,7 @@
     """Return a statement for a server that must have applied ``after``."""
     if after is None:
         return b"QUERY " + request_id + b" " + text + END
-    prefix = f" AFTER {after.term}.{after.number} ".encode()
+    prefix = f" AFTER {after.term}.{after.offset} ".encode()
     return b"QUERY " + request_id + prefix + text + END
 
 
--- /dev/null
+++ b/bulrushloom/proxy/admission.py
@@ -0,0 +1,80 @@
+"""Whether a session may run an operation now: its route, its key and its rate."""
+
+from datetime import timedelta
+
+from bulrushloom.proxy.configuration import Account, Route
+from bulrushloom.proxy.messages import AnswerCode, Failure
+from bulrushloom.proxy.services import Services
+from bulrushloom.runtime.loop import Steps
+
+# An operation may wait this part of its latency objective for a rate token.
+TOKEN_WAIT_SHARE = 0.2
+# An unknown key or database is looked up in the store again before it is refused.
+LOOKUP_LIMIT = timedelta(milliseconds=600)
+_ZERO = timedelta()
+
+
+class Admission:
+    """Check the operations of one session against what is in force."""
+
+    def __init__(self, services: Services, database: str, key: str):
+        self._services = services
+        self._loop = services.loop
+        self._database = database
+        self._key = key
+
+    def look_up(self) -> Steps:
+        """Read the store if what is known is old: the key or database may be new."""
+        services = self._services
+        confirm = services.confirm_soon
+        age = services.evidence.age(self._loop.now())
+        if confirm is None or age < services.settings.configuration_bound * 0.5:
+            return
+        try:
+            yield self._loop.within(confirm(), LOOKUP_LIMIT)
+        except TimeoutError:
+            return
+
+    def refusal(self) -> Failure | None:
+        """Return why the session may not run anything now, or ``None``."""
+        configuration = self._services.configuration
+        route = configuration.route_by_database.get(self._database)
+        if route is None:
+            return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
+        if route.is_public:
+            return None
+        if self._key not in configuration.account_by_key:
+            return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
+        if not self._services.evidence.allows_keys(self._loop.now()):
+            reason = "keys cannot be checked: the store has not answered lately"
+            return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
+        return None
+
+    def account(self) -> Account | None:
+        """Return the account that holds the key, ``None`` on open routes without one."""
+        return self._services.configuration.account_by_key.get(self._key)
+
+    def admit(self, route: Route) -> Steps:
+        """Return why an operation may not start now, or ``None``."""
+        failure = self.refusal()
+        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
+            yield from self.look_up()
+            failure = self.refusal()
+        if failure is not None:
+            return failure
+        account = self.account()
+        if account is None:
+            return None
+        limiter, now = self._services.limiter, self._loop.now()
+        limiter.ask(account, now)
+        deadline = now + route.latency_objective * TOKEN_WAIT_SHARE
+        while True:
+            wait = limiter.try_admit(account, now)
+            if wait <= _ZERO:
+                return None
+            if now + wait > deadline:
+                self._services.metrics.count("rate_limited", account.name)
+                reason = limiter.describe(account, now)
+                return Failure(AnswerCode.NOT_RUN, reason, wait)
+            yield self._loop.sleep(wait)
+            now = self._loop.now()
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -2,12 +2,12 @@
 
 from concurrent.futures import Future
 from datetime import timedelta
-from typing import NamedTuple
 
 import xxhash
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
 from bulrushloom.proxy.configuration import Consistency, Route, Target
 from bulrushloom.proxy.connections import (
     ConnectionLost,
@@ -27,9 +27,6 @@
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
 
-# A statement that no target has taken by this part of its latency objective is refused:
-# its caller can still be served in time by another instance.
-OFFER_SHARE = 0.25
 # A read without an answer is sent to another target after this part of the objective.
 HEDGE_SHARE = 0.5
 # Pause before a target whose queue was full is tried again.
@@ -42,52 +39,6 @@
 _ZERO = timedelta()
 
 
-class Attempt(NamedTuple):
-    """Hold a single statement with what decides where it runs."""
-
-    statement: Statement
-    prepared: PreparedStatement | None
-    route: Route
-    account: str
-    started_at: timedelta
-    session_position: LogPosition | Missing
-
-    @property
-    def deadline(self) -> timedelta:
-        """Return when the route's timeout is reached."""
-        return self.started_at + self.route.statement_timeout
-
-    @property
-    def offer_deadline(self) -> timedelta:
-        """Return when a statement that no target has taken is refused."""
-        return self.started_at + self.route.latency_objective * OFFER_SHARE
-
-
-class Outcome(NamedTuple):
-    """Hold what the caller is told: a failure or the answer of a target."""
-
-    failure: Failure | None
-    answer: ServerAnswer | None
-
-
-class NotOffered(Exception):
-    """No target has received the statement."""
-
-    def __init__(self, target: Target, reason: str, pause: timedelta = _ZERO):
-        super().__init__(reason)
-        self.target = target
-        self.pause = pause
-
-
-class AnswerLost(Exception):
-    """A target received the statement, and no answer came."""
-
-    def __init__(self, target: Target, code: AnswerCode, reason: str):
-        super().__init__(reason)
-        self.target = target
-        self.code = code
-
-
 class Runner:
     """Run the statements of one session; ``values`` are its session values."""
 
--- a/bulrushloom/proxy/messages.py
+++ b/bulrushloom/proxy/messages.py
@@ -1,9 +1,10 @@
-"""Statements, answers and log positions as the session proxy handles them."""
+"""Statements and answers as the session proxy handles them."""
 
 from datetime import timedelta
 from enum import Enum, StrEnum
 from typing import NamedTuple
 
+from bulrushloom.coordination.sessions.base import LogPosition
 from bulrushloom.core.sentinels import Missing
 
 
@@ -66,16 +67,6 @@
 ClientMessage = StartRequest | Statement | Malformed | Goodbye
 
 
-class LogPosition(NamedTuple):
-    """Number a commit; ordered by term, then by number within the term."""
-
-    term: int
-    number: int
-
-    def __str__(self) -> str:
-        return f"{self.term}.{self.number}"
-
-
 NO_POSITION = Missing("the server has not told its log position")
 
 
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -7,8 +7,9 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
-from bulrushloom.proxy.configuration import Account, Route
-from bulrushloom.proxy.execution import Attempt, Outcome, Runner
+from bulrushloom.proxy.admission import Admission
+from bulrushloom.proxy.attempts import Attempt, Outcome
+from bulrushloom.proxy.execution import Runner
 from bulrushloom.proxy.messages import (
     NO_POSITION,
     AnswerCode,
@@ -29,10 +30,6 @@
 
 # A caller gives up on a session that takes longer to start.
 START_LIMIT = timedelta(seconds=5)
-# An operation may wait this part of its latency objective for a rate token.
-TOKEN_WAIT_SHARE = 0.2
-# An unknown key or database is looked up in the store again before it is refused.
-LOOKUP_LIMIT = timedelta(milliseconds=600)
 _ZERO = timedelta()
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -49,7 +46,7 @@
         self._on_end = on_end
         self._line: Future[bytes | None] | None = None
         self._database = ""
-        self._key = ""
+        self._admission = Admission(services, "", "")
         self._values: dict[bytes, bytes] = {}
         self._prepared_by_name: dict[bytes, PreparedStatement] = {}
         self._position: LogPosition | Missing = NO_POSITION
@@ -154,11 +151,12 @@
         if not isinstance(message, StartRequest):
             self._send_failure(Failure(AnswerCode.BAD_REQUEST, "no session started"))
             return False
-        self._database, self._key = message.database, message.key
-        failure = self._refusal()
+        self._database = message.database
+        self._admission = Admission(self._services, message.database, message.key)
+        failure = self._admission.refusal()
         if failure is not None and failure.code is not AnswerCode.NOT_RUN:
-            yield from self._look_up()
-            failure = self._refusal()
+            yield from self._admission.look_up()
+            failure = self._admission.refusal()
         if failure is not None:
             self._services.metrics.count("sessions_refused", failure.code.value)
             self._services.log.write(
@@ -175,39 +173,6 @@
         self._send(wire.encode_ready(TransactionState.IDLE, NO_POSITION))
         return True
 
-    def _look_up(self) -> Steps:
-        """Read the store if what is known is old: the key or database may be new."""
-        services = self._services
-        confirm = services.confirm_soon
-        age = services.evidence.age(self._loop.now())
-        if confirm is None or age < services.settings.configuration_bound * 0.5:
-            return
-        try:
-            yield self._loop.within(confirm(), LOOKUP_LIMIT)
-        except TimeoutError:
-            return
-
-    def _refusal(self) -> Failure | None:
-        """Return why the session may not run anything now, or ``None``."""
-        configuration = self._services.configuration
-        route = configuration.route_by_database.get(self._database)
-        if route is None:
-            return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
-        if route.is_public:
-            return None
-        if self._key not in configuration.account_by_key:
-            return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
-        if not self._services.evidence.allows_keys(self._loop.now()):
-            reason = "keys cannot be checked: the store has not answered lately"
-            return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
-        return None
-
-    def _route(self) -> Route:
-        return self._services.configuration.route_by_database[self._database]
-
-    def _account(self) -> Account | None:
-        return self._services.configuration.account_by_key.get(self._key)
-
     # Statements
 
     def _handle(self, message: Any) -> Steps:
@@ -251,31 +216,6 @@
             failure = Failure(AnswerCode.BAD_REQUEST, transaction.failure.reason)
             self._answer_failure(failure)
 
-    def _admit(self, request_id: bytes, route: Route) -> Steps:
-        """Return why an operation may not start now, or ``None``."""
-        failure = self._refusal()
-        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
-            yield from self._look_up()
-            failure = self._refusal()
-        if failure is not None:
-            return failure
-        account = self._account()
-        if account is None:
-            return None
-        limiter, now = self._services.limiter, self._loop.now()
-        limiter.ask(account, now)
-        deadline = now + route.latency_objective * TOKEN_WAIT_SHARE
-        while True:
-            wait = limiter.try_admit(account, now)
-            if wait <= _ZERO:
-                return None
-            if now + wait > deadline:
-                self._services.metrics.count("rate_limited", account.name)
-                reason = limiter.describe(account, now)
-                return Failure(AnswerCode.NOT_RUN, reason, wait)
-            yield self._loop.sleep(wait)
-            now = self._loop.now()
-
     def _begin(self, message: Statement) -> Steps:
         if self._transaction is not None:
             reason = "a transaction is open already"
@@ -284,13 +224,13 @@
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
         if route is not None:
-            failure = yield from self._admit(message.request_id, route)
+            failure = yield from self._admission.admit(route)
         if failure is not None or route is None:
             assert failure is not None
             self._log_failure(message, failure)
             self._answer_failure(failure)
             return
-        account = self._account()
+        account = self._admission.account()
         self._transaction = Transaction(
             self._services,
             self._runner,
@@ -312,7 +252,7 @@
             transaction.roll_back()
             self._answer_local()
             return
-        refusal = self._refusal()
+        refusal = self._admission.refusal()
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
@@ -340,12 +280,12 @@
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
         if route is not None:
-            failure = yield from self._admit(message.request_id, route)
+            failure = yield from self._admission.admit(route)
         if failure is not None or route is None:
             assert failure is not None
             self._answer(message, Outcome(failure, None))
             return
-        account = self._account()
+        account = self._admission.account()
         attempt = Attempt(
             message,
             prepared,
@@ -369,7 +309,7 @@
     ) -> Steps:
         transaction = self._transaction
         assert transaction is not None
-        refusal = self._refusal()
+        refusal = self._admission.refusal()
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -4,20 +4,14 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
 from bulrushloom.proxy.configuration import Consistency, Route, Target
 from bulrushloom.proxy.connections import (
     ConnectionLost,
     ConnectionRejected,
     ServerConnection,
 )
-from bulrushloom.proxy.execution import (
-    BUSY_PAUSE,
-    AnswerLost,
-    Attempt,
-    NotOffered,
-    Outcome,
-    Runner,
-)
+from bulrushloom.proxy.execution import BUSY_PAUSE, Runner
 from bulrushloom.proxy.messages import (
     NOT_RUN_CODES,
     AnswerCode,
--- a/tests/proxy/test_broken_sessions.py
+++ b/tests/proxy/test_broken_sessions.py
@@ -4,7 +4,8 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from bulrushloom.proxy.execution import Outcome, Runner
+from bulrushloom.proxy.attempts import Outcome
+from bulrushloom.proxy.execution import Runner
 from bulrushloom.proxy.messages import AnswerCode, Failure, LogPosition
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.transaction import Transaction
