--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -51,7 +51,7 @@
         return None
 
     def account(self) -> Account | None:
-        """Return the account that holds the key, ``None`` on open routes without one."""
+        """Return the account of the key; ``None`` on open routes without a key."""
         return self._services.configuration.account_by_key.get(self._key)
 
     def admit(self, route: Route) -> Steps:
