Log failed calls of leases and registration; never reset inside a transaction

Cause: reading the change: three failures of the store were dropped without a line, a read's last copies ended without one, and a pinned connection with many prepared names could be reset.

tests/proxy passes.

--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -22,6 +22,7 @@
     ServerAnswer,
     Statement,
     StatementKind,
+    TransactionState,
 )
 from bulrushloom.proxy.routing import Candidate
 from bulrushloom.proxy.services import Services
@@ -93,7 +94,9 @@
         """
         texts = []
         stale = connection.values.keys() - self._values.keys()
-        if stale or len(connection.prepared_by_name) > MAX_PREPARED:
+        is_full = len(connection.prepared_by_name) > MAX_PREPARED
+        # Inside a transaction the values are the session's own already.
+        if connection.state is TransactionState.IDLE and (stale or is_full):
             texts.append(wire.RESET)
             connection.values.clear()
             connection.prepared_by_name.clear()
@@ -223,13 +226,12 @@
                 if outcome is not None:
                     return outcome
         for future in running:
-            try:
-                yield self._loop.within(future, attempt.deadline - self._loop.now())
-            except (TimeoutError, NotOffered, AnswerLost):
-                continue
-            outcome, last = self._read_outcome(attempt, future)
-            if outcome is not None:
-                return outcome
+            remaining = max(attempt.deadline - self._loop.now(), _ZERO)
+            yield self._loop.first_of([future, self._loop.sleep(remaining)])
+            if future.done():
+                outcome, last = self._read_outcome(attempt, future)
+                if outcome is not None:
+                    return outcome
         return self._refused(f"the last of {len(tried)} tries: {last}", service)
 
     def _read_outcome(
--- a/bulrushloom/proxy/hot_accounts.py
+++ b/bulrushloom/proxy/hot_accounts.py
@@ -76,6 +76,7 @@
             lease = yield self._store.renew_lease(self._lease.lease_id)
         if isinstance(lease, StoreFailure):
             self._lease = None
+            self._services.log.write("hot_accounts_not_noted", reason=lease.reason)
             return
         self._lease = lease
         put = Put(HOT_ACCOUNTS_KEY, orjson.dumps(hot), lease.lease_id)
--- a/bulrushloom/proxy/leadership.py
+++ b/bulrushloom/proxy/leadership.py
@@ -89,13 +89,17 @@
             # Candidates of a lower rank may have been faster.
             snapshot = yield self._candidacy.read_store()
             if isinstance(snapshot, StoreFailure):
+                self._log.write("leader_not_acquired", reason=snapshot.reason)
                 return
             if LEADER_KEY in snapshot.record_by_key:
                 return
             fence = snapshot.record_by_key.get(FENCE_KEY)
             asked_at = self._loop.now()
             lease = yield self._store.create_lease(LEASE_TTL)
-            if isinstance(lease, StoreFailure) or self._is_stopped:
+            if self._is_stopped:
+                return
+            if isinstance(lease, StoreFailure):
+                self._log.write("leader_not_acquired", reason=lease.reason)
                 return
             taken = yield from self._take(fence, lease)
             if taken:
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -72,6 +72,7 @@
     def _register(self) -> Steps:
         lease = yield self._store.create_lease(MEMBER_TTL)
         if isinstance(lease, StoreFailure):
+            self._log.write("registration_failed", reason=lease.reason)
             return
         member = self._member
         key = f"{MEMBER_PREFIX}{member.name}/{member.incarnation}"
@@ -90,6 +91,8 @@
         if renewed.problem is StoreProblem.NO_LEASE:
             self._log.write("registration_lapsed", lease=lease.lease_id)
             self._lease = None
+        else:
+            self._log.write("registration_not_renewed", reason=renewed.reason)
 
     def end(self) -> Steps:
         """Remove the entry; the instance is about to stop."""
