--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -75,7 +75,6 @@
         self.is_stopping = False
         self._started_at = loop.now()
         self._history_by_service: dict[str, PositionHistory] = {}
-        self._too_many_by_target: dict[str, timedelta] = {}
         self.acknowledged_by_service: dict[str, LogPosition] = {}
         self._suspicion_by_target: dict[str, Suspicion] = {}
         self.on_suspicion: Callable[[], None] = lambda: None
