Build the replacement once and pass it to the keeper of primaries

Cause: read-through; the keeper took six parameters only to repeat them for the replacement and its status reader. A wire command, a pool method, a limit and a forwarding method were not used.

Behaviour is unchanged and no assertion was touched; the builder of simulated fleets follows the constructor.

--- a/bulrushloom/platform/wire.py
+++ b/bulrushloom/platform/wire.py
@@ -34,7 +34,6 @@
 BEGIN = b"BEGIN"
 BEGIN_READ = b"BEGIN READ"
 ROLLBACK = b"ROLLBACK"
-RESUME = b"RESUME"
 
 CODE_BY_WORD: dict[bytes, AnswerCode] = {
     b"NODB": AnswerCode.UNKNOWN_DATABASE,
--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -293,10 +293,6 @@
             if entry in waiters:
                 waiters.remove(entry)
 
-    def waiting(self, target_id: str) -> int:
-        """Return how many statements wait for a connection to a target."""
-        return len(self._waiters_by_target.get(target_id, ()))
-
     def release(self, connection: ServerConnection) -> None:
         """Take a connection back; one that cannot be reused is closed."""
         if not connection.is_reusable:
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -323,17 +323,13 @@
         """Wait for a change of the primary if it can come in time."""
         services, now = self._services, self._loop.now()
         remaining = attempt.deadline - now
-        if self.time_to_primary(attempt.route.service) > remaining:
+        if services.time_to_primary(attempt.route.service) > remaining:
             return False
         changed = services.primary_changed(attempt.route.service)
         pause = min(PRIMARY_PAUSE, max(remaining, _ZERO))
         yield self._loop.first_of([changed, self._loop.sleep(pause)])
         return self._loop.now() < attempt.deadline
 
-    def time_to_primary(self, service: str) -> timedelta:
-        """Return when a new primary can be expected."""
-        return self._services.time_to_primary(service)
-
     # Writes
 
     def write(self, attempt: Attempt) -> Steps:
@@ -398,7 +394,7 @@
         return answer
 
     def _refused(self, reason: str, service: str) -> Outcome:
-        retry_after = max(PRIMARY_PAUSE, self.time_to_primary(service))
+        retry_after = max(PRIMARY_PAUSE, self._services.time_to_primary(service))
         return Outcome(Failure(AnswerCode.NOT_RUN, reason, retry_after), None)
 
 
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -23,8 +23,6 @@
 RENEW_INTERVAL = timedelta(seconds=2)
 # Calls to a store that is away are paid for, and the lease lasts three of these.
 RETRY_INTERVAL = timedelta(milliseconds=1200)
-# While the store is away entries can lapse; an instance that is heard is still there.
-HEARD_LIMIT = timedelta(seconds=5)
 
 
 def decode_members(records: Mapping[str, Record]) -> dict[str, Member]:
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -22,6 +22,8 @@
 from bulrushloom.proxy.leadership import MAX_RANK, Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration, decode_members
 from bulrushloom.proxy.primaries import PrimaryKeeper
+from bulrushloom.proxy.replacement import Replacement
+from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
@@ -117,14 +119,19 @@
             self._fetch_configuration,
         )
         stack.callback(self.fleet.close)
-        self.keeper = PrimaryKeeper(
+        status = StatusReader(self.services, settings.name)
+        replacement = Replacement(
             self.services,
             self._store,
             DutyPromotion(loop, settings.duties_address),
             self.leadership,
             self.fleet,
+            status,
             settings.name,
         )
+        self.keeper = PrimaryKeeper(
+            self.services, self.leadership, self.fleet, status, replacement
+        )
         probe = HttpServer(loop, settings.probe_address, self._answer_probe)
         stack.callback(probe.close)
         metrics = HttpServer(loop, settings.metrics_address, self._answer_metrics)
--- a/bulrushloom/proxy/primaries.py
+++ b/bulrushloom/proxy/primaries.py
@@ -16,10 +16,6 @@
 from bulrushloom.proxy.replacement import Abandoned, Replacement
 from bulrushloom.proxy.server_status import REFUSED, StatusReader
 from bulrushloom.proxy.services import Services
-from bulrushloom.proxy.store import (
-    Promotion,
-    ProxyStore,
-)
 from bulrushloom.runtime.loop import Steps
 
 WATCH_INTERVAL = timedelta(milliseconds=100)
@@ -28,7 +24,6 @@
 # Status costs a slot for a moment; only suspected primaries are asked.
 PROBE_INTERVAL = timedelta(milliseconds=100)
 CHECK_INTERVAL = timedelta(milliseconds=400)
-_ZERO = timedelta()
 
 
 class PrimaryKeeper:
@@ -37,21 +32,18 @@
     def __init__(
         self,
         services: Services,
-        store: ProxyStore,
-        promotion: Promotion,
         leadership: Leadership,
         fleet: Fleet,
-        name: str,
+        status: StatusReader,
+        replacement: Replacement,
     ):
         self._services = services
         self._loop = services.loop
         self._log = services.log
         self._leadership = leadership
         self._fleet = fleet
-        self._status = StatusReader(services, name)
-        self._replacement = Replacement(
-            services, store, promotion, leadership, fleet, name
-        )
+        self._status = status
+        self._replacement = replacement
         self._probe_by_service: dict[str, PrimaryProbe] = {}
         self._replacing: set[str] = set()
         self._probing: set[str] = set()
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -52,6 +52,7 @@
         promotion: Promotion,
         leadership: Leadership,
         fleet: Fleet,
+        status: StatusReader,
         name: str,
     ):
         self._services = services
@@ -62,7 +63,7 @@
         self._leadership = leadership
         self._fleet = fleet
         self._name = name
-        self._status = StatusReader(services, name)
+        self._status = status
 
     def carry_out(self, service: str, old_id: str) -> Steps:
         """Replace the primary of a service and return the new one's id."""
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -137,7 +137,7 @@
             if answer.failure is None:
                 return True
             last = f"{answer.failure.code.value}: {answer.failure.reason}"
-        wait = self._runner.time_to_primary(self._route.service)
+        wait = self._services.time_to_primary(self._route.service)
         self.failure = Failure(AnswerCode.NOT_RUN, last, max(wait, BUSY_PAUSE))
         return False
 
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -11,6 +11,8 @@
 from bulrushloom.proxy.leadership import Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration, decode_members
 from bulrushloom.proxy.primaries import PrimaryKeeper
+from bulrushloom.proxy.replacement import Replacement
+from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import StoreFailure
 from bulrushloom.proxy.telemetry import EventLog, Metrics
@@ -55,14 +57,19 @@
             self.read,
             lambda *_: self.read(),
         )
-        self.keeper = PrimaryKeeper(
+        status = StatusReader(self.services, name)
+        replacement = Replacement(
             self.services,
             self.store,
             fleet.promotion,
             self.leadership,
             self.fleet,
+            status,
             name,
         )
+        self.keeper = PrimaryKeeper(
+            self.services, self.leadership, self.fleet, status, replacement
+        )
         self.registration = Registration(fleet.loop, self.store, fleet.log, member)
         for steps in (self.registration.run, self.fleet.run, self.keeper.run):
             fleet.loop.supervise(steps)
