Build on arm64 without a compiler: ddsketch in place of hdrhistogram

Weighed: building missing wheels from source (needs gcc on every machine, also on the platform's), hdrhistogram for one kind only, ddsketch (pure Python, one wheel for both). Recorded quantiles keep a relative error of 1%; names and labels of metrics are unchanged. The executable names its kind of machine and refuses another one with a clear error; the stamps of builds and of the environment include it. Concurrent builds in one folder wait for each other, which mends tests/bundling with two workers in a fresh clone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN = $(VENV)/bin
-STAMP = $(VENV)/.installed
+# Environments of another kind of machine are replaced.
+STAMP = $(VENV)/.installed-$(shell uname -m)
 KEEP ?= 0
 # Number of examples and seed of the state machine tests of `explore`. The seed is printed, so that a run can be reproduced.
 EXAMPLES ?= 300
@@ -15,7 +16,7 @@
 env: $(STAMP)
 
 $(STAMP): pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -c "" 2>/dev/null || (rm -rf $(VENV) && $(PYTHON) -m venv $(VENV))
 	$(BIN)/python -m pip install --quiet -e '.[dev]'
 	touch $(STAMP)
 
--- a/benchmarks/instance_cost.py
+++ b/benchmarks/instance_cost.py
@@ -10,11 +10,15 @@
 from typing import NamedTuple
 
 import fire
-from hdrh.histogram import HdrHistogram
 
 from benchmarks.callers import Caller
 from benchmarks.fleet import Fleet
-from benchmarks.measures import cpu_seconds, resident_bytes
+from benchmarks.measures import (
+    cpu_seconds,
+    latency_sketch,
+    quantile_ms,
+    resident_bytes,
+)
 from benchmarks.plans import SMALL_FLEET
 
 # Time in which share holders are elected, primaries found and instances registered.
@@ -70,14 +74,14 @@
         ("read", "SELECT id FROM cost LIMIT 1"),
         ("write", "INSERT INTO cost VALUES (1)"),
     ):
-        latencies_us = HdrHistogram(1, 60_000_000, 3)
+        latencies_us = latency_sketch()
         refused = 0
         for _ in range(statements):
             time.sleep(PAUSE_BETWEEN_STATEMENTS_S)
             reply = caller.query(url, "orders", sql)
             refused += not reply.ok
-            latencies_us.record_value(int(reply.seconds * 1_000_000))
-        p50, p90 = (latencies_us.get_value_at_percentile(p) / 1000 for p in (50, 90))
+            latencies_us.add(int(reply.seconds * 1_000_000))
+        p50, p90 = (quantile_ms(latencies_us, q) for q in (0.5, 0.9))
         print(f"{name:<14} p50 {p50:.2f} ms  p90 {p90:.2f} ms  refused {refused}")
     caller.close()
 
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -9,12 +9,16 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from ddsketch import DDSketch
+
 from benchmarks import processes
 from benchmarks.fleet import Fleet
 from benchmarks.processes import Process
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+# Relative error of the quantiles of latencies.
+LATENCY_ACCURACY = 0.001
 
 
 class StatementSpan(NamedTuple):
@@ -147,3 +151,13 @@
         sum(fleet.peer_bytes(name) for name in running),
         sum(calls.values()),
     )
+
+
+def latency_sketch() -> DDSketch:
+    """Return an empty sketch of latencies in microseconds, accurate to 0.1%."""
+    return DDSketch(LATENCY_ACCURACY)
+
+
+def quantile_ms(latencies_us: DDSketch, quantile: float) -> float:
+    """Return a quantile between 0 and 1 in milliseconds; 0 without values."""
+    return (latencies_us.get_quantile_value(quantile) or 0.0) / 1000
--- a/benchmarks/proxy_cost.py
+++ b/benchmarks/proxy_cost.py
@@ -13,11 +13,16 @@
 from typing import NamedTuple
 
 import fire
-from hdrh.histogram import HdrHistogram
+from ddsketch import DDSketch
 
 from benchmarks.callers import Caller
 from benchmarks.fleet import Fleet
-from benchmarks.measures import cpu_seconds, resident_bytes
+from benchmarks.measures import (
+    cpu_seconds,
+    latency_sketch,
+    quantile_ms,
+    resident_bytes,
+)
 from benchmarks.plans import SMALL_FLEET
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
@@ -69,7 +74,7 @@
         daemon = platform.start("north-1")
         _run_until(loop, time.monotonic() + SETTLE_TIME_S)
         pid = daemon.process.pid
-        latencies_us = HdrHistogram(1, 60_000_000, 3)
+        latencies_us = latency_sketch()
         task = loop.spawn(_send_reads(loop, daemon, statements, latencies_us))
         while not task.done():
             loop.run_once()
@@ -92,7 +97,7 @@
 
 
 def _send_reads(
-    loop: Loop, daemon: Daemon, statements: int, latencies_us: HdrHistogram
+    loop: Loop, daemon: Daemon, statements: int, latencies_us: DDSketch
 ) -> Steps:
     """Send reads one at a time; return the daemon's CPU time and the elapsed time."""
     network = TcpNetwork(loop)
@@ -111,7 +116,7 @@
             if not received:
                 yield loop.sleep(timedelta(microseconds=200))
         if number >= WARM_UP_READS:
-            latencies_us.record_value((loop.now() - sent_at) // _MICROSECOND)
+            latencies_us.add((loop.now() - sent_at) // _MICROSECOND)
         yield loop.sleep(timedelta(milliseconds=15))
     stream.close()
     return cpu_seconds(daemon.process.pid) - cpu_before_s, time.monotonic() - started
@@ -133,11 +138,11 @@
             caller = Caller(fleet.api_key("admin"))
             url = fleet.caller_url(fleet.entry_names[0])
             caller.query(url, "orders", "CREATE TABLE cost (id INTEGER)")
-            latencies_us = HdrHistogram(1, 60_000_000, 3)
+            latencies_us = latency_sketch()
             cpu_before_s, started = sum(map(cpu_seconds, pids)), time.monotonic()
             for _ in range(statements):
                 reply = caller.query(url, "orders", "SELECT id FROM cost LIMIT 1")
-                latencies_us.record_value(int(reply.seconds * 1e6))
+                latencies_us.add(int(reply.seconds * 1e6))
                 time.sleep(0.015)
             elapsed_s = time.monotonic() - started
             cpu_used_s = (
@@ -156,9 +161,9 @@
 
 
 def _build_cost(
-    cpu_s: float, latencies_us: HdrHistogram, idle_percent: float, memory_mb: float
+    cpu_s: float, latencies_us: DDSketch, idle_percent: float, memory_mb: float
 ) -> Cost:
-    p50, p99 = (latencies_us.get_value_at_percentile(p) / 1000 for p in (50, 99))
+    p50, p99 = (quantile_ms(latencies_us, q) for q in (0.5, 0.99))
     return Cost(cpu_s * 1e6, p50, p99, idle_percent, memory_mb)
 
 
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 
 import fire
-from hdrh.histogram import HdrHistogram
 
 from benchmarks.fleet import Fleet
 from benchmarks.history import Findings, History
+from benchmarks.measures import latency_sketch, quantile_ms
 from benchmarks.plans import SMALL_FLEET
 from benchmarks.workload import Pace, Workload
 
@@ -56,10 +56,10 @@
 def print_report(history: History, findings: Findings) -> None:
     """Print the table of results and up to ten violations of each kind."""
     refusals = Counter(reply.kind for _, _, reply in history.replies if not reply.ok)
-    latencies_us = HdrHistogram(1, 60_000_000, 3)
+    latencies_us = latency_sketch()
     for _, _, reply in history.replies:
         if reply.ok:
-            latencies_us.record_value(int(reply.seconds * 1_000_000))
+            latencies_us.add(int(reply.seconds * 1_000_000))
     rows = [
         ("statements", str(len(history.replies))),
         (
@@ -67,8 +67,8 @@
             f"{sum(refusals.values())} {dict(refusals) if refusals else ''}".strip(),
         ),
         ("replica share of reads", f"{history.replica_read_fraction():.3f}"),
-        ("latency p50 (ms)", f"{latencies_us.get_value_at_percentile(50) / 1000:.1f}"),
-        ("latency p99 (ms)", f"{latencies_us.get_value_at_percentile(99) / 1000:.1f}"),
+        ("latency p50 (ms)", f"{quantile_ms(latencies_us, 0.5):.1f}"),
+        ("latency p99 (ms)", f"{quantile_ms(latencies_us, 0.99):.1f}"),
         ("read-your-writes violations", str(len(findings.stale_reads))),
         ("lost", str(len(findings.lost_writes))),
         ("doubled", str(len(findings.duplicate_writes))),
--- a/bulrushloom/proxy/telemetry.py
+++ b/bulrushloom/proxy/telemetry.py
@@ -12,7 +12,7 @@
 
 import eliot
 import orjson
-from hdrh.histogram import HdrHistogram
+from ddsketch import LogCollapsingLowestDenseDDSketch
 
 from bulrushloom.runtime.loop import Loop
 
@@ -21,10 +21,11 @@
 MAX_LINES_PER_S = 400
 MAX_BUFFERED_LINES = 4_000
 FLUSH_INTERVAL = timedelta(milliseconds=200)
-# A histogram with two significant digits up to one minute takes 12 KB.
+# Latencies from 1 us to one minute need 900 bins at this accuracy.
 MAX_LATENCY_US = 60_000_000
-SIGNIFICANT_DIGITS = 2
-QUANTILES = (50.0, 90.0, 99.0, 99.9)
+RELATIVE_ACCURACY = 0.01
+MAX_BINS = 1024
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
 _SECOND = timedelta(seconds=1)
 _MICROSECOND = timedelta(microseconds=1)
 _MILLISECOND = timedelta(milliseconds=1)
@@ -121,7 +122,7 @@
 
     def __init__(self) -> None:
         self._counts: Counter[tuple[str, str]] = Counter()
-        self._histogram_by_name: dict[str, HdrHistogram] = {}
+        self._histogram_by_name: dict[str, LogCollapsingLowestDenseDDSketch] = {}
         self.gauges: dict[str, float] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
@@ -132,9 +133,9 @@
         """Record one latency."""
         histogram = self._histogram_by_name.get(name)
         if histogram is None:
-            histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+            histogram = LogCollapsingLowestDenseDDSketch(RELATIVE_ACCURACY, MAX_BINS)
             self._histogram_by_name[name] = histogram
-        histogram.record_value(min(max(latency // _MICROSECOND, 1), MAX_LATENCY_US))
+        histogram.add(min(max(latency // _MICROSECOND, 1), MAX_LATENCY_US))
 
     def text(self) -> bytes:
         """Return all values as lines with name, label and value."""
@@ -146,9 +147,9 @@
             lines.append(f"bulrushloom_{name} {value:g}")
         for name, histogram in sorted(self._histogram_by_name.items()):
             for quantile in QUANTILES:
-                seconds = histogram.get_value_at_percentile(quantile) / 1e6
-                label = f'{{quantile="{quantile / 100:g}"}}'
+                latency_us = histogram.get_quantile_value(quantile) or 0.0
+                seconds = latency_us / 1e6
+                label = f'{{quantile="{quantile:g}"}}'
                 lines.append(f"bulrushloom_{name}_seconds{label} {seconds:g}")
-            total = histogram.get_total_count()
-            lines.append(f"bulrushloom_{name}_seconds_count {total}")
+            lines.append(f"bulrushloom_{name}_seconds_count {histogram.count:g}")
         return ("\n".join(lines) + "\n").encode()
--- a/bundling/build.py
+++ b/bundling/build.py
@@ -1,13 +1,17 @@
 """Build ``dist/bulrushloom``, an executable zip archive with all packages."""
 
+import fcntl
 import hashlib
 import importlib.metadata
+import platform
 import re
 import shutil
 import subprocess
 import sys
 import tomllib
 import zipfile
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import NamedTuple
 
@@ -16,6 +20,8 @@
 from shiv.bootstrap.environment import Environment
 from shiv.builder import create_archive
 
+from bundling.launcher import MACHINE_ENTRY
+
 ROOT = Path(__file__).resolve().parent.parent
 ENTRY_POINT = "bulrushloom.management:main"
 # -I and -S isolate the program from packages and settings of the host's Python.
@@ -36,9 +42,24 @@
 def build(root: Path = ROOT) -> Path:
     """Build the executable and return its path.
 
-    Raises ``CalledProcessError`` if pip fails.
+    Builds in the same folder run one after the other. Raises ``CalledProcessError`` if
+    pip fails.
     """
     work = root / "build" / "bundle"
+    work.mkdir(parents=True, exist_ok=True)
+    with locked(work / "lock"):
+        return _build(root, work)
+
+
+@contextmanager
+def locked(path: Path) -> Iterator[None]:
+    """Hold an exclusive lock on the file at ``path``; wait for its holder."""
+    with path.open("w") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        yield
+
+
+def _build(root: Path, work: Path) -> Path:
     paths = BuildPaths(work / "packages", work / "product", work / "stamp")
     _install_packages(root, paths)
     _copy_product(root, paths.product)
@@ -68,14 +89,14 @@
 def _install_packages(root: Path, paths: BuildPaths) -> None:
     """Install the dependencies in the versions of the current environment.
 
-    These are the versions that the tests use. Nothing is installed if dependencies and
-    versions are those of the previous build.
+    These are the versions that the tests use. Nothing is installed if dependencies,
+    versions and the kind of machine are those of the previous build.
     """
     project = tomllib.loads((root / "pyproject.toml").read_text())["project"]
     dependencies: list[str] = project["dependencies"]
     versions = "\n".join(_installed_versions(dependencies))
     current_stamp = hashlib.sha256(
-        "\n".join([*dependencies, versions]).encode()
+        "\n".join([platform.machine(), *dependencies, versions]).encode()
     ).hexdigest()
     if paths.stamp.exists() and paths.stamp.read_text() == current_stamp:
         return
@@ -137,10 +158,16 @@
 
 
 def _add_launcher(archive_path: Path) -> None:
+    """Add the launcher and the kind of machine that the packages were built for."""
     source = Path(__file__).with_name("launcher.py").read_bytes()
-    entry = zipfile.ZipInfo("launcher.py", date_time=(2026, 1, 1, 0, 0, 0))
+    content_by_name = {
+        "launcher.py": source,
+        MACHINE_ENTRY: platform.machine().encode(),
+    }
     with zipfile.ZipFile(archive_path, "a", zipfile.ZIP_DEFLATED) as archive:
-        archive.writestr(entry, source)
+        for name, content in content_by_name.items():
+            entry = zipfile.ZipInfo(name, date_time=(2026, 1, 1, 0, 0, 0))
+            archive.writestr(entry, content)
 
 
 def main() -> None:
--- a/bundling/launcher.py
+++ b/bundling/launcher.py
@@ -1,8 +1,10 @@
 """Entry point of the executable, which chooses the folder to unpack packages into."""
 
 import os
+import platform
 import stat
 import sys
+import zipfile
 from contextlib import suppress
 from pathlib import Path
 
@@ -11,6 +13,8 @@
 # hosts, ``SHIV_ROOT`` should name a folder that is.
 TEMPORARY_FOLDER = Path("/tmp")
 BAD_INPUT_EXIT_STATUS = 2
+# Entry of the executable with the kind of machine for which its packages were built.
+MACHINE_ENTRY = "machine.txt"
 
 
 def main() -> None:
@@ -18,6 +22,10 @@
 
     The environment variable ``SHIV_ROOT`` overrides the default folder.
     """
+    problem = machine_problem(Path(sys.argv[0]), platform.machine())
+    if problem:
+        print(f"bulrushloom: {problem}", file=sys.stderr)
+        raise SystemExit(BAD_INPUT_EXIT_STATUS)
     if not os.environ.get(UNPACK_VARIABLE):
         folder = TEMPORARY_FOLDER / f"bulrushloom-{os.geteuid()}"
         try:
@@ -31,6 +39,19 @@
     bootstrap()
 
 
+def machine_problem(archive_path: Path, machine: str) -> str:
+    """Return why the executable cannot run on this kind of machine, or "".
+
+    Its packages contain compiled code, which otherwise fails to import with an error
+    that does not name the cause.
+    """
+    with zipfile.ZipFile(archive_path) as archive:
+        built_for = archive.read(MACHINE_ENTRY).decode()
+    if built_for == machine:
+        return ""
+    return f"{archive_path} was built for {built_for} and cannot run on {machine}"
+
+
 def prepare_folder(folder: Path) -> None:
     """Create the folder, or check that only this user can change an existing one.
 
