--- a/benchmarks/peer_cost.py
+++ b/benchmarks/peer_cost.py
@@ -103,7 +103,7 @@
 
     The pipe exchanges addresses first and ends the process with ``None``.
     """
-    endpoints = [Endpoint(f"peer-{i}") for i in range(peer_count)]
+    endpoints = [Endpoint(name) for name in peer_names(peer_count)]
     pipe.send({endpoint.name: endpoint.transport.address for endpoint in endpoints})
     measured_address = pipe.recv()
     for endpoint in endpoints:
@@ -116,12 +116,19 @@
         endpoint.transport.close()
 
 
-def _measure(endpoint: Endpoint, pipe: Connection, rate: int, seconds: float) -> None:
+def peer_names(count: int) -> list[str]:
+    """Return the names of ``count`` peers."""
+    return [f"peer-{number}" for number in range(count)]
+
+
+def _measure(
+    endpoint: Endpoint, pipe: Connection, peers: list[str], rate: int, seconds: float
+) -> None:
     endpoint.round_trips_s.clear()
     counts_before, cpu_before_s = endpoint.transport.counts, time.process_time()
     pipe.send((rate, seconds))
     if rate:
-        _send_paced([endpoint], [f"peer-{i}" for i in range(13)], rate, seconds)
+        _send_paced([endpoint], peers, rate, seconds)
     else:
         time.sleep(seconds)
     time.sleep(0.3)
@@ -154,7 +161,7 @@
     endpoint.transport.update_peers(pipe.recv())
     pipe.send(endpoint.transport.address)
     for rate in (50, 0, 300, 600, 1200):
-        _measure(endpoint, pipe, rate, seconds)
+        _measure(endpoint, pipe, peer_names(peers), rate, seconds)
     pipe.send(None)
     endpoint.transport.close()
     process.join(10)
--- a/bulrushloom/instance/platform.py
+++ b/bulrushloom/instance/platform.py
@@ -1,5 +1,6 @@
 """Blocking calls to the platform's store and directory, each on its own thread."""
 
+import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, NamedTuple
@@ -41,15 +42,14 @@
     def __init__(self, store: ConfigurationStore, post: Post):
         self._store = store
         self._post = post
-        self._waiting = 0
+        self._free_places = threading.Semaphore(MAX_WAITING_STORE_CALLS)
         self._executor = ThreadPoolExecutor(1, "store")
 
     def submit(self, call: ReadKey | SwapKey) -> None:
-        """Queue a call; must be called from one thread only."""
-        if self._waiting >= MAX_WAITING_STORE_CALLS:
+        """Queue a call, or post a failure if too many are waiting."""
+        if not self._free_places.acquire(blocking=False):
             self._post(StoreFailed(call.key, "too many calls are waiting"))
             return
-        self._waiting += 1
         self._executor.submit(self._run, call)
 
     def close(self) -> None:
@@ -62,7 +62,11 @@
             result = self._call(call)
         except StoreUnavailable as error:
             result = StoreFailed(call.key, str(error))
-        self._waiting -= 1
+        except Exception as error:
+            # The caller waits for a result, so unexpected errors become one too.
+            result = StoreFailed(call.key, f"unexpected error: {error!r}")
+        finally:
+            self._free_places.release()
         self._post(result)
 
     def _call(self, call: ReadKey | SwapKey) -> KeyValue | KeySwapped | StoreFailed:
--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -48,13 +48,21 @@
 class KeyValueStore(ProxyStore):
     """Client of the platform's store over HTTP.
 
+    Leases last at least ``lease_minimum``, because the store rejects shorter ones.
     Invalid target entries are logged once and left out; an invalid configuration is
     logged, and the last valid one stays.
     """
 
-    def __init__(self, loop: Loop, address: str, log: LogEvent):
+    def __init__(
+        self,
+        loop: Loop,
+        address: str,
+        log: LogEvent,
+        lease_minimum: timedelta = timedelta(),
+    ):
         self._loop = loop
         self._log = log
+        self._lease_minimum = lease_minimum
         # Separate connections: a slow read must not delay the renewal of a lease.
         self._read_client = HttpClient(loop, address)
         self._write_client = HttpClient(loop, address)
@@ -166,7 +174,7 @@
 
     def create_lease(self, ttl: timedelta) -> "Future[Lease | StoreFailure]":
         """Create a lease."""
-        body = orjson.dumps({"TtlMs": ttl // _MILLISECOND})
+        body = orjson.dumps({"TtlMs": max(ttl, self._lease_minimum) // _MILLISECOND})
         return self._loop.spawn(self._lease("/v1/kv-lease", body, None))
 
     def renew_lease(self, lease_id: int) -> "Future[Lease | StoreFailure]":
--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -306,6 +306,11 @@
         waiters.sort(key=lambda waiter: waiter[:2])
         try:
             yield self._loop.wait_for(released, deadline - self._loop.now())
+        except TimeoutError:
+            if released.done():
+                # Released in the same moment: the next waiter gets the connection.
+                self._wake_waiter(target_id)
+            raise
         finally:
             if entry in waiters:
                 waiters.remove(entry)
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -63,7 +63,9 @@
             loop, TcpNetwork(loop), settings, self.log, self.metrics
         )
         stack.callback(self.services.pool.close)
-        self._store = KeyValueStore(loop, settings.store_address, self.log.write)
+        self._store = KeyValueStore(
+            loop, settings.store_address, self.log.write, settings.lease_minimum
+        )
         stack.callback(self._store.close)
         self.incarnation = os.urandom(6).hex()
         self.member = Member(
@@ -191,9 +193,13 @@
             for field in ("name", "domain", "session_address", "probe_address")
             + ("peer_address", "metrics_address")
         }
-        self.settings = settings._replace(**unchangeable)
+        previous, self.settings = self.settings, settings._replace(**unchangeable)
         self.services.apply_settings(self.settings)
-        self.log.write("settings_reloaded", changed=settings != self.settings)
+        self.log.write(
+            "settings_reloaded",
+            changed=self.settings != previous,
+            needs_restart=settings != self.settings,
+        )
 
     # Sessions and probes
 
--- a/bulrushloom/proxy/serve.py
+++ b/bulrushloom/proxy/serve.py
@@ -23,7 +23,7 @@
             for problem in error.problems:
                 print(f"bulrushloom: {problem}", file=sys.stderr)
             raise SystemExit(BAD_SETTINGS_STATUS) from error
-        loop.on_task_error = lambda error: node.log.write(
+        loop.on_error = lambda error: node.log.write(
             "task_failed", error=repr(error), traceback=_format_traceback(error)
         )
         node.start()
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -72,8 +72,11 @@
 
     def abort_idle_transaction(self, reason: str) -> None:
         """Abort the open transaction unless one of its statements is running."""
-        if self._transaction is not None and self.is_awaiting_statement:
-            self._transaction.fail(reason)
+        transaction = self._transaction
+        if transaction is None or transaction.failure is not None:
+            return
+        if self.is_awaiting_statement:
+            transaction.fail(reason)
             self._services.log.write(
                 "transaction_ended", database=self._database, reason=reason
             )
--- a/bulrushloom/proxy/settings.py
+++ b/bulrushloom/proxy/settings.py
@@ -21,7 +21,8 @@
     ``rate_window`` is the window over which the operations of an account are limited;
     ``rate_excess`` (a fraction) and ``rate_slack`` (operations) are added to the limit.
     ``target_drain_bound`` is how long a draining target may receive new statements.
-    ``stop_grace`` is the time from SIGTERM to SIGKILL.
+    ``stop_grace`` is the time from SIGTERM to SIGKILL. ``lease_minimum`` is the
+    shortest time to live of a lease that the store accepts.
     """
 
     name: str
@@ -35,7 +36,6 @@
     withdrawn_key_bound: timedelta
     configuration_bound: timedelta
     target_drain_bound: timedelta
-    target_heartbeat: timedelta
     stop_grace: timedelta
     rate_window: timedelta
     rate_excess: float
@@ -82,7 +82,6 @@
     "withdrawn_key_bound_ms": ("withdrawn_key_bound", _milliseconds),
     "configuration_bound_ms": ("configuration_bound", _milliseconds),
     "target_drain_bound_ms": ("target_drain_bound", _milliseconds),
-    "target_heartbeat_ms": ("target_heartbeat", _milliseconds),
     "stop_grace_s": ("stop_grace", _seconds),
     "rate_window_s": ("rate_window", _seconds),
     "rate_excess": ("rate_excess", _non_negative_number),
--- a/bulrushloom/proxy/telemetry.py
+++ b/bulrushloom/proxy/telemetry.py
@@ -86,8 +86,10 @@
 
     def flush(self) -> None:
         """Write as much as the descriptor accepts; the rest stays buffered."""
-        data = self._unwritten + b"".join(self._lines)
-        self._lines.clear()
+        # Joining the lines may start a garbage collection, which finalizes tasks that
+        # log as they end, so the lines are replaced first.
+        lines, self._lines = self._lines, deque()
+        data = self._unwritten + b"".join(lines)
         self._unwritten = b""
         while data:
             try:
--- a/bulrushloom/runtime/http.py
+++ b/bulrushloom/runtime/http.py
@@ -60,9 +60,8 @@
     ) -> "Future[Response]":
         """Send a request and return a future of the response.
 
-        The future fails with ``HttpError`` if no response arrives in time. ``timeout``
-        counts from this call, but ends only the wait for the response: earlier requests
-        and the connection may take longer.
+        The future fails with ``HttpError`` if no response arrives within ``timeout``,
+        which includes the wait for earlier requests and for the connection.
         """
         return self._loop.spawn_unreported(
             self._request(method, path, body, timeout, headers)
@@ -73,12 +72,20 @@
     ) -> Steps:
         deadline = self._loop.now() + timeout
         while self._active_request is not None:
-            yield self._active_request
+            waiting = self._loop.wait_for(
+                self._active_request, deadline - self._loop.now()
+            )
+            try:
+                yield waiting
+            except TimeoutError as error:
+                raise HttpError(
+                    f"{method} {self.address}: not sent: {error}"
+                ) from error
         request_done: Future[None] = Future()
         self._active_request = request_done
         try:
             if self._stream is None or not self._stream.is_open:
-                yield from self._open(timeout)
+                yield from self._open(deadline - self._loop.now())
             answer = self._send(method, path, body, headers)
             response = yield self._loop.wait_for(answer, deadline - self._loop.now())
         except (OSError, h11.ProtocolError) as error:
@@ -176,6 +183,7 @@
     """
 
     def __init__(self, loop: Loop, address: str, handler: Handler):
+        self._loop = loop
         self._handler = handler
         self._listener = Listener(loop, address, self._accept)
         self.port = self._listener.port
@@ -220,7 +228,11 @@
         self, stream: Stream, http: h11.Connection, request: h11.Request, data: bytes
     ) -> None:
         method, path = request.method.decode(), request.target.decode("latin-1")
-        status, headers, body = self._handler(method, path, data)
+        try:
+            status, headers, body = self._handler(method, path, data)
+        except Exception as error:
+            self._loop.report_error(error)
+            status, headers, body = 500, {}, b""
         fields = [*headers.items(), ("Content-Length", str(len(body)))]
         answer = http.send(h11.Response(status_code=status, headers=fields)) or b""
         answer += http.send(h11.Data(data=body)) or b""
--- a/bulrushloom/runtime/loop.py
+++ b/bulrushloom/runtime/loop.py
@@ -1,5 +1,6 @@
 """Event loop that runs the tasks of a process in a single thread."""
 
+import contextlib
 import heapq
 import itertools
 import selectors
@@ -9,6 +10,7 @@
 from collections.abc import Callable, Generator, Iterable
 from concurrent.futures import Future
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from typing import Any
 
 from bulrushloom.core.clock import Clock
@@ -88,11 +90,13 @@
 class Loop:
     """Event loop that dispatches socket events, timers and tasks in one thread.
 
-    ``on_task_error`` is called with the exception of a task started by ``spawn``.
+    ``on_error`` is called with the exception of a callback, or of a task started by
+    ``spawn``; the loop then continues with the next callback. Without ``on_error``, the
+    exceptions of callbacks are raised. ``error_count`` counts them.
     """
 
     def __init__(
-        self, clock: Clock, on_task_error: Callable[[BaseException], None] | None = None
+        self, clock: Clock, on_error: Callable[[BaseException], None] | None = None
     ):
         self.clock = clock
         self._selector = selectors.DefaultSelector()
@@ -100,7 +104,8 @@
         self._sequence = itertools.count()
         self._ready: deque[Callable[[], None]] = deque()
         self._stop_requested = False
-        self.on_task_error = on_task_error
+        self.on_error = on_error
+        self.error_count = 0
         self.wake_ups = 0
 
     def now(self) -> timedelta:
@@ -119,7 +124,7 @@
         return timer
 
     def spawn(self, steps: Steps) -> Task:
-        """Start a task; its exception is reported to ``on_task_error``."""
+        """Start a task; its exception is reported to ``on_error``."""
         task = Task(self, steps)
         task.add_done_callback(self._report)
         self.call_soon(task.advance)
@@ -129,7 +134,7 @@
         """Run a task; restart it after an exception, with ``RESTART_DELAY``.
 
         ``make_steps`` is called for each start. The exceptions are reported to
-        ``on_task_error``.
+        ``on_error``.
         """
 
         def restart(task: "Future[Any]") -> None:
@@ -146,8 +151,23 @@
 
     def _report(self, task: "Future[Any]") -> None:
         error = task.exception()
-        if error is not None and self.on_task_error is not None:
-            self.on_task_error(error)
+        if error is not None and self.on_error is not None:
+            self.report_error(error)
+
+    def report_error(self, error: BaseException) -> None:
+        """Report an unexpected exception; raise it if there is no ``on_error``."""
+        self.error_count += 1
+        if self.on_error is None:
+            raise error
+        # A report that fails must not end the loop either.
+        with contextlib.suppress(Exception):
+            self.on_error(error)
+
+    def _call(self, callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception as error:
+            self.report_error(error)
 
     def sleep(self, delay: timedelta) -> "Future[None]":
         """Return a future that is done after ``delay``."""
@@ -217,15 +237,15 @@
     def run_once(self, max_wait: timedelta = MAX_SELECT_TIMEOUT) -> None:
         """Wait at most ``max_wait`` for events and dispatch them."""
         for key, events in self._selector.select(self._select_timeout_s(max_wait)):
-            key.data(events)
+            self._call(partial(key.data, events))
         self.wake_ups += 1
         now = self.now()
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if timer.callback is not None:
-                timer.callback()
+                self._call(timer.callback)
         while self._ready:
-            self._ready.popleft()()
+            self._call(self._ready.popleft())
 
     @property
     def is_busy(self) -> bool:
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -108,8 +108,14 @@
         return
 
     def _notify_reader(self) -> None:
-        if self._reader is not None:
+        """Call the reader; its unexpected exception ends only this connection."""
+        if self._reader is None:
+            return
+        try:
             self._reader()
+        except Exception as error:
+            self.close("internal error")
+            self._loop.report_error(error)
 
 
 class TcpStream(Stream):
@@ -152,7 +158,7 @@
         self._sock.close()
         self._unsent.clear()
         if self._reader is not None:
-            self._loop.call_soon(self._reader)
+            self._loop.call_soon(self._notify_reader)
 
     def _on_consumed(self) -> None:
         if self._reading_paused and len(self._received) < MAX_UNREAD_BYTES // 2:
@@ -310,7 +316,12 @@
                 return
             sock.setblocking(False)
             _set_options(sock)
-            self._accept(TcpStream(self._loop, sock))
+            stream = TcpStream(self._loop, sock)
+            try:
+                self._accept(stream)
+            except Exception as error:
+                stream.close("internal error")
+                self._loop.report_error(error)
 
     def close(self) -> None:
         """Stop accepting connections and close the socket."""
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -20,7 +20,7 @@
 
 SERVICE = "orders"
 HEARTBEAT_INTERVAL = timedelta(milliseconds=300)
-# Three times the ``target_heartbeat_ms`` in the settings of the daemons.
+# Three times the heartbeat interval of the platform (1200 ms).
 ENTRY_LIFETIME = timedelta(milliseconds=3600)
 PROBE_TIMEOUT_S = 1.0
 STOP_GRACE_S = 4
@@ -35,7 +35,6 @@
     "withdrawn_key_bound_ms": WITHDRAWN_KEY_BOUND // _MILLISECOND,
     "configuration_bound_ms": 3000,
     "target_drain_bound_ms": 7000,
-    "target_heartbeat_ms": 1200,
     "stop_grace_s": STOP_GRACE_S,
     "rate_window_s": RATE_WINDOW // _SECOND,
     "rate_excess": RATE_EXCESS,
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -36,7 +36,6 @@
     withdrawn_key_bound=timedelta(seconds=5),
     configuration_bound=timedelta(seconds=3),
     target_drain_bound=timedelta(seconds=7),
-    target_heartbeat=timedelta(milliseconds=1200),
     stop_grace=timedelta(seconds=6),
     rate_window=timedelta(seconds=5),
     rate_excess=0.1,
--- a/tests/proxy/test_session.py
+++ b/tests/proxy/test_session.py
@@ -363,3 +363,19 @@
     expected = (ms(1200), ms(2000))
     left = [expected_time_left(expected, ms(at)) for at in (0, 1100, 1300, 2000, 6000)]
     assert left == [ms(1200), ms(100), ms(700), ms(1000), ms(3000)]
+
+
+def test_idle_transaction_is_aborted_and_logged_once_during_shutdown(
+    instance, monkeypatch
+):
+    # Guards against a log line at each check of the shutdown.
+    events = []
+    client = instance.client("strict")
+    client.query("BEGIN")
+    monkeypatch.setattr(
+        instance.services.log, "write", lambda event, **_: events.append(event)
+    )
+    for _ in range(5):
+        client.session.abort_idle_transaction("the instance stops")
+    assert events == ["transaction_ended"]
+    assert client.query("COMMIT")[0].startswith("ERR ABORTED")
--- a/tests/proxy/test_session_machine.py
+++ b/tests/proxy/test_session_machine.py
@@ -174,6 +174,29 @@
             self.advance(1700)
         self.read_everywhere()
 
+    @precondition(lambda self: len(self.callers) < MAX_SESSIONS)
+    @rule()
+    def read_own_commit_while_replicas_lag(self):
+        """Write in a new session and read there before the replicas apply the write.
+
+        The replicas have applied an earlier commit, so that they may serve the read of
+        a session that has not written.
+        """
+        opened_before = self.opened
+        self.open_session("own")
+        caller = self.callers[-1] if self.callers else None
+        if caller is None or caller.name != f"c{opened_before + 1}":
+            return
+        for server_id in "bc":
+            self.change_lag(server_id, 20)
+        if not self.run_and_wait(caller, "WRITE 1 data"):
+            return
+        self.advance(150)
+        for server_id in "bc":
+            self.change_lag(server_id, 3000)
+        if self.run_and_wait(caller, "WRITE 1 data"):
+            self.run_and_wait(caller, "READ 1")
+
     @rule(number=st.integers(0, 9), cut_answer=st.booleans())
     def run_transaction(self, number, cut_answer):
         """Run a transaction whose commit may lose its answer."""
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -18,7 +18,6 @@
     "withdrawn_key_bound_ms": 5000,
     "configuration_bound_ms": 3000,
     "target_drain_bound_ms": 7000,
-    "target_heartbeat_ms": 1200,
     "stop_grace_s": 6,
     "rate_window_s": 5,
     "rate_excess": 0.1,
--- a/tests/proxy/test_telemetry.py
+++ b/tests/proxy/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import fcntl
 import os
+from collections import deque
 from datetime import timedelta
 
 import orjson
@@ -96,3 +97,30 @@
     metrics.record("read_latency", timedelta(hours=1))
     metrics.record("read_latency", timedelta())
     assert b"bulrushloom_read_latency_seconds_count 2" in metrics.text()
+
+
+class LinesThatLog(deque):
+    """Buffered lines during whose iteration another event is logged."""
+
+    def __init__(self, log):
+        super().__init__()
+        self.log = log
+
+    def __iter__(self):
+        for line in super().__iter__():
+            self.log.write("transaction_abandoned")
+            yield line
+
+
+def test_flush_survives_events_that_are_logged_meanwhile(logged):
+    # Guards against "deque mutated during iteration" in flush, which ended the process:
+    # tasks that the garbage collector finalizes log while the lines are joined.
+    loop, log, reader = logged
+    log._lines = LinesThatLog(log)
+    log.write("statement_failed", request_id="x")
+    log.write("statement_failed", request_id="y")
+    log.flush()
+    run_for(loop, SECOND)
+    events = [line["message_type"] for line in read_lines(reader)]
+    assert events.count("statement_failed") == 2
+    assert events.count("transaction_abandoned") == 2
--- a/tests/runtime/test_loop.py
+++ b/tests/runtime/test_loop.py
@@ -93,3 +93,38 @@
     assert loop.next_timer_at() is None
     run_for(loop, SECOND * 2)
     assert called == []
+
+
+def raise_error():
+    raise ValueError("broken")
+
+
+def test_error_of_a_callback_is_reported_and_the_loop_continues(loop):
+    # Guards against one unexpected error that ends the process.
+    called = []
+    loop.call_soon(raise_error)
+    loop.call_later(SECOND, raise_error)
+    loop.call_later(SECOND, lambda: called.append(loop.now()))
+    run_for(loop, SECOND * 2)
+    assert called == [SECOND]
+    assert [str(error) for error in loop.errors] == ["broken", "broken"]
+    assert loop.error_count == 2
+
+
+def test_report_that_fails_does_not_end_the_loop():
+    def fail(_):
+        raise OSError("the log is gone")
+
+    loop = Loop(ManualClock(), fail)
+    loop.call_soon(raise_error)
+    loop.run_once(timedelta())
+    assert loop.error_count == 1
+    loop.close()
+
+
+def test_error_of_a_callback_is_raised_without_a_handler():
+    loop = Loop(ManualClock())
+    loop.call_soon(raise_error)
+    with pytest.raises(ValueError):
+        loop.run_once(timedelta())
+    loop.close()
--- a/tests/runtime/test_network.py
+++ b/tests/runtime/test_network.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bulrushloom.runtime.http import HttpClient, HttpError, HttpServer
+from bulrushloom.runtime.loop import BootClock, Loop
 from bulrushloom.runtime.streams import (
     MAX_UNSENT_BYTES,
     LineTooLong,
@@ -25,12 +26,15 @@
         yield loop
 
 
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 def connected_pair(loop):
     accepted = []
-    sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    port = sock.getsockname()[1]
-    sock.close()
+    port = free_port()
     listener = Listener(loop, f"127.0.0.1:{port}", accepted.append)
     client_end = wait_for(loop, TcpNetwork(loop).connect(f"127.0.0.1:{port}", SECOND))
     wait_until(loop, lambda: accepted)
@@ -132,3 +136,73 @@
     with closing(HttpClient(loop, server.address)) as client:
         answer = wait_for(loop, client.request("GET", "/", b"", SECOND))
     assert answer.status == 200
+
+
+@pytest.fixture
+def faulty_loop():
+    """Yield a loop that records errors instead of failing the test."""
+    errors = []
+    loop = Loop(BootClock(), errors.append)
+    loop.errors = errors
+    yield loop
+    loop.close()
+
+
+def raise_error(*_):
+    raise KeyError("unexpected")
+
+
+def test_error_of_a_reader_ends_only_its_connection(faulty_loop):
+    # Guards against a malformed message that ends the whole process.
+    loop = faulty_loop
+    client_end, server_end = connected_pair(loop)
+    other_client_end, other_server_end = connected_pair(loop)
+    server_end.on_data(raise_error)
+    client_end.write(b"x")
+    other_client_end.write(b"y")
+    wait_until(loop, lambda: not server_end.is_open and other_server_end.unread_bytes)
+    wait_until(loop, lambda: client_end.at_eof)
+    assert other_server_end.is_open
+    assert loop.errors
+    for stream in (client_end, other_client_end, other_server_end):
+        stream.close()
+
+
+def test_error_of_accept_closes_the_connection(faulty_loop):
+    loop = faulty_loop
+    listener = Listener(loop, f"127.0.0.1:{free_port()}", raise_error)
+    connecting = TcpNetwork(loop).connect(f"127.0.0.1:{listener.port}", SECOND)
+    client_end = wait_for(loop, connecting)
+    wait_until(loop, lambda: client_end.at_eof)
+    assert [type(error) for error in loop.errors] == [KeyError]
+    client_end.close()
+    listener.close()
+
+
+def test_error_of_a_handler_is_answered_with_status_500(faulty_loop):
+    loop = faulty_loop
+    address = f"127.0.0.1:{free_port()}"
+    server = HttpServer(loop, address, raise_error)
+    client = HttpClient(loop, address)
+    response = wait_for(loop, client.request("GET", "/", b"", SECOND))
+    assert response.status == 500
+    client.close()
+    server.close()
+
+
+def test_timeout_of_a_request_includes_the_wait_for_earlier_ones(loop):
+    # Guards against calls that wait behind a slow one for longer than their timeout.
+    address = f"127.0.0.1:{free_port()}"
+    accepted = []
+    listener = Listener(loop, address, accepted.append)
+    client = HttpClient(loop, address)
+    first = client.request("GET", "/slow", b"", SECOND)
+    started_at = loop.now()
+    second = client.request("GET", "/queued", b"", SECOND / 10)
+    with pytest.raises(HttpError, match="not sent"):
+        wait_for(loop, second)
+    assert loop.now() - started_at < SECOND / 2
+    with pytest.raises(HttpError):
+        wait_for(loop, first)
+    client.close()
+    listener.close()
