Keep the record of hot accounts without a lease, and record what may follow

All leases of the store lapsed, the leader met the lapsed lease at its next record (status 404) and skipped a second; then all daemons were killed, restarted with limits_started noted={} and granted the flooding account 40% of its limit again: 142 to 147 of 141. Besides, the record was up to a second old. Ruled out: a later restart of one daemon (all three started with an empty record), the sum that a new source lacks (it was retained). Change: the record has no lease; the leader empties it once no account is hot; it records what the headroom lets the account reach until the next record, and what was recorded before its own start counts until it has observed a whole window.

--- a/bulrushloom/proxy/limits.py
+++ b/bulrushloom/proxy/limits.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
+from math import exp
 from typing import NamedTuple
 
 from bulrushloom.proxy.configuration import Account
@@ -208,19 +209,25 @@
         """Load the usage that was recorded in the store before this process started."""
         self._recorded_usage_by_account = dict(recorded_usage_by_account)
 
-    def limit_utilization(
-        self, accounts: Iterable[Account], now: timedelta
-    ) -> dict[str, tuple[float, float]]:
-        """Return by account the admitted operations and their ratio to the limit."""
-        utilization = {}
+    def hot_usage(
+        self, accounts: Iterable[Account], horizon: timedelta, now: timedelta
+    ) -> dict[str, float]:
+        """Return the usage of hot accounts that may be reached within ``horizon``.
+
+        Until this process has observed a whole window, what was recorded before its
+        start still counts in part. The headroom shrinks by the admissions of one
+        ``HEADROOM_SPREAD_TIME`` after the other, so its use is bounded.
+        """
+        used_fraction = 1.0 - exp(-(horizon / HEADROOM_SPREAD_TIME))
+        recorded_fraction = 1.0 - self._observed_fraction(now)
+        hot = {}
         for account in accounts:
-            used = self.admitted(account.name, now)
-            if used:
-                utilization[account.name] = (
-                    used,
-                    used / max(self._window_limit(account, now), 1.0),
-                )
-        return utilization
+            recorded = self._recorded_usage_by_account.get(account.name, 0.0)
+            used = self.admitted(account.name, now) + recorded * recorded_fraction
+            limit = max(self._full_limit(account), 1.0)
+            if used > limit * HOT_ACCOUNT_SHARE:
+                hot[account.name] = used + max(limit - used, 0.0) * used_fraction
+        return hot
 
     def describe_refusal(self, account: Account, now: timedelta) -> str:
         """Return the reason for a refusal, with the figures, for the client."""
@@ -449,15 +456,21 @@
         Until this process has observed a whole window, the limit is reduced by the
         usage that the store recorded before the start, or by an assumed usage.
         """
-        window_s = self.window.length / _SECOND
-        nominal = account.rate_per_s * window_s + account.burst
-        limit = nominal * (1 + self.window.excess * TOLERANCE_FRACTION)
-        limit += self.window.slack * TOLERANCE_FRACTION
-        observed_fraction = min(
-            1.0, max(now - self._started_at, _ZERO) / self.window.length
-        )
+        limit = self._full_limit(account)
         recorded = self._recorded_usage_by_account.get(
             account.name, limit * HOT_ACCOUNT_SHARE
         )
         start = max(limit - recorded, limit * MIN_START_FRACTION)
-        return start + (limit - start) * observed_fraction
+        return start + (limit - start) * self._observed_fraction(now)
+
+    def _full_limit(self, account: Account) -> float:
+        """Return the limit of a window that this process has observed as a whole."""
+        window_s = self.window.length / _SECOND
+        nominal = account.rate_per_s * window_s + account.burst
+        limit = nominal * (1 + self.window.excess * TOLERANCE_FRACTION)
+        return limit + self.window.slack * TOLERANCE_FRACTION
+
+    def _observed_fraction(self, now: timedelta) -> float:
+        """Return the fraction of the current window that this process has observed."""
+        observed = max(now - self._started_at, _ZERO)
+        return min(1.0, observed / self.window.length)
--- a/tests/proxy/test_hot_accounts.py
+++ b/tests/proxy/test_hot_accounts.py
@@ -9,19 +9,20 @@
     HotAccountRecorder,
     decode_hot_accounts,
 )
+from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.store import Record
 from tests.proxy.builders import build_account
 
 SECOND = timedelta(seconds=1)
 
 
-def test_only_the_leader_records_hot_accounts_and_the_record_expires(fleet):
-    # Guards against a restart that grants an overloading account its whole limit again.
+@pytest.fixture
+def flooded_fleet(fleet):
+    """Return a fleet in which one account asks for more than its limit."""
     account = build_account(rate_per_s=10.0, burst=10.0)
-    configuration = fleet.store.configuration._replace(
+    fleet.store.configuration = fleet.store.configuration._replace(
         account_by_name={account.name: account}, revision=2
     )
-    fleet.store.configuration = configuration
     for member in fleet.members:
         recorder = HotAccountRecorder(member.services, member.store, member.leadership)
         fleet.loop.supervise(recorder.run)
@@ -30,11 +31,43 @@
             member.services.limiter.record_demand(account, fleet.loop.now())
             member.services.limiter.try_admit(account, fleet.loop.now())
         fleet.run(timedelta(milliseconds=100))
-    recorded = decode_hot_accounts(fleet.store.record_by_key)
+    return fleet
+
+
+def test_only_the_leader_records_hot_accounts_and_empties_the_record(flooded_fleet):
+    # Guards against a restart that grants an overloading account its whole limit again.
+    recorded = decode_hot_accounts(flooded_fleet.store.record_by_key)
     assert recorded["hotel"] > 0.6 * 60
-    fleet.run(SECOND * 13)
-    fleet.store.expire()
-    assert HOT_ACCOUNTS_KEY not in fleet.store.record_by_key
+    flooded_fleet.run(SECOND * 13)
+    assert HOT_ACCOUNTS_KEY in flooded_fleet.store.record_by_key
+    assert decode_hot_accounts(flooded_fleet.store.record_by_key) == {}
+
+
+def test_record_outlives_the_leases_of_all_instances(flooded_fleet):
+    # Guards against 147 operations in a window that allows 141: all leases of the store
+    # expired, the record with them, and then all instances were killed and restarted.
+    store = flooded_fleet.store
+    for lease_id in list(store.leases):
+        store.end_lease(lease_id)
+    assert decode_hot_accounts(store.record_by_key)["hotel"] > 0.6 * 60
+
+
+def test_recorded_usage_includes_what_is_admitted_until_the_next_record():
+    # Guards against a fleet that is killed one interval after the record was written
+    # and then admits, besides, what the record does not show.
+    account = build_account(rate_per_s=20.0, burst=10.0)
+    window = RateWindow(SECOND * 5, 0.1, 20.0)
+    limiter, now = AccountLimiter(window, -SECOND * 10), SECOND
+    recorded: dict[str, float] = {}
+    while now < SECOND * 9:
+        limiter.record_demand(account, now)
+        limiter.try_admit(account, now)
+        now += timedelta(milliseconds=5)
+        if now % SECOND == timedelta():
+            if recorded:
+                assert limiter.admitted(account.name, now) <= recorded[account.name] + 1
+            recorded = limiter.hot_usage([account], SECOND, now)
+    assert recorded
 
 
 @pytest.mark.parametrize("value", [b"", b"[]", b"7", b'{"a": "x"}', b"\xff"])
--- a/tests/proxy/test_limits.py
+++ b/tests/proxy/test_limits.py
@@ -185,12 +185,13 @@
     fleet = SimulatedFleet(14)
     for tick in range(500):
         fleet.step(account, uneven_requests(14, 10, seed=tick))
-    used = fleet.limiters[0].limit_utilization([account], fleet.now)
-    assert used["hotel"][1] > HOT_ACCOUNT_SHARE
+    # The least that the leader records: nothing is admitted after it.
+    used = fleet.limiters[0].hot_usage([account], timedelta(), fleet.now)
+    assert used["hotel"] > HOT_ACCOUNT_SHARE * account.rate_per_s * 6
     fresh = SimulatedFleet(14, started_at=fleet.now)
     fleet.limiters = fresh.limiters
     for limiter in fleet.limiters:
-        limiter.load_recorded_usage({"hotel": used["hotel"][0]})
+        limiter.load_recorded_usage(used)
     for tick in range(500):
         fleet.step(account, uneven_requests(14, 10, seed=tick))
     assert fleet.max_admitted_in_window() <= upper_bound(account)
