Reject every malformed entry and answer of the store with bounds on its fields

Cause: decoding was not total. One server entry with ColdLeftMs 1e18 raised OverflowError in every read of the store by every instance; an entry with a negative start time or a long name made every instance reject the whole directory that it copied from another one; an address without a port failed at each connection. An answer of the store of another form, a status row with inf and a log position of 5,000 digits ended the task that read it; a member entry with a malformed address failed each round of reports. Ruled out as harmful: the statement protocol of clients (its decoder accepts any line). Change: bounds in decode_target, decode_members (msgspec), log positions and status rows; every answer of the store is a result or a failure.

--- a/bulrushloom/platform/documents.py
+++ b/bulrushloom/platform/documents.py
@@ -15,6 +15,7 @@
     Target,
 )
 from bulrushloom.proxy.store import DocumentError
+from bulrushloom.runtime.streams import split_address
 
 _CONSISTENCY_BY_TYPE = {
     "primary": Consistency.PRIMARY,
@@ -23,6 +24,11 @@
 }
 DEFAULT_TRANSACTION_IDLE_LIMIT_MS = 3000
 DEFAULT_STATEMENT_TIMEOUT_MS = 1000
+# Bounds of the fields of a target; entries beyond them come from another writer. They
+# are within those of the directory that instances copy from each other.
+MAX_TEXT_LENGTH = 200
+MAX_NUMBER = 2**53
+MAX_COLD_LEFT_MS = 3_600_000
 
 
 def decode_configuration(value: bytes, revision: int) -> Configuration:
@@ -48,7 +54,13 @@
                 DEFAULT_TRANSACTION_IDLE_LIMIT_MS,
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise DocumentError(f"configuration at revision {revision}: {error}") from error
 
 
@@ -102,9 +114,17 @@
         return Missing("the entry is not valid JSON")
     if not isinstance(entry, dict):
         return Missing("the entry is not a JSON object")
+    if not 0 < len(target_id) <= MAX_TEXT_LENGTH:
+        return Missing("the id is empty or too long")
     for field in ("Service", "Addr", "Zone"):
         if not isinstance(entry.get(field), str) or not entry[field]:
             return Missing(f"{field} is missing or not text")
+        if len(entry[field]) > MAX_TEXT_LENGTH:
+            return Missing(f"{field} is too long")
+    try:
+        split_address(entry["Addr"])
+    except ValueError as error:
+        return Missing(f"Addr: {error}")
     if entry.get("State") not in ("ready", "draining"):
         return Missing("the state is unknown")
     if entry.get("DbRole") not in ("primary", "replica"):
@@ -114,7 +134,11 @@
         number = entry.get(field, default)
         if isinstance(number, bool) or not isinstance(number, int | float):
             return Missing(f"{field} is not a number")
+        if not 0 <= number <= MAX_NUMBER:
+            return Missing(f"{field} is out of range")
         numbers[field] = number
+    if numbers["ColdLeftMs"] > MAX_COLD_LEFT_MS:
+        return Missing("ColdLeftMs is out of range")
     return Target(
         target_id=target_id,
         service=entry["Service"],
--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -43,6 +43,8 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 LogEvent = Callable[..., None]
+# Raised by the decoding of answers with missing fields or fields of another type.
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError, OverflowError)
 
 
 class KeyValueStore(ProxyStore):
@@ -88,15 +90,20 @@
             page = yield from self._call(self._read_client, "GET", path)
             if isinstance(page, StoreFailure):
                 return page
-            items += page["items"]
-            # Each page includes all changes up to the revision of the first one.
-            revision = page["CurrentRev"] if revision is None else revision
-            if not page.get("HasMore") or not page["items"]:
+            try:
+                items += page["items"]
+                # Each page includes all changes up to the revision of the first one.
+                revision = page["CurrentRev"] if revision is None else revision
+                has_more = page.get("HasMore") and page["items"]
+                after = page["items"][-1]["Key"] if has_more else ""
+            except _MALFORMED as error:
+                reason = f"malformed answer: {error!r}"
+                return StoreFailure(StoreFailureKind.UNKNOWN, reason)
+            if not has_more:
                 break
-            after = page["items"][-1]["Key"]
         try:
             return self._read_items(sent_at, revision, items, start_after == "")
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             return StoreFailure(
                 StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}"
             )
@@ -188,7 +195,7 @@
         try:
             ttl = timedelta(milliseconds=answer["TtlMs"])
             return Lease(lease_id if lease_id else int(answer["Lease"]), ttl)
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             return StoreFailure(
                 StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}"
             )
@@ -228,7 +235,12 @@
         answer = yield from self._call(self._write_client, "POST", "/v1/kv-txn", body)
         if isinstance(answer, StoreFailure):
             return answer
-        return int(answer.get("Rev", 0))
+        try:
+            return int(answer.get("Rev", 0))
+        except _MALFORMED as error:
+            return StoreFailure(
+                StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}"
+            )
 
     def _call(
         self, client: HttpClient, method: str, path: str, body: bytes = b""
--- a/bulrushloom/platform/wire.py
+++ b/bulrushloom/platform/wire.py
@@ -25,6 +25,7 @@
 )
 
 MAX_LINE_BYTES = 1024 * 1024
+MAX_POSITION_LENGTH = 40
 LINE_END = b"\r\n"
 # Request id of statements that the proxy sends on its own; clients may not use it.
 PROXY_REQUEST_ID = b"-"
@@ -196,8 +197,9 @@
     if text == b"-":
         return NO_POSITION
     term, separator, number = text.partition(b".")
-    if not separator or not term.isdigit() or not number.isdigit():
-        raise ProtocolError(f"{text!r} is not a log position")
+    is_valid = separator and term.isdigit() and number.isdigit()
+    if not is_valid or len(text) > MAX_POSITION_LENGTH:
+        raise ProtocolError(f"{text[:MAX_POSITION_LENGTH]!r} is not a log position")
     return LogPosition(int(term), int(number))
 
 
@@ -233,14 +235,15 @@
         term, held_term, lag_ms, busy, connections = (
             int(float(fields[index])) for index in (2, 4, 5, 6, 7)
         )
-    except ValueError as error:
+        lag = timedelta(milliseconds=lag_ms)
+    except (ValueError, OverflowError) as error:
         raise ProtocolError(f"{row!r} is not a server status") from error
     return ServerStatus(
         ServerRole(fields[1].decode()),
         term,
         received,
         held_term,
-        timedelta(milliseconds=lag_ms),
+        lag,
         busy,
         connections,
     )
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -6,8 +6,10 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
+import msgspec
 import orjson
 
+from bulrushloom.proxy.exchange.codec import Name
 from bulrushloom.proxy.exchange.messages import Member
 from bulrushloom.proxy.store import (
     Lease,
@@ -19,6 +21,7 @@
 )
 from bulrushloom.proxy.telemetry import EventLog
 from bulrushloom.runtime.loop import Loop, Steps
+from bulrushloom.runtime.streams import split_address
 
 MEMBER_PREFIX = "members/"
 # A killed instance stays listed for this long; meanwhile its part of the account limits
@@ -28,6 +31,7 @@
 # Calls to an unavailable store are billed too; the lease outlasts three of these
 # intervals.
 RETRY_INTERVAL = timedelta(milliseconds=1200)
+_decoder = msgspec.json.Decoder(dict[str, Name])
 
 
 def decode_members(records: Mapping[str, Record]) -> dict[str, Member]:
@@ -38,15 +42,10 @@
     latest_by_name: dict[str, tuple[int, Member]] = {}
     for record in records.values():
         try:
-            fields = orjson.loads(record.value)
-            member = Member(
-                fields["name"],
-                fields["incarnation"],
-                fields["address"],
-                fields["domain"],
-                fields["document_address"],
-            )
-        except (KeyError, TypeError, ValueError):
+            member = Member(**_decoder.decode(record.value))
+            split_address(member.address)
+            split_address(member.document_address)
+        except (TypeError, ValueError):
             continue
         latest = latest_by_name.get(member.name)
         if latest is None or latest[0] < record.revision:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -10,6 +10,11 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform.documents import decode_configuration, decode_target
 from bulrushloom.proxy.configuration import Consistency
+from bulrushloom.proxy.exchange.directory import (
+    decode_directory,
+    encode_directory,
+    make_directory,
+)
 from bulrushloom.proxy.store import DocumentError
 from standins.platform.documents import build_document, build_entry
 
@@ -53,6 +58,15 @@
         {"Slots": "many"},
         {"born": True},
         {"ColdLeftMs": None},
+        {"ColdLeftMs": 1e18},
+        {"ColdLeftMs": -1},
+        {"born": -1},
+        {"born": 2**60},
+        {"Slots": 1e300},
+        {"Addr": "nowhere"},
+        {"Addr": "10.0.0.1:99999"},
+        {"Service": "s" * 300},
+        {"Zone": "z" * 300},
     ],
 )
 def test_entry_with_an_invalid_field_is_no_target(changes):
@@ -61,6 +75,44 @@
     assert isinstance(decode_target("i-1", value, 9), Missing)
 
 
+NUMBERS = st.integers() | st.floats(allow_nan=False, allow_infinity=False)
+VALUES = st.none() | st.booleans() | NUMBERS | st.text() | st.lists(st.integers())
+
+
+@given(
+    st.sampled_from(["Service", "Addr", "Zone", "State", "DbRole"])
+    | st.sampled_from(["Slots", "ColdLeftMs", "born", "Seq", "Version"]),
+    VALUES,
+)
+def test_directory_with_any_accepted_entry_can_be_copied(field, value):
+    # Guards against one entry that makes every instance reject the whole directory, or
+    # every read of the store fail.
+    try:
+        encoded = orjson.dumps(build_entry(**{field: value}))
+    except TypeError:
+        return  # Not a JSON document: a larger integer or an unpaired surrogate.
+    target = decode_target("i-1", encoded, 9)
+    if isinstance(target, Missing):
+        return
+    directory = make_directory(timedelta(), {"i-1": target}, {})
+    assert decode_directory(encode_directory(directory), timedelta()) == directory
+
+
+def test_target_with_an_id_that_is_too_long_is_no_target():
+    entry = orjson.dumps(build_entry())
+    assert isinstance(decode_target("i" * 300, entry, 9), Missing)
+
+
+@pytest.mark.parametrize("field", ["MaxStalenessMs", "TimeoutMs", "SloMs"])
+@pytest.mark.parametrize("value", [1e300, "soon"])
+def test_configuration_with_an_invalid_duration_is_an_error(field, value):
+    # Guards against a document that ends the task that reads the store.
+    document = build_document()
+    document["Routes"][0][field] = value
+    with pytest.raises(DocumentError):
+        decode_configuration(orjson.dumps(document), 1)
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_without_an_exception(value):
     decode_target("i-1", value, 1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,6 +17,7 @@
     StoreFailure,
     StoreFailureKind,
 )
+from bulrushloom.runtime.http import HttpServer
 from standins.platform.documents import build_document, build_entry
 from standins.platform.kv_server import KeyValueServer
 from tests.runtime.builders import running_loop, wait_for
@@ -139,6 +140,41 @@
         assert wait_for(loop, call).kind is problem
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        [],
+        None,
+        "text",
+        {"items": None, "CurrentRev": 1},
+        {"items": [{}], "CurrentRev": 1},
+        {"items": [{"Key": 7, "Value": "", "Rev": 1}], "CurrentRev": 1},
+        {"items": [], "HasMore": True},
+        {"Rev": "later"},
+        {"Lease": [], "TtlMs": 2000},
+        {"Lease": 1, "TtlMs": 1e300},
+    ],
+)
+def test_answer_of_another_form_is_a_failure(platform, answer):
+    # Guards against an answer that ends the task which called the store.
+    loop, server, _, logged = platform
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    body = orjson.dumps(answer)
+    other = HttpServer(loop, address, lambda *_: (200, {}, body))
+    client = KeyValueStore(loop, address, lambda event, **_: logged.append(event))
+    calls = [client.snapshot(True), client.create_lease(SECOND)]
+    calls.append(client.commit((), (Put("a", b""),)))
+    results = [wait_for(loop, call) for call in calls]
+    client.close()
+    other.close()
+    # A revision is optional in the answer to a commit.
+    failures = [result for result in results if isinstance(result, StoreFailure)]
+    assert len(failures) >= (2 if isinstance(answer, dict) else 3)
+    assert all(f.kind is StoreFailureKind.UNKNOWN for f in failures)
+
+
 def test_call_without_an_answer_has_an_unknown_outcome(platform):
     loop, _, _, _ = platform
     with socket.socket() as sock:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -92,7 +92,8 @@
 def test_ready_message_is_decoded():
     assert wire.decode_ready(b"E 3.9") == (TransactionState.FAILED, LogPosition(3, 9))
     assert wire.decode_ready(b"I -") == (TransactionState.IDLE, NO_POSITION)
-    for broken in (b"", b"X -", b"I 3", b"I 3.x", b"I"):
+    huge = b"9" * 5000
+    for broken in (b"", b"X -", b"I 3", b"I 3.x", b"I", b"I 1." + huge):
         with pytest.raises(wire.ProtocolError):
             wire.decode_ready(broken)
 
@@ -108,11 +109,33 @@
     assert status.role is ServerRole.REPLICA
     assert (status.term, status.received) == (3, LogPosition(3, 1209))
     assert (status.paused_term, status.connections) == (4, 17)
-    for broken in (b"ROW", b"ROW leader 3 3.1 0 0 0 0", b"ROW replica x 3.1 0 0 0 0"):
+    for broken in (
+        b"ROW",
+        b"ROW leader 3 3.1 0 0 0 0",
+        b"ROW replica x 3.1 0 0 0 0",
+        b"ROW replica inf 3.1 0 0 0 0",
+        b"ROW replica 3 3.1 0 1e300 0 0",
+    ):
         with pytest.raises(wire.ProtocolError):
             wire.decode_status(broken)
 
 
+SERVER_FIELDS = st.lists(
+    st.sampled_from([b"replica", b"primary", b"I", b"T", b"-", b"1.2", b"inf", b"nan"])
+    | st.integers().map(lambda number: str(number).encode())
+    | st.binary(max_size=20)
+).map(b" ".join)
+
+
+@given(SERVER_FIELDS, st.sampled_from([wire.decode_ready, wire.decode_status]))
+def test_any_answer_of_a_server_is_decoded_or_a_protocol_error(rest, decode):
+    # Guards against an answer whose error ends more than its connection.
+    try:
+        decode(rest)
+    except wire.ProtocolError:
+        return
+
+
 def test_missing_position_is_encoded_as_a_dash():
     assert not isinstance(wire.decode_position(b"3.4"), Missing)
     assert wire.encode_ready(TransactionState.IDLE, NO_POSITION) == b"READY I -\r\n"
