Do not read the store while a commit at an old primary is pending

Cause: an instance with a pending commit does not follow the record of a failover yet, and took each report that did as a sign that it lacked the record: it read the store up to four times a second, in vain. Change: it reads only if a record is missing. The new test fails without it.

--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -673,25 +673,23 @@
         """
         services, view = self._services, report.view
         assert view is not None
-        followed = report.followed_revision_by_service
-        own = services.followed_revisions()
-        has_groups = all(
-            own.get(service, 0) >= revision for service, revision in followed.items()
-        )
+        announced = report.followed_revision_by_service
         has_configuration = (
             services.configuration.revision >= view.configuration_revision
         )
-        if has_groups and has_configuration:
+        if _contains(services.followed_revisions(), announced) and has_configuration:
             services.store_freshness.record_read(view.last_read_at)
             services.record_sealed_positions(view.last_read_at)
-        elif view.last_read_at > services.store_freshness.last_read_at:
-            if has_groups and report.member.domain == self._member.domain:
-                # Copies within a domain are free, and the relay has read the store.
-                self._copier.fetch_configuration(
-                    report.member, view.configuration_revision
-                )
-            else:
-                self._copier.read_store()
+        elif view.last_read_at <= services.store_freshness.last_read_at:
+            return
+        elif not _contains(services.known_revisions(), announced):
+            self._copier.read_store()
+        elif not has_configuration and report.member.domain == self._member.domain:
+            # Copies within a domain are free, and the relay has read the store.
+            self._copier.fetch_configuration(report.member, view.configuration_revision)
+        elif not has_configuration:
+            self._copier.read_store()
+        # Otherwise a commit at an old primary is pending; reading would not help.
 
     def _apply_directory_version(self, report: Report) -> None:
         announced, known = report.directory, self._directory
@@ -770,6 +768,16 @@
         self._endpoint.close()
 
 
+def _contains(
+    revision_by_service: Mapping[str, int], announced_by_service: Mapping[str, int]
+) -> bool:
+    """Return whether no announced revision is newer."""
+    return all(
+        revision_by_service.get(service, 0) >= revision
+        for service, revision in announced_by_service.items()
+    )
+
+
 def _domain_key(domain: str) -> str:
     """Return the limiter's key for the total of a domain."""
     return f"domain {domain}"
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -307,6 +307,13 @@
                 sample = PositionSample(sent_at, group.sealed)
                 self.history(group.service).record(sample)
 
+    def known_revisions(self) -> dict[str, int]:
+        """Return the revision of each group record that this instance has received."""
+        return {
+            service: group.revision
+            for service, group in self.table.group_by_service.items()
+        }
+
     def followed_revisions(self) -> dict[str, int]:
         """Return the revision of each group record that is fully in effect here.
 
--- a/tests/proxy/test_partitions.py
+++ b/tests/proxy/test_partitions.py
@@ -338,3 +338,27 @@
         reporter.services.apply_group_records({SERVICE: build_group(revision=50)})
         fleet.run(ms(1200))
         assert receiver.services.store_freshness.last_read_at <= announced_at
+
+
+def test_instance_with_a_pending_commit_does_not_read_the_store_again():
+    # Guards against an instance that reads the store four times a second while a commit
+    # at an old primary is pending: it knows the record of the replacement already.
+    with ExitStack() as stack:
+        fleet = SimulatedFleet(stack)
+        writer = next(m for m in fleet.members if not m.leadership.is_leader())
+        client = writer.client("strict")
+        write_until_served(fleet, client)
+        fleet.group.primary().work = ms(1500)
+        client.send("QUERY slow-1 WRITE 1 data")
+        fleet.run(ms(50))
+        record = {SERVICE: build_group(revision=50)}
+        for member in fleet.members:
+            member.services.apply_group_records(record)
+        reads = []
+        writer.reader.request_read = lambda: reads.append(fleet.loop.now())
+        copier = writer.fleet._copier._replace(read_store=writer.reader.request_read)
+        writer.fleet._copier = copier
+        fleet.run(ms(800))
+        assert not reads
+        assert writer.services.known_revisions()[SERVICE] == 50
+        assert SERVICE not in writer.services.followed_revisions()
