--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -17,15 +17,15 @@
 from bulrushloom.proxy.exchange.messages import (
     Directory,
     GroupUsage,
-    LeaderSighting,
     Member,
     Report,
     ReportKind,
 )
 from bulrushloom.proxy.exchange.reporting import build_report, directory_version
+from bulrushloom.proxy.exchange.sightings import Sightings
+from bulrushloom.proxy.exchange.totals import DomainTotals
 from bulrushloom.proxy.exchange.tree import ParentChooser
 from bulrushloom.proxy.groups import decode_group
-from bulrushloom.proxy.limits import PeerUsage
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
 
@@ -45,17 +45,9 @@
 # Time without a report of the parent after which an instance reports to its children on
 # its own, so that they do not look for another parent as well.
 PARENT_PULSE_TIMEOUT = timedelta(milliseconds=300)
-# Time for which a new relay passes on the total of its predecessor, until the instances
-# of its domain report to it. A total without them would count as a new one beside what
-# the predecessor reported of them.
-TAKEOVER_TIMEOUT = timedelta(milliseconds=600)
 # Time without the store and without other domains after which this instance is cut off.
 # Other domains' totals are sent every 0.4 s and reach an instance within 0.2 s.
 ISOLATION_TIMEOUT = timedelta(milliseconds=1400)
-# Time without a report of the leader after which there may be none.
-LEADER_TIMEOUT = timedelta(milliseconds=1300)
-# Age up to which the total of a domain represents its current usage.
-DOMAIN_USAGE_LIFETIME = timedelta(milliseconds=1600)
 # Member entries in the store can expire while the store is unavailable. If the last
 # list is older than LIST_GAP, its members are kept for this long.
 REPORTING_MEMBER_LIFETIME = timedelta(seconds=4)
@@ -63,8 +55,6 @@
 # An answer to an unproven report may itself be unproven to its receiver, so answers to
 # one sender are limited.
 MIN_ANSWER_INTERVAL = timedelta(milliseconds=50)
-# Instances of a domain without a known relay that get a report in one round.
-UNKNOWN_RELAY_RECEIVERS = 3
 
 
 class SuspicionCount(NamedTuple):
@@ -115,24 +105,17 @@
         services.on_suspicion = self.send_immediately
         self._round = 0
         self._chooser = ParentChooser(member, services.random)
-        self._totals = SubtreeTotals(
+        self._subtree = SubtreeTotals(
             member.incarnation, REPORT_TIMEOUT, services.limiter.window.length
         )
-        self._usage_by_domain: dict[str, GroupUsage] = {}
-        # Number of the own report that the total of the own domain includes.
-        self._included_stamp = 0
-        # As the relay: whether the domain reports to this instance, or since when it
-        # awaits these reports.
-        self._has_taken_over = False
-        self._taking_over_since: timedelta | None = None
+        self._totals = DomainTotals(member, services.limiter, self._subtree)
+        self._sightings = Sightings(member)
         self._pulse_at: timedelta | None = None
         # Incarnations of the children whose reports the current collection awaits.
         self._awaited: set[str] = set()
         self._collection = 0
         self._directory: Directory | None = None
         self._kept_members_until = self._loop.now()
-        self._leader: LeaderSighting | None = None
-        self._relay_by_domain: dict[str, str] = {}
         self._answered_at_by_name: dict[str, timedelta] = {}
         self.leader_hint = ""
         self.is_leader = False
@@ -221,11 +204,9 @@
         total that the domain's relay reports includes it.
         """
         now = self._loop.now()
-        reporting_by_domain = {
-            domain: usage.instance_count
-            for domain, usage in self._usage_by_domain.items()
-            if now - usage.reported_at <= REPORTING_MEMBER_LIFETIME
-        }
+        reporting_by_domain = self._totals.reporting_counts(
+            now - REPORTING_MEMBER_LIFETIME
+        )
         listed_by_domain = Counter(m.domain for m in self.peers_by_name.values())
         listed_by_domain[self._member.domain] += 1
         count = sum(
@@ -243,10 +224,7 @@
         """Return the name of the leader, or an empty string if it is not heard."""
         if self.is_leader:
             return self._member.name
-        leader = self._leader
-        if leader is None or self._loop.now() - leader.seen_at > LEADER_TIMEOUT:
-            return ""
-        return leader.name
+        return self._sightings.leader_name(self._loop.now())
 
     def is_domain_relay(self) -> bool:
         """Return whether this instance exchanges reports with the other domains.
@@ -264,6 +242,9 @@
             r for r in self.report_by_name.values() if now - r.received_at <= max_age
         ]
 
+    def _heard_relays(self) -> list[Report]:
+        return [r for r in self.recent_reports(RELAY_TIMEOUT) if r.is_domain_relay]
+
     # Sending
 
     def run(self) -> Steps:
@@ -306,7 +287,7 @@
             self._send([self.peers_by_name[name] for name in probes], report)
         is_relay, pulse_at = self.is_domain_relay(), self._pulse_at
         if is_relay or pulse_at is None or now - pulse_at >= PARENT_PULSE_TIMEOUT:
-            domains = set(self._usage_by_domain)
+            domains = set(self._totals.usage_by_domain)
             if self._round % ROUNDS_PER_CROSS_DOMAIN_REPORT:
                 domains &= {self._member.domain}
             self._send_down(domains)
@@ -317,7 +298,7 @@
 
     def _collect(self) -> None:
         """Await the reports of the children; report when all of them have arrived."""
-        children = self._totals.children(self._loop.now())
+        children = self._subtree.children(self._loop.now())
         self._awaited = {report.member.incarnation for report in children}
         self._collection += 1
         number = self._collection
@@ -343,11 +324,14 @@
         if self._chooser.parent_name:
             self._send_up(self._chooser.parent_name)
         if not self.is_domain_relay():
-            self._has_taken_over, self._taking_over_since = False, None
+            self._totals.resign()
             return
         self._record_own_domain_total()
         if self._round % ROUNDS_PER_CROSS_DOMAIN_REPORT == 0:
-            self._send(self._relay_receivers(), self._build_relay_report())
+            receivers = self._sightings.relay_receivers(
+                self.peers_by_name, self._heard_relays(), self._round
+            )
+            self._send(receivers, self._build_relay_report())
 
     def _send_up(self, parent: str) -> None:
         member = self.peers_by_name.get(parent)
@@ -355,8 +339,8 @@
             return
         report = self._build_report(ReportKind.UP)
         own_usage = self._services.limiter.own_usage(report.received_at)
-        self._totals.record_sent(report.stamp, own_usage, parent)
-        subtree = self._totals.total(own_usage, parent, report.received_at)
+        self._subtree.record_sent(report.stamp, own_usage, parent)
+        subtree = self._subtree.total(own_usage, parent, report.received_at)
         report = report._replace(
             subtree=subtree, own_usage=own_usage, suspected=self._subtree_suspects()
         )
@@ -368,7 +352,7 @@
         if member is None:
             return
         own_usage = self._services.limiter.own_usage(now)
-        subtree = self._totals.total(own_usage, parent, now)
+        subtree = self._subtree.total(own_usage, parent, now)
         report = self._build_report(ReportKind.UP)._replace(
             subtree=subtree, own_usage=own_usage, has_left=True
         )
@@ -377,57 +361,32 @@
     def _record_own_domain_total(self) -> None:
         """Calculate the total of the domain, as the root of the tree."""
         now = self._loop.now()
+        is_in_contact = not self.peers_by_name or bool(
+            self.recent_reports(REPORT_TIMEOUT)
+        )
         own_usage = self._services.limiter.own_usage(now)
-        total = self._totals.total(own_usage, "", now)
-        if self._is_taking_over(total, now):
-            return
-        self._included_stamp = self._codec.next_stamp(now)
-        self._totals.record_sent(self._included_stamp, own_usage, "")
-        self._record_domain_usage(self._member.domain, total)
-
-    def _is_taking_over(self, total: GroupUsage, now: timedelta) -> bool:
-        """Return whether the last known total of the domain is still more complete.
-
-        That is so on a relay that is new, was frozen, or is not in contact with anyone.
-        """
-        previous = self._usage_by_domain.get(self._member.domain)
-        if previous is None:
-            return False
-        if self.peers_by_name and not self.recent_reports(REPORT_TIMEOUT):
-            self._has_taken_over, self._taking_over_since = False, None
-            return True
-        if previous.source != self._member.incarnation:
-            self._has_taken_over = False
-        if self._has_taken_over:
-            return False
-        if self._taking_over_since is None:
-            self._taking_over_since = now
-        is_complete = total.instance_count >= previous.instance_count
-        if not is_complete and now - self._taking_over_since < TAKEOVER_TIMEOUT:
-            return True
-        self._has_taken_over, self._taking_over_since = True, None
-        return False
+        stamp = self._codec.next_stamp(now)
+        if self._totals.record_own_domain(stamp, own_usage, is_in_contact, now):
+            self._update_member_count()
 
     def _send_down(self, domains: Iterable[str]) -> None:
         """Report to the children, with the totals of ``domains``."""
         now = self._loop.now()
-        children = [report.member for report in self._totals.children(now)]
+        children = [report.member for report in self._subtree.children(now)]
         if not children:
             return
         report = self._build_down_report(domains)
-        included = self._totals.included_stamps(self._included_stamp)
+        included = self._subtree.included_stamps(self._totals.included_stamp)
         self._send(children, report, included)
 
     def _build_down_report(self, domains: Iterable[str]) -> Report:
         report = self._build_report(ReportKind.DOWN)
-        if self._taking_over_since is not None:
-            # New children do not know what the predecessor's total includes of them.
-            domains = set(domains) - {self._member.domain}
+        usage_by_domain = self._totals.shareable
         return report._replace(
             usage_by_domain={
-                domain: self._usage_by_domain[domain]
+                domain: usage_by_domain[domain]
                 for domain in domains
-                if domain in self._usage_by_domain
+                if domain in usage_by_domain
             },
             directory=directory_version(self._directory),
         )
@@ -438,10 +397,9 @@
         Only the leader adds the version of the directory, which it has read.
         """
         report = self._build_report(ReportKind.DIRECT)
-        domain = self._member.domain
-        usage = self._usage_by_domain.get(domain)
+        usage = self._totals.own
         return report._replace(
-            usage_by_domain={domain: usage} if usage is not None else {},
+            usage_by_domain={self._member.domain: usage} if usage is not None else {},
             suspected=self._subtree_suspects(),
             directory=directory_version(self._directory) if self.is_leader else None,
         )
@@ -449,9 +407,9 @@
     def _build_report(self, kind: ReportKind) -> Report:
         stamp = self._codec.next_stamp(self._loop.now())
         report = build_report(self._services, self._member, kind, stamp)
-        leader = self._leader if not self.is_leader else None
+        leader = self._sightings.leader if not self.is_leader else None
         is_relay = self.is_domain_relay()
-        relays = dict(self._relay_by_domain)
+        relays = dict(self._sightings.relay_by_domain)
         if is_relay:
             relays[self._member.domain] = self._member.name
         return report._replace(
@@ -461,33 +419,6 @@
             relay_by_domain=relays,
         )
 
-    def _relay_receivers(self) -> list[Member]:
-        """Return the relays of the other domains.
-
-        Of a domain without a known relay, a few members are returned, by turns; they
-        answer with the name of the relay. If this instance has replaced the relay of
-        its own domain, the previous one is included.
-        """
-        relays = {
-            report.member.name
-            for report in self.recent_reports(RELAY_TIMEOUT)
-            if report.is_domain_relay
-        }
-        relays |= set(self._relay_by_domain.values())
-        relays.discard(self._member.name)
-        members_by_domain: dict[str, list[Member]] = {}
-        for _, member in sorted(self.peers_by_name.items()):
-            members_by_domain.setdefault(member.domain, []).append(member)
-        receivers: list[Member] = []
-        for domain, members in members_by_domain.items():
-            known_relays = [member for member in members if member.name in relays]
-            if known_relays or domain == self._member.domain:
-                receivers += known_relays
-                continue
-            first = self._round * UNKNOWN_RELAY_RECEIVERS // 2 % len(members)
-            receivers += (members + members)[first : first + UNKNOWN_RELAY_RECEIVERS]
-        return receivers
-
     def _introduce_to_leader(self) -> None:
         """Report to the leader until the directory lists this incarnation.
 
@@ -551,7 +482,7 @@
         elif (is_probe or not report.proven) and self._may_answer(report.member):
             is_own_domain = report.member.domain == self._member.domain
             if is_own_domain and (is_probe or report.kind is ReportKind.UP):
-                answer = self._build_down_report(self._usage_by_domain)
+                answer = self._build_down_report(self._totals.usage_by_domain)
             else:
                 answer = self._build_report(ReportKind.DIRECT)
             self._send([report.member], answer)
@@ -575,10 +506,9 @@
         if is_own_domain:
             self._chooser.record_heard(name, now)
         if report.kind is ReportKind.UP and is_own_domain:
-            self._totals.record_child(report)
+            self._subtree.record_child(report)
             self._record_collected(report)
-        self._apply_leader(report)
-        self._apply_relays(report)
+        self._sightings.record(report, self._heard_relays())
         for service, sample in report.position_by_service.items():
             services.history(service).record(sample)
         for service, position in report.acknowledged_by_service.items():
@@ -591,33 +521,6 @@
         if not self._subtree_suspects() <= suspects_before:
             self.send_immediately()
 
-    def _apply_leader(self, report: Report) -> None:
-        sighting = report.leader
-        if report.is_leader:
-            sighting = LeaderSighting(report.member.name, report.received_at)
-        elif self._leader is not None and self._leader.name == report.member.name:
-            # It is not the leader any more.
-            self._leader = None
-        if sighting is None or sighting.name == self._member.name:
-            return
-        if self._leader is None or sighting.seen_at > self._leader.seen_at:
-            self._leader = sighting
-
-    def _apply_relays(self, report: Report) -> None:
-        domain, name = report.member.domain, report.member.name
-        if report.is_domain_relay:
-            self._relay_by_domain[domain] = name
-        elif self._relay_by_domain.get(domain) == name:
-            del self._relay_by_domain[domain]
-        heard_directly = {
-            r.member.domain
-            for r in self.recent_reports(RELAY_TIMEOUT)
-            if r.is_domain_relay
-        }
-        for other_domain, relay in report.relay_by_domain.items():
-            if other_domain not in heard_directly and relay != self._member.name:
-                self._relay_by_domain[other_domain] = relay
-
     def _apply_totals(self, report: Report) -> None:
         """Record the totals of domains; pass those of the parent on to the children."""
         own_domain = self._member.domain
@@ -633,29 +536,14 @@
         self._pulse_at = report.received_at
         total = report.usage_by_domain.get(own_domain)
         if total is not None:
-            self._included_stamp = report.included_stamp
+            self._totals.included_stamp = report.included_stamp
             self._record_domain_usage(own_domain, total)
         self._send_down(report.usage_by_domain)
         self._collect()
 
     def _record_domain_usage(self, domain: str, usage: GroupUsage) -> None:
-        previous = self._usage_by_domain.get(domain)
-        if previous and previous.reported_at > usage.reported_at:
-            return
-        self._usage_by_domain[domain] = usage
-        self._update_member_count()
-        if domain == self._member.domain:
-            usage = self._totals.without_own_part(usage, self._included_stamp)
-        self._services.limiter.record_peer_usage(
-            _domain_key(domain),
-            PeerUsage(
-                usage.reported_at,
-                usage.usage_by_account,
-                usage.instance_count,
-                DOMAIN_USAGE_LIFETIME,
-                usage.source,
-            ),
-        )
+        if self._totals.record(domain, usage):
+            self._update_member_count()
 
     def _apply_group_records(self, report: Report) -> None:
         groups = {}
@@ -708,7 +596,7 @@
     def _subtree_suspects(self) -> frozenset[str]:
         """Return the targets that this instance or an instance below it suspects."""
         suspected = set(self._services.suspected_targets())
-        for report in self._totals.children(self._loop.now()):
+        for report in self._subtree.children(self._loop.now()):
             suspected |= report.suspected
         return frozenset(suspected)
 
@@ -750,8 +638,8 @@
                 ISOLATION_TIMEOUT
             )
         report_times = [
-            self._usage_by_domain[d].reported_at
-            for d in others & self._usage_by_domain.keys()
+            self._totals.usage_by_domain[d].reported_at
+            for d in others & self._totals.usage_by_domain.keys()
         ]
         return all(now - at > ISOLATION_TIMEOUT for at in report_times)
 
@@ -776,8 +664,3 @@
         revision_by_service.get(service, 0) >= revision
         for service, revision in announced_by_service.items()
     )
-
-
-def _domain_key(domain: str) -> str:
-    """Return the limiter's key for the total of a domain."""
-    return f"domain {domain}"
