Stop accepting sessions before the last step of a planned stop

The load balancer sends callers to a stopping instance if most of its domain is stopping. Change: the listener is closed before the entry is removed, and sessions accepted just before may still end.

--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -131,13 +131,13 @@
         stack.callback(probe.close)
         metrics = HttpServer(loop, settings.metrics_address, self._answer_metrics)
         stack.callback(metrics.close)
-        listener = Listener(
+        self._listener = Listener(
             loop,
             settings.session_address,
             self._accept,
             lambda reason: self.log.write("session_not_accepted", reason=reason),
         )
-        stack.callback(listener.close)
+        stack.callback(self._listener.close)
         self._install_signal_handlers()
         loop.supervise(self.reader.run)
         loop.supervise(self._registration.run)
@@ -320,12 +320,18 @@
                 for session in self._sessions:
                     session.abort_idle_transaction("the instance stops")
             yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
+        # A session that is accepted from now on might be cut.
+        self._listener.close()
         try:
             yield self._loop.wait_for(
                 self._loop.spawn(self._registration.deregister()), SHUTDOWN_MARGIN * 0.5
             )
         except TimeoutError:
             self.log.write("registration_not_ended")
+        while self._sessions and self._loop.now() < deadline:
+            # The last ones were accepted just before the listener was closed.
+            self._close_idle_sessions("the instance stops")
+            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
         self.log.write("stopped", sessions=len(self._sessions))
         self._loop.stop()
 
