Close unused connections sooner where targets have less than one an instance

Change: with fewer connections than instances an unused one is kept for 0.25 s, which the statements of one caller still use; checked each 0.1 s.

--- a/bulrushloom/proxy/connection_allowance.py
+++ b/bulrushloom/proxy/connection_allowance.py
@@ -15,10 +15,13 @@
 # power, a server has to hold these and the new connections at the same time, so an
 # instance uses half of its quota for this long after its start.
 ORPHANED_CONNECTION_LIFETIME = timedelta(milliseconds=3500)
-# With fewer connections than this for each instance, idle ones are not kept.
+# With fewer connections than this for each instance, idle ones are not kept for long.
 SCARCE_QUOTA = 2
-# Time for which an unused connection to such a target is kept.
+# Time for which an unused connection to such a target is kept, and the same with fewer
+# connections than instances: the statements of one caller still find their connection.
 SCARCE_IDLE_LIFETIME = timedelta(seconds=1)
+SHARED_IDLE_LIFETIME = timedelta(milliseconds=250)
+CHECK_INTERVAL = timedelta(milliseconds=100)
 
 
 def quota(max_connections: int, member_count: int, uptime: timedelta) -> int:
@@ -39,10 +42,14 @@
     there are instances: if each instance keeps one, the target holds as many orphaned
     connections when the instances return, and rejects their new ones. An account rarely
     finds its own connection again on such an instance, so little is lost by closing it.
+
+    With fewer connections than instances, it also answers calm load: idle connections
+    of some instances fill a busy primary, which then rejects the others.
     """
-    if _share(max_connections, member_count) >= SCARCE_QUOTA:
+    share = _share(max_connections, member_count)
+    if share >= SCARCE_QUOTA:
         return None
-    return SCARCE_IDLE_LIFETIME
+    return SCARCE_IDLE_LIFETIME if share else SHARED_IDLE_LIFETIME
 
 
 def _share(max_connections: int, member_count: int) -> int:
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -12,6 +12,7 @@
 from bulrushloom.conf.exceptions import SettingsError
 from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
+from bulrushloom.proxy import connection_allowance
 from bulrushloom.proxy.exchange.directory import encode_directory
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
@@ -35,7 +36,6 @@
 SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
 # The load balancer probes once per second and removes an instance after two failures.
 BALANCER_REMOVAL_TIME = timedelta(milliseconds=2300)
-IDLE_CONNECTION_CHECK_INTERVAL = timedelta(milliseconds=250)
 SHUTDOWN_CHECK_INTERVAL = timedelta(milliseconds=50)
 # Reserved at the end of the stop grace for the last answers and the log.
 SHUTDOWN_MARGIN = timedelta(milliseconds=700)
@@ -232,7 +232,7 @@
 
     def _watch_connections(self) -> Steps:
         while True:
-            yield self._loop.sleep(IDLE_CONNECTION_CHECK_INTERVAL)
+            yield self._loop.sleep(connection_allowance.CHECK_INTERVAL)
             self.services.close_unused_connections()
 
     def _close_idle_sessions(self, reason: str) -> None:
