--- a/tests/proxy/test_connection_allowance.py
+++ b/tests/proxy/test_connection_allowance.py
@@ -74,6 +74,7 @@
     # that was known to be full. On a calm day of further-grown/, the busiest target got
     # 2.9 times the mean: 770 connections rejected in 10 s of a calm day. The rates are
     # those of the busiest target with 126 and 195 instances, and the mean with 20.
+    held = connections_held(max_connections, member_count, statements_per_s)
     # The returning instances soon hold as many as before.
     assert held * 2 + RESERVED_CONNECTIONS <= max_connections
 
