Pass group records down the tree, so that children do not read the store for them

Cause: the report of a parent may follow a group record that a child has not received; the child then read the store. Change: a parent adds the records that a child does not follow yet to its next report. Traffic within a domain is free. The test fails without it: the domain learns nothing but through the store.

--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -372,13 +372,32 @@
     def _send_down(self, domains: Iterable[str]) -> None:
         """Report to the children, with the totals of ``domains``."""
         now = self._loop.now()
-        children = [report.member for report in self._subtree.children(now)]
+        reports = self._subtree.children(now)
+        children = [report.member for report in reports]
         if not children:
             return
-        report = self._build_down_report(domains)
+        report = self._build_down_report(domains)._replace(
+            group_by_service=self._records_missing_at(reports)
+        )
         included = self._subtree.included_stamps(self._totals.included_stamp)
         self._send(children, report, included)
 
+    def _records_missing_at(
+        self, reports: Iterable[Report]
+    ) -> dict[str, tuple[int, str]]:
+        """Return the group records that a sender of ``reports`` does not follow yet.
+
+        A child that lacked one would read the store when it hears of it.
+        """
+        return {
+            service: (group.revision, group.encode().decode())
+            for service, group in self._services.table.group_by_service.items()
+            if any(
+                report.followed_revision_by_service.get(service, 0) < group.revision
+                for report in reports
+            )
+        }
+
     def _build_down_report(self, domains: Iterable[str]) -> Report:
         report = self._build_report(ReportKind.DOWN)
         usage_by_domain = self._totals.shareable
--- a/tests/proxy/exchange/builders.py
+++ b/tests/proxy/exchange/builders.py
@@ -135,6 +135,8 @@
         self.services_by_name: dict[str, Services] = {}
         self.accounts = [build_account(f"account-{n}") for n in range(account_count)]
         self.stack = stack
+        # Names of the instances that would have read the store.
+        self.store_readers: list[str] = []
         names = [f"{DOMAINS[n % domain_count]}-{n:03}" for n in range(size)]
         self.member_by_name = {
             name: build_member(
@@ -163,7 +165,11 @@
             lambda on_datagram: MemoryEndpoint(
                 self.datagrams, name, on_datagram, self.stack
             ),
-            Copier(lambda: None, lambda *_: None, lambda *_: None),
+            Copier(
+                lambda: self.store_readers.append(name),
+                lambda *_: None,
+                lambda *_: None,
+            ),
         )
         self.fleet_by_name[name], self.services_by_name[name] = fleet, services
         fleet.is_leader = name == self.leader_name
--- a/tests/proxy/exchange/test_exchange.py
+++ b/tests/proxy/exchange/test_exchange.py
@@ -8,6 +8,7 @@
 from bulrushloom.proxy.exchange.messages import ReportKind
 from bulrushloom.proxy.limits import HEADROOM_SPREAD_TIME
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE
+from tests.proxy.builders import SERVICE, build_group
 from tests.proxy.exchange.builders import (
     CountedUsage,
     SimulatedExchange,
@@ -226,3 +227,21 @@
     lowest, highest = measure_counted_usage(stack, change, size)
     assert highest <= MAX_OVERCOUNT
     assert lowest >= MAX_UNDERCOUNT
+
+
+def test_group_record_reaches_a_domain_without_reads_of_the_store(stack):
+    # Guards against an instance that reads the store because the report of its parent
+    # follows a group record that it has not received: on large/ trouble-1, 130 of 195
+    # instances got the configuration from the store while primaries were replaced.
+    exchange = SimulatedExchange(stack, 126, account_count=1)
+    exchange.run(SECOND * 3)
+    record = {SERVICE: build_group(revision=50)}
+    exchange.services_by_name[exchange.leader_name].apply_group_records(record)
+    exchange.run(SECOND * 2)
+    domain = exchange.leader_name.partition("-")[0]
+    for name, services in exchange.services_by_name.items():
+        if name.startswith(domain):
+            assert services.known_revisions() == {SERVICE: 50}
+    assert not [name for name in exchange.store_readers if name.startswith(domain)]
+    # Each relay of another domain reads, since it did not get the announcement.
+    assert len(set(exchange.store_readers)) == 5
