Wait for servers to register again before a primary is replaced as unlisted

Cause: an unlisted server was dropped 2.5 s after it was last listed, also if the store was away all that time, and a failover took the listed servers for all that could have acknowledged commits. The first read after an outage logs target_gone for every server that is not back yet; the leader then logs failover_started ("the primary is not listed") and successor_chosen with missing [] although acknowledged is above the chosen position.

Ruled out: a late or doubled order (one order, one fence); a replica that lost its log; the comparison of positions, which waits if the other servers are known.

Change: GroupTable decides alone what an incomplete list means: the time of an unlisted server counts from the first read without it and again after a gap, is_complete covers the return of all servers, departed servers stay members of their group for 30 s. The leader sends RESUME to replicas that stay stopped after a failover. The test of the lifetime of an unlisted target jumped 2 s between reads, which now counts as an outage; it reads each 0.5 s with the same bounds.

--- a/bulrushloom/platform/wire.py
+++ b/bulrushloom/platform/wire.py
@@ -33,6 +33,8 @@
 LOCAL_DONE = b"DONE -\r\n"
 RESET = b"RESET"
 STATUS = b"STATUS"
+# Lets a replica receive the log again that a PAUSE statement stopped.
+RESUME = b"RESUME"
 BEGIN = b"BEGIN"
 BEGIN_READ = b"BEGIN READ"
 ROLLBACK = b"ROLLBACK"
--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -89,12 +89,15 @@
     """State of a group's servers during a failover.
 
     ``status_by_id`` holds the servers that confirmed that they stopped replicating,
-    ``missing`` the listed servers that did not. ``demoted`` is the status of the old
-    primary once it confirmed that it is a replica. ``all_instances_left`` means that
-    every instance confirmed that it acknowledges no more commits of the old primary;
-    ``acknowledged`` is the highest position that they acknowledged.
+    ``missing`` those that may have acknowledged commits and did not. ``demoted`` is the
+    status of the old primary once it confirmed that it is a replica.
+    ``all_instances_left`` means that every instance confirmed that it acknowledges no
+    more commits of the old primary; ``acknowledged`` covers all that they acknowledged.
     ``stopped_position_by_id`` holds the positions of servers that had stopped
-    replicating before the failover.
+    replicating before the failover. ``is_list_complete`` means that no further server
+    can be running in reach of the store. ``has_given_up_servers`` means that servers
+    which are not listed no longer count as missing, and ``accepts_missing_commits``
+    that the failover no longer waits for a server with the acknowledged commits.
     """
 
     status_by_id: Mapping[str, ServerStatus]
@@ -103,6 +106,9 @@
     acknowledged: LogPosition | None
     all_instances_left: bool
     stopped_position_by_id: Mapping[str, LogPosition]
+    is_list_complete: bool = True
+    has_given_up_servers: bool = False
+    accepts_missing_commits: bool = False
 
 
 def choose_successor(
@@ -144,23 +150,38 @@
 
 def _covers_all_commits(highest: LogPosition, state: FailoverState) -> bool:
     """Return whether a server at ``highest`` has every acknowledged commit."""
+    demoted, acknowledged = state.demoted, state.acknowledged
+    if demoted is not None and highest >= demoted.received:
+        # The demoted primary reported the end of its log, which has all its commits.
+        return True
+    if state.is_list_complete and not _missing_ahead_of(highest, state):
+        # Every server that could acknowledge a commit has reported its position.
+        if not state.has_given_up_servers or state.accepts_missing_commits:
+            return True
+        return acknowledged is None or highest >= acknowledged
+    # Only instances acknowledge commits to clients. Once all of them have stopped using
+    # the old primary, the highest position that they acknowledged is sufficient.
+    if not state.all_instances_left or acknowledged is None:
+        return False
+    return highest >= acknowledged
+
+
+def _missing_ahead_of(highest: LogPosition, state: FailoverState) -> list[str]:
+    """Return the servers that may have commits which a server at ``highest`` lacks.
+
+    A server that had stopped replicating before the failover does not matter if it is
+    not ahead.
+    """
     stopped_position_by_id = state.stopped_position_by_id
-    # A server that had stopped replicating before the failover matters only if it is
-    # ahead of those that answer.
     missing = [
         target_id
         for target_id in state.missing
         if target_id not in stopped_position_by_id
         or stopped_position_by_id[target_id] > highest
     ]
-    if state.demoted is not None:
-        # The demoted primary reported the end of its log, which has all its commits.
-        return highest >= state.demoted.received or not missing
-    if not missing:
-        return True
-    # Only instances acknowledge commits to clients. Once all of them have stopped using
-    # the old primary, the highest position that they acknowledged is sufficient.
-    acknowledged = state.acknowledged
-    return state.all_instances_left and (
-        acknowledged is None or highest >= acknowledged
-    )
+    ahead = [
+        target_id
+        for target_id, status in state.status_by_id.items()
+        if status.received > highest
+    ]
+    return missing + ahead
--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -20,6 +20,12 @@
 # An entry can expire while the store is unavailable; its server registers again within
 # 2 s after the store is back.
 VANISHED_TARGET_LIFETIME = timedelta(milliseconds=2500)
+# Reads further apart than this may have an outage between them in which entries
+# expired. An entry expires after three missed heartbeats.
+MAX_LIST_INTERVAL = timedelta(milliseconds=1500)
+# A target that is no longer used may still run, and acknowledge commits, out of reach
+# of the store.
+DEPARTED_TARGET_LIFETIME = timedelta(seconds=30)
 # With a single remaining replica, its failure would block all commits.
 MIN_REMAINING_REPLICAS = 2
 
@@ -114,12 +120,21 @@
 
     ``listed_at`` is the start of the last store read that listed it.
     ``draining_since`` is the start of the last read in which it was not draining yet,
-    or of the first read that listed it.
+    or of the first read that listed it. ``unlisted_since`` is the start of the first
+    read without it; reads before the latest outage of the store do not count.
     """
 
     target: Target
     listed_at: timedelta
     draining_since: timedelta | None
+    unlisted_since: timedelta | None = None
+
+
+class DepartedTarget(NamedTuple):
+    """A target that is no longer used, and the read of the store that dropped it."""
+
+    target: Target
+    departed_at: timedelta
 
 
 class GroupTable:
@@ -129,20 +144,36 @@
         self.drain_bound = drain_bound
         self.group_by_service: dict[str, GroupRecord] = {}
         self.listed_target_by_id: dict[str, KnownTarget] = {}
+        self._departed_target_by_id: dict[str, DepartedTarget] = {}
         self._listed_at: timedelta | None = None
+        self._uninterrupted_since: timedelta | None = None
 
     def is_read_since(self, at: timedelta) -> bool:
         """Return whether the last list of targets was read at ``at`` or later."""
         return self._listed_at is not None and self._listed_at >= at
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether every running server that reaches the store is listed.
+
+        That is not so before the first list, and for some time after an outage of the
+        store, because the servers register again one after the other.
+        """
+        if self._listed_at is None or self._uninterrupted_since is None:
+            return False
+        return self._listed_at - self._uninterrupted_since >= VANISHED_TARGET_LIFETIME
+
     def update_targets(
         self, target_by_id: Mapping[str, Target], read_at: timedelta
     ) -> None:
         """Apply the targets that a store read listed.
 
-        A target that is no longer listed is kept for ``VANISHED_TARGET_LIFETIME``.
+        A target that is no longer listed is kept until the reads of
+        ``VANISHED_TARGET_LIFETIME`` without an outage have not listed it.
         """
-        self._listed_at = read_at
+        previous_at, self._listed_at = self._listed_at, read_at
+        if previous_at is None or read_at - previous_at > MAX_LIST_INTERVAL:
+            self._uninterrupted_since = read_at
         listed_target_by_id = {}
         for target_id, target in target_by_id.items():
             known = self.listed_target_by_id.get(target_id)
@@ -154,14 +185,30 @@
             listed_target_by_id[target_id] = KnownTarget(
                 target, read_at, draining_since
             )
+            self._departed_target_by_id.pop(target_id, None)
         for target_id, known in self.listed_target_by_id.items():
-            unlisted_for = read_at - known.listed_at
-            if (
-                target_id not in listed_target_by_id
-                and unlisted_for < VANISHED_TARGET_LIFETIME
-            ):
+            if target_id in listed_target_by_id:
+                continue
+            unlisted_since = self._unlisted_since(known, read_at)
+            if read_at - unlisted_since < VANISHED_TARGET_LIFETIME:
+                known = known._replace(unlisted_since=unlisted_since)
                 listed_target_by_id[target_id] = known
+            else:
+                departed = DepartedTarget(known.target, read_at)
+                self._departed_target_by_id[target_id] = departed
         self.listed_target_by_id = listed_target_by_id
+        self._departed_target_by_id = {
+            target_id: departed
+            for target_id, departed in self._departed_target_by_id.items()
+            if read_at - departed.departed_at < DEPARTED_TARGET_LIFETIME
+        }
+
+    def _unlisted_since(self, known: KnownTarget, read_at: timedelta) -> timedelta:
+        """Return when a target that the read at ``read_at`` lacks became unlisted."""
+        assert self._uninterrupted_since is not None
+        if known.unlisted_since is None:
+            return read_at
+        return max(known.unlisted_since, self._uninterrupted_since)
 
     def apply_group_records(
         self, groups: Mapping[str, GroupRecord]
@@ -183,6 +230,29 @@
             if known.target.service == service
         ]
 
+    def find_target(self, target_id: str) -> Target | None:
+        """Return a target that is in use, or that departed not long ago."""
+        known = self.listed_target_by_id.get(target_id)
+        if known is not None:
+            return known.target
+        departed = self._departed_target_by_id.get(target_id)
+        return departed.target if departed is not None else None
+
+    def replication_members(self, service: str) -> dict[str, Target]:
+        """Return the targets that may receive commits of the service's primary.
+
+        They include the departed ones, which may run although they do not reach the
+        store. A target that departed while it was draining has ended.
+        """
+        member_by_id = {
+            target_id: departed.target
+            for target_id, departed in self._departed_target_by_id.items()
+            if departed.target.service == service and not departed.target.is_draining
+        }
+        return member_by_id | {
+            known.target.target_id: known.target for known in self.targets_of(service)
+        }
+
     def draining_replicas(self, service: str, primary_id: str) -> list[Target]:
         """Return the draining replicas that still replicate.
 
--- a/bulrushloom/proxy/primary_monitor.py
+++ b/bulrushloom/proxy/primary_monitor.py
@@ -121,6 +121,9 @@
         if isinstance(primary, Missing) and group is None:
             # The servers have not settled on a first primary yet.
             return
+        if isinstance(primary, Missing) and not self._services.table.is_complete:
+            # The primary may not have registered again after an outage of the store.
+            return
         if reason:
             old_id = group.primary_id if group else ""
             if not isinstance(primary, Missing):
@@ -290,6 +293,7 @@
                 duration=self._loop.now() - started_at,
             )
             self._services.metrics.count("failovers", "promoted")
+            self._loop.spawn(self._replacement.resume_replicas(service, primary_id))
         except Abandoned as error:
             self._log.write("failover_abandoned", service=service, reason=str(error))
             self._services.metrics.count("failovers", "abandoned")
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -155,6 +155,18 @@
         if known is None or position > known:
             self.acknowledged_by_service[service] = position
 
+    def acknowledged_position(self, service: str) -> LogPosition | None:
+        """Return a position that covers every commit acknowledged, if it is known.
+
+        Commits that were acknowledged before this instance started are covered by the
+        positions that it has received from the primary since.
+        """
+        acknowledged = self.acknowledged_by_service.get(service)
+        if acknowledged is not None:
+            return acknowledged
+        latest = self.history(service).latest()
+        return latest.position if latest is not None else None
+
     def primary(self, service: str) -> Target | Missing:
         """Return the primary that may be used now, or why there is none."""
         if not self.store_freshness.allows_primary(self.loop.now()):
--- a/standins/platform/server_session.py
+++ b/standins/platform/server_session.py
@@ -133,6 +133,9 @@
             case "PAUSE":
                 self.server.paused_term = int(rest)
                 self.send_ready(self.server.status_row(), "DONE -")
+            case "RESUME":
+                self.server.paused_term = 0
+                self.send_ready(self.server.status_row(), "DONE -")
             case "DEMOTE":
                 self.server.demote(int(rest))
                 self.send_ready(self.server.status_row(), "DONE -")
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -1,6 +1,7 @@
 """Builders of a simulated fleet with a store, promotions and one group of servers."""
 
 import os
+from collections.abc import Callable
 from contextlib import ExitStack
 from datetime import timedelta
 from itertools import cycle
@@ -115,9 +116,18 @@
 
 
 class SimulatedFleet:
-    """Instances in up to three domains that serve one group of three servers."""
-
-    def __init__(self, stack: ExitStack, size=3, domains=("north", "south", "west")):
+    """Instances in up to three domains that serve one group of three servers.
+
+    ``prepare`` changes the simulated platform before the instances start.
+    """
+
+    def __init__(
+        self,
+        stack: ExitStack,
+        size=3,
+        domains=("north", "south", "west"),
+        prepare: "Callable[[SimulatedFleet], None]" = lambda _: None,
+    ):
         self.stack = stack
         self.errors: list[BaseException] = []
         self.loop = Loop(ManualClock(), self.errors.append)
@@ -137,6 +147,7 @@
         self.promotion = SimulatedPromotion(self.loop, self.group)
         self.datagrams = MemoryDatagrams(self.loop)
         self.member_by_name: dict[str, SimulatedMember] = {}
+        prepare(self)
         for number, domain in zip(range(size), cycle(domains)):
             name = f"{domain}-{number}"
             self.member_by_name[name] = SimulatedMember(self, name, domain)
@@ -176,6 +187,20 @@
         for connection in server.connections:
             connection.stream.close("crashed")
 
+    def suffer_store_outage(self, duration, return_delay_by_id):
+        """Make the store unavailable, and let all entries of servers expire meanwhile.
+
+        The servers register again after their delays; those without one do not.
+        """
+        self.store.is_down = True
+        self.run(duration)
+        self.deregistered |= self.group.server_by_id.keys()
+        self.store.is_down = False
+        for server_id, delay in return_delay_by_id.items():
+            self.loop.call_later(
+                delay, lambda server_id=server_id: self.deregistered.discard(server_id)
+            )
+
     def acknowledged_ids(self):
         return {
             request_id
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -173,8 +173,9 @@
     def test_unlisted_target_is_kept_for_a_limited_time(self):
         table = GroupTable(SECOND * 7)
         table.update_targets({"a": build_target("a")}, SECOND)
-        table.update_targets({}, SECOND * 2)
-        assert "a" in table.listed_target_by_id
+        for half_seconds in range(3, 8):
+            table.update_targets({}, ms(500) * half_seconds)
+            assert "a" in table.listed_target_by_id
         table.update_targets({}, SECOND * 4)
         assert "a" not in table.listed_target_by_id
 
