Ask for the current primary right before a statement is sent to it

Cause: a leader that misses a replica relies on every instance's confirmation that it acknowledges no further commit of the old primary. An instance that had confirmed still sent the COMMIT of open transactions there: statement_attempt shows them served 37 to 46 ms after successor_chosen with that replica in missing.

Ruled out: a commit that was pending at the confirmation (those are waited for); an order before all confirmations (instances_missing was empty).

Change: Services.is_current_primary answers alone whether a statement that needs the primary may be sent, and is asked right before it is sent, also for single writes, reads at the primary and the begin of transactions, which chose it before they waited for a connection. A transaction that has written is aborted instead of committed; one without writes ends as before.

--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -35,6 +35,7 @@
 SESSION_STATE_TIMEOUT = timedelta(milliseconds=500)
 # A connection with more prepared statements is reset, which drops them all.
 MAX_PREPARED_STATEMENTS = 200
+PRIMARY_REPLACED = "the server is no longer the primary"
 _ZERO = timedelta()
 
 
@@ -122,6 +123,15 @@
                 connection.close("the session values were refused")
                 raise NotOffered(connection.target, done.failure.reason)
 
+    def require_primary(self, target: Target) -> None:
+        """Raise ``NotOffered`` unless ``target`` is the primary that may be used now.
+
+        An instance that follows a failover has confirmed that it acknowledges no
+        further commits of the old primary.
+        """
+        if not self._services.is_current_primary(target):
+            raise NotOffered(target, PRIMARY_REPLACED)
+
     def send(
         self,
         connection: ServerConnection,
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -158,7 +158,9 @@
                 # connection must not run this copy of the read.
                 raise NotOffered(choice.target, "another target has answered")
             after = None
-            if not choice.is_primary:
+            if choice.is_primary:
+                self.require_primary(choice.target)
+            else:
                 after = self.require_position(
                     choice.target, attempt.route, attempt.session_position
                 )
@@ -288,6 +290,7 @@
         )
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
+            self.require_primary(primary)
             answer = yield from self.send(connection, attempt, None)
         finally:
             self._services.pool.release(connection)
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -173,6 +173,17 @@
             return Missing("the last read of the store is too old")
         return self.table.primary_of(service)
 
+    def is_current_primary(self, target: Target) -> bool:
+        """Return whether ``target`` is the primary that may be used now.
+
+        Statements that need the primary check this right before they are sent: while
+        they waited, or a transaction paused, a failover may have begun.
+        """
+        primary = self.primary(target.service)
+        return (
+            not isinstance(primary, Missing) and primary.target_id == target.target_id
+        )
+
     def candidates(self, service: str, account: str) -> list[Candidate]:
         """Return the targets that may run a read.
 
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -11,6 +11,7 @@
     ConnectionRejected,
     ServerConnection,
 )
+from bulrushloom.proxy.dispatch import PRIMARY_REPLACED
 from bulrushloom.proxy.execution import BUSY_RETRY_DELAY, StatementRunner
 from bulrushloom.proxy.messages import (
     NOT_RUN_CODES,
@@ -77,8 +78,19 @@
         except NotOffered as error:
             return self._fail_with(f"the connection was lost: {error}")
         self.wrote = self.wrote or writes
+        if not self._may_commit(connection):
+            return self._fail_with(PRIMARY_REPLACED)
         return (yield from self._send(attempt, connection))
 
+    def _may_commit(self, connection: ServerConnection) -> bool:
+        """Return whether the writes, if any, may be committed on the connection.
+
+        Commits of a primary that is being replaced might be missing at its successor.
+        """
+        if self._is_read_only or not self.wrote:
+            return True
+        return self._services.is_current_primary(connection.target)
+
     def _attempt(
         self, statement: Statement, prepared: PreparedStatement | None
     ) -> Attempt:
@@ -184,6 +196,8 @@
         answer = None
         try:
             yield from self._runner.apply_session_state(connection, attempt.prepared)
+            if is_primary:
+                self._runner.require_primary(target)
             answer = yield from self._send_begin(attempt, connection, is_primary)
         finally:
             if answer is None or answer.failure is not None:
@@ -254,6 +268,10 @@
     def _commit_on(self, connection: ServerConnection, attempt: Attempt) -> Steps:
         """Send the commit, again while the server is busy; return an ``Outcome``."""
         for retries in range(1, MAX_BUSY_RETRIES + 1):
+            if not self._may_commit(connection):
+                reason = f"commit: {PRIMARY_REPLACED}"
+                self._runner.log_attempt(attempt, connection.target, reason)
+                return Outcome(self._replaced_primary_failure(reason), None)
             try:
                 answer = yield from self._runner.send(connection, attempt, None)
             except AnswerLost as error:
@@ -273,6 +291,11 @@
             yield self._runner.backoff_after_refusals(retries)
         return Outcome(self._refused_commit_failure(answer), None)
 
+    def _replaced_primary_failure(self, reason: str) -> Failure:
+        """Return the failure of a commit that was not sent to a replaced primary."""
+        wait = self._services.expected_primary_wait(self._route.service)
+        return Failure(AnswerCode.ABORTED, reason, max(wait, BUSY_RETRY_DELAY))
+
     def _refused_commit_failure(self, answer: ServerAnswer) -> Failure:
         """Return the failure of a commit that the server answered with a failure.
 
