Refuse requests in the second half of a planned stop, and close with the refusal

Cause: sessions were closed, and open transactions aborted, only if a poll each 50 ms found them between two requests. A client that never pauses is not found: stopped logs sessions 30, 5.3 s after stopping, and statement_attempt shows requests served until then.

Ruled out: slow servers (at most 300 ms); sessions accepted late (the listener was not used after the removal). Tried and dropped: closing right after an answer; the case held, but the next request of each of the 30 clients was on its way and was lost without an answer.

Change: StopPlan decides alone what a stopping instance still does. From half of the grace on, a request is refused with a time to come back and its session is closed; an open transaction may only end; new transactions are refused once sessions are closed. An isolated instance closes sessions in constant use in the same way.

--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -24,8 +24,13 @@
 from bulrushloom.proxy.replacement import FailoverRunner
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
-from bulrushloom.proxy.session import Session
+from bulrushloom.proxy.session import STOP_REASON, Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
+from bulrushloom.proxy.stopping import (
+    BALANCER_REMOVAL_TIME,
+    SHUTDOWN_MARGIN,
+    StopPlan,
+)
 from bulrushloom.proxy.store_reader import DIRECTORY_PATH, DOCUMENT_PATH, StoreReader
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.http import HttpServer
@@ -34,11 +39,10 @@
 
 PARTITION_CHECK_INTERVAL = timedelta(milliseconds=200)
 SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
-# The load balancer probes once per second and removes an instance after two failures.
-BALANCER_REMOVAL_TIME = timedelta(milliseconds=2300)
 SHUTDOWN_CHECK_INTERVAL = timedelta(milliseconds=50)
-# Reserved at the end of the stop grace for the last answers and the log.
-SHUTDOWN_MARGIN = timedelta(milliseconds=700)
+# A session that was idle for a shorter time may be in constant use: a request may be on
+# its way.
+MIN_IDLE_TIME = timedelta(milliseconds=100)
 # Timeout for revoking the leader lease, which expires by itself otherwise.
 RESIGN_TIMEOUT = timedelta(milliseconds=500)
 METRICS_PATH = "/metrics"
@@ -172,8 +176,9 @@
         if number == signal.SIGHUP:
             self._reload()
         elif not self.services.is_stopping:
-            self.services.is_stopping = True
-            self._loop.spawn(self._stop())
+            plan = StopPlan(self._loop.now(), self.settings.stop_grace)
+            self.services.stop_plan = plan
+            self._loop.spawn(self._stop(plan))
 
     # Settings
 
@@ -212,16 +217,20 @@
     def _watch_partition(self) -> Steps:
         """Move clients to other instances while a partition cuts this one off.
 
-        The load balancer first removes the instance. Then idle sessions are closed, so
-        that their clients reconnect to instances that can reach the store.
+        The load balancer first removes the instance. Then idle sessions are closed, and
+        others with a refusal, so that their clients reconnect to instances that can
+        reach the store.
         """
         while True:
             yield self._loop.sleep(PARTITION_CHECK_INTERVAL)
+            if self.services.is_stopping:
+                return
             now = self._loop.now()
             if not self.fleet.is_isolated():
                 if self._cut_off_since is not None:
                     self.log.write("cut_healed", duration=now - self._cut_off_since)
                 self._cut_off_since = None
+                self.services.session_close_reason = ""
             elif self._cut_off_since is None:
                 self._cut_off_since = now
                 self.log.write(
@@ -236,8 +245,11 @@
             self.services.close_unused_connections()
 
     def _close_idle_sessions(self, reason: str) -> None:
+        """Close idle sessions now, and others when a request is refused."""
+        self.services.session_close_reason = reason
+        idle_since = self._loop.now() - MIN_IDLE_TIME
         for session in list(self._sessions):
-            if session.is_idle:
+            if session.is_idle and session.awaiting_since <= idle_since:
                 session.close(reason)
 
     def _accept(self, stream: Stream) -> None:
@@ -301,25 +313,17 @@
 
     # Shutdown
 
-    def _stop(self) -> Steps:
+    def _stop(self, plan: StopPlan) -> Steps:
         """Shut down without interrupting answers, then stop the loop.
 
         Idle sessions are closed once the load balancer has removed the instance. After
-        half of the stop grace, transactions between two statements are aborted.
+        half of the stop grace, the others are closed with a refusal, and transactions
+        between two statements are aborted.
         """
-        started_at = self._loop.now()
-        grace = self.settings.stop_grace
         self.log.write("stopping", sessions=len(self._sessions))
-        removed_at = started_at + min(BALANCER_REMOVAL_TIME, grace * 0.4)
-        deadline = started_at + max(grace - SHUTDOWN_MARGIN, grace * 0.5)
         yield from self._resign_leadership()
-        yield self._loop.sleep(removed_at - self._loop.now())
-        while self._sessions and self._loop.now() < deadline:
-            self._close_idle_sessions("the instance stops")
-            if self._loop.now() >= started_at + grace * 0.5:
-                for session in self._sessions:
-                    session.abort_idle_transaction("the instance stops")
-            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
+        yield self._loop.sleep(plan.closes_sessions_at - self._loop.now())
+        yield from self._close_sessions(plan, plan.leaves_at)
         # A session that is accepted from now on might be cut.
         self._listener.close()
         try:
@@ -328,13 +332,22 @@
             )
         except TimeoutError:
             self.log.write("registration_not_ended")
-        while self._sessions and self._loop.now() < deadline:
-            # The last ones were accepted just before the listener was closed.
-            self._close_idle_sessions("the instance stops")
-            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
+        # The last ones were accepted just before the listener was closed.
+        yield from self._close_sessions(plan, plan.ends_at)
         self.log.write("stopped", sessions=len(self._sessions))
+        for session in list(self._sessions):
+            session.end(STOP_REASON)
         self._loop.stop()
 
+    def _close_sessions(self, plan: StopPlan, deadline: timedelta) -> Steps:
+        """Close the sessions that have no outstanding request, until ``deadline``."""
+        while self._sessions and self._loop.now() < deadline:
+            self._close_idle_sessions(STOP_REASON)
+            if plan.refuses_work(self._loop.now()):
+                for session in self._sessions:
+                    session.abort_idle_transaction(STOP_REASON)
+            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
+
     def _resign_leadership(self) -> Steps:
         """Give up the leader lease, so that another instance can acquire it at once."""
         try:
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -17,6 +17,7 @@
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.settings import ProxySettings
+from bulrushloom.proxy.stopping import StopPlan
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE, StoreFreshness
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.loop import Loop
@@ -55,7 +56,8 @@
     ``request_store_read`` starts an early read of the store, and
     ``request_client_read`` one on behalf of a client; ``None`` if not available.
     ``acknowledged_by_service`` holds the highest log position whose commit was
-    acknowledged to a client.
+    acknowledged to a client. ``stop_plan`` is set once the instance stops. While
+    ``session_close_reason`` is not empty, a refusal closes the session.
     """
 
     def __init__(
@@ -83,7 +85,8 @@
         self.router = ReadRouter(settings.domain)
         self.pool = ConnectionPool(loop, network, self.connection_quota)
         self.member_count = 1
-        self.is_stopping = False
+        self.stop_plan: StopPlan | None = None
+        self.session_close_reason = ""
         self._started_at = loop.now()
         self._history_by_service: dict[str, PositionHistory] = {}
         self.acknowledged_by_service: dict[str, LogPosition] = {}
@@ -95,6 +98,11 @@
         self.request_store_read: Any = None
         self.request_client_read: Any = None
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.stop_plan is not None
+
     def connection_quota(self, target: Target) -> int:
         """Return how many connections this instance may have to ``target``."""
         return connection_allowance.quota(
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -24,13 +24,16 @@
     TransactionState,
 )
 from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.stopping import REFUSAL_RETRY_DELAY
 from bulrushloom.proxy.transaction import Transaction
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import LineTooLong, Stream
 
 # Time in which a client must send its start message; clients give up after it as well.
 SESSION_START_TIMEOUT = timedelta(seconds=5)
+STOP_REASON = "the instance stops"
 _ZERO = timedelta()
+REFUSED_BY_STOP = Failure(AnswerCode.NOT_RUN, STOP_REASON, REFUSAL_RETRY_DELAY)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -53,6 +56,9 @@
         self._transaction: Transaction | None = None
         self._runner = StatementRunner(services, self._values)
         self.is_awaiting_statement = True
+        self.awaiting_since = services.loop.now()
+        self._message: Any = None
+        self._was_refused = False
         stream.on_data(self._on_data)
         services.loop.spawn(self._run())
 
@@ -85,6 +91,32 @@
         """Close the client connection."""
         self._stream.close(reason)
 
+    def end(self, reason: str) -> None:
+        """Close the client connection; answer a request that still runs."""
+        if not self.is_awaiting_statement and isinstance(self._message, Statement):
+            self._send_failure(self._unfinished_failure(self._message, reason))
+        self._stream.close(reason)
+
+    def _unfinished_failure(self, statement: Statement, reason: str) -> Failure:
+        """Return what is certain about a statement that has no answer yet.
+
+        A transaction is rolled back with its connection, unless it may be committing.
+        """
+        is_ending = statement.kind is StatementKind.COMMIT
+        if self._transaction is not None and not is_ending:
+            return Failure(AnswerCode.ABORTED, reason)
+        if is_ending or self._writes(statement):
+            return Failure(AnswerCode.IN_DOUBT, reason)
+        return Failure(AnswerCode.NOT_RUN, reason)
+
+    def _writes(self, statement: Statement) -> bool:
+        prepared = self._prepared_by_name.get(statement.name)
+        return statement.kind is StatementKind.WRITE or (
+            statement.kind is StatementKind.EXECUTE
+            and prepared is not None
+            and prepared.is_write
+        )
+
     # Receiving messages
 
     def _on_data(self) -> None:
@@ -128,14 +160,29 @@
             return
         while True:
             self.is_awaiting_statement = True
+            self.awaiting_since = self._loop.now()
             line = yield from self._await_line()
             self.is_awaiting_statement = False
             if line is None:
                 return
-            message = wire.decode_client_line(line)
+            self._message = message = wire.decode_client_line(line)
             if isinstance(message, DisconnectRequest):
                 return
+            self._was_refused = False
             yield from self._handle(message)
+            if self._closes_after_answer():
+                return
+
+    def _closes_after_answer(self) -> bool:
+        """Return whether the client has to continue at another instance.
+
+        A client that sends one request after the other is never idle. Its session is
+        closed with a refusal, because a client waits before it repeats a request, so
+        that no request is on its way.
+        """
+        if not self._services.session_close_reason or not self._was_refused:
+            return False
+        return self._transaction is None and not self._stream.unread_bytes
 
     def _await_line(self) -> Steps:
         """Return the next line; abort the transaction at its idle timeout."""
@@ -191,6 +238,10 @@
         if transaction is not None and transaction.failure is not None:
             self._answer_in_failed_transaction(message, transaction)
             return
+        if transaction is not None and self._aborts_before(message):
+            transaction.fail(STOP_REASON)
+            self._answer(message, Outcome(transaction.failure, None))
+            return
         match message.kind:
             case StatementKind.SET_VALUE:
                 self._values[message.name] = message.arguments
@@ -211,6 +262,14 @@
             case _:
                 yield from self._run_statement(message)
 
+    def _aborts_before(self, message: Statement) -> bool:
+        """Return whether a planned stop aborts the transaction before ``message``."""
+        plan = self._services.stop_plan
+        is_ending = message.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+        if plan is None or is_ending:
+            return False
+        return plan.refuses_work(self._loop.now())
+
     def _answer_in_failed_transaction(
         self, message: Statement, transaction: Transaction
     ) -> None:
@@ -232,7 +291,10 @@
             return
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
-        if route is not None:
+        plan = self._services.stop_plan
+        if plan is not None and plan.refuses_transaction(self._loop.now()):
+            failure = REFUSED_BY_STOP
+        elif route is not None:
             failure = yield from self._admission.admit(route)
         if failure is not None or route is None:
             assert failure is not None
@@ -279,16 +341,17 @@
             if prepared is None:
                 self._answer_unknown_prepared(message)
                 return
-        writes = message.kind is StatementKind.WRITE or (
-            prepared is not None and prepared.is_write
-        )
+        writes = self._writes(message)
         if self._transaction is not None:
             yield from self._run_in_transaction(message, prepared, writes)
             return
         started_at = self._loop.now()
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
-        if route is not None:
+        plan = self._services.stop_plan
+        if plan is not None and plan.refuses_work(started_at):
+            failure = REFUSED_BY_STOP
+        elif route is not None:
             failure = yield from self._admission.admit(route)
         if failure is not None or route is None:
             assert failure is not None
@@ -379,6 +442,7 @@
         self._answer_failure(failure)
 
     def _answer_failure(self, failure: Failure) -> None:
+        self._was_refused = failure.code is AnswerCode.NOT_RUN
         self._send(
             wire.encode_failure(failure)
             + wire.encode_ready(self._state(), self._position)
