End lines at CR LF only, and refuse messages with other line breaks

Cause: Stream.read_line ended a line at each LF and dropped a CR before it, and the proxy wrote each part back with CR LF. So a message could contain a statement, change its own text, or commit its transaction.

Ruled out: statements on a pooled connection of another account, keys of another account and keys that move between accounts in use, ids and prefixes of the proxy, commands to servers, a second START, incomplete and too long lines, zero bytes, doubled blanks, clients that leave a transaction: tried with a real daemon, not shown.

Change: only CR LF ends a line, in both directions; a client's message with another line break is refused with BADMSG and the session goes on, since a server may end lines at it. A transaction whose key moved to another account is aborted, because its connection belongs to the former holder; the test_servers_get_the_account test shows it.

--- a/bulrushloom/platform/wire.py
+++ b/bulrushloom/platform/wire.py
@@ -75,7 +75,13 @@
 
 
 def decode_client_line(line: bytes) -> ClientMessage:
-    """Decode a message of a client; return ``Malformed`` if it is invalid."""
+    """Decode a message of a client; return ``Malformed`` if it is invalid.
+
+    A line break inside a message is invalid: a server that ends lines at other
+    characters than CR LF would run the rest as a statement of its own.
+    """
+    if b"\n" in line or b"\r" in line:
+        return Malformed(b"", "the message has a line break in it")
     word, _, rest = line.partition(b" ")
     if word == b"QUERY":
         request_id, _, text = rest.partition(b" ")
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -301,12 +301,11 @@
             self._log_failure(message, failure)
             self._answer_failure(failure)
             return
-        account = self._admission.account()
         self._transaction = Transaction(
             self._services,
             self._runner,
             route,
-            account.name if account is not None else "",
+            self._account_name(),
             message.kind is StatementKind.BEGIN_READ_ONLY,
             self._position,
         )
@@ -323,7 +322,7 @@
             transaction.roll_back()
             self._answer_locally()
             return
-        refusal = self._admission.refusal()
+        refusal = self._refusal_in(transaction)
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
@@ -357,12 +356,11 @@
             assert failure is not None
             self._answer(message, Outcome(failure, None))
             return
-        account = self._admission.account()
         attempt = Attempt(
             message,
             prepared,
             route,
-            account.name if account is not None else "",
+            self._account_name(),
             started_at,
             self._position,
         )
@@ -381,7 +379,7 @@
     ) -> Steps:
         transaction = self._transaction
         assert transaction is not None
-        refusal = self._admission.refusal()
+        refusal = self._refusal_in(transaction)
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
@@ -389,6 +387,20 @@
             outcome = yield from transaction.run(message, prepared, writes)
         self._answer(message, outcome)
 
+    def _refusal_in(self, transaction: Transaction) -> Failure | None:
+        """Return why the transaction may not continue, or ``None``.
+
+        Its connection belongs to the account that held the key at its begin.
+        """
+        refusal = self._admission.refusal()
+        if refusal is None and transaction.account != self._account_name():
+            return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
+        return refusal
+
+    def _account_name(self) -> str:
+        account = self._admission.account()
+        return account.name if account is not None else ""
+
     def _advance_position(self, position: LogPosition | Missing) -> None:
         if isinstance(position, Missing):
             return
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -55,7 +55,7 @@
         self._loop = services.loop
         self._runner = runner
         self._route = route
-        self._account = account
+        self.account = account
         self._is_read_only = is_read_only
         self._session_position = session_position
         self._connection: ServerConnection | None = None
@@ -98,7 +98,7 @@
             statement,
             prepared,
             self._route,
-            self._account,
+            self.account,
             self._loop.now(),
             self._session_position,
         )
@@ -191,7 +191,7 @@
     ) -> Steps:
         timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         connection = yield from self._runner.acquire_connection(
-            target, self._account, self._route.priority, timeout
+            target, self.account, self._route.priority, timeout
         )
         answer = None
         try:
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -23,6 +23,7 @@
 # Reading is paused while more received bytes than this are not consumed.
 MAX_UNREAD_BYTES = 2 * 1024 * 1024
 LISTEN_BACKLOG = 512
+LINE_END = b"\r\n"
 # TCP closes a connection on which a segment stays unacknowledged for this long, since
 # the path is then dead. The time allows three minimal retransmissions.
 UNACKNOWLEDGED_TIMEOUT = timedelta(milliseconds=900)
@@ -79,21 +80,25 @@
     def read_line(self, max_bytes: int) -> bytes | None:
         """Consume and return one line without its line end; ``None`` if incomplete.
 
+        Only CR LF ends a line. Any other line break is a part of it, so that no reader
+        finds more lines in the stream than its writer sent.
+
         Raise ``LineTooLong`` if the line has more than ``max_bytes`` bytes.
         """
-        end = self._received.find(b"\n", self._scanned_bytes)
+        end = self._received.find(LINE_END, self._scanned_bytes)
         if end < 0:
-            self._scanned_bytes = len(self._received)
+            # The last byte may be the first one of a line end.
+            self._scanned_bytes = max(0, len(self._received) - 1)
             if self._scanned_bytes > max_bytes:
                 raise LineTooLong(f"more than {max_bytes} bytes without a line end")
             return None
         if end > max_bytes:
             raise LineTooLong(f"a line of {end} bytes; the limit is {max_bytes}")
         line = bytes(self._received[:end])
-        del self._received[: end + 1]
+        del self._received[: end + len(LINE_END)]
         self._scanned_bytes = 0
         self._on_consumed()
-        return line.removesuffix(b"\r")
+        return line
 
     def read_all(self) -> bytes:
         """Consume and return all received bytes."""
