Take neither a restarted nor an outdated primary for the state of its group

A primary that restarted under its id holds nothing. Its answer to DEMOTE was taken for the end of the log, so that any replica covered all commits. It now counts only if no known position is higher. A primary that was replaced behind a cut keeps its role for a while. If it came back while its successor was being replaced, it was taken for the server that this failover had promoted, and kept without the commits of the later term. It now counts only if no known term is higher.

test_demoted_primary_that_lost_its_log_says_nothing_about_commits and test_primary_of_an_earlier_term_is_not_taken_for_the_promoted_one failed before and pass now.

--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -118,13 +118,9 @@
 
     A server that has already been promoted is kept, and draining servers come last.
     """
-    promoted = [
-        target_id
-        for target_id, status in state.status_by_id.items()
-        if status.role is ServerRole.PRIMARY
-    ]
-    if promoted:
-        return max(promoted, key=lambda target_id: state.status_by_id[target_id].term)
+    promoted = _promoted_server(state)
+    if promoted is not None:
+        return promoted
     candidates = {
         target_id: status
         for target_id, status in state.status_by_id.items()
@@ -148,11 +144,26 @@
     return min(remaining or most_advanced)
 
 
+def _promoted_server(state: FailoverState) -> str | None:
+    """Return the server that an earlier attempt of this failover has promoted, if any.
+
+    A primary of a lower term than another server's was replaced before, and has not
+    discovered its successor yet.
+    """
+    terms = [status.term for status in state.status_by_id.values()]
+    if state.acknowledged is not None:
+        terms.append(state.acknowledged.term)
+    for target_id, status in state.status_by_id.items():
+        if status.role is ServerRole.PRIMARY and status.term >= max(terms):
+            return target_id
+    return None
+
+
 def _covers_all_commits(highest: LogPosition, state: FailoverState) -> bool:
     """Return whether a server at ``highest`` has every acknowledged commit."""
-    demoted, acknowledged = state.demoted, state.acknowledged
-    if demoted is not None and highest >= demoted.received:
-        # The demoted primary reported the end of its log, which has all its commits.
+    acknowledged = state.acknowledged
+    log_end = _end_of_demoted_log(state)
+    if log_end is not None and highest >= log_end:
         return True
     if state.is_list_complete and not _missing_ahead_of(highest, state):
         # Every server that could acknowledge a commit has reported its position.
@@ -166,6 +177,20 @@
     return highest >= acknowledged
 
 
+def _end_of_demoted_log(state: FailoverState) -> LogPosition | None:
+    """Return the end of the log of the demoted primary, which has all its commits.
+
+    ``None`` if it was not demoted, or if it has restarted without its log.
+    """
+    if state.demoted is None:
+        return None
+    known = [status.received for status in state.status_by_id.values()]
+    if state.acknowledged is not None:
+        known.append(state.acknowledged)
+    end = state.demoted.received
+    return end if all(end >= position for position in known) else None
+
+
 def _missing_ahead_of(highest: LogPosition, state: FailoverState) -> list[str]:
     """Return the servers that may have commits which a server at ``highest`` lacks.
 
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -280,6 +280,65 @@
         state = self.state(status_by_id=statuses)
         assert choose_successor(self.targets, state) == "b"
 
+    def test_primary_of_an_earlier_term_is_not_taken_for_the_promoted_one(self):
+        # Guards against a primary that was replaced behind a cut, and comes back while
+        # its successor is being replaced: it lacks the commits of the later term.
+        statuses = {
+            "b": build_status(9, term=1, role=ServerRole.PRIMARY),
+            "c": build_status(5, term=2),
+        }
+        state = self.state(status_by_id=statuses)
+        assert choose_successor(self.targets, state) == "c"
+        alone = self.state(
+            status_by_id={"b": statuses["b"]},
+            missing=frozenset({"c"}),
+            acknowledged=LogPosition(2, 5),
+            all_instances_left=True,
+        )
+        assert not choose_successor(self.targets, alone)
+
+    def test_demoted_primary_that_lost_its_log_says_nothing_about_commits(self):
+        # Guards against a primary that restarted with an empty log under its id and
+        # confirms that it is a replica.
+        state = self.state(
+            status_by_id={"b": build_status(4)},
+            missing=frozenset({"c"}),
+            demoted=build_status(0),
+        )
+        assert not choose_successor(self.targets, state)
+        acknowledged = state._replace(
+            demoted=build_status(4), acknowledged=LogPosition(1, 5)
+        )
+        assert not choose_successor(self.targets, acknowledged)
+        whole = state._replace(demoted=build_status(4))
+        assert choose_successor(self.targets, whole) == "b"
+
+    def test_incomplete_list_does_not_show_that_all_servers_answered(self):
+        state = self.state(status_by_id={"b": build_status(4)}, is_list_complete=False)
+        assert not choose_successor(self.targets, state)
+        left = state._replace(all_instances_left=True, acknowledged=LogPosition(1, 4))
+        assert choose_successor(self.targets, left) == "b"
+        # After a restart no instance knows what was acknowledged before.
+        assert not choose_successor(self.targets, left._replace(acknowledged=None))
+
+    def test_answer_of_an_unlisted_server_that_is_ahead_blocks_the_choice(self):
+        statuses = {"b": build_status(4), "unlisted": build_status(5)}
+        assert not choose_successor(self.targets, self.state(status_by_id=statuses))
+
+    def test_servers_that_are_given_up_must_not_have_been_needed(self):
+        state = self.state(
+            status_by_id={"b": build_status(4)},
+            acknowledged=LogPosition(1, 5),
+            has_given_up_servers=True,
+        )
+        assert not choose_successor(self.targets, state)
+        assert choose_successor(
+            self.targets, state._replace(acknowledged=LogPosition(1, 4))
+        )
+        assert choose_successor(
+            self.targets, state._replace(accepts_missing_commits=True)
+        )
+
     @pytest.mark.parametrize("draining", ["b", "c"])
     def test_draining_server_is_the_last_choice_among_equals(self, draining):
         targets = self.targets | {draining: build_target(draining, is_draining=True)}
