Replace a primary that was lost before a first failover and without statements

Cause: without a group record the primary is the server that claims the role. A primary is probed only after a failed statement; its entry expired first, and a service without record and claimant was taken for one whose servers have not settled on a first primary. The leader logged no failover_started.

Ruled out: missing suspicion alone; statements after the expiry change nothing.

Change: once the list is complete, a primary that claimed the role before and is not listed is replaced; without one ever known, after 2 s. Several claimants are waited for as before.

--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -145,6 +145,7 @@
         self.group_by_service: dict[str, GroupRecord] = {}
         self.listed_target_by_id: dict[str, KnownTarget] = {}
         self._departed_target_by_id: dict[str, DepartedTarget] = {}
+        self._last_claimant_by_service: dict[str, str] = {}
         self._listed_at: timedelta | None = None
         self._uninterrupted_since: timedelta | None = None
 
@@ -202,6 +203,9 @@
             for target_id, departed in self._departed_target_by_id.items()
             if read_at - departed.departed_at < DEPARTED_TARGET_LIFETIME
         }
+        for target_id, target in target_by_id.items():
+            if target.claims_primary:
+                self._last_claimant_by_service[target.service] = target_id
 
     def _unlisted_since(self, known: KnownTarget, read_at: timedelta) -> timedelta:
         """Return when a target that the read at ``read_at`` lacks became unlisted."""
@@ -282,16 +286,27 @@
             return Missing("the primary is not listed")
         return known.target
 
-    def _self_declared_primary(self, service: str) -> Target | Missing:
-        """Return the only target that claims to be the primary.
+    def last_primary_id(self, service: str) -> str:
+        """Return the id of the last known primary, or an empty string."""
+        group = self.group_by_service.get(service)
+        if group is not None:
+            return group.primary_id
+        return self._last_claimant_by_service.get(service, "")
 
-        Applies while the service has no group record.
-        """
-        claimants = [
+    def claimants(self, service: str) -> list[Target]:
+        """Return the targets that claim to be the primary."""
+        return [
             known.target
             for known in self.targets_of(service)
             if known.target.claims_primary
         ]
+
+    def _self_declared_primary(self, service: str) -> Target | Missing:
+        """Return the only target that claims to be the primary.
+
+        Applies while the service has no group record.
+        """
+        claimants = self.claimants(service)
         if len(claimants) == 1:
             return claimants[0]
         return Missing(f"{len(claimants)} targets claim to be the primary")
--- a/bulrushloom/proxy/primary_monitor.py
+++ b/bulrushloom/proxy/primary_monitor.py
@@ -28,6 +28,9 @@
 PROBE_INTERVAL = timedelta(milliseconds=100)
 # Interval at which a relay that is not the leader probes a suspected primary.
 SUSPECT_CHECK_INTERVAL = timedelta(milliseconds=400)
+# Servers of a new service register with their first heartbeats. If none of them claims
+# to be the primary after this time, there is none.
+FIRST_CLAIM_TIMEOUT = timedelta(seconds=2)
 # A failover because of missing replication needs the successor and one replica that
 # receives from it.
 MIN_ANSWERING_REPLICAS = 2
@@ -63,6 +66,7 @@
         self._failing_over: set[str] = set()
         self._probing: set[str] = set()
         self._stopping: set[str] = set()
+        self._unclaimed_since: dict[str, timedelta] = {}
         self._stall_failover_at: dict[str, timedelta] = {}
 
     def run(self) -> Steps:
@@ -71,6 +75,7 @@
             yield self._loop.sleep(WATCH_INTERVAL)
             if not self._leadership.is_leader():
                 self._probe_by_service.clear()
+                self._unclaimed_since.clear()
                 self._check_suspected_primaries()
                 continue
             for service in self._services.configuration.service_by_name:
@@ -118,20 +123,37 @@
         primary = self._services.table.primary_of(service)
         probe = self._update_probe(service, primary)
         reason = reason_to_replace(primary, probe, self._loop.now())
-        if isinstance(primary, Missing) and group is None:
-            # The servers have not settled on a first primary yet.
-            return
-        if isinstance(primary, Missing) and not self._services.table.is_complete:
-            # The primary may not have registered again after an outage of the store.
+        if isinstance(primary, Missing) and not self._is_primary_lost(service):
             return
         if reason:
-            old_id = group.primary_id if group else ""
+            old_id = self._services.table.last_primary_id(service)
             if not isinstance(primary, Missing):
                 old_id = primary.target_id
             self._start_failover(service, old_id, reason)
         elif not isinstance(primary, Missing):
             self._start_stopping_replicas(service, primary)
 
+    def _is_primary_lost(self, service: str) -> bool:
+        """Return whether a primary that is not listed is not going to be.
+
+        The primary may not have registered again after an outage of the store, or not
+        yet for the first time.
+        """
+        table, now = self._services.table, self._loop.now()
+        if not table.is_complete:
+            self._unclaimed_since.pop(service, None)
+            return False
+        if service in table.group_by_service:
+            return True
+        if table.claimants(service):
+            # Several servers claim the role; they agree on one without a failover.
+            self._unclaimed_since.pop(service, None)
+            return False
+        if table.last_primary_id(service):
+            return True
+        since = self._unclaimed_since.setdefault(service, now)
+        return now - since >= FIRST_CLAIM_TIMEOUT
+
     def _start_stopping_replicas(self, service: str, primary: Target) -> None:
         """Stop replication to draining replicas unless this is already under way."""
         table = self._services.table
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -75,6 +75,42 @@
     check_acknowledged_commits(fleet)
 
 
+@pytest.mark.parametrize("is_unresponsive", [False, True])
+def test_primary_that_is_lost_in_a_quiet_time_is_replaced(fleet, is_unresponsive):
+    # Guards against a service without a group record whose primary is never replaced,
+    # because no statement failed before its entry expired.
+    write_until_served(fleet, fleet.members[0].client("strict"))
+    assert fleet.members[0].services.table.group_by_service == {}
+    fleet.crash("a", is_unresponsive)
+    fleet.run(ms(3600))
+    fleet.deregistered.add("a")
+    fleet.run(SECOND * 5)
+    assert primary_id(fleet) in ("b", "c")
+    write_until_served(fleet, fleet.members[0].client("strict"), SECOND)
+    check_acknowledged_commits(fleet)
+
+
+def test_instances_that_start_without_a_primary_promote_one():
+    # Guards against the same service after all instances were restarted.
+    with ExitStack() as stack:
+        fleet = SimulatedFleet(stack, prepare=lambda f: f.deregistered.add("a"))
+        fleet.crash("a")
+        write_until_served(fleet, fleet.members[0].client("strict"))
+        assert primary_id(fleet) in ("b", "c")
+
+
+def test_first_primary_that_registers_late_is_kept():
+    # The opposite case: the replicas of a new service may register first.
+    def prepare(fleet):
+        fleet.deregistered.add("a")
+        fleet.loop.call_later(ms(3500), lambda: fleet.deregistered.discard("a"))
+
+    with ExitStack() as stack:
+        fleet = SimulatedFleet(stack, prepare=prepare)
+        write_until_served(fleet, fleet.members[0].client("strict"))
+        assert fleet.promotion.orders == []
+
+
 def test_replica_with_the_last_commit_is_promoted(fleet):
     # Guards against losing a commit that only one replica has received.
     clients = open_clients(fleet)
