Keep a promotion order across a hand-over of the lease

Cause: a leader that continued a failover chose among all servers that answer by then, although its predecessor had ordered the promotion of one. Both orders could be executed, the first one last. At a planned stop the lease was given up while an order was under way. And the lease was checked before the connection to the platform was opened, not when the order was sent.

Change: the record keeps the server whose promotion was ordered, and it is chosen again if it still covers all commits. A stopping leader waits up to 1 s for the answer to an order.

test_new_leader_orders_the_server_that_its_predecessor_has_ordered failed before and passes now.

--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -296,20 +296,30 @@
         self._address = address
 
     def promote(
-        self, service: str, target_id: str, holder: str, fence: int
+        self,
+        service: str,
+        target_id: str,
+        holder: str,
+        fence: int,
+        is_allowed: Callable[[], bool],
     ) -> "Future[int]":
         """Request a promotion; return the HTTP status, or 0 without an answer."""
         body = orjson.dumps({"Service": service, "Id": target_id})
         headers = (("Duty-Holder", holder), ("Fence-Token", str(fence)))
-        return self._loop.spawn(self._promote(body, headers))
+        return self._loop.spawn(self._promote(body, headers, is_allowed))
 
-    def _promote(self, body: bytes, headers: tuple[tuple[str, str], ...]) -> Steps:
+    def _promote(
+        self,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        is_allowed: Callable[[], bool],
+    ) -> Steps:
         # A new connection each time: on a broken connection, the request could wait in
         # a send buffer and arrive late.
         client = HttpClient(self._loop, self._address)
         try:
             response = yield client.request(
-                "POST", "/promote", body, PROMOTION_TIMEOUT, headers
+                "POST", "/promote", body, PROMOTION_TIMEOUT, headers, is_allowed
             )
         except HttpError:
             return 0
--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -95,9 +95,11 @@
     more commits of the old primary; ``acknowledged`` covers all that they acknowledged.
     ``stopped_position_by_id`` holds the positions of servers that had stopped
     replicating before the failover. ``is_list_complete`` means that no further server
-    can be running in reach of the store. ``has_given_up_servers`` means that servers
-    which are not listed no longer count as missing, and ``accepts_missing_commits``
-    that the failover no longer waits for a server with the acknowledged commits.
+    can be running in reach of the store. ``ordered_id`` is the server whose promotion
+    an earlier attempt of the failover may have ordered. ``has_given_up_servers`` means
+    that servers which are not listed no longer count as missing, and
+    ``accepts_missing_commits`` that the failover no longer waits for a server with the
+    acknowledged commits.
     """
 
     status_by_id: Mapping[str, ServerStatus]
@@ -107,6 +109,7 @@
     all_instances_left: bool
     stopped_position_by_id: Mapping[str, LogPosition]
     is_list_complete: bool = True
+    ordered_id: str = ""
     has_given_up_servers: bool = False
     accepts_missing_commits: bool = False
 
@@ -136,6 +139,9 @@
         for target_id, status in candidates.items()
         if status.received == highest
     ]
+    if state.ordered_id in most_advanced:
+        # The order may still be executed, and must not follow that of another server.
+        return state.ordered_id
     remaining = [
         target_id
         for target_id in most_advanced
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -45,6 +45,7 @@
 MIN_IDLE_TIME = timedelta(milliseconds=100)
 # Timeout for revoking the leader lease, which expires by itself otherwise.
 RESIGN_TIMEOUT = timedelta(milliseconds=500)
+ORDER_TIMEOUT = timedelta(seconds=1)
 METRICS_PATH = "/metrics"
 _ZERO = timedelta()
 
@@ -119,7 +120,7 @@
         self.reader.connect(self.fleet, self.leadership)
         stack.callback(self.fleet.close)
         status = StatusReader(self.services, settings.name)
-        replacement = FailoverRunner(
+        self._replacement = FailoverRunner(
             self.services,
             self._store,
             DutyPromotion(loop, settings.duties_address),
@@ -129,7 +130,7 @@
             settings.name,
         )
         self.primary_monitor = PrimaryMonitor(
-            self.services, self.leadership, self.fleet, status, replacement
+            self.services, self.leadership, self.fleet, status, self._replacement
         )
         probe = HttpServer(loop, settings.probe_address, self._answer_probe)
         stack.callback(probe.close)
@@ -349,7 +350,14 @@
             yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
 
     def _resign_leadership(self) -> Steps:
-        """Give up the leader lease, so that another instance can acquire it at once."""
+        """Give up the leader lease, so that another instance can acquire it at once.
+
+        An order to the platform is waited for: it could be executed after an order of
+        the next leader.
+        """
+        deadline = self._loop.now() + ORDER_TIMEOUT
+        while self._replacement.orders_in_flight and self._loop.now() < deadline:
+            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
         try:
             yield self._loop.wait_for(
                 self._loop.spawn(self.leadership.resign()), RESIGN_TIMEOUT
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -50,7 +50,8 @@
 class FailoverRunner:
     """Failover steps, which this instance runs while it is the leader.
 
-    ``name`` identifies the instance in promotion orders.
+    ``name`` identifies the instance in promotion orders. ``orders_in_flight`` is the
+    number of promotion orders without an answer.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         self._name = name
         self._status = status
         self._confirmations = InstanceConfirmations(services, fleet)
+        self.orders_in_flight = 0
 
     def replace_primary(self, service: str, old_id: str) -> Steps:
         """Replace the primary of a service; return the id of the new one."""
@@ -252,7 +254,12 @@
             service=service,
             phase=GroupPhase.REPLACING,
             term=term,
-            primary_id="",
+            # An order of an earlier attempt may still be executed.
+            primary_id=(
+                known.primary_id
+                if known is not None and known.phase is GroupPhase.REPLACING
+                else ""
+            ),
             old_id=old_id,
             fence=self._leadership.fence,
             revision=known.revision if known else 0,
@@ -303,9 +310,17 @@
                 raise Abandoned("the successor is no longer listed")
             if not self._leadership.is_leader():
                 raise Abandoned("this instance no longer holds the leader lease")
-            status = yield self._promotion.promote(
-                service, successor, self._name, self._leadership.fence
-            )
+            self.orders_in_flight += 1
+            try:
+                status = yield self._promotion.promote(
+                    service,
+                    successor,
+                    self._name,
+                    self._leadership.fence,
+                    self._leadership.is_leader,
+                )
+            finally:
+                self.orders_in_flight -= 1
             self._log.write(
                 "promotion_ordered",
                 service=service,
--- a/bulrushloom/proxy/store.py
+++ b/bulrushloom/proxy/store.py
@@ -1,7 +1,7 @@
 """Interfaces of the session proxy to the platform's store and to promotions."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
 from datetime import timedelta
 from enum import Enum
@@ -134,9 +134,15 @@
 
     @abstractmethod
     def promote(
-        self, service: str, target_id: str, holder: str, fence: int
+        self,
+        service: str,
+        target_id: str,
+        holder: str,
+        fence: int,
+        is_allowed: Callable[[], bool],
     ) -> "Future[int]":
         """Request a promotion; return the HTTP status, or 0 without an answer.
 
         ``holder`` is the name of the requesting instance, ``fence`` its fencing token.
+        ``is_allowed`` is asked right before the request is sent.
         """
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -191,6 +191,7 @@
             and not self._confirmations.has_unlisted_instance(group.service),
             stopped_position_by_id=stopped_position_by_id,
             is_list_complete=services.table.is_complete,
+            ordered_id=group.primary_id,
             has_given_up_servers=bool(self._given_up_ids - self._status_by_id.keys()),
             accepts_missing_commits=waited >= MISSING_COMMITS_TIMEOUT,
         )
--- a/bulrushloom/runtime/http.py
+++ b/bulrushloom/runtime/http.py
@@ -57,18 +57,28 @@
         body: bytes,
         timeout: timedelta,
         headers: Headers = (),
+        is_allowed: Callable[[], bool] = lambda: True,
     ) -> "Future[Response]":
         """Send a request and return a future of the response.
 
+        ``is_allowed`` is asked once the connection is open, right before the request is
+        sent.
+
         The future fails with ``HttpError`` if no response arrives within ``timeout``,
         which includes the wait for earlier requests and for the connection.
         """
         return self._loop.spawn_unreported(
-            self._request(method, path, body, timeout, headers)
+            self._request(method, path, body, timeout, headers, is_allowed)
         )
 
     def _request(
-        self, method: str, path: str, body: bytes, timeout: timedelta, headers: Headers
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: timedelta,
+        headers: Headers,
+        is_allowed: Callable[[], bool],
     ) -> Steps:
         deadline = self._loop.now() + timeout
         while self._active_request is not None:
@@ -86,6 +96,8 @@
         try:
             if self._stream is None or not self._stream.is_open:
                 yield from self._open(deadline - self._loop.now())
+            if not is_allowed():
+                raise HttpError(f"{method} {self.address}: no longer allowed")
             answer = self._send(method, path, body, headers)
             response = yield self._loop.wait_for(answer, deadline - self._loop.now())
         except (OSError, h11.ProtocolError) as error:
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -233,7 +233,12 @@
         self.answers_to_lose = 0
 
     def promote(
-        self, service: str, target_id: str, holder: str, fence: int
+        self,
+        service: str,
+        target_id: str,
+        holder: str,
+        fence: int,
+        is_allowed: Callable[[], bool],
     ) -> "Future[int]":
         """Promote a server; the answer may be lost."""
         future: Future[int] = Future()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -188,17 +188,28 @@
     assert result.kind is StoreFailureKind.UNKNOWN
 
 
+def order_promotion(loop, address, is_allowed=lambda: True):
+    promotion = DutyPromotion(loop, address)
+    ordering = promotion.promote("orders", "i-1", "north-1", 4, is_allowed)
+    return wait_for(loop, ordering)
+
+
 def test_promotion_names_holder_and_fence(platform):
     loop, server, _, _ = platform
-    address = f"127.0.0.1:{server.port}"
-    status = wait_for(
-        loop, DutyPromotion(loop, address).promote("orders", "i-1", "north-1", 4)
-    )
+    status = order_promotion(loop, f"127.0.0.1:{server.port}")
     assert server.calls[-1] == ("POST", "/promote")
     assert status == 404
 
 
 def test_promotion_without_an_answer_returns_zero(platform):
     loop, _, _, _ = platform
-    promotion = DutyPromotion(loop, "127.0.0.1:1")
-    assert wait_for(loop, promotion.promote("orders", "i-1", "north-1", 4)) == 0
+    assert order_promotion(loop, "127.0.0.1:1") == 0
+
+
+def test_promotion_is_not_sent_after_the_lease_expired_while_connecting(platform):
+    # Guards against the order of a former leader that was frozen, or waited for its
+    # connection, after it had checked its lease.
+    loop, server, _, _ = platform
+    address = f"127.0.0.1:{server.port}"
+    assert order_promotion(loop, address, lambda: False) == 0
+    assert ("POST", "/promote") not in server.calls
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -313,6 +313,17 @@
         whole = state._replace(demoted=build_status(4))
         assert choose_successor(self.targets, whole) == "b"
 
+    def test_server_whose_promotion_was_ordered_is_kept(self):
+        # Guards against two orders for different servers around a hand-over: the first
+        # one may be executed last.
+        statuses = {"b": build_status(4), "c": build_status(4)}
+        state = self.state(status_by_id=statuses, ordered_id="c")
+        assert choose_successor(self.targets, state) == "c"
+        behind = state._replace(
+            status_by_id=statuses | {"b": build_status(5)},
+        )
+        assert choose_successor(self.targets, behind) == "b"
+
     def test_incomplete_list_does_not_show_that_all_servers_answered(self):
         state = self.state(status_by_id={"b": build_status(4)}, is_list_complete=False)
         assert not choose_successor(self.targets, state)
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -222,6 +222,38 @@
     check_acknowledged_commits(fleet)
 
 
+def test_new_leader_orders_the_server_that_its_predecessor_has_ordered(fleet):
+    # Guards against orders for two servers around a hand-over, of which the first may
+    # be executed last.
+    clients = open_clients(fleet)
+    write_until_served(fleet, clients[0])
+    first = fleet.leader()
+    accept = fleet.network.accept_by_address
+    accept_b = accept.pop("b:1")
+    fleet.network.silence("b:1")
+    promote, orders = fleet.promotion.promote, []
+
+    def lose_order(service, target_id, holder, fence, is_allowed):
+        orders.append(target_id)
+        if holder == first.name:
+            return fleet.loop.spawn(never_complete(fleet.loop))
+        return promote(service, target_id, holder, fence, is_allowed)
+
+    fleet.promotion.promote = lose_order
+    fleet.draining.add("a")
+    for _ in range(600):
+        fleet.run(ms(10))
+        if orders:
+            break
+    fleet.store.refused.add(first.name)
+    accept["b:1"] = accept_b
+    others = [member for member in fleet.members if member is not first]
+    write_until_served(fleet, others[0].client("strict"), SECOND * 12)
+    assert len(orders) > 1
+    assert set(orders) == {"c"}
+    check_acknowledged_commits(fleet)
+
+
 def test_commit_is_not_left_on_a_draining_replica_only(fleet):
     # Guards against losing a commit that only a draining replica received. The commit
     # is unreachable if that domain is partitioned together with the primary, and lost
