--- a/soak/callers.py
+++ b/soak/callers.py
@@ -190,6 +190,8 @@
                     b"\x00\xff\r\n" * 3,
                     b"QUERY x\r\n",
                     b"START\r\n",
+                    b"QUERY x WRITE 1 a\nQUERY y WRITE 2 b\r\n",
+                    b"QUERY x WRITE 1 a\rQUERY y WRITE 2 b\r\n",
                 )
             )
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -301,15 +301,28 @@
 
 
 class StoreRefuses(Fault):
-    """Make the store refuse all calls; leases may end meanwhile."""
+    """Make the store refuse all calls; leases and entries may expire meanwhile."""
 
     def run(self, duration: timedelta) -> Steps:
-        """Refuse calls for ``duration``; end all leases with a probability of 0.5."""
+        """Refuse calls for ``duration``.
+
+        All leases end with a probability of 0.5, and the entries of the servers if the
+        outage is long enough. Each server registers again within its time.
+        """
         store = self.world.platform.store
         store.status = self.rng.choice(STORE_STATUSES)
         yield self.loop.sleep(duration)
         if self.rng.random() < 0.5:
             store.end_leases()
+        if duration >= MIN_EXPIRING_OUTAGE:
+            # The plans of recorded seeds do not depend on these delays.
+            rng = random.Random(f"{self.world.seed}/{duration}")
+            self.world.platform.expire_entries(
+                {
+                    server_id: RETURN_TIME * rng.random()
+                    for server_id in self.world.platform.group.server_by_id
+                }
+            )
         store.status = 200
 
 
@@ -367,6 +380,11 @@
     WithdrawKey,
     ConfigurationStorm,
 )
+# Entries expire after three heartbeat intervals of the platform (1.2 s), and the last
+# heartbeat may be one interval old when the outage begins.
+MIN_EXPIRING_OUTAGE = timedelta(milliseconds=2400)
+# A running server registers again within this time of the end of an outage.
+RETURN_TIME = timedelta(seconds=2)
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -41,6 +41,9 @@
 UNDISTURBED_PERIOD = timedelta(seconds=4)
 FLOOD_CALLERS = 6
 FLOOD_THINK_TIME_S = 0.02
+# Callers that send the next statement as soon as they have the answer.
+BUSY_CALLERS = 2
+BUSY_THINK_TIME_S = 0.0005
 DEFAULT_THINK_TIME_S = 0.08
 DOMAINS = ("north", "south", "west")
 _SECOND = timedelta(seconds=1)
@@ -192,6 +195,10 @@
             Caller(self, f"f{number}", "flood", FLOOD_THINK_TIME_S)
             for number in range(FLOOD_CALLERS)
         ]
+        callers += [
+            Caller(self, f"b{number}", "hotel", BUSY_THINK_TIME_S)
+            for number in range(BUSY_CALLERS)
+        ]
         for caller in callers:
             self.loop.spawn(caller.run())
         return callers
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from contextlib import ExitStack
 from datetime import timedelta
 from pathlib import Path
@@ -65,6 +66,7 @@
         self.born_by_id: dict[str, int] = {}
         self.crashed_ids: set[str] = set()
         self.leaving_ids: set[str] = set()
+        self._unlisted_until_by_id: dict[str, timedelta] = {}
         for server_id in "abc":
             self.add_server(server_id)
         self.configure(1)
@@ -121,10 +123,20 @@
         self.write_server_entries()
         self.loop.call_later(HEARTBEAT_INTERVAL, self.send_heartbeats)
 
+    def expire_entries(self, return_delay_by_id: Mapping[str, timedelta]) -> None:
+        """Remove the entries of servers, which register again after their delays."""
+        for server_id, delay in return_delay_by_id.items():
+            self.store.item_by_key.pop(f"servers/{server_id}", None)
+            self._unlisted_until_by_id[server_id] = self.loop.now() + delay
+            self.loop.call_later(delay, self.write_server_entries)
+
     def write_server_entries(self) -> None:
         """Write the store entries of all servers that have not crashed."""
         for server_id, server in self.group.server_by_id.items():
-            if server_id in self.crashed_ids:
+            is_unlisted = self.loop.now() < self._unlisted_until_by_id.get(
+                server_id, timedelta()
+            )
+            if server_id in self.crashed_ids or is_unlisted:
                 continue
             entry = build_entry(
                 Addr=self.listed_address_by_id[server_id],
