Keep the order of bytes in the soak's links whichever timer fires first

Cause: each part of the data had a timer of its own for the same moment. A timer starts at the time of its own call, so an interruption of the first call made the second timer due first. Ruled out: the product's streams, which only append.

Change: every timer delivers the earliest undelivered part. test_timers_that_fire_in_another_order_keep_the_order_of_bytes failed before and passes now.

--- a/soak/links.py
+++ b/soak/links.py
@@ -1,5 +1,6 @@
 """A TCP proxy on loopback that injects network faults."""
 
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -118,6 +119,7 @@
         self._source = source
         self._sink = sink
         self._next_delivery_at = link.loop.now()
+        self._undelivered: deque[tuple[bytes, bool]] = deque()
         source.on_data(self.forward)
 
     def forward(self) -> None:
@@ -131,11 +133,16 @@
         now = self._link.loop.now()
         # After a reduction of the delay, later bytes must not overtake earlier ones.
         self._next_delivery_at = max(self._next_delivery_at, now + self._link.delay)
-        self._link.loop.call_later(
-            self._next_delivery_at - now, lambda: self._deliver(data, has_ended)
-        )
+        self._undelivered.append((data, has_ended))
+        self._link.loop.call_later(self._next_delivery_at - now, self._deliver_next)
+
+    def _deliver_next(self) -> None:
+        """Deliver the earliest bytes, whichever of the timers fires first.
 
-    def _deliver(self, data: bytes, has_ended: bool) -> None:
+        Timers for the same moment may fire in any order, because each is started at a
+        slightly different time.
+        """
+        data, has_ended = self._undelivered.popleft()
         self._sink.write(data)
         if has_ended:
             self._relay.close()
--- a/tests/soak/test_links.py
+++ b/tests/soak/test_links.py
@@ -53,6 +53,25 @@
     assert ends.far.read_all() == b"onetwo"
 
 
+def test_timers_that_fire_in_another_order_keep_the_order_of_bytes(ends, monkeypatch):
+    # Guards against bytes that overtake earlier ones when the process is interrupted
+    # while it starts a timer.
+    callbacks = []
+    ends.link.delay = SECOND
+    monkeypatch.setattr(
+        ends.loop, "call_later", lambda _, callback: callbacks.append(callback)
+    )
+    for number, data in enumerate((b"one", b"two"), 1):
+        ends.near.write(data)
+        while len(callbacks) < number:
+            ends.loop.run_once(timedelta(milliseconds=5))
+    for callback in reversed(callbacks):
+        callback()
+    monkeypatch.undo()
+    wait_until(ends.loop, lambda: ends.far.unread_bytes == 6)
+    assert ends.far.read_all() == b"onetwo"
+
+
 def test_held_direction_delivers_after_it_heals(ends):
     ends.link.held_directions.add("there")
     ends.near.write(b"late")
