Decide on new operations of a stopping instance in the admission

The checks stood twice in the session. A read that still runs at the end of the grace is answered as failed: whether it ran is not known, and the code before said that it had not.

--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -5,6 +5,7 @@
 from bulrushloom.proxy.configuration import Account, Route
 from bulrushloom.proxy.messages import AnswerCode, Failure
 from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.stopping import REFUSED_BY_STOP
 from bulrushloom.runtime.loop import Steps
 
 # An operation may wait for a rate token for this fraction of its route's latency
@@ -60,12 +61,30 @@
             return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
         return None
 
+    def refusal_in_transaction(self, account_name: str) -> Failure | None:
+        """Return why a transaction of the account may not continue, or ``None``.
+
+        Its connection belongs to the account that held the key at its begin.
+        """
+        refusal = self.refusal()
+        if refusal is None and account_name != self.account_name():
+            return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
+        return refusal
+
+    def account_name(self) -> str:
+        """Return the name of the key's account, or an empty string."""
+        account = self.account()
+        return account.name if account is not None else ""
+
     def account(self) -> Account | None:
         """Return the account of the key; ``None`` on public routes without a key."""
         return self._services.configuration.account_by_key.get(self._key)
 
-    def admit(self, route: Route) -> Steps:
+    def admit(self, route: Route, begins_transaction: bool = False) -> Steps:
         """Wait for a rate token; return why an operation may not start, or ``None``."""
+        plan = self._services.stop_plan
+        if plan is not None and plan.refuses(self._loop.now(), begins_transaction):
+            return REFUSED_BY_STOP
         failure = self.refusal()
         if failure is not None and failure.code is not AnswerCode.NOT_RUN:
             yield from self.refresh_configuration()
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -24,11 +24,12 @@
 from bulrushloom.proxy.replacement import FailoverRunner
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
-from bulrushloom.proxy.session import STOP_REASON, Session
+from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
 from bulrushloom.proxy.stopping import (
     BALANCER_REMOVAL_TIME,
     SHUTDOWN_MARGIN,
+    STOP_REASON,
     StopPlan,
 )
 from bulrushloom.proxy.store_reader import DIRECTORY_PATH, DOCUMENT_PATH, StoreReader
@@ -45,6 +46,7 @@
 MIN_IDLE_TIME = timedelta(milliseconds=100)
 # Timeout for revoking the leader lease, which expires by itself otherwise.
 RESIGN_TIMEOUT = timedelta(milliseconds=500)
+# Time for the answer to a promotion order before the lease is given up.
 ORDER_TIMEOUT = timedelta(seconds=1)
 METRICS_PATH = "/metrics"
 _ZERO = timedelta()
@@ -337,14 +339,14 @@
         yield from self._close_sessions(plan, plan.ends_at)
         self.log.write("stopped", sessions=len(self._sessions))
         for session in list(self._sessions):
-            session.end(STOP_REASON)
+            session.end()
         self._loop.stop()
 
     def _close_sessions(self, plan: StopPlan, deadline: timedelta) -> Steps:
         """Close the sessions that have no outstanding request, until ``deadline``."""
         while self._sessions and self._loop.now() < deadline:
             self._close_idle_sessions(STOP_REASON)
-            if plan.refuses_work(self._loop.now()):
+            if self._loop.now() >= plan.refuses_work_at:
                 for session in self._sessions:
                     session.abort_idle_transaction(STOP_REASON)
             yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -24,16 +24,14 @@
     TransactionState,
 )
 from bulrushloom.proxy.services import Services
-from bulrushloom.proxy.stopping import REFUSAL_RETRY_DELAY
+from bulrushloom.proxy.stopping import STOP_REASON, unfinished_failure
 from bulrushloom.proxy.transaction import Transaction
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import LineTooLong, Stream
 
 # Time in which a client must send its start message; clients give up after it as well.
 SESSION_START_TIMEOUT = timedelta(seconds=5)
-STOP_REASON = "the instance stops"
 _ZERO = timedelta()
-REFUSED_BY_STOP = Failure(AnswerCode.NOT_RUN, STOP_REASON, REFUSAL_RETRY_DELAY)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -91,23 +89,15 @@
         """Close the client connection."""
         self._stream.close(reason)
 
-    def end(self, reason: str) -> None:
+    def end(self) -> None:
         """Close the client connection; answer a request that still runs."""
-        if not self.is_awaiting_statement and isinstance(self._message, Statement):
-            self._send_failure(self._unfinished_failure(self._message, reason))
-        self._stream.close(reason)
-
-    def _unfinished_failure(self, statement: Statement, reason: str) -> Failure:
-        """Return what is certain about a statement that has no answer yet.
-
-        A transaction is rolled back with its connection, unless it may be committing.
-        """
-        is_ending = statement.kind is StatementKind.COMMIT
-        if self._transaction is not None and not is_ending:
-            return Failure(AnswerCode.ABORTED, reason)
-        if is_ending or self._writes(statement):
-            return Failure(AnswerCode.IN_DOUBT, reason)
-        return Failure(AnswerCode.NOT_RUN, reason)
+        message = self._message
+        if not self.is_awaiting_statement and isinstance(message, Statement):
+            in_transaction = self._transaction is not None
+            self._send_failure(
+                unfinished_failure(message, self._writes(message), in_transaction)
+            )
+        self._stream.close(STOP_REASON)
 
     def _writes(self, statement: Statement) -> bool:
         prepared = self._prepared_by_name.get(statement.name)
@@ -238,7 +228,8 @@
         if transaction is not None and transaction.failure is not None:
             self._answer_in_failed_transaction(message, transaction)
             return
-        if transaction is not None and self._aborts_before(message):
+        plan = self._services.stop_plan
+        if plan and transaction and plan.aborts(self._loop.now(), message.kind):
             transaction.fail(STOP_REASON)
             self._answer(message, Outcome(transaction.failure, None))
             return
@@ -262,14 +253,6 @@
             case _:
                 yield from self._run_statement(message)
 
-    def _aborts_before(self, message: Statement) -> bool:
-        """Return whether a planned stop aborts the transaction before ``message``."""
-        plan = self._services.stop_plan
-        is_ending = message.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
-        if plan is None or is_ending:
-            return False
-        return plan.refuses_work(self._loop.now())
-
     def _answer_in_failed_transaction(
         self, message: Statement, transaction: Transaction
     ) -> None:
@@ -291,11 +274,8 @@
             return
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
-        plan = self._services.stop_plan
-        if plan is not None and plan.refuses_transaction(self._loop.now()):
-            failure = REFUSED_BY_STOP
-        elif route is not None:
-            failure = yield from self._admission.admit(route)
+        if route is not None:
+            failure = yield from self._admission.admit(route, begins_transaction=True)
         if failure is not None or route is None:
             assert failure is not None
             self._log_failure(message, failure)
@@ -305,7 +285,7 @@
             self._services,
             self._runner,
             route,
-            self._account_name(),
+            self._admission.account_name(),
             message.kind is StatementKind.BEGIN_READ_ONLY,
             self._position,
         )
@@ -322,7 +302,7 @@
             transaction.roll_back()
             self._answer_locally()
             return
-        refusal = self._refusal_in(transaction)
+        refusal = self._admission.refusal_in_transaction(transaction.account)
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
@@ -347,10 +327,7 @@
         started_at = self._loop.now()
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
-        plan = self._services.stop_plan
-        if plan is not None and plan.refuses_work(started_at):
-            failure = REFUSED_BY_STOP
-        elif route is not None:
+        if route is not None:
             failure = yield from self._admission.admit(route)
         if failure is not None or route is None:
             assert failure is not None
@@ -360,7 +337,7 @@
             message,
             prepared,
             route,
-            self._account_name(),
+            self._admission.account_name(),
             started_at,
             self._position,
         )
@@ -379,7 +356,7 @@
     ) -> Steps:
         transaction = self._transaction
         assert transaction is not None
-        refusal = self._refusal_in(transaction)
+        refusal = self._admission.refusal_in_transaction(transaction.account)
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
@@ -387,20 +364,6 @@
             outcome = yield from transaction.run(message, prepared, writes)
         self._answer(message, outcome)
 
-    def _refusal_in(self, transaction: Transaction) -> Failure | None:
-        """Return why the transaction may not continue, or ``None``.
-
-        Its connection belongs to the account that held the key at its begin.
-        """
-        refusal = self._admission.refusal()
-        if refusal is None and transaction.account != self._account_name():
-            return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
-        return refusal
-
-    def _account_name(self) -> str:
-        account = self._admission.account()
-        return account.name if account is not None else ""
-
     def _advance_position(self, position: LogPosition | Missing) -> None:
         if isinstance(position, Missing):
             return
--- a/bulrushloom/proxy/stopping.py
+++ b/bulrushloom/proxy/stopping.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from bulrushloom.proxy.messages import AnswerCode, Failure, Statement, StatementKind
+
 # The load balancer probes once per second and removes an instance after two failures.
 BALANCER_REMOVAL_TIME = timedelta(milliseconds=2300)
 # Reserved at the end of the stop grace for removing the entry in the store, for the
@@ -15,6 +17,8 @@
 WORK_FRACTION = 0.5
 # A client that waits this long after a refusal sees that its session was closed.
 REFUSAL_RETRY_DELAY = timedelta(milliseconds=100)
+STOP_REASON = "the instance stops"
+REFUSED_BY_STOP = Failure(AnswerCode.NOT_RUN, STOP_REASON, REFUSAL_RETRY_DELAY)
 
 
 class StopPlan(NamedTuple):
@@ -54,16 +58,32 @@
         """Return when requests that still run are answered as not finished."""
         return max(self.leaves_at, self.started_at + self.grace - EXIT_TIME)
 
-    def refuses_transaction(self, now: timedelta) -> bool:
-        """Return whether a transaction that begins now is refused.
+    def refuses(self, now: timedelta, begins_transaction: bool) -> bool:
+        """Return whether a new operation is refused.
 
-        It could be aborted before its end.
+        Other instances can serve it, and this one may not finish it in time. A
+        transaction is refused earlier, since it could be aborted before its end.
         """
-        return now >= self.closes_sessions_at
+        if begins_transaction:
+            return now >= self.closes_sessions_at
+        return now >= self.refuses_work_at
 
-    def refuses_work(self, now: timedelta) -> bool:
-        """Return whether statements are refused, except for the end of a transaction.
+    def aborts(self, now: timedelta, kind: StatementKind) -> bool:
+        """Return whether an open transaction is aborted before a statement."""
+        is_ending = kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+        return now >= self.refuses_work_at and not is_ending
 
-        Other instances can serve them, and this one may not finish them in time.
-        """
-        return now >= self.refuses_work_at
+
+def unfinished_failure(
+    statement: Statement, writes: bool, in_transaction: bool
+) -> Failure:
+    """Return what is certain about a statement that still runs when the process ends.
+
+    An open transaction is rolled back with its connection, unless it may be committing.
+    """
+    is_committing = statement.kind is StatementKind.COMMIT
+    if in_transaction and not is_committing:
+        return Failure(AnswerCode.ABORTED, STOP_REASON)
+    if is_committing or writes:
+        return Failure(AnswerCode.IN_DOUBT, STOP_REASON)
+    return Failure(AnswerCode.FAILED, STOP_REASON)
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -54,8 +54,8 @@
 class SuccessorSearch:
     """Search for the successor of one service's primary, in steps.
 
-    ``demoted`` is the status of the old primary if it confirmed its demotion. The
-    other servers stop replicating in that case only after they have caught up.
+    ``demoted`` is the status of the old primary if it confirmed its demotion. It then
+    acknowledges nothing, and replication continues so that the others catch up.
     """
 
     def __init__(
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -6,8 +6,7 @@
 import pytest
 
 from bulrushloom.proxy.node import SHUTDOWN_MARGIN
-from bulrushloom.proxy.session import STOP_REASON
-from bulrushloom.proxy.stopping import StopPlan
+from bulrushloom.proxy.stopping import STOP_REASON, StopPlan
 from tests.proxy.builders import ms
 from tests.proxy.node_builders import SECOND, STEP, RunningNode
 
@@ -192,7 +191,7 @@
 @pytest.mark.parametrize(
     "texts, code",
     [
-        (["READ 1"], "BUSY"),
+        (["READ 1"], "FAILED"),
         (["WRITE 1 data"], "INDOUBT"),
         (["PREPARE s WRITE shape", "EXEC s 1 data"], "INDOUBT"),
         (["BEGIN", "WRITE 1 data"], "ABORTED"),
@@ -208,7 +207,7 @@
     instance.group.primary().work = SECOND
     client.send(f"QUERY last {texts[-1]}")
     instance.run(ms(100))
-    client.session.end(STOP_REASON)
+    client.session.end()
     instance.run(ms(10))
     assert client.received() == [f"ERR {code} the instance stops"]
 
@@ -216,7 +215,7 @@
 def test_idle_sessions_end_without_a_message(instance):
     client = instance.client("strict")
     client.query("READ 1")
-    client.session.end(STOP_REASON)
+    client.session.end()
     instance.run(ms(10))
     assert client.received() == []
 
