--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -75,6 +75,20 @@
     return ""
 
 
+def stopped_replicas(
+    status_by_id: Mapping[str, ServerStatus], primary_id: str
+) -> list[str]:
+    """Return the replicas that receive nothing from a primary of the present term."""
+    primary = status_by_id.get(primary_id)
+    if primary is None:
+        return []
+    return [
+        target_id
+        for target_id, status in status_by_id.items()
+        if status.role is ServerRole.REPLICA and status.paused_term > primary.term
+    ]
+
+
 def is_majority(suspecting: int, domains: int) -> bool:
     """Return whether enough domains cannot reach a primary to replace it.
 
--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -24,8 +24,8 @@
 # expired. An entry expires after three missed heartbeats.
 MAX_LIST_INTERVAL = timedelta(milliseconds=1500)
 # A target that is no longer used may still run, and acknowledge commits, out of reach
-# of the store.
-DEPARTED_TARGET_LIFETIME = timedelta(seconds=30)
+# of the store. It is given up after this time, because a failover waits for it.
+DEPARTED_TARGET_LIFETIME = timedelta(seconds=10)
 # With a single remaining replica, its failure would block all commits.
 MIN_REMAINING_REPLICAS = 2
 
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -11,6 +11,7 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.confirmations import InstanceConfirmations
 from bulrushloom.proxy.exchange.fleet import Fleet
+from bulrushloom.proxy.failover import stopped_replicas
 from bulrushloom.proxy.groups import GROUP_PREFIX, GroupPhase, GroupRecord
 from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.messages import ServerRole
@@ -190,12 +191,9 @@
         for _ in range(RESUME_ATTEMPTS):
             yield self._loop.sleep(RESUME_CHECK_INTERVAL)
             group = self._services.table.group_by_service.get(service)
-            is_current = (
-                group is not None
-                and group.phase is GroupPhase.STEADY
-                and group.primary_id == primary_id
-            )
-            if not is_current or not self._leadership.is_leader():
+            if group is None or group.phase is not GroupPhase.STEADY:
+                return
+            if group.primary_id != primary_id or not self._leadership.is_leader():
                 return
             targets = {
                 known.target.target_id: known.target
@@ -203,28 +201,20 @@
                 if not known.target.is_draining
             }
             statuses = yield from self._status.read_all(targets.values(), None)
-            primary = statuses.get(primary_id)
-            if primary is None:
-                continue
-            stopped = [
-                target
-                for target_id, target in targets.items()
-                if target_id in statuses
-                and statuses[target_id].role is ServerRole.REPLICA
-                and statuses[target_id].paused_term > primary.term
-            ]
-            if not stopped and targets.keys() <= statuses.keys():
+            stopped = stopped_replicas(statuses, primary_id)
+            if not stopped and targets.keys() == statuses.keys():
                 return
-            answers = yield from self._status.read_all(stopped, wire.RESUME)
-            self._log.write(
-                "replicas_resumed",
-                service=service,
-                term=primary.term,
-                held_terms={
-                    t.target_id: statuses[t.target_id].paused_term for t in stopped
-                },
-                confirmed=sorted(answers),
-            )
+            if stopped:
+                yield from self._resume(service, [targets[name] for name in stopped])
+
+    def _resume(self, service: str, replicas: list[Target]) -> Steps:
+        answers = yield from self._status.read_all(replicas, wire.RESUME)
+        self._log.write(
+            "replicas_resumed",
+            service=service,
+            stopped=sorted(replica.target_id for replica in replicas),
+            confirmed=sorted(answers),
+        )
 
     def _next_term(self, service: str, old_id: str) -> Steps:
         """Return a term above all known ones; an unfinished failover keeps its term."""
