--- a/bulrushloom/proxy/stopping.py
+++ b/bulrushloom/proxy/stopping.py
@@ -12,6 +12,7 @@
 SHUTDOWN_MARGIN = timedelta(milliseconds=700)
 # The process needs this part of the margin to end.
 EXIT_TIME = SHUTDOWN_MARGIN * 0.5
+# With a shorter grace, sessions are closed after this part of it.
 REMOVAL_FRACTION = 0.4
 # Transactions that are open when the stop begins have this part of the grace to end.
 WORK_FRACTION = 0.5
