Order a promotion only when no commit of the old primary can be acknowledged

Cause: that a successor has every acknowledged commit was taken from one answer of each server to PAUSE. What the servers were ordered does not last: a restart ends a pause, a server that joins was never paused, a demoted primary that restarts is the primary again, a late RESUME undoes a PAUSE. An instance that had not confirmed went on acknowledging commits by way of such a server. The leader's own pending commits and those of instances that had ended were not counted either.

Change: only instances acknowledge commits to clients, so one decision depends on them alone. CommitAcknowledgements decides on each instance whether a commit may be acknowledged: at the current primary, or until a deadline at one that is being replaced; otherwise its outcome is in doubt. InstanceConfirmations.closed_at says since when no instance can acknowledge one: all have confirmed, this one included, or MAX_PRIMARY_AGE has passed since the announcement. No promotion is ordered before. A server is then chosen if it covers what the instances reported (with a position of the primary since the last end of an instance), or the end of the demoted primary's log, or if every member has reported its position again since then. The order is not repeated for a server that has lost the sealed position, and an order of an earlier attempt is kept while its server covers that position. The leader announces again while it waits, and reads the list of servers at once. What was a wait of up to MAX_PRIMARY_AGE after the promotion is now one before it, so a failover with an instance out of reach ends later by the time that a promotion takes; one with all instances in reach waits for their confirmations and for one read of the store, some 10 ms.

Ruled out: a longer or repeated PAUSE (a restart can come at any time up to the promotion); a check after the promotion (too late).

--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -4,6 +4,7 @@
 of the client session that it is used for.
 """
 
+from concurrent.futures import Future
 from datetime import timedelta
 
 import xxhash
@@ -36,6 +37,7 @@
 # A connection with more prepared statements is reset, which drops them all.
 MAX_PREPARED_STATEMENTS = 200
 PRIMARY_REPLACED = "the server is no longer the primary"
+COMMIT_TOO_LATE = "the primary was replaced before the commit was answered"
 _ZERO = timedelta()
 
 
@@ -137,16 +139,24 @@
         connection: ServerConnection,
         attempt: Attempt,
         after: LogPosition | None,
+        cutoff: "Future[None] | None" = None,
     ) -> Steps:
-        """Send the statement and return the answer; raise ``AnswerLost``."""
+        """Send the statement and return the answer; raise ``AnswerLost``.
+
+        The wait for the answer ends at the latest when ``cutoff`` is done.
+        """
         text = statement_text(attempt.statement, attempt.prepared)
         sent_at = self._loop.now()
         answer_future = connection.query(attempt.statement.request_id, text, after)
         target = connection.target
+        waiting = self._loop.wait_for(answer_future, attempt.deadline - sent_at)
+        if cutoff is not None:
+            yield self._loop.first_of([waiting, cutoff])
+            if not waiting.done():
+                connection.close(COMMIT_TOO_LATE)
+                raise AnswerLost(target, AnswerCode.IN_DOUBT, COMMIT_TOO_LATE)
         try:
-            answer = yield self._loop.wait_for(
-                answer_future, attempt.deadline - sent_at
-            )
+            answer = yield waiting
         except TimeoutError as error:
             connection.close("no answer within the statement timeout")
             self._services.router.health(target.target_id).record_failure(
--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -84,7 +84,8 @@
     """Membership and shared state of the fleet, as seen by one instance.
 
     ``peers_by_name`` has the other instances. ``report_by_name`` has the last report of
-    those that this instance is in contact with.
+    those that this instance is in contact with. ``member_ended_at`` is when an instance
+    was last found to have ended or restarted; its last commits may not be reported.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         self._copier = copier
         self._last_urgent_at = self._loop.now()
         services.on_suspicion = self.send_immediately
+        services.commits.on_followed = self._confirm_to_leader
         self._round = 0
         self._chooser = ParentChooser(member, services.random)
         self._subtree = SubtreeTotals(
@@ -119,6 +121,7 @@
         self._answered_at_by_name: dict[str, timedelta] = {}
         self.leader_hint = ""
         self.is_leader = False
+        self.member_ended_at = self._loop.now()
         self.peers_by_name: dict[str, Member] = {}
         self.report_by_name: dict[str, Report] = {}
 
@@ -188,6 +191,8 @@
                 joined=sorted(peers.keys() - self.peers_by_name.keys()),
                 left=sorted(self.peers_by_name.keys() - peers.keys()),
             )
+        if not self.peers_by_name.items() <= peers.items():
+            self.member_ended_at = self._loop.now()
         self.peers_by_name = peers
         self._update_member_count()
         self.report_by_name = {
@@ -451,6 +456,12 @@
         if leader is not None:
             self._send([leader], self._build_report(ReportKind.DIRECT))
 
+    def _confirm_to_leader(self) -> None:
+        """Report to the leader that this instance follows a group record now."""
+        leader = self.peers_by_name.get(self._leader_name())
+        if leader is not None:
+            self._send([leader], self._build_report(ReportKind.DIRECT))
+
     def announce(
         self, members: Iterable[Member], group_by_service: Mapping[str, tuple[int, str]]
     ) -> None:
@@ -531,7 +542,7 @@
         for service, sample in report.position_by_service.items():
             services.history(service).record(sample)
         for service, position in report.acknowledged_by_service.items():
-            services.record_acknowledged_commit(service, position)
+            services.commits.record_position(service, position)
         if report.view is not None:
             self._apply_store_view(report)
         if report.directory is not None:
@@ -667,8 +678,8 @@
         return bool(self._leader_name())
 
     def directory_listed_since(self, at: timedelta) -> bool:
-        """Return whether the members were listed by a store read sent after ``at``."""
-        return self._directory is not None and self._directory.listed_at > at
+        """Return whether the members were listed by a store read sent since ``at``."""
+        return self._directory is not None and self._directory.listed_at >= at
 
     def close(self) -> None:
         """Close the socket."""
--- a/bulrushloom/proxy/exchange/reporting.py
+++ b/bulrushloom/proxy/exchange/reporting.py
@@ -28,7 +28,7 @@
         kind,
         stamp=stamp,
         position_by_service=_recent_positions(services, now),
-        acknowledged_by_service=services.acknowledged_by_service,
+        acknowledged_by_service=services.commits.position_by_service,
         view=_store_view(services, now),
         followed_revision_by_service=services.followed_revisions(),
     )
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -13,7 +13,7 @@
     Outcome,
 )
 from bulrushloom.proxy.configuration import Consistency, Route, Target
-from bulrushloom.proxy.dispatch import Dispatcher
+from bulrushloom.proxy.dispatch import COMMIT_TOO_LATE, Dispatcher
 from bulrushloom.proxy.messages import (
     AnswerCode,
     Failure,
@@ -256,10 +256,9 @@
                     return self._refused(f"{primary.reason}; {last_reason}", service)
                 continue
             try:
-                with services.committing(service):
-                    answer = yield from self._write_once(attempt, primary)
-                    if answer.failure is None:
-                        services.record_acknowledged_commit(service, answer.position)
+                with services.commits.pending(primary) as cutoff:
+                    answer = yield from self._write_once(attempt, primary, cutoff)
+                    self._require_acknowledgement(primary, answer)
             except NotOffered as error:
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
@@ -283,7 +282,16 @@
                 break
         return self._refused(last_reason, service)
 
-    def _write_once(self, attempt: Attempt, primary: Target) -> Steps:
+    def _require_acknowledgement(self, primary: Target, answer: ServerAnswer) -> None:
+        """Raise ``AnswerLost`` if a commit was answered too late to be acknowledged."""
+        if answer.failure is None and not self._services.acknowledge_commit(
+            primary, answer.position
+        ):
+            raise AnswerLost(primary, AnswerCode.IN_DOUBT, COMMIT_TOO_LATE)
+
+    def _write_once(
+        self, attempt: Attempt, primary: Target, cutoff: "Future[None]"
+    ) -> Steps:
         timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         connection = yield from self.acquire_connection(
             primary, attempt.account, attempt.route.priority, timeout
@@ -291,7 +299,7 @@
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
             self.require_primary(primary)
-            answer = yield from self.send(connection, attempt, None)
+            answer = yield from self.send(connection, attempt, None, cutoff)
         finally:
             self._services.pool.release(connection)
         return answer
--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -1,9 +1,10 @@
 """Failover decisions: when to replace a primary and by which server; no I/O.
 
 A commit is acknowledged once the primary and, if the service requires it, one replica
-have it. A successor is safe if no replica can receive from the old primary any more,
-and if the successor has the highest log position of all servers that could have
-acknowledged commits.
+have it. A successor is safe if no instance can acknowledge commits of the old primary
+any more, and if the successor has every commit that was acknowledged until then. What
+the servers were ordered does not prove either: a restart makes a replica receive again,
+and a server can join the group.
 """
 
 from collections.abc import Mapping
@@ -102,29 +103,35 @@
 class FailoverState(NamedTuple):
     """State of a group's servers during a failover.
 
-    ``status_by_id`` holds the servers that confirmed that they stopped replicating,
-    ``missing`` those that may have acknowledged commits and did not. ``demoted`` is the
-    status of the old primary once it confirmed that it is a replica.
-    ``all_instances_left`` means that every instance confirmed that it acknowledges no
-    more commits of the old primary; ``acknowledged`` covers all that they acknowledged.
+    ``is_closed`` means that no instance can acknowledge commits of the old primary any
+    more. ``status_by_id`` holds the servers that answered, ``missing`` those that may
+    have acknowledged commits and have not answered since the failover was closed.
+    ``demoted`` is the status of the old primary once it confirmed that it is a replica.
+    ``acknowledged`` is the highest known position of an acknowledged commit, and
+    ``acknowledged_bound`` a position that covers them all, if one is known.
     ``stopped_position_by_id`` holds the positions of servers that had stopped
     replicating before the failover. ``is_list_complete`` means that no further server
     can be running in reach of the store. ``ordered_id`` is the server whose promotion
-    an earlier attempt of the failover may have ordered. ``has_given_up_servers`` means
-    that servers which are not listed no longer count as missing, and
-    ``accepts_missing_commits`` that the failover no longer waits for a server with the
-    acknowledged commits.
+    an earlier attempt of the failover may have ordered, and ``sealed`` the position
+    that covered every acknowledged commit then. ``has_given_up_servers`` means that
+    servers which are not listed no longer count as missing,
+    ``awaits_unlisted_servers`` that a server which is not listed yet may be running,
+    and ``accepts_missing_commits`` that the failover no longer waits for a server with
+    the acknowledged commits.
     """
 
+    is_closed: bool
     status_by_id: Mapping[str, ServerStatus]
     missing: frozenset[str]
     demoted: ServerStatus | None
     acknowledged: LogPosition | None
-    all_instances_left: bool
+    acknowledged_bound: LogPosition | None
     stopped_position_by_id: Mapping[str, LogPosition]
     is_list_complete: bool = True
     ordered_id: str = ""
+    sealed: LogPosition | None = None
     has_given_up_servers: bool = False
+    awaits_unlisted_servers: bool = False
     accepts_missing_commits: bool = False
 
 
@@ -138,6 +145,8 @@
     promoted = _promoted_server(state)
     if promoted is not None:
         return promoted
+    if not state.is_closed:
+        return Missing("an instance may still acknowledge commits of the old primary")
     candidates = {
         target_id: status
         for target_id, status in state.status_by_id.items()
@@ -145,6 +154,11 @@
     }
     if not candidates:
         return Missing("no server of the group answers")
+    ordered = candidates.get(state.ordered_id)
+    if ordered is not None and state.sealed and ordered.received >= state.sealed:
+        # The order may still be executed, and must not follow that of another server.
+        # Commits above the sealed position were not acknowledged.
+        return state.ordered_id
     highest = max(status.received for status in candidates.values())
     if not _covers_all_commits(highest, state):
         return Missing("a server that may have acknowledged commits does not answer")
@@ -153,9 +167,6 @@
         for target_id, status in candidates.items()
         if status.received == highest
     ]
-    if state.ordered_id in most_advanced:
-        # The order may still be executed, and must not follow that of another server.
-        return state.ordered_id
     remaining = [
         target_id
         for target_id in most_advanced
@@ -181,20 +192,19 @@
 
 def _covers_all_commits(highest: LogPosition, state: FailoverState) -> bool:
     """Return whether a server at ``highest`` has every acknowledged commit."""
-    acknowledged = state.acknowledged
     log_end = _end_of_demoted_log(state)
     if log_end is not None and highest >= log_end:
         return True
     if state.is_list_complete and not _missing_ahead_of(highest, state):
         # Every server that could acknowledge a commit has reported its position.
-        if not state.has_given_up_servers or state.accepts_missing_commits:
+        has_unknown_servers = (
+            state.has_given_up_servers or state.awaits_unlisted_servers
+        )
+        if not has_unknown_servers or state.accepts_missing_commits:
             return True
-        return acknowledged is None or highest >= acknowledged
-    # Only instances acknowledge commits to clients. Once all of them have stopped using
-    # the old primary, the highest position that they acknowledged is sufficient.
-    if not state.all_instances_left or acknowledged is None:
-        return False
-    return highest >= acknowledged
+        return state.acknowledged is None or highest >= state.acknowledged
+    bound = state.acknowledged_bound
+    return bound is not None and highest >= bound
 
 
 def _end_of_demoted_log(state: FailoverState) -> LogPosition | None:
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -86,7 +86,7 @@
             settings.metrics_address,
         )
         self.reader = StoreReader(self.services, self._store, self.member)
-        self.services.request_store_read = self.reader.request_read
+        self.services.request_list = self.reader.request_list
         self.services.request_client_read = self.reader.request_read_for_client
         self._registration = Registration(loop, self._store, self.log, self.member)
         self.leadership = Leadership(
--- a/bulrushloom/proxy/positions.py
+++ b/bulrushloom/proxy/positions.py
@@ -53,6 +53,15 @@
         """Return the latest sample."""
         return self._latest
 
+    def position_since(self, at: timedelta) -> LogPosition | Missing:
+        """Return the lowest known position that covers the commits before ``at``."""
+        for sample in self._samples:
+            if sample.taken_at >= at:
+                return sample.position
+        if self._latest is not None and self._latest.taken_at >= at:
+            return self._latest.position
+        return NO_SAMPLE
+
     def position_for(
         self, now: timedelta, max_staleness: timedelta
     ) -> LogPosition | Missing:
@@ -60,10 +69,4 @@
 
         It covers every commit acknowledged more than ``max_staleness`` before ``now``.
         """
-        min_taken_at = now - max_staleness + TRANSIT_MARGIN
-        for sample in self._samples:
-            if sample.taken_at >= min_taken_at:
-                return sample.position
-        if self._latest is not None and self._latest.taken_at >= min_taken_at:
-            return self._latest.position
-        return NO_SAMPLE
+        return self.position_since(now - max_staleness + TRANSIT_MARGIN)
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -9,7 +9,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.confirmations import InstanceConfirmations
+from bulrushloom.proxy.confirmations import Announcement, InstanceConfirmations
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.failover import stopped_replicas
 from bulrushloom.proxy.groups import GROUP_PREFIX, GroupPhase, GroupRecord
@@ -24,16 +24,12 @@
     Put,
     StoreFailure,
 )
-from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE
-from bulrushloom.proxy.successor import (
-    REPEAT_INTERVAL,
-    Announcement,
-    SuccessorSearch,
-)
+from bulrushloom.proxy.successor import REPEAT_INTERVAL, Successor, SuccessorSearch
 from bulrushloom.runtime.loop import Steps
 
 # The successor becomes the primary a few hundred milliseconds after the order.
 PROMOTION_POLL_INTERVAL = timedelta(milliseconds=30)
+CONFIRMATION_POLL_INTERVAL = timedelta(milliseconds=10)
 PROMOTION_TIMEOUT = timedelta(milliseconds=2500)
 # Statements that run when a planned failover begins have this time to finish.
 PLANNED_GRACE_PERIOD = timedelta(milliseconds=150)
@@ -74,45 +70,18 @@
         self._fleet = fleet
         self._name = name
         self._status = status
-        self._confirmations = InstanceConfirmations(services, fleet)
         self.orders_in_flight = 0
 
     def replace_primary(self, service: str, old_id: str) -> Steps:
         """Replace the primary of a service; return the id of the new one."""
         term = yield from self._next_term(service, old_id)
         group = yield from self._announce_replacing(service, old_id, term)
-        announced_at = self._loop.now()
-        self._confirmations.record_announcement(service, announced_at)
-        if self._services.request_store_read is not None:
-            # Finds the instances that registered just before the announcement.
-            self._services.request_store_read()
-        instances = frozenset(self._fleet.peers_by_name)
-        # An old primary that is not listed may still serve.
-        old = self._services.table.find_target(old_id)
-        demoted = None
-        if old is not None and old_id in self._services.suspected_targets():
-            # The old primary gets the order if it is reachable; nobody waits for it.
-            self._loop.spawn(self._status.read_all([old], wire.demote_text(term)))
-        elif old is not None:
-            yield from self._wait_for_instances(
-                group, announced_at + PLANNED_GRACE_PERIOD
-            )
-            answers = yield from self._status.read_all([old], wire.demote_text(term))
-            demoted = answers.get(old_id)
-        announcement = Announcement(
-            announced_at,
-            self._services.failover_started_at_by_service.get(service, announced_at),
-            instances,
-        )
+        confirmations = self._confirmations(group)
+        # Finds the instances that registered just before the announcement.
+        self._services.request_list()
+        demoted = yield from self._demote(group, confirmations)
         successor = yield from self._find_successor(
-            SuccessorSearch(
-                self._services,
-                self._status,
-                self._confirmations,
-                group,
-                demoted,
-                announcement,
-            )
+            SuccessorSearch(self._services, self._status, confirmations, demoted)
         )
         # After a promotion the stopped replicas replicate again.
         group = yield from self._write(
@@ -122,13 +91,41 @@
                 stopped_position_by_id={},
             )
         )
-        yield from self._promote_successor(service, successor.target_id)
-        # An instance that has not confirmed by the deadline no longer uses the old
-        # primary, because its last read of the store is then too old.
-        yield from self._wait_for_instances(group, announced_at + MAX_PRIMARY_AGE)
-        group = yield from self._write(group._replace(phase=GroupPhase.STEADY))
+        yield from self._promote_successor(service, successor)
+        # No instance uses the old primary since the search has ended.
+        yield from self._write(group._replace(phase=GroupPhase.STEADY))
         return successor.target_id
 
+    def _confirmations(self, group: GroupRecord) -> InstanceConfirmations:
+        now = self._loop.now()
+        started_at = self._services.failover_started_at_by_service.get(
+            group.service, now
+        )
+        announcement = Announcement(
+            now, started_at, frozenset(self._fleet.peers_by_name)
+        )
+        return InstanceConfirmations(self._services, self._fleet, group, announcement)
+
+    def _demote(
+        self, group: GroupRecord, confirmations: InstanceConfirmations
+    ) -> Steps:
+        """Order the old primary to step down; return its status if it confirms.
+
+        Nobody waits for one that is suspected.
+        """
+        # An old primary that is not listed may still serve.
+        old = self._services.table.find_target(group.old_id)
+        if old is None:
+            return None
+        command = wire.demote_text(group.term)
+        if group.old_id in self._services.suspected_targets():
+            self._loop.spawn(self._status.read_all([old], command))
+            return None
+        deadline = self._loop.now() + PLANNED_GRACE_PERIOD
+        yield from self._wait_for_instances(confirmations, deadline)
+        answers = yield from self._status.read_all([old], command)
+        return answers.get(group.old_id)
+
     def _find_successor(self, search: SuccessorSearch) -> Steps:
         """Search until a server is safe to promote; return the ``Successor``."""
         deadline = self._loop.now() + FAILOVER_TIMEOUT
@@ -244,17 +241,15 @@
             service=service,
             phase=GroupPhase.REPLACING,
             term=term,
-            # An order of an earlier attempt may still be executed.
-            primary_id=(
-                known.primary_id
-                if known is not None and known.phase is GroupPhase.REPLACING
-                else ""
-            ),
+            primary_id="",
             old_id=old_id,
             fence=self._leadership.fence,
             revision=known.revision if known else 0,
             stopped_position_by_id=known.stopped_position_by_id if known else {},
         )
+        if known is not None and known.phase is GroupPhase.REPLACING:
+            # An order of an earlier attempt may still be executed.
+            group = group._replace(primary_id=known.primary_id, sealed=known.sealed)
         return (yield from self._write(group))
 
     def _write(self, group: GroupRecord) -> Steps:
@@ -276,57 +271,66 @@
         )
         return group
 
-    def _wait_for_instances(self, group: GroupRecord, deadline: timedelta) -> Steps:
+    def _wait_for_instances(
+        self, confirmations: InstanceConfirmations, deadline: timedelta
+    ) -> Steps:
         """Wait until all instances follow the record, or until ``deadline``."""
         last_sent_at = self._loop.now()
-        while self._loop.now() < deadline and not self._confirmations.are_complete(
-            group
-        ):
+        while self._loop.now() < deadline and confirmations.closed_at() is None:
             if self._loop.now() - last_sent_at >= REPEAT_INTERVAL:
                 last_sent_at = self._loop.now()
-                unconfirmed = self._confirmations.missing(group)
-                peers = self._fleet.peers_by_name
-                members = [peers[name] for name in unconfirmed if name in peers]
-                value = group.encode().decode()
-                self._fleet.announce(members, {group.service: (group.revision, value)})
-            yield self._loop.sleep(timedelta(milliseconds=10))
+                confirmations.announce_again()
+            yield self._loop.sleep(CONFIRMATION_POLL_INTERVAL)
 
-    def _promote_successor(self, service: str, successor: str) -> Steps:
-        """Order the promotion and wait until the successor is the primary."""
+    def _promote_successor(self, service: str, successor: Successor) -> Steps:
+        """Order the promotion and wait until the successor is the primary.
+
+        The successor is asked again before each order: it may have restarted without
+        its log.
+        """
+        target_id = successor.target_id
         deadline = self._loop.now() + FAILOVER_TIMEOUT
         while self._loop.now() < deadline:
-            known = self._services.table.listed_target_by_id.get(successor)
+            known = self._services.table.listed_target_by_id.get(target_id)
             if known is None:
                 raise Abandoned("the successor is no longer listed")
             if not self._leadership.is_leader():
                 raise Abandoned("this instance no longer holds the leader lease")
-            self.orders_in_flight += 1
-            try:
-                status = yield self._promotion.promote(
-                    service,
-                    successor,
-                    self._name,
-                    self._leadership.fence,
-                    self._leadership.is_leader,
-                )
-            finally:
-                self.orders_in_flight -= 1
-            self._log.write(
-                "promotion_ordered",
-                service=service,
-                successor=successor,
-                fence=self._leadership.fence,
-                status=status,
-            )
-            if status == 409:
+            status = yield from self._status.read(known.target)
+            if not isinstance(status, Missing) and status.received < successor.sealed:
+                raise Abandoned("the successor no longer has every commit")
+            code = yield from self._order_promotion(service, target_id)
+            if code == 409:
                 raise Abandoned("the successor is not running")
             is_primary = yield from self._wait_until_primary(
-                known.target, status in ACCEPTED_STATUSES
+                known.target, code in ACCEPTED_STATUSES
             )
             if is_primary:
                 return
         raise Abandoned("the successor did not become the primary")
 
+    def _order_promotion(self, service: str, target_id: str) -> Steps:
+        """Order a promotion; return the status of the answer, or 0 without one."""
+        self.orders_in_flight += 1
+        try:
+            code = yield self._promotion.promote(
+                service,
+                target_id,
+                self._name,
+                self._leadership.fence,
+                self._leadership.is_leader,
+            )
+        finally:
+            self.orders_in_flight -= 1
+        self._log.write(
+            "promotion_ordered",
+            service=service,
+            successor=target_id,
+            fence=self._leadership.fence,
+            status=code,
+        )
+        return code
+
     def _wait_until_primary(self, target: Target, is_accepted: bool) -> Steps:
         timeout = PROMOTION_TIMEOUT if is_accepted else REPEAT_INTERVAL * 3
         deadline = self._loop.now() + timeout
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -1,14 +1,14 @@
 """State and decisions that all sessions of one instance share."""
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
-from contextlib import contextmanager
 from datetime import timedelta
 from random import Random
 from typing import Any, NamedTuple
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.commits import CommitAcknowledgements
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
 from bulrushloom.proxy.connections import ConnectionPool
 from bulrushloom.proxy.groups import GroupPhase, GroupRecord, GroupTable
@@ -26,9 +26,9 @@
 # Expected time from the announcement of a failover to the first write at the new
 # primary.
 EXPECTED_FAILOVER_TIME = timedelta(milliseconds=1200)
-# The same while an instance is unreachable: the failover waits until the last read of
-# the store by that instance is too old for it to use the old primary.
-EXPECTED_DELAYED_FAILOVER_TIME = MAX_PRIMARY_AGE + timedelta(milliseconds=100)
+# The same while an instance is unreachable: the promotion is ordered once the last read
+# of the store by that instance is too old for it to use the old primary.
+EXPECTED_DELAYED_FAILOVER_TIME = MAX_PRIMARY_AGE + timedelta(milliseconds=500)
 # A failover that takes longer than expected is assumed to last for another fraction of
 # the time elapsed so far.
 OVERDUE_WAIT_FRACTION = 0.5
@@ -53,11 +53,11 @@
     """State of one instance that its sessions share, with the decisions based on it.
 
     ``on_suspicion`` is called when a target becomes suspected of a failure.
-    ``request_store_read`` starts an early read of the store, and
-    ``request_client_read`` one on behalf of a client; ``None`` if not available.
-    ``acknowledged_by_service`` holds the highest log position whose commit was
-    acknowledged to a client. ``stop_plan`` is set once the instance stops. While
-    ``session_close_reason`` is not empty, a refusal closes the session.
+    ``request_list`` starts a read of the list of targets and instances at once, and
+    ``request_client_read`` a read of the store on behalf of a client; ``None`` if not
+    available.
+    ``stop_plan`` is set once the instance stops. While ``session_close_reason`` is not
+    empty, a refusal closes the session.
     """
 
     def __init__(
@@ -75,6 +75,7 @@
         self.metrics = metrics
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.store_freshness = StoreFreshness(settings)
+        self.commits = CommitAcknowledgements(loop, self.store_freshness)
         self.table = GroupTable(settings.target_drain_bound)
         window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
@@ -89,13 +90,11 @@
         self.session_close_reason = ""
         self._started_at = loop.now()
         self._history_by_service: dict[str, PositionHistory] = {}
-        self.acknowledged_by_service: dict[str, LogPosition] = {}
         self._suspicion_by_target: dict[str, Suspicion] = {}
         self.on_suspicion: Callable[[], None] = lambda: None
-        self._pending_commits_by_service: dict[str, int] = {}
         self._primary_change_by_service: dict[str, Future[None]] = {}
         self.failover_started_at_by_service: dict[str, timedelta] = {}
-        self.request_store_read: Any = None
+        self.request_list: Callable[[], object] = lambda: None
         self.request_client_read: Any = None
 
     @property
@@ -153,23 +152,37 @@
             sample = PositionSample(sent_at, position)
             self.history(target.service).record(sample)
 
-    def record_acknowledged_commit(
-        self, service: str, position: LogPosition | Missing
-    ) -> None:
-        """Record the highest position whose commit was acknowledged to a client."""
-        if isinstance(position, Missing):
-            return
-        known = self.acknowledged_by_service.get(service)
-        if known is None or position > known:
-            self.acknowledged_by_service[service] = position
+    def acknowledge_commit(
+        self, target: Target, position: LogPosition | Missing
+    ) -> bool:
+        """Return whether a commit that ``target`` ran may be acknowledged now.
+
+        Records its position if so. Otherwise a successor that lacks the commit may have
+        been chosen, and its outcome is in doubt.
+        """
+        is_allowed = self.is_current_primary(target) or (
+            self.commits.allows_replaced(target)
+        )
+        if is_allowed:
+            self.commits.record_position(target.service, position)
+        else:
+            self.log.write(
+                "commit_not_acknowledged",
+                service=target.service,
+                target=target.target_id,
+                position=str(position),
+                evidence_age=self.store_freshness.age(self.loop.now()),
+            )
+            self.metrics.count("commits_not_acknowledged", target.service)
+        return is_allowed
 
     def acknowledged_position(self, service: str) -> LogPosition | None:
-        """Return a position that covers every commit acknowledged, if it is known.
+        """Return the highest position known to be acknowledged, if there is one.
 
         Commits that were acknowledged before this instance started are covered by the
         positions that it has received from the primary since.
         """
-        acknowledged = self.acknowledged_by_service.get(service)
+        acknowledged = self.commits.position_by_service.get(service)
         if acknowledged is not None:
             return acknowledged
         latest = self.history(service).latest()
@@ -309,6 +322,8 @@
         """Apply announcements of primaries; return whether any was new."""
         changed = self.table.apply_group_records(groups)
         for group in changed:
+            is_suspected = group.old_id in self.suspected_targets()
+            self.commits.apply_group_record(group, is_suspected)
             self.log.write(
                 "group_changed",
                 service=group.service,
@@ -348,27 +363,15 @@
     def followed_revisions(self) -> dict[str, int]:
         """Return the revision of each group record that is fully in effect here.
 
-        While a commit at the old primary is pending, it may still be acknowledged to
-        its client, so the record of a failover is left out until then.
+        The record of a failover is left out while a commit of the old primary may still
+        be acknowledged to its client.
         """
         return {
             service: group.revision
             for service, group in self.table.group_by_service.items()
-            if group.phase is GroupPhase.STEADY or not self._pending_commits(service)
+            if group.phase is GroupPhase.STEADY or self.commits.has_ended(service)
         }
 
-    def _pending_commits(self, service: str) -> int:
-        return self._pending_commits_by_service.get(service, 0)
-
-    @contextmanager
-    def committing(self, service: str) -> Iterator[None]:
-        """Count a commit that is pending at the primary of ``service``."""
-        self._pending_commits_by_service[service] = self._pending_commits(service) + 1
-        try:
-            yield
-        finally:
-            self._pending_commits_by_service[service] -= 1
-
     def expected_primary_wait(self, service: str) -> timedelta:
         """Return the expected time until a statement can run at the primary."""
         now = self.loop.now()
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -156,10 +156,20 @@
             return None
         return self.request_read()
 
+    def request_list(self) -> None:
+        """Read the store now, even if another read is pending.
+
+        A failover waits for a list of servers and instances that is not older than it.
+        """
+        self._loop.spawn(self._read_now())
+
     def _read_store(self) -> Steps:
         delay = self._read_at + MIN_READ_INTERVAL - self._loop.now()
         if delay > _ZERO:
             yield self._loop.sleep(delay)
+        return (yield from self._read_now())
+
+    def _read_now(self) -> Steps:
         self._read_at = self._loop.now()
         result = yield self._store.snapshot(True)
         if isinstance(result, StoreFailure):
@@ -274,12 +284,12 @@
             hot_accounts = decode_hot_accounts(snapshot.record_by_key)
             services.limiter.load_recorded_usage(hot_accounts)
             self._log.write("limits_started", noted=hot_accounts)
-        services.store_freshness.record_read(snapshot.requested_at)
         if snapshot.configuration is not None:
             self._apply_configuration(snapshot.configuration, "store")
         services.apply_group_records(
             decode_group_records(snapshot.record_by_key.values())
         )
+        services.store_freshness.record_read(snapshot.requested_at)
         services.record_sealed_positions(snapshot.requested_at)
         self._apply_keys(snapshot)
         delay = self._candidacy_delay()
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -1,5 +1,6 @@
 """Search for a server that has every acknowledged commit, during a failover."""
 
+from concurrent.futures import Future
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -8,7 +9,6 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.confirmations import InstanceConfirmations
 from bulrushloom.proxy.failover import FailoverState, choose_successor
-from bulrushloom.proxy.groups import GroupRecord
 from bulrushloom.proxy.messages import LogPosition, ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
@@ -17,6 +17,9 @@
 # Repeating a request more often does not yield an earlier answer.
 REPEAT_INTERVAL = timedelta(milliseconds=100)
 CATCH_UP_POLL_INTERVAL = timedelta(milliseconds=30)
+POLL_INTERVAL = timedelta(milliseconds=10)
+# A search continues without the servers that do not answer in this time.
+ANSWER_PATIENCE = timedelta(milliseconds=100)
 # Time after a demotion for the replicas to receive the last commits of the old primary,
 # which takes the usual lag.
 CATCH_UP_TIMEOUT = timedelta(milliseconds=400)
@@ -29,19 +32,8 @@
 # The same while acknowledged commits are known to be missing at all servers that
 # answer. A server that has them may come back with its log.
 MISSING_COMMITS_TIMEOUT = timedelta(seconds=60)
-
-
-class Announcement(NamedTuple):
-    """Time at which a replacement was announced, and the instances known at that time.
-
-    A partitioned instance keeps serving although its entry expires, so it counts until
-    it confirms the announcement. ``first_announced_at`` is the time of the first
-    announcement if the failover is a repeated attempt.
-    """
-
-    announced_at: timedelta
-    first_announced_at: timedelta
-    instances: frozenset[str]
+# A server that joined the group just before the failover is listed within this time.
+UNLISTED_SERVER_TIMEOUT = timedelta(seconds=1)
 
 
 class Successor(NamedTuple):
@@ -63,60 +55,67 @@
         services: Services,
         status: StatusReader,
         confirmations: InstanceConfirmations,
-        group: GroupRecord,
         demoted: ServerStatus | None,
-        announcement: Announcement,
     ):
         self._services = services
         self._loop = services.loop
         self._status = status
         self._confirmations = confirmations
-        self._group = group
+        self._group = confirmations.group
         self._demoted = demoted
-        self._announcement = announcement
         self._started_at = services.loop.now()
+        self._instances_asked_at = self._started_at
+        self._logged_at: timedelta | None = None
         self._status_by_id: dict[str, ServerStatus] = {}
+        # When a status that was received was requested, and the last request.
+        self._reported_at_by_id: dict[str, timedelta] = {}
+        self._asked_at_by_id: dict[str, timedelta] = {}
+        self._answer_by_id: dict[str, Future[None]] = {}
         # Servers that may have acknowledged commits.
         self._required_ids: set[str] = set()
         self._given_up_ids: set[str] = set()
 
     def run(self) -> Steps:
         """Take one step; return a ``Successor``, or why none is safe yet."""
+        self._ask_members()
+        yield from self._wait_for_answers()
+        if self._demoted is not None and self._is_catching_up(self._demoted):
+            yield self._loop.sleep(CATCH_UP_POLL_INTERVAL)
+            return Missing("the replicas receive the last commits")
         targets = self._listed_replicas()
-        yield from self._stop_replication()
         elapsed = self._loop.now() - self._started_at
         if self._demoted is not None and elapsed >= REINSTATEMENT_DELAY:
             targets |= self._reinstatable_primary(self._demoted)
-        if self._demoted is not None and elapsed < CATCH_UP_TIMEOUT:
-            received = [status.received for status in self._status_by_id.values()]
-            if not received or max(received) < self._demoted.received:
-                yield self._loop.sleep(CATCH_UP_POLL_INTERVAL)
-                return Missing("the replicas receive the last commits")
         self._update_required_ids(targets)
-        unconfirmed = self._confirmations.missing(
-            self._group, self._announcement.instances
-        )
-        state = self._state(unconfirmed)
+        closed_at = self._confirmations.closed_at()
+        state = self._state(closed_at)
         choice = choose_successor(targets, state)
         if isinstance(choice, Missing):
-            self._services.log.write(
-                "successor_delayed",
-                service=self._group.service,
-                reason=choice.reason,
-                missing=sorted(state.missing),
-                instances_missing=sorted(unconfirmed),
-                has_unlisted_instance=self._confirmations.has_unlisted_instance(
-                    self._group.service
-                ),
-                is_list_complete=state.is_list_complete,
-                positions=self._positions(),
-                acknowledged=str(state.acknowledged),
-            )
-            yield self._loop.sleep(REPEAT_INTERVAL)
+            self._log_delay(choice, state)
+            self._ask_instances(closed_at)
+            yield self._loop.sleep(POLL_INTERVAL)
             return choice
         self._log_choice(choice, state)
-        sealed = max(status.received for status in self._status_by_id.values())
-        return Successor(choice, sealed)
+        return Successor(choice, self._status_by_id[choice].received)
+
+    def _is_catching_up(self, demoted: ServerStatus) -> bool:
+        if self._loop.now() - self._started_at >= CATCH_UP_TIMEOUT:
+            return False
+        received = [status.received for status in self._status_by_id.values()]
+        return not received or max(received) < demoted.received
+
+    def _ask_instances(self, closed_at: timedelta | None) -> None:
+        """Announce the replacement again, or read the list of servers, if needed."""
+        now, since = self._loop.now(), closed_at
+        if since is None:
+            since = self._confirmations.announcement.announced_at
+        if now - self._instances_asked_at < REPEAT_INTERVAL:
+            return
+        self._instances_asked_at = now
+        if closed_at is None:
+            self._confirmations.announce_again()
+        if not self._services.table.is_read_since(since):
+            self._services.request_list()
 
     def _listed_replicas(self) -> dict[str, Target]:
         return {
@@ -131,29 +130,62 @@
         members.pop(self._group.old_id, None)
         return members
 
-    def _stop_replication(self) -> Steps:
-        """Order the members to stop replicating; record the status of each.
+    def _ask_members(self) -> None:
+        """Order the members to stop replicating, and ask for the status of each.
 
-        A demoted primary sends the rest of its log, so replication continues then.
+        Once the failover is closed, servers that answered before are asked again. A
+        demoted primary sends the rest of its log, so replication continues then.
         """
+        now, closed_at = self._loop.now(), self._confirmations.closed_at()
         members = self._members()
-        is_demoted = self._demoted is not None
-        answers = yield from self._status.read_all(
-            (
-                target
-                for target_id, target in members.items()
-                if is_demoted or target_id not in self._status_by_id
-            ),
-            None if is_demoted else wire.pause_text(self._group.term),
-        )
-        self._status_by_id |= answers
-        members = self._members()
+        for target_id, target in members.items():
+            if target_id in self._answer_by_id:
+                continue
+            is_current = self._demoted is None and not self._needs_answer(
+                target_id, closed_at
+            )
+            asked_at = self._asked_at_by_id.get(target_id)
+            is_recent = asked_at is not None and now - asked_at < REPEAT_INTERVAL
+            is_outdated = target_id in self._status_by_id and not is_current
+            if is_current or (is_recent and not is_outdated):
+                continue
+            self._asked_at_by_id[target_id] = now
+            self._answer_by_id[target_id] = self._loop.spawn(self._ask(target))
         self._status_by_id = {
             target_id: status
             for target_id, status in self._status_by_id.items()
             if target_id in members
         }
 
+    def _ask(self, target: Target) -> Steps:
+        target_id, asked_at = target.target_id, self._loop.now()
+        command = None
+        if self._demoted is None:
+            command = wire.pause_text(self._group.term)
+        status = yield from self._status.read(target, command)
+        del self._answer_by_id[target_id]
+        if isinstance(status, Missing):
+            self._services.log.write(
+                "status_missing", target=target_id, reason=status.reason
+            )
+        else:
+            self._status_by_id[target_id] = status
+            self._reported_at_by_id[target_id] = asked_at
+
+    def _wait_for_answers(self) -> Steps:
+        """Wait for the servers that were asked, but not long for a silent one."""
+        deadline = self._loop.now() + ANSWER_PATIENCE
+        for answer in list(self._answer_by_id.values()):
+            remaining = deadline - self._loop.now()
+            if remaining > timedelta():
+                yield self._loop.first_of([answer, self._loop.sleep(remaining)])
+
+    def _needs_answer(self, target_id: str, closed_at: timedelta | None) -> bool:
+        """Return whether the server has not reported since the failover was closed."""
+        if target_id not in self._status_by_id:
+            return True
+        return closed_at is not None and self._reported_at_by_id[target_id] < closed_at
+
     def _reinstatable_primary(self, demoted: ServerStatus) -> dict[str, Target]:
         """Return the demoted primary unless it is draining; it has every commit."""
         old_id = self._group.old_id
@@ -161,10 +193,11 @@
         if known is None or known.target.is_draining:
             return {}
         self._status_by_id[old_id] = demoted
+        self._reported_at_by_id[old_id] = self._loop.now()
         return {old_id: known.target}
 
     def _update_required_ids(self, targets: dict[str, Target]) -> None:
-        elapsed = self._loop.now() - self._announcement.announced_at
+        elapsed = self._loop.now() - self._confirmations.announcement.announced_at
         if elapsed < VANISHED_SERVER_TIMEOUT:
             self._required_ids |= self._members().keys()
         else:
@@ -172,7 +205,7 @@
             self._given_up_ids |= silent - targets.keys()
             self._required_ids &= targets.keys()
 
-    def _state(self, unconfirmed: list[str]) -> FailoverState:
+    def _state(self, closed_at: timedelta | None) -> FailoverState:
         services, group = self._services, self._group
         members = self._members()
         # A server that is no longer draining replicates again.
@@ -181,27 +214,63 @@
             for target_id, position in group.stopped_position_by_id.items()
             if target_id not in members or members[target_id].is_draining
         }
-        waited = self._loop.now() - self._announcement.first_announced_at
+        now = self._loop.now()
+        waited = now - self._confirmations.announcement.first_announced_at
         return FailoverState(
+            is_closed=closed_at is not None,
             status_by_id=self._status_by_id,
-            missing=frozenset(self._required_ids - self._status_by_id.keys()),
+            missing=frozenset(
+                target_id
+                for target_id in self._required_ids
+                if self._needs_answer(target_id, closed_at)
+            ),
             demoted=self._demoted,
             acknowledged=services.acknowledged_position(group.service),
-            all_instances_left=not unconfirmed
-            and not self._confirmations.has_unlisted_instance(group.service),
+            acknowledged_bound=self._confirmations.acknowledged_bound(),
             stopped_position_by_id=stopped_position_by_id,
-            is_list_complete=services.table.is_complete,
+            is_list_complete=services.table.is_complete
+            and closed_at is not None
+            and services.table.is_read_since(closed_at),
             ordered_id=group.primary_id,
+            sealed=group.sealed,
             has_given_up_servers=bool(self._given_up_ids - self._status_by_id.keys()),
+            awaits_unlisted_servers=closed_at is not None
+            and now - closed_at < UNLISTED_SERVER_TIMEOUT,
             accepts_missing_commits=waited >= MISSING_COMMITS_TIMEOUT,
         )
 
+    def _log_delay(self, choice: Missing, state: FailoverState) -> None:
+        now, confirmations = self._loop.now(), self._confirmations
+        if self._logged_at is not None and now - self._logged_at < REPEAT_INTERVAL:
+            return
+        self._logged_at = now
+        self._services.log.write(
+            "successor_delayed",
+            service=self._group.service,
+            reason=choice.reason,
+            is_closed=state.is_closed,
+            missing=sorted(state.missing),
+            instances_missing=sorted(confirmations.missing()),
+            has_unlisted_instance=confirmations.has_unlisted_instance(),
+            is_list_complete=state.is_list_complete,
+            positions=self._positions(),
+            paused_terms=self._paused_terms(),
+            acknowledged=str(state.acknowledged),
+            acknowledged_bound=str(state.acknowledged_bound),
+        )
+
     def _positions(self) -> dict[str, str]:
         return {
             target_id: str(status.received)
             for target_id, status in self._status_by_id.items()
         }
 
+    def _paused_terms(self) -> dict[str, int]:
+        return {
+            target_id: status.paused_term
+            for target_id, status in self._status_by_id.items()
+        }
+
     def _log_choice(self, target_id: str, state: FailoverState) -> None:
         service = self._group.service
         acknowledged = state.acknowledged
@@ -211,9 +280,15 @@
             service=service,
             successor=target_id,
             positions=self._positions(),
+            paused_terms=self._paused_terms(),
             missing=sorted(state.missing),
+            unlisted=sorted(
+                self._members().keys() - self._services.table.listed_target_by_id.keys()
+            ),
+            instances_missing=sorted(self._confirmations.missing()),
             demoted=str(state.demoted.received) if state.demoted else "",
             acknowledged=str(acknowledged),
+            acknowledged_bound=str(state.acknowledged_bound),
             is_list_complete=state.is_list_complete,
         )
         if state.accepts_missing_commits and acknowledged and position < acknowledged:
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -1,5 +1,6 @@
 """Client transaction on one pinned server connection."""
 
+from concurrent.futures import Future
 from datetime import timedelta
 
 from bulrushloom.core.sentinels import Missing
@@ -11,7 +12,7 @@
     ConnectionRejected,
     ServerConnection,
 )
-from bulrushloom.proxy.dispatch import PRIMARY_REPLACED
+from bulrushloom.proxy.dispatch import COMMIT_TOO_LATE, PRIMARY_REPLACED
 from bulrushloom.proxy.execution import BUSY_RETRY_DELAY, StatementRunner
 from bulrushloom.proxy.messages import (
     NOT_RUN_CODES,
@@ -256,8 +257,8 @@
                 return Outcome(self.failure, None)
         connection = self._connection
         assert connection is not None
-        with self._services.committing(self._route.service):
-            outcome = yield from self._commit_on(connection, attempt)
+        with self._services.commits.pending(connection.target) as cutoff:
+            outcome = yield from self._commit_on(connection, attempt, cutoff)
         self._connection = None
         if connection.state is TransactionState.IDLE:
             self._services.pool.release(connection)
@@ -265,7 +266,9 @@
             self._roll_back_in_background(connection)
         return outcome
 
-    def _commit_on(self, connection: ServerConnection, attempt: Attempt) -> Steps:
+    def _commit_on(
+        self, connection: ServerConnection, attempt: Attempt, cutoff: "Future[None]"
+    ) -> Steps:
         """Send the commit, again while the server is busy; return an ``Outcome``."""
         for retries in range(1, MAX_BUSY_RETRIES + 1):
             if not self._may_commit(connection):
@@ -273,15 +276,18 @@
                 self._runner.log_attempt(attempt, connection.target, reason)
                 return Outcome(self._replaced_primary_failure(reason), None)
             try:
-                answer = yield from self._runner.send(connection, attempt, None)
+                answer = yield from self._runner.send(
+                    connection, attempt, None, cutoff if self.wrote else None
+                )
             except AnswerLost as error:
                 self._runner.log_attempt(attempt, connection.target, str(error))
-                return Outcome(self._unanswered_commit_failure(error), None)
+                return Outcome(self._unanswered_commit_failure(str(error)), None)
             if answer.failure is None:
-                if self.wrote:
-                    self._services.record_acknowledged_commit(
-                        self._route.service, answer.position
-                    )
+                if self.wrote and not self._services.acknowledge_commit(
+                    connection.target, answer.position
+                ):
+                    failure = self._unanswered_commit_failure(COMMIT_TOO_LATE)
+                    return Outcome(failure, None)
                 return Outcome(None, answer)
             is_open = answer.state is TransactionState.OPEN
             if answer.failure.code is not AnswerCode.NOT_RUN or not is_open:
@@ -310,11 +316,11 @@
             return Failure(AnswerCode.ABORTED, reason, BUSY_RETRY_DELAY)
         return Failure(AnswerCode.IN_DOUBT, reason)
 
-    def _unanswered_commit_failure(self, error: AnswerLost) -> Failure:
+    def _unanswered_commit_failure(self, cause: str) -> Failure:
         if self.wrote:
-            reason = f"the outcome of the commit is not known: {error}"
+            reason = f"the outcome of the commit is not known: {cause}"
             return Failure(AnswerCode.IN_DOUBT, reason)
-        reason = f"the commit of a transaction without writes got no answer: {error}"
+        reason = f"the commit of a transaction without writes got no answer: {cause}"
         return Failure(AnswerCode.ABORTED, reason, BUSY_RETRY_DELAY)
 
     def fail(self, reason: str) -> None:
--- a/specs/check.py
+++ b/specs/check.py
@@ -82,9 +82,13 @@
     return Run(name, "coordination.pml", tuple(defines), expected_violation)
 
 
-def promotion_run(fault: str = "", expected_violation: str = "") -> Run:
-    """Return a run of the specification of the primary change on the platform."""
-    defines = (f"-DFAULT_{fault}",) if fault else ()
+def promotion_run(fault: str = "", expected_violation: str = "", *bounds: str) -> Run:
+    """Return a run of the specification of the primary change on the platform.
+
+    ``bounds`` are further definitions, which leave out what would break another
+    assertion first.
+    """
+    defines = (f"-DFAULT_{fault}", *bounds) if fault else bounds
     return Run(
         f"promotion {fault}".rstrip(), "promotion.pml", defines, expected_violation
     )
@@ -114,10 +118,15 @@
     promotion_run(),
     promotion_run("TIMEOUT_CONFIRMS", "acknowledged_write_lost"),
     promotion_run("CONFIRM_EARLY", "replaced_primary_acknowledged"),
-    promotion_run("NO_PAUSE", "replaced_primary_acknowledged"),
-    promotion_run("PROMOTE_ANY", "replaced_primary_acknowledged"),
-    promotion_run("PUBLISH_EARLY", "stale_primary_read"),
-    promotion_run("EVIDENCE_FROM_ANSWER", "stale_primary_read"),
+    promotion_run("ACKNOWLEDGE_LATE", "replaced_primary_acknowledged"),
+    promotion_run(
+        "PAUSE_SUFFICES", "replaced_primary_acknowledged", "-DPRIMARY_READS=0"
+    ),
+    promotion_run("OLD_POSITIONS", "acknowledged_write_lost"),
+    promotion_run("NO_WAIT", "replaced_primary_acknowledged", "-DPRIMARY_READS=0"),
+    promotion_run("PROMOTE_ANY", "acknowledged_write_lost"),
+    promotion_run("NO_WAIT", "stale_primary_read", "-DCOMMITS=0"),
+    promotion_run("EVIDENCE_FROM_ANSWER", "stale_primary_read", "-DCOMMITS=0"),
     coordination_run("RULES"),
     coordination_run("RULES", "BLIND_WRITE", "accepted_configuration_reverted"),
     coordination_run("RULES", "TAKE_ANY_VERSION", "accepted_configuration_reverted"),
