Count the start of a failover for its own term only

An instance that missed the record between two failovers took the start of the first for that of the second: clients got a wrong time to come back, and the leader would have ended its wait too early. Shown by test_second_failover_is_not_taken_for_a_long_first_one, which failed before (1.5 s where 1.2 s are expected).

--- a/bulrushloom/proxy/commits.py
+++ b/bulrushloom/proxy/commits.py
@@ -23,6 +23,7 @@
 
     old_id: str
     term: int
+    known_since: timedelta
     deadline: timedelta
 
 
@@ -92,7 +93,7 @@
         now = self._loop.now()
         timeout = timedelta() if is_suspected else PENDING_COMMIT_TIMEOUT
         deadline = min(now + timeout, self._freshness.last_read_at + MAX_PRIMARY_AGE)
-        replacement = _Replacement(group.old_id, group.term, deadline)
+        replacement = _Replacement(group.old_id, group.term, now, deadline)
         self._replacement_by_service[service] = replacement
         self._give_up(service, except_for=group.old_id)
         if deadline <= now:
@@ -113,6 +114,11 @@
             if target_id != except_for:
                 set_result_if_pending(cutoff, None)
 
+    def replacing_since(self, service: str) -> timedelta | None:
+        """Return since when the current replacement of a primary is known."""
+        replacement = self._replacement_by_service.get(service)
+        return replacement.known_since if replacement is not None else None
+
     def allows_replaced(self, target: Target) -> bool:
         """Return whether commits of a primary that is being replaced may be answered.
 
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -98,11 +98,9 @@
 
     def _confirmations(self, group: GroupRecord) -> InstanceConfirmations:
         now = self._loop.now()
-        started_at = self._services.failover_started_at_by_service.get(
-            group.service, now
-        )
+        known_since = self._services.commits.replacing_since(group.service)
         announcement = Announcement(
-            now, started_at, frozenset(self._fleet.peers_by_name)
+            now, known_since or now, frozenset(self._fleet.peers_by_name)
         )
         return InstanceConfirmations(self._services, self._fleet, group, announcement)
 
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -93,7 +93,6 @@
         self._suspicion_by_target: dict[str, Suspicion] = {}
         self.on_suspicion: Callable[[], None] = lambda: None
         self._primary_change_by_service: dict[str, Future[None]] = {}
-        self.failover_started_at_by_service: dict[str, timedelta] = {}
         self.request_list: Callable[[], object] = lambda: None
         self.request_client_read: Any = None
 
@@ -334,12 +333,7 @@
                 revision=group.revision,
             )
             if group.phase is GroupPhase.STEADY:
-                self.failover_started_at_by_service.pop(group.service, None)
                 self._resolve_primary_change(group.service)
-            else:
-                self.failover_started_at_by_service.setdefault(
-                    group.service, self.loop.now()
-                )
         return bool(changed)
 
     def record_sealed_positions(self, sent_at: timedelta) -> None:
@@ -377,7 +371,7 @@
         now = self.loop.now()
         if not self.store_freshness.allows_primary(now):
             return EXPECTED_STORE_RECOVERY_TIME
-        started_at = self.failover_started_at_by_service.get(service)
+        started_at = self.commits.replacing_since(service)
         if started_at is not None:
             return expected_time_left(
                 (EXPECTED_FAILOVER_TIME, EXPECTED_DELAYED_FAILOVER_TIME),
