Do not resume replicas that another failover may have stopped

resume_replicas checked the group's record, waited for the status of all servers and sent RESUME, which carries no term. A failover that began meanwhile had its PAUSE undone, and an instance that was cut off committed by way of that replica: 30 of 43 and 48 of 61 commits were lost in test_resume_of_an_earlier_failover_does_not_undo_a_pause on the code before. The record is now compared again right before RESUME. A RESUME on its way can still cross a PAUSE; since promotions no longer rely on pauses, that loses nothing.

--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -196,6 +196,9 @@
                 if not known.target.is_draining
             }
             statuses = yield from self._status.read_all(targets.values(), None)
+            if self._services.table.group_by_service.get(service) != group:
+                # Another failover may have stopped the replicas meanwhile.
+                return
             stopped = stopped_replicas(statuses, primary_id)
             if not stopped and targets.keys() == statuses.keys():
                 return
