Stop a draining replica again that has restarted

The group's record said that a draining replica had stopped replicating, with its last position. The record now holds the start time of the replica as well, and counts only while the list of targets has the same one. Records of earlier versions lack it; the replica is then stopped again.

--- a/bulrushloom/proxy/configuration.py
+++ b/bulrushloom/proxy/configuration.py
@@ -86,8 +86,9 @@
     """A database server as described by its entry in the store.
 
     ``revision`` changes with each heartbeat of the server. ``claims_primary`` means
-    that the server reports the role of a primary. ``slots``, ``cold_left`` and
-    ``born_ms`` do not influence decisions; they are relayed or logged only.
+    that the server reports the role of a primary. ``born_ms`` is the calendar time of
+    its start and differs after a restart. ``slots`` and ``cold_left`` do not influence
+    decisions; they are relayed or logged only.
     """
 
     target_id: str
--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -41,14 +41,29 @@
     STEADY = "steady"
 
 
+class StoppedReplica(NamedTuple):
+    """A draining replica that was ordered to stop replicating.
+
+    ``position`` is the last position that it received. The order ends with a restart of
+    the replica, which changes its ``born_ms``.
+    """
+
+    position: LogPosition
+    born_ms: int
+
+    def describes(self, target: Target) -> bool:
+        """Return whether ``target`` is still stopped."""
+        return target.is_draining and target.born_ms == self.born_ms
+
+
 class GroupRecord(NamedTuple):
     """Stored record of a service's primary and of its current failover.
 
     ``old_id`` is the primary that is being replaced. ``fence`` is the fencing token of
     the leader that wrote the record. ``sealed`` is set once a failover has chosen the
     successor; it is the log position that covers every commit acknowledged so far.
-    ``stopped_position_by_id`` holds the draining replicas that stopped replicating
-    since the last promotion, with the last position that they received.
+    ``stopped_by_id`` holds the draining replicas that stopped replicating since the
+    last promotion.
     """
 
     service: str
@@ -59,7 +74,7 @@
     fence: int
     revision: int
     sealed: LogPosition | None = None
-    stopped_position_by_id: Mapping[str, LogPosition] = MappingProxyType({})
+    stopped_by_id: Mapping[str, StoppedReplica] = MappingProxyType({})
 
     def encode(self) -> bytes:
         """Return the value to store."""
@@ -73,8 +88,12 @@
                 "fence": self.fence,
                 "sealed": list(self.sealed) if self.sealed else None,
                 "stopped": {
-                    target_id: list(position)
-                    for target_id, position in self.stopped_position_by_id.items()
+                    target_id: list(stopped.position)
+                    for target_id, stopped in self.stopped_by_id.items()
+                },
+                "stopped_born_ms": {
+                    target_id: stopped.born_ms
+                    for target_id, stopped in self.stopped_by_id.items()
                 },
             }
         )
@@ -86,6 +105,8 @@
         fields = orjson.loads(value)
         sealed = fields.get("sealed")
         stopped = fields.get("stopped") or {}
+        # Records of earlier versions lack it; such a replica is stopped again.
+        born_ms_by_id = fields.get("stopped_born_ms") or {}
         return GroupRecord(
             service=fields["service"],
             phase=GroupPhase(fields["phase"]),
@@ -95,9 +116,12 @@
             fence=int(fields["fence"]),
             revision=revision,
             sealed=LogPosition(*sealed) if sealed else None,
-            stopped_position_by_id={
-                target_id: LogPosition(*position)
+            stopped_by_id={
+                target_id: StoppedReplica(
+                    LogPosition(*position), int(born_ms_by_id[target_id])
+                )
                 for target_id, position in stopped.items()
+                if target_id in born_ms_by_id
             },
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
@@ -264,7 +288,7 @@
         draining, because the primary needs one of them for its commits.
         """
         group = self.group_by_service.get(service)
-        stopped = group.stopped_position_by_id if group else {}
+        stopped_by_id = group.stopped_by_id if group else {}
         replicas = [
             known.target
             for known in self.targets_of(service)
@@ -272,7 +296,15 @@
         ]
         if sum(not target.is_draining for target in replicas) < MIN_REMAINING_REPLICAS:
             return []
-        return [t for t in replicas if t.is_draining and t.target_id not in stopped]
+        return [
+            target
+            for target in replicas
+            if target.is_draining
+            and not (
+                target.target_id in stopped_by_id
+                and stopped_by_id[target.target_id].describes(target)
+            )
+        ]
 
     def primary_of(self, service: str) -> Target | Missing:
         """Return the current primary, or the reason why there is none."""
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -12,7 +12,12 @@
 from bulrushloom.proxy.confirmations import Announcement, InstanceConfirmations
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.failover import stopped_replicas
-from bulrushloom.proxy.groups import GROUP_PREFIX, GroupPhase, GroupRecord
+from bulrushloom.proxy.groups import (
+    GROUP_PREFIX,
+    GroupPhase,
+    GroupRecord,
+    StoppedReplica,
+)
 from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.messages import ServerRole
 from bulrushloom.proxy.server_status import StatusReader
@@ -88,7 +93,7 @@
             group._replace(
                 sealed=successor.sealed,
                 primary_id=successor.target_id,
-                stopped_position_by_id={},
+                stopped_by_id={},
             )
         )
         yield from self._promote_successor(service, successor)
@@ -144,19 +149,23 @@
         draining = self._services.table.draining_replicas(service, primary.target_id)
         term = yield from self._next_term(service, "")
         answers = yield from self._status.read_all(draining, wire.pause_text(term))
-        stopped_position_by_id = {
-            target_id: status.received for target_id, status in answers.items()
+        stopped_by_id = {
+            target.target_id: StoppedReplica(
+                answers[target.target_id].received, target.born_ms
+            )
+            for target in draining
+            if target.target_id in answers
         }
         self._log.write(
             "leaving_replicas_stopped",
             service=service,
             term=term,
             positions={
-                target_id: str(position)
-                for target_id, position in stopped_position_by_id.items()
+                target_id: str(stopped.position)
+                for target_id, stopped in stopped_by_id.items()
             },
         )
-        if not stopped_position_by_id:
+        if not stopped_by_id:
             return
         group = self._services.table.group_by_service.get(service) or GroupRecord(
             service=service,
@@ -169,11 +178,8 @@
         )
         if group.phase is not GroupPhase.STEADY:
             raise Abandoned("the primary is being replaced")
-        stopped_position_by_id = (
-            dict(group.stopped_position_by_id) | stopped_position_by_id
-        )
         yield from self._write(
-            group._replace(stopped_position_by_id=stopped_position_by_id)
+            group._replace(stopped_by_id=dict(group.stopped_by_id) | stopped_by_id)
         )
 
     def resume_replicas(self, service: str, primary_id: str) -> Steps:
@@ -246,7 +252,7 @@
             old_id=old_id,
             fence=self._leadership.fence,
             revision=known.revision if known else 0,
-            stopped_position_by_id=known.stopped_position_by_id if known else {},
+            stopped_by_id=known.stopped_by_id if known else {},
         )
         if known is not None and known.phase is GroupPhase.REPLACING:
             # An order of an earlier attempt may still be executed.
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -208,11 +208,11 @@
     def _state(self, closed_at: timedelta | None) -> FailoverState:
         services, group = self._services, self._group
         members = self._members()
-        # A server that is no longer draining replicates again.
+        # A server that has restarted or is no longer draining replicates again.
         stopped_position_by_id = {
-            target_id: position
-            for target_id, position in group.stopped_position_by_id.items()
-            if target_id not in members or members[target_id].is_draining
+            target_id: stopped.position
+            for target_id, stopped in group.stopped_by_id.items()
+            if target_id not in members or stopped.describes(members[target_id])
         }
         now = self._loop.now()
         waited = now - self._confirmations.announcement.first_announced_at
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -12,7 +12,12 @@
     is_majority,
     reason_to_replace,
 )
-from bulrushloom.proxy.groups import GroupPhase, GroupTable, decode_group
+from bulrushloom.proxy.groups import (
+    GroupPhase,
+    GroupTable,
+    StoppedReplica,
+    decode_group,
+)
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
 from bulrushloom.proxy.routing import Candidate, ReadRouter
@@ -179,8 +184,26 @@
         table.update_targets({}, SECOND * 4)
         assert "a" not in table.listed_target_by_id
 
+    def test_draining_replica_that_has_restarted_is_stopped_again(self):
+        # Guards against a replica that counts as stopped although a restart made it
+        # receive again: it may be the only one with a commit.
+        table = GroupTable(SECOND * 7)
+        targets = {name: build_target(name) for name in ("a", "b", "d")}
+        targets["c"] = build_target("c", is_draining=True, born_ms=5)
+        table.update_targets(targets, SECOND)
+        stopped_by_id = {"c": StoppedReplica(LogPosition(1, 4), 5)}
+        group = build_steady(primary_id="a", stopped_by_id=stopped_by_id)
+        table.apply_group_records({SERVICE: group})
+        assert table.draining_replicas(SERVICE, "a") == []
+        targets["c"] = targets["c"]._replace(born_ms=6)
+        table.update_targets(targets, SECOND * 2)
+        assert table.draining_replicas(SERVICE, "a") == [targets["c"]]
+
     def test_group_record_round_trip(self):
-        group = build_steady(sealed=LogPosition(3, 4))
+        group = build_steady(
+            sealed=LogPosition(3, 4),
+            stopped_by_id={"c": StoppedReplica(LogPosition(3, 2), 7)},
+        )
         assert decode_group(group.encode(), group.revision) == group
         assert not decode_group(b"{}", 1)
         assert not decode_group(b"\xff", 1)
