Record the servers of each group in the store

After a loss of power of all instances the next leader knew only the servers that were listed.

The leader now keeps a record of the servers that may have acknowledged commits, one key for each service, and leaves a server out only while the primary, which has every commit, answers. A leader that finds recorded servers which are not listed waits for them for 10 s, as for servers that it has seen itself.

Calls to the store: one write for each service at the start and for each server that joins or leaves.

--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -10,6 +10,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.member_records import GroupMembers
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store import Record
 
@@ -170,6 +171,7 @@
         self.listed_target_by_id: dict[str, KnownTarget] = {}
         self._departed_target_by_id: dict[str, DepartedTarget] = {}
         self._last_claimant_by_service: dict[str, str] = {}
+        self.recorded_members_by_service: dict[str, GroupMembers] = {}
         self._listed_at: timedelta | None = None
         self._uninterrupted_since: timedelta | None = None
 
@@ -238,6 +240,31 @@
             return read_at
         return max(known.unlisted_since, self._uninterrupted_since)
 
+    def apply_group_members(
+        self, members_by_service: Mapping[str, GroupMembers], read_at: timedelta
+    ) -> None:
+        """Apply the records of a store read that also listed the targets.
+
+        At the first read, servers that are not listed count as departed just now: this
+        instance cannot know how long they have been away.
+        """
+        for service, members in members_by_service.items():
+            is_first = service not in self.recorded_members_by_service
+            if not self.record_members(members) or not is_first:
+                continue
+            for target_id, target in members.target_by_id.items():
+                if target_id not in self.listed_target_by_id:
+                    departed = DepartedTarget(target, read_at)
+                    self._departed_target_by_id.setdefault(target_id, departed)
+
+    def record_members(self, members: GroupMembers) -> bool:
+        """Record what the store has; return whether it was new."""
+        known = self.recorded_members_by_service.get(members.service)
+        if known is not None and known.revision >= members.revision:
+            return False
+        self.recorded_members_by_service[members.service] = members
+        return True
+
     def apply_group_records(
         self, groups: Mapping[str, GroupRecord]
     ) -> list[GroupRecord]:
@@ -281,14 +308,23 @@
             known.target.target_id: known.target for known in self.targets_of(service)
         }
 
+    def commit_holders(self, service: str) -> list[Target]:
+        """Return the targets that may be the only ones with a commit."""
+        group = self.group_by_service.get(service)
+        stopped_by_id = group.stopped_by_id if group else {}
+        return [
+            target
+            for target_id, target in self.replication_members(service).items()
+            if target_id not in stopped_by_id
+            or not stopped_by_id[target_id].describes(target)
+        ]
+
     def draining_replicas(self, service: str, primary_id: str) -> list[Target]:
         """Return the draining replicas that still replicate.
 
         The result is empty while fewer than ``MIN_REMAINING_REPLICAS`` replicas are not
         draining, because the primary needs one of them for its commits.
         """
-        group = self.group_by_service.get(service)
-        stopped_by_id = group.stopped_by_id if group else {}
         replicas = [
             known.target
             for known in self.targets_of(service)
@@ -296,15 +332,8 @@
         ]
         if sum(not target.is_draining for target in replicas) < MIN_REMAINING_REPLICAS:
             return []
-        return [
-            target
-            for target in replicas
-            if target.is_draining
-            and not (
-                target.target_id in stopped_by_id
-                and stopped_by_id[target.target_id].describes(target)
-            )
-        ]
+        receiving = self.commit_holders(service)
+        return [t for t in replicas if t.is_draining and t in receiving]
 
     def primary_of(self, service: str) -> Target | Missing:
         """Return the current primary, or the reason why there is none."""
@@ -323,7 +352,10 @@
         group = self.group_by_service.get(service)
         if group is not None:
             return group.primary_id
-        return self._last_claimant_by_service.get(service, "")
+        recorded = self.recorded_members_by_service.get(service)
+        return self._last_claimant_by_service.get(
+            service, recorded.primary_id if recorded is not None else ""
+        )
 
     def claimants(self, service: str) -> list[Target]:
         """Return the targets that claim to be the primary."""
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -17,6 +17,7 @@
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
 from bulrushloom.proxy.exchange.messages import Member
+from bulrushloom.proxy.group_members import GroupMembersRecorder
 from bulrushloom.proxy.hot_accounts import HotAccountRecorder
 from bulrushloom.proxy.leadership import Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration
@@ -154,6 +155,10 @@
             self.services, self._store, self.leadership
         )
         loop.supervise(hot_account_recorder.run)
+        group_members_recorder = GroupMembersRecorder(
+            self.services, self._store, self.leadership
+        )
+        loop.supervise(group_members_recorder.run)
         loop.supervise(self._watch_settings)
         loop.supervise(self._watch_partition)
         loop.supervise(self._watch_connections)
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -24,6 +24,7 @@
 from bulrushloom.proxy.groups import LEADER_KEY, decode_group_records
 from bulrushloom.proxy.hot_accounts import decode_hot_accounts
 from bulrushloom.proxy.leadership import RANK_DELAY, Leadership, decode_holder
+from bulrushloom.proxy.member_records import decode_all_group_members
 from bulrushloom.proxy.membership import decode_members
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
@@ -297,6 +298,10 @@
         self._fleet.update_directory(
             make_directory(snapshot.requested_at, snapshot.target_by_id, members)
         )
+        services.table.apply_group_members(
+            decode_all_group_members(snapshot.record_by_key.values()),
+            snapshot.requested_at,
+        )
         if self._fleet.is_domain_relay() and not self._fleet.is_leader:
             # The leader's reads are missing, so the others wait for this one.
             self._fleet.send_immediately()
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -197,13 +197,14 @@
         return {old_id: known.target}
 
     def _update_required_ids(self, targets: dict[str, Target]) -> None:
+        """Require every member to answer, and give up those that are away for long."""
         elapsed = self._loop.now() - self._confirmations.announcement.announced_at
-        if elapsed < VANISHED_SERVER_TIMEOUT:
-            self._required_ids |= self._members().keys()
-        else:
-            silent = self._required_ids - self._status_by_id.keys()
-            self._given_up_ids |= silent - targets.keys()
-            self._required_ids &= targets.keys()
+        members = self._members()
+        self._required_ids |= members.keys()
+        kept = members if elapsed < VANISHED_SERVER_TIMEOUT else targets
+        given_up = self._required_ids - kept.keys()
+        self._given_up_ids |= given_up - self._status_by_id.keys()
+        self._required_ids -= given_up
 
     def _state(self, closed_at: timedelta | None) -> FailoverState:
         services, group = self._services, self._group
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -9,6 +9,7 @@
 from bulrushloom.core.clock import ManualClock
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
 from bulrushloom.proxy.exchange.messages import Member
+from bulrushloom.proxy.group_members import GroupMembersRecorder
 from bulrushloom.proxy.leadership import Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration
 from bulrushloom.proxy.primary_monitor import PrimaryMonitor
@@ -91,6 +92,8 @@
         for steps in (self.registration.run, self.fleet.run, self.primary_monitor.run):
             fleet.loop.supervise(steps)
         fleet.loop.supervise(self.reader.run)
+        recorder = GroupMembersRecorder(self.services, self.store, self.leadership)
+        fleet.loop.supervise(recorder.run)
 
     def copy_directory(self, source, version, listed_at):
         """Copy the directory of another instance, as the daemons do over HTTP."""
