Take only the ordered server for one that has been promoted

A failover kept any server that reported the role of a primary and the highest known term as the result of an earlier attempt. After a loss of power, a primary that had been replaced behind a cut and was the only listed server met that: it was ordered, and 299 of 299 acknowledged commits of its successor were missing in test_restarted_instances_do_not_promote_a_primary_that_was_replaced.

An attempt writes the server to the group's record before it orders it, so only that server can have been promoted. test_already_promoted_server_is_kept now names it in its state, and checks besides that it is kept whatever happens since.

--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -178,16 +178,16 @@
 def _promoted_server(state: FailoverState) -> str | None:
     """Return the server that an earlier attempt of this failover has promoted, if any.
 
-    A primary of a lower term than another server's was replaced before, and has not
-    discovered its successor yet.
+    Only the server that it ordered counts. Another primary may have been replaced
+    before, and not have discovered its successor yet.
     """
+    ordered = state.status_by_id.get(state.ordered_id)
+    if ordered is None or ordered.role is not ServerRole.PRIMARY:
+        return None
     terms = [status.term for status in state.status_by_id.values()]
     if state.acknowledged is not None:
         terms.append(state.acknowledged.term)
-    for target_id, status in state.status_by_id.items():
-        if status.role is ServerRole.PRIMARY and status.term >= max(terms):
-            return target_id
-    return None
+    return state.ordered_id if ordered.term >= max(terms) else None
 
 
 def _covers_all_commits(highest: LogPosition, state: FailoverState) -> bool:
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -322,8 +322,13 @@
             "b": build_status(4, term=2, role=ServerRole.PRIMARY),
             "c": build_status(5),
         }
-        state = self.state(status_by_id=statuses)
+        state = self.state(
+            status_by_id=statuses, ordered_id="b", sealed=LogPosition(1, 4)
+        )
         assert choose_successor(self.targets, state) == "b"
+        # It is one already, so nothing that happens since then matters.
+        reopened = state._replace(is_closed=False, missing=frozenset({"c"}))
+        assert choose_successor(self.targets, reopened) == "b"
 
     def test_primary_of_an_earlier_term_is_not_taken_for_the_promoted_one(self):
         # Guards against a primary that was replaced behind a cut, and comes back while
