--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data and of a simulated instance with a group of servers."""
 
+import itertools
 import os
 from contextlib import ExitStack
 from datetime import timedelta
@@ -178,7 +179,10 @@
 class SimulatedClient:
     """Client of one session; ``greeting`` is the answer to its START message."""
 
+    _numbers = itertools.count(1)
+
     def __init__(self, instance: SimulatedInstance):
+        self.number = next(self._numbers)
         self.instance = instance
         self.stream = MemoryStream(instance.loop)
         server_end = MemoryStream(instance.loop)
@@ -213,4 +217,4 @@
 
     def request_id(self, number: int) -> str:
         """Return the request id of the session's statement ``number``."""
-        return f"{id(self) % 100_000:05d}x{number}"
+        return f"{self.number:05d}x{number}"
