Let tests kill and restart instances of a simulated fleet

A killed instance sends no datagrams, makes no calls to the store and reaches no server; its entry expires. It can start again as a new incarnation under the same name. A server can be cut off from the instances while it stays listed and replicates.

Writers records what the clients were told: the ids of the writes that were answered with DONE, to be compared with the primary's log.

No product code changes.

--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -55,16 +55,22 @@
     ):
         self._datagrams = datagrams
         self._name = name
+        self._is_closed = False
         self.receive = on_datagram
         datagrams.end_by_name[name] = self
         stack.callback(self.close)
 
     def send(self, address: str, data: bytes) -> None:
         """Send a datagram; the host of an address is the name of its instance."""
+        if self._is_closed:
+            return
         self.sent_bytes += len(data)
         self.sent_count += 1
         self._datagrams.deliver(self._name, address.partition(":")[0], data)
 
     def close(self) -> None:
-        """Stop receiving datagrams."""
-        self._datagrams.end_by_name.pop(self._name, None)
+        """Stop sending and receiving datagrams."""
+        self._is_closed = True
+        # An instance that was started under the same name has its own endpoint.
+        if self._datagrams.end_by_name.get(self._name) is self:
+            del self._datagrams.end_by_name[self._name]
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -107,15 +107,25 @@
 
 
 class SimulatedStoreClient(ProxyStore):
-    """The store client of one instance, with delayed and lost answers."""
+    """The store client of one instance, with delayed and lost answers.
+
+    Calls after ``close`` are neither executed nor answered.
+    """
 
     def __init__(self, store: SimulatedStore, name: str):
         self._store = store
         self._name = name
         self._loop = store.loop
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Make no further calls."""
+        self._is_closed = True
 
     def _call(self, action: Callable[[], Any], writes: bool = False) -> "Future[Any]":
         future: Future[Any] = Future()
+        if self._is_closed:
+            return future
         store = self._store
         store.calls += 1
         if store.is_down or self._name in store.refused:
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from datetime import timedelta
-from itertools import cycle
+from itertools import count, cycle
 
 from bulrushloom.core.clock import ManualClock
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
@@ -33,19 +33,22 @@
 )
 
 SECOND = timedelta(seconds=1)
+_write_numbers = count(1)
 
 
 class SimulatedMember:
     """One instance of the fleet: the components of a node without its sockets."""
 
-    def __init__(self, fleet: "SimulatedFleet", name: str, domain: str):
+    def __init__(
+        self, fleet: "SimulatedFleet", name: str, domain: str, incarnation: str = ""
+    ):
         self.simulation = fleet
         self.loop = fleet.loop
         self.name = name
         self.is_stopped = False
         self.errors = fleet.errors
         settings = SETTINGS._replace(name=name, domain=domain)
-        incarnation = f"run-{name}"
+        incarnation = incarnation or f"run-{name}"
         member = Member(name, incarnation, f"{name}:1", domain, f"{name}:2")
         self.network = fleet.network
         self.services = Services(
@@ -190,6 +193,43 @@
         for connection in server.connections:
             connection.stream.close("crashed")
 
+    def kill(self, member):
+        """Kill an instance; its entry in the store expires later."""
+        member.fleet.close()
+        member.store.close()
+        member.services.network = PartitionedNetwork(self.network, frozenset())
+        member.services.pool._network = member.services.network
+        self.members.remove(member)
+
+    def restart(self, member):
+        """Start an instance that was killed again; return its new incarnation."""
+        settings = member.services.settings
+        successor = SimulatedMember(
+            self, member.name, settings.domain, f"second-run-{member.name}"
+        )
+        self.member_by_name[member.name] = successor
+        self.members.append(successor)
+        return successor
+
+    def isolate(self, server_id, is_unresponsive=True):
+        """Cut a server off from all instances; return a function that ends it.
+
+        The server stays listed, and keeps its log and its replication.
+        """
+        address = f"{server_id}:1"
+        accept = self.network.accept_by_address.pop(address)
+        if is_unresponsive:
+            self.network.dark.add(address)
+            self.network.silence(address)
+        else:
+            self.network.cut(address)
+
+        def reconnect():
+            self.network.dark.discard(address)
+            self.network.accept_by_address[address] = accept
+
+        return reconnect
+
     def suffer_store_outage(self, duration, return_delay_by_id):
         """Make the store unavailable, and let all entries of servers expire meanwhile.
 
@@ -266,6 +306,65 @@
     return clients
 
 
+class Writers:
+    """Clients that write one statement after the other.
+
+    ``done_at_by_id`` has the request ids of the writes that were answered with DONE.
+    """
+
+    def __init__(self, fleet, clients):
+        self._fleet = fleet
+        self._clients = list(clients)
+        self._outstanding_by_client = {}
+        self.done_at_by_id = {}
+
+    def pending_ids(self):
+        """Return the ids of the writes without an answer."""
+        return set(self._outstanding_by_client.values())
+
+    def send(self):
+        """Send a write from each client that waits for no answer."""
+        for client in self._clients:
+            if client in self._outstanding_by_client or client.is_ended:
+                continue
+            request_id = f"{client.instance.name}-{next(_write_numbers)}"
+            self._outstanding_by_client[client] = request_id
+            client.send(f"QUERY {request_id} WRITE 1 data")
+
+    def receive(self):
+        """Record the answers that have arrived."""
+        for client in self._clients:
+            for line in client.received():
+                request_id = self._outstanding_by_client.get(client, "")
+                if line.startswith("DONE"):
+                    self.done_at_by_id[request_id] = self._fleet.loop.now()
+                elif line.startswith("READY"):
+                    self._outstanding_by_client.pop(client, None)
+
+    def write_for(self, duration):
+        """Write for ``duration``; wait for no answer at the end."""
+        until = self._fleet.loop.now() + duration
+        while self._fleet.loop.now() < until:
+            self.send()
+            self._fleet.run(ms(10))
+            self.receive()
+
+    def missing_ids(self):
+        """Return the ids answered with DONE that the primary's log lacks."""
+        logged_ids = {
+            request_id
+            for commit in self._fleet.group.primary().log
+            for request_id in commit.request_ids
+        }
+        return sorted(self.done_at_by_id.keys() - logged_ids)
+
+    def check(self):
+        """Check that the primary's log has every write answered with DONE."""
+        missing, done = self.missing_ids(), len(self.done_at_by_id)
+        assert done, "no write was acknowledged"
+        assert not missing, f"{len(missing)} of {done} acknowledged commits are missing"
+
+
 class PartitionedNetwork:
     """Network that reaches only some addresses; all others refuse connections."""
 
