--- a/tests/proxy/test_instances_that_ended.py
+++ b/tests/proxy/test_instances_that_ended.py
@@ -201,7 +201,9 @@
     for client in clients:
         target = client.instance.services.table.listed_target_by_id["a"].target
         client.instance.services.report_failure(target, "the connection was reset")
-    while not leader.primary_monitor._failing_over:
+    for _ in range(500):
+        if leader.primary_monitor._failing_over:
+            break
         fleet.run(ms(10))
     writers.send()
     for _ in range(500):
@@ -269,8 +271,12 @@
     fleet.store.commit((), (Put(f"{GROUP_PREFIX}{SERVICE}", record.encode()),))
 
 
-@pytest.mark.parametrize("has_record", [False, True])
-@pytest.mark.parametrize("return_delay", [SECOND * 4, SECOND * 6, SECOND * 8])
+@pytest.mark.parametrize("has_record", [False, True], ids=["no record", "record"])
+@pytest.mark.parametrize(
+    "return_delay",
+    [SECOND * 4, SECOND * 6, SECOND * 8],
+    ids=["after 4 s", "after 6 s", "after 8 s"],
+)
 def test_restarted_instances_wait_for_a_replica_that_restarts(return_delay, has_record):
     # Guards against the promotion of the only listed replica after a loss of power: the
     # instances know neither the other servers nor what was acknowledged.
@@ -291,7 +297,7 @@
         writers.check()
 
 
-@pytest.mark.parametrize("has_record", [False, True])
+@pytest.mark.parametrize("has_record", [False, True], ids=["no record", "record"])
 def test_restarted_instances_promote_the_only_replica_that_is_left(has_record):
     # The opposite case: nobody returns, and service has to resume within 12 s.
     with ExitStack() as stack:
