Show a replaced primary that is taken for a promoted one

A primary that was replaced and has not discovered its successor is the only listed server after a loss of power. choose_successor takes any server that reports the role of the primary for the one that an earlier attempt promoted, as long as no known position has a higher term; instances that have just started know none.

--- a/tests/proxy/test_instances_that_ended.py
+++ b/tests/proxy/test_instances_that_ended.py
@@ -182,42 +182,66 @@
     fleet.promotion.promote = release
 
 
-def test_pending_commit_of_the_leader_is_not_acknowledged_after_the_choice(fleet):
+@pytest.mark.parametrize("is_transaction", [False, True], ids=["write", "transaction"])
+def test_pending_commit_of_the_leader_is_not_acknowledged_after_the_choice(
+    fleet, is_transaction
+):
     # Guards against a leader that waits for the pending commits of all instances but
     # its own.
     leader = fleet.leader()
     write_until_served(fleet, leader.client("strict"))
-    # The leader reaches the old primary by the connections it has, and replica c not
-    # at all. Other instances do not reach the old primary.
-    clients = [m.client("strict") for m in fleet.members if m is not leader]
-    leader_clients = [leader.client("strict") for _ in range(COMMITS)]
-    writers, warm_up = Writers(fleet, leader_clients), Writers(fleet, leader_clients)
+    clients = [leader.client("strict") for _ in range(COMMITS)]
+    warm_up = Writers(fleet, clients)
     warm_up.write_for(ms(300))
-    fleet.run(ms(300))
+    fleet.run(ms(100))
     warm_up.receive()
+    written_ids = []
+    for client in clients:
+        if is_transaction:
+            client.query("BEGIN")
+            client.query("WRITE 1 data")
+            written_ids.append(client.request_id(client.sent))
+    # The leader reaches the old primary by the connections it has, and replica c not
+    # at all. Other instances do not reach the old primary.
     delay_replication_until_ordered(fleet)
     reconnect = fleet.isolate("c", is_unresponsive=False)
     accept = fleet.network.accept_by_address.pop("a:1")
-    for client in clients:
-        target = client.instance.services.table.listed_target_by_id["a"].target
-        client.instance.services.report_failure(target, "the connection was reset")
+    for member in fleet.members:
+        if member is not leader:
+            target = member.services.table.listed_target_by_id["a"].target
+            member.services.report_failure(target, "the connection was reset")
     for _ in range(500):
         if leader.primary_monitor._failing_over:
             break
         fleet.run(ms(10))
-    writers.send()
+    for client in clients:
+        client.sent += 1
+        text = "COMMIT" if is_transaction else "WRITE 1 data"
+        client.send(f"QUERY {client.request_id(client.sent)} {text}")
+        if not is_transaction:
+            written_ids.append(client.request_id(client.sent))
     for _ in range(500):
         fleet.run(ms(10))
-        writers.receive()
         if primary_id(fleet):
             break
+    answers = [client.received() for client in clients]
     reconnect()
     fleet.network.accept_by_address["a:1"] = accept
     write_until_served(fleet, leader.client("strict"), SECOND * 12)
     warm_up.check()
-    missing, done = writers.missing_ids(), len(writers.done_at_by_id)
-    assert not missing, f"{len(missing)} of {done} acknowledged commits are missing"
-    assert not writers.pending_ids()
+    logged_ids = {
+        request_id
+        for commit in fleet.group.primary().log
+        for request_id in commit.request_ids
+    }
+    acknowledged = [
+        request_id
+        for request_id, lines in zip(written_ids, answers, strict=True)
+        if any(line.startswith("DONE") for line in lines)
+    ]
+    missing = [id for id in acknowledged if id not in logged_ids]
+    assert not missing, f"{len(missing)} of {len(acknowledged)} commits are missing"
+    assert all(lines for lines in answers)
 
 
 def test_pending_commit_of_the_leader_is_acknowledged_before_a_planned_failover(fleet):
@@ -312,3 +336,50 @@
         fleet.run(SECOND * 12)
         assert fleet.group.server_by_id["b"].is_primary
         assert primary_id(fleet) == "b"
+
+
+def test_restarted_instances_do_not_promote_a_primary_that_was_replaced():
+    # Guards against a primary that has not discovered its successor and is taken for
+    # the server that an earlier attempt has promoted: after a loss of power, it is the
+    # only listed server, and no instance knows a position of a later term.
+    with ExitStack() as stack:
+        fleet = SimulatedFleet(stack)
+        clients = open_clients(fleet)
+        for client in clients:
+            write_until_served(fleet, client)
+        replaced = fleet.group.server_by_id["a"]
+        replaced.drops_replication = True
+        replicate = fleet.group.replicate
+        fleet.group.replicate = lambda source, commit: (
+            None if source is replaced else replicate(source, commit)
+        )
+        reconnect = fleet.isolate("a")
+        send_reads(clients)
+        write_until_served(fleet, clients[0])
+        assert primary_id(fleet) == "b"
+        writers = Writers(fleet, clients)
+        writers.write_for(SECOND)
+        fleet.run(ms(100))
+        writers.receive()
+        for member in list(fleet.members):
+            fleet.kill(member)
+        fleet.crash("b")
+        fleet.crash("c")
+        reconnect()
+        fleet.run(ENTRY_LIFETIME)
+        fleet.deregistered |= {"b", "c"}
+        orders_before = len(fleet.promotion.orders)
+        for member in list(fleet.member_by_name.values()):
+            fleet.restart(member)
+        fleet.run(SECOND * 6)
+        ordered = {order.target_id for order in fleet.promotion.orders[orders_before:]}
+        assert not ordered, (
+            f"{len(writers.done_at_by_id)} acknowledged commits are on replica c only"
+        )
+        replica = fleet.group.server_by_id["c"]
+        replica.drops_replication = False
+        fleet.network.accept_by_address["c:1"] = replica.accept
+        fleet.deregistered.discard("c")
+        fleet.run(SECOND * 12)
+        assert primary_id(fleet) == "c"
+        writers.check()
