Show a failover that takes over the start of an earlier one

Services keeps the first time at which a replacement was seen until a record of the phase STEADY comes. An instance that misses that record counts the time of the earlier failover as that of the next one: the wait that it tells clients is wrong, and if it becomes the leader, MISSING_COMMITS_TIMEOUT ends too early.

--- a/tests/proxy/test_promotion_orders.py
+++ b/tests/proxy/test_promotion_orders.py
@@ -6,8 +6,9 @@
 
 from bulrushloom.proxy.groups import GroupPhase
 from bulrushloom.proxy.replacement import RESUME_CHECK_INTERVAL
+from bulrushloom.proxy.services import EXPECTED_FAILOVER_TIME, OVERDUE_WAIT_FRACTION
 from standins.platform.store import NO_ANSWER_DELAY
-from tests.proxy.builders import SERVICE, ms
+from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
     SECOND,
     PartitionedNetwork,
@@ -261,3 +262,24 @@
     gap = write_until_served(fleet, others[0].client("strict"), SECOND * 12)
     assert gap < SECOND * 12
     assert primary_id(fleet) in ("c", "d")
+
+
+def test_second_failover_is_not_taken_for_a_long_first_one(instance):
+    # Guards against a failover that counts the time of an earlier one as its own and
+    # gives up waiting too early, because the record between them was missed.
+    services = instance.services
+    services.apply_group_records({SERVICE: build_group(revision=10)})
+    instance.run(SECOND * 3)
+    second = build_group(revision=14, old_id="b", term=3)
+    services.apply_group_records({SERVICE: second})
+    assert services.expected_primary_wait(SERVICE) == EXPECTED_FAILOVER_TIME
+
+
+def test_repeated_attempt_of_a_failover_keeps_its_start(instance):
+    # The opposite case: another leader continues the failover.
+    services = instance.services
+    services.apply_group_records({SERVICE: build_group(revision=10)})
+    instance.run(SECOND * 3)
+    services.apply_group_records({SERVICE: build_group(revision=14, fence=2)})
+    overdue = SECOND * 3 * OVERDUE_WAIT_FRACTION
+    assert services.expected_primary_wait(SERVICE) == overdue
