Wait for a server whose promotion may still be under way

A new leader that did not reach the server its predecessor had ordered ordered another one.

The search now waits up to 9 s for an ordered server that is listed and does not answer. If the platform says that it is not running, the record no longer names it and nobody waits.

Writers of the tests no longer count the answers to earlier statements.

--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -113,8 +113,9 @@
     replicating before the failover. ``is_list_complete`` means that no further server
     can be running in reach of the store. ``ordered_id`` is the server whose promotion
     an earlier attempt of the failover may have ordered, and ``sealed`` the position
-    that covered every acknowledged commit then. ``has_given_up_servers`` means that
-    servers which are not listed no longer count as missing,
+    that covered every acknowledged commit then. ``awaits_ordered_server`` means that it
+    does not answer, but may run and execute the order. ``has_given_up_servers`` means
+    that servers which are not listed no longer count as missing,
     ``awaits_unlisted_servers`` that a server which is not listed yet may be running,
     and ``accepts_missing_commits`` that the failover no longer waits for a server with
     the acknowledged commits.
@@ -130,6 +131,7 @@
     is_list_complete: bool = True
     ordered_id: str = ""
     sealed: LogPosition | None = None
+    awaits_ordered_server: bool = False
     has_given_up_servers: bool = False
     awaits_unlisted_servers: bool = False
     accepts_missing_commits: bool = False
@@ -159,6 +161,8 @@
         # The order may still be executed, and must not follow that of another server.
         # Commits above the sealed position were not acknowledged.
         return state.ordered_id
+    if state.awaits_ordered_server:
+        return Missing("a server whose promotion may be under way does not answer")
     highest = max(status.received for status in candidates.values())
     if not _covers_all_commits(highest, state):
         return Missing("a server that may have acknowledged commits does not answer")
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -96,7 +96,7 @@
                 stopped_by_id={},
             )
         )
-        yield from self._promote_successor(service, successor)
+        yield from self._promote_successor(group, successor)
         # No instance uses the old primary since the search has ended.
         yield from self._write(group._replace(phase=GroupPhase.STEADY))
         return successor.target_id
@@ -289,13 +289,13 @@
                 confirmations.announce_again()
             yield self._loop.sleep(CONFIRMATION_POLL_INTERVAL)
 
-    def _promote_successor(self, service: str, successor: Successor) -> Steps:
+    def _promote_successor(self, group: GroupRecord, successor: Successor) -> Steps:
         """Order the promotion and wait until the successor is the primary.
 
         The successor is asked again before each order: it may have restarted without
         its log.
         """
-        target_id = successor.target_id
+        service, target_id = group.service, successor.target_id
         deadline = self._loop.now() + FAILOVER_TIMEOUT
         while self._loop.now() < deadline:
             known = self._services.table.listed_target_by_id.get(target_id)
@@ -308,6 +308,7 @@
                 raise Abandoned("the successor no longer has every commit")
             code = yield from self._order_promotion(service, target_id)
             if code == 409:
+                yield from self._write(group._replace(primary_id=""))
                 raise Abandoned("the successor is not running")
             is_primary = yield from self._wait_until_primary(
                 known.target, code in ACCEPTED_STATUSES
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -32,6 +32,8 @@
 # The same while acknowledged commits are known to be missing at all servers that
 # answer. A server that has them may come back with its log.
 MISSING_COMMITS_TIMEOUT = timedelta(seconds=60)
+# An order without an answer may be executed for this time.
+ORDER_LIFETIME = timedelta(seconds=9)
 # A server that joined the group just before the failover is listed within this time.
 UNLISTED_SERVER_TIMEOUT = timedelta(seconds=1)
 
@@ -235,11 +237,24 @@
             ordered_id=group.primary_id,
             sealed=group.sealed,
             has_given_up_servers=bool(self._given_up_ids - self._status_by_id.keys()),
+            awaits_ordered_server=self._awaits_ordered_server(),
             awaits_unlisted_servers=closed_at is not None
             and now - closed_at < UNLISTED_SERVER_TIMEOUT,
             accepts_missing_commits=waited >= MISSING_COMMITS_TIMEOUT,
         )
 
+    def _awaits_ordered_server(self) -> bool:
+        """Return whether an order of an earlier attempt may still be executed.
+
+        The commits of a server that is ordered next would then be lost. A server that
+        has restarted since answers with a lower position.
+        """
+        ordered_id = self._group.primary_id
+        if ordered_id in self._status_by_id:
+            return False
+        is_listed = ordered_id in self._services.table.listed_target_by_id
+        return is_listed and self._loop.now() - self._started_at < ORDER_LIFETIME
+
     def _log_delay(self, choice: Missing, state: FailoverState) -> None:
         now, confirmations = self._loop.now(), self._confirmations
         if self._logged_at is not None and now - self._logged_at < REPEAT_INTERVAL:
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -315,6 +315,9 @@
     def __init__(self, fleet, clients):
         self._fleet = fleet
         self._clients = list(clients)
+        for client in self._clients:
+            # Answers to earlier statements belong to no write.
+            client.received()
         self._outstanding_by_client = {}
         self.done_at_by_id = {}
 
