Let simulated servers restart and join, and record what clients were told

SimulatedServer.restart follows PROTOCOL.md: connections and the pause end, the log is kept, shortened or lost, a replica copies what it lacks from the primary and acknowledges it, and a demoted primary is the primary again unless another server was promoted. SimulatedPromotion can lose an order before it takes effect.

check_acknowledged_commits stays as it is; it counts what a server acknowledged to an instance. check_commits_told_to_clients counts the writes whose client read a DONE, which is what rule LOST is about.

--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -22,6 +22,7 @@
 MAX_QUEUE = 24
 # A replaced primary follows its reachable successor after this delay.
 STEP_DOWN_DELAY = timedelta(seconds=1)
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 class SimulatedGroup:
@@ -32,6 +33,7 @@
         self.service = service
         self.sync_replicas = sync_replicas
         self.server_by_id: dict[str, SimulatedServer] = {}
+        self.promoted_id = ""
         self.runs: list[Run] = []
         self.acknowledged: list[tuple[Commit, timedelta]] = []
         self.connection_numbers = itertools.count(1)
@@ -41,6 +43,14 @@
         """Add a server with an empty log."""
         server = SimulatedServer(self, server_id, address, is_primary)
         self.server_by_id[server_id] = server
+        if is_primary:
+            self.promoted_id = server_id
+        return server
+
+    def join(self, server_id: str, address: str) -> "SimulatedServer":
+        """Add a replica that copies the log of the primary and follows it."""
+        server = self.add(server_id, address, False)
+        server.restart()
         return server
 
     def primary(self) -> "SimulatedServer":
@@ -54,6 +64,7 @@
 
     def _become_primary(self, server_id: str) -> None:
         server = self.server_by_id[server_id]
+        self.promoted_id = server_id
         server.term = max(s.term for s in self.server_by_id.values()) + 1
         server.is_primary = True
         server.paused_term = 0
@@ -96,6 +107,8 @@
       truncated by a close of the connection
     - ``statements_to_refuse``: number of next statements that are refused as busy
     - ``drops_replication``: whether commits of the primary are lost
+
+    ``born_ms`` is the time of its latest start.
     """
 
     def __init__(
@@ -106,6 +119,7 @@
         self.server_id = server_id
         self.address = address
         self.is_primary = is_primary
+        self.born_ms = 1
         self.term = 1
         self.paused_term = 0
         self.log: list[Commit] = []
@@ -136,6 +150,42 @@
         self.paused_term = 0
         self._callback_by_commit.clear()
 
+    def restart(self, kept_commits: int | None = None) -> None:
+        """Start again under the same id, with the first ``kept_commits`` of the log.
+
+        ``None`` keeps the whole log. Connections and a pause end. A primary is the
+        primary again, even if it was demoted, unless another server was promoted. A
+        replica copies what it lacks from the primary and follows it.
+        """
+        self.born_ms = 1 + self.loop.now() // _MILLISECOND
+        for connection in list(self.connections):
+            connection.stream.close("restarted")
+        self.connections.clear()
+        self.queue.clear()
+        self.busy = 0
+        self.paused_term = 0
+        self._callback_by_commit.clear()
+        if kept_commits is not None:
+            self.log = self.log[:kept_commits]
+        self.is_primary = self.group.promoted_id == self.server_id
+        self.applied = len(self.log)
+        for server in self.group.server_by_id.values():
+            if server is self or self.is_primary:
+                server.copy_from_primary()
+
+    def copy_from_primary(self) -> None:
+        """Copy the log of the primary, if in reach, and acknowledge its commits."""
+        source = self.group.server_by_id[self.group.promoted_id]
+        is_cut = self.drops_replication or source.drops_replication
+        if is_cut or self.is_primary or not source.is_primary:
+            return
+        if self.paused_term > source.term:
+            return
+        self.follow(source)
+        for commit in self.log[self.applied :]:
+            self.loop.call_later(self.lag, self._apply)
+            source.acknowledge(commit)
+
     def received(self) -> tuple[int, int]:
         """Return the position of the last entry received."""
         return self.log[-1][:2] if self.log else (self.term, 0)
@@ -206,8 +256,11 @@
             return
         action = self.queue.popleft()
         self.busy += 1
+        born_ms = self.born_ms
 
         def finish() -> None:
+            if self.born_ms != born_ms:
+                return
             self.busy -= 1
             action()
             self._start_next()
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -233,13 +233,16 @@
 class SimulatedPromotion(Promotion):
     """Promotion of servers in a simulated group.
 
-    As on the real platform, the fence is recorded but not checked.
+    As on the real platform, the fence is recorded but not checked. Of the next orders,
+    ``orders_to_lose`` neither take effect nor are answered, and ``answers_to_lose``
+    take effect without an answer.
     """
 
     def __init__(self, loop: Loop, group: SimulatedGroup):
         self._loop = loop
         self._group = group
         self.orders: list[PromotionOrder] = []
+        self.orders_to_lose = 0
         self.answers_to_lose = 0
 
     def promote(
@@ -253,6 +256,12 @@
         """Promote a server; the answer may be lost."""
         future: Future[int] = Future()
         self.orders.append(PromotionOrder(target_id, holder, fence, self._loop.now()))
+        if self.orders_to_lose:
+            self.orders_to_lose -= 1
+            self._loop.call_later(
+                NO_ANSWER_DELAY, lambda: set_result_if_pending(future, 0)
+            )
+            return future
         server = self._group.server_by_id.get(target_id)
         status = 200 if server is not None else 409
         if server is not None and not server.is_primary:
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+from collections import deque
 from contextlib import ExitStack
 from datetime import timedelta
 
@@ -177,7 +178,11 @@
 
 
 class SimulatedClient:
-    """Client of one session; ``greeting`` is the answer to its START message."""
+    """Client of one session; ``greeting`` is the answer to its START message.
+
+    ``acknowledged_at_by_id`` has the request ids of the WRITE statements whose commit
+    the client was told of with DONE, and when it read that.
+    """
 
     _numbers = itertools.count(1)
 
@@ -191,17 +196,45 @@
         self.start_answer: list[str] = []
         self.session = Session(instance.services, server_end, self._on_end)
         self.sent = 0
+        self._unanswered: deque[tuple[str, str]] = deque()
+        self._transaction_ids: list[str] | None = None
+        self.acknowledged_at_by_id: dict[str, timedelta] = {}
 
     def _on_end(self, _: Session) -> None:
         self.is_ended = True
 
     def send(self, line: str) -> None:
         """Send one line."""
+        word, _, rest = line.partition(" ")
+        if word == "QUERY":
+            request_id, _, text = rest.partition(" ")
+            self._unanswered.append((request_id, text.partition(" ")[0]))
         self.stream.write(line.encode() + b"\r\n")
 
     def received(self) -> list[str]:
         """Consume and return the received lines."""
-        return self.stream.read_all().decode().splitlines()
+        lines = self.stream.read_all().decode().splitlines()
+        for line in lines:
+            word = line.partition(" ")[0]
+            if word in ("DONE", "ERR") and self._unanswered:
+                self._record_answer(*self._unanswered.popleft(), word == "DONE")
+        return lines
+
+    def _record_answer(self, request_id: str, statement: str, is_done: bool) -> None:
+        written_ids: list[str] = []
+        if statement == "BEGIN" and is_done:
+            self._transaction_ids = []
+        elif statement == "WRITE" and self._transaction_ids is not None:
+            self._transaction_ids.append(request_id)
+        elif statement == "WRITE":
+            written_ids = [request_id]
+        elif statement in ("COMMIT", "ROLLBACK"):
+            if statement == "COMMIT":
+                written_ids = self._transaction_ids or []
+            self._transaction_ids = None
+        if is_done:
+            now = self.instance.loop.now()
+            self.acknowledged_at_by_id |= dict.fromkeys(written_ids, now)
 
     def query(self, text: str, wait: timedelta = ANSWER_TIMEOUT) -> list[str]:
         """Send a statement and return the lines of its answer."""
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -115,6 +115,7 @@
 
     def client(self, database):
         client = SimulatedClient(self)
+        self.simulation.clients.append(client)
         client.send(f"START {database} key-1")
         self.run(ms(100))
         client.start_answer = client.received()
@@ -152,6 +153,7 @@
         self.store = SimulatedStore(self.loop, build_configuration(), self.targets)
         self.promotion = SimulatedPromotion(self.loop, self.group)
         self.datagrams = MemoryDatagrams(self.loop)
+        self.clients: list[SimulatedClient] = []
         self.member_by_name: dict[str, SimulatedMember] = {}
         prepare(self)
         for number, domain in zip(range(size), cycle(domains)):
@@ -166,15 +168,30 @@
                 server.server_id,
                 claims_primary=server.is_primary,
                 is_draining=server.server_id in self.draining,
+                born_ms=server.born_ms,
             )
             for server in self.group.server_by_id.values()
             if server.server_id not in self.deregistered
         }
 
+    def join(self, server_id, listed_after):
+        """Let a new replica follow the primary; it registers after ``listed_after``."""
+        self.deregistered.add(server_id)
+        server = self.group.join(server_id, f"{server_id}:1")
+        self.network.accept_by_address[server.address] = server.accept
+        self.loop.call_later(listed_after, lambda: self.deregistered.discard(server_id))
+
     def run(self, duration):
         run_for(self.loop, duration)
         assert not self.errors, self.errors
 
+    def run_until(self, condition, limit=SECOND * 5):
+        """Run until ``condition`` holds."""
+        end = self.loop.now() + limit
+        while not condition():
+            assert self.loop.now() < end, "the condition does not hold in time"
+            self.run(ms(1))
+
     def leader(self):
         holders = [m for m in self.members if m.leadership.is_leader()]
         assert len(holders) <= 1
@@ -290,6 +307,88 @@
     assert fleet.acknowledged_ids() <= set(logged_ids)
 
 
+def check_commits_told_to_clients(fleet):
+    """Check that the primary's log contains every commit that a client was told of.
+
+    A commit that only an instance was told of does not count: its client may have been
+    told that the outcome is in doubt. Returns the number of these commits.
+    """
+    acknowledged_at_by_id = {}
+    for client in fleet.clients:
+        client.received()
+        acknowledged_at_by_id |= client.acknowledged_at_by_id
+    primary = fleet.group.primary()
+    logged_ids = [id for commit in primary.log for id in commit.request_ids]
+    assert len(logged_ids) == len(set(logged_ids))
+    missing = sorted(
+        (at, request_id)
+        for request_id, at in acknowledged_at_by_id.items()
+        if request_id not in logged_ids
+    )
+    assert not missing, (
+        f"{len(missing)} of {len(acknowledged_at_by_id)} commits that clients were "
+        f"told of are not in the log of {primary.server_id}, "
+        f"first at {missing[0][0]}, last at {missing[-1][0]}"
+    )
+    return len(acknowledged_at_by_id)
+
+
+class ContinuousWriter:
+    """Client that sends one write after the other until ``is_stopped`` is set."""
+
+    def __init__(self, client):
+        self.client = client
+        self.is_stopped = False
+        client.instance.loop.spawn(self._run())
+
+    def _run(self):
+        client = self.client
+        while not self.is_stopped:
+            client.sent += 1
+            client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
+            lines = []
+            while not lines or not lines[-1].startswith("READY"):
+                yield client.instance.loop.sleep(ms(2))
+                lines += client.received()
+                if client.is_ended:
+                    return
+
+
+def start_writers(member, count):
+    """Start ``count`` clients that write through an instance without a pause."""
+    return [ContinuousWriter(member.client("strict")) for _ in range(count)]
+
+
+def cut_off_instance(fleet):
+    """Cut an instance off from the store and from the others; return it."""
+    leader = fleet.leader()
+    isolated = next(member for member in fleet.members if member is not leader)
+    fleet.store.refused.add(isolated.name)
+    for member in fleet.members:
+        if member is not isolated:
+            fleet.datagrams.cut.add(frozenset((isolated.name, member.name)))
+    return isolated
+
+
+def cut_servers_off(fleet, members, server_ids):
+    """Let ``members`` no longer reach some servers; close all connections to these."""
+    addresses = {f"{server_id}:1" for server_id in server_ids}
+    for member in members:
+        member.services.network = CutNetwork(fleet.network, addresses)
+        member.services.pool._network = member.services.network
+    for address in addresses:
+        fleet.network.cut(address)
+
+
+def heal_network(fleet):
+    """Undo ``cut_off_instance`` and ``cut_servers_off``."""
+    fleet.datagrams.cut.clear()
+    fleet.store.refused.clear()
+    for member in fleet.members:
+        member.services.network = fleet.network
+        member.services.pool._network = fleet.network
+
+
 def never_complete(loop):
     yield loop.sleep(SECOND * 60)
 
@@ -368,6 +467,19 @@
         assert not missing, f"{len(missing)} of {done} acknowledged commits are missing"
 
 
+class CutNetwork:
+    """Network in which some addresses refuse connections."""
+
+    def __init__(self, network, addresses):
+        self._network = network
+        self._addresses = addresses
+
+    def connect(self, address, limit):
+        if address in self._addresses:
+            return self._network.connect("nowhere:1", limit)
+        return self._network.connect(address, limit)
+
+
 class PartitionedNetwork:
     """Network that reaches only some addresses; all others refuse connections."""
 
