Let replicas receive again when a simulated network is healed

Without it the tests of a draining replica that restarts could not end with a served write: the promoted server was the only one with its log, and the two others still dropped replication.

--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -381,12 +381,16 @@
 
 
 def heal_network(fleet):
-    """Undo ``cut_off_instance`` and ``cut_servers_off``."""
+    """Undo ``cut_off_instance`` and ``cut_servers_off``; let all replicas receive."""
     fleet.datagrams.cut.clear()
     fleet.store.refused.clear()
     for member in fleet.members:
         member.services.network = fleet.network
         member.services.pool._network = fleet.network
+    for server in fleet.group.server_by_id.values():
+        server.drops_replication = False
+    for server in fleet.group.server_by_id.values():
+        server.copy_from_primary()
 
 
 def never_complete(loop):
