Count the first list of instances as an end of instances

An instance that had just started could take a position of the primary from before its first list for one that covers the commits of an instance that restarted in between.

--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -157,6 +157,9 @@
         if previous and directory.listed_at <= previous.listed_at:
             return
         self._directory = directory
+        if previous is None:
+            # An instance may have restarted before this one knew of any.
+            self.member_ended_at = now
         self._services.update_targets(directory.target_by_id, directory.listed_at)
         if previous and directory.listed_at - previous.listed_at > LIST_GAP:
             self._kept_members_until = now + REPORTING_MEMBER_LIFETIME
--- a/tests/proxy/test_instances_that_ended.py
+++ b/tests/proxy/test_instances_that_ended.py
@@ -383,3 +383,20 @@
         fleet.run(SECOND * 12)
         assert primary_id(fleet) == "c"
         writers.check()
+
+
+def test_first_list_of_instances_counts_as_an_end():
+    # Guards against a new instance that takes a position from before its first list for
+    # one that covers the commits of an instance that restarted in between.
+    with ExitStack() as stack:
+        fleet = SimulatedFleet(stack)
+        member = follower(fleet)
+        fleet.kill(member)
+        fleet.store.is_down = True
+        started = fleet.restart(member)
+        fleet.run(SECOND)
+        fleet.store.is_down = False
+        before = fleet.loop.now()
+        fleet.run(SECOND * 4)
+        assert started.fleet.peers_by_name
+        assert started.fleet.member_ended_at >= before
