Reject records of the store with fields of another type

A group record with a list as its service raised TypeError in the read of the store, which ended it; names, positions and terms of another type were accepted and would have raised later.

--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -105,30 +105,45 @@
     try:
         fields = orjson.loads(value)
         sealed = fields.get("sealed")
-        stopped = fields.get("stopped") or {}
+        stopped = fields.get("stopped", {})
         # Records of earlier versions lack it; such a replica is stopped again.
-        born_ms_by_id = fields.get("stopped_born_ms") or {}
+        born_ms_by_id = fields.get("stopped_born_ms", {})
+        texts = fields["service"], fields["primary_id"], fields["old_id"]
+        if not all(isinstance(text, str) for text in texts):
+            return Missing("malformed group record: a name is not text")
         return GroupRecord(
             service=fields["service"],
             phase=GroupPhase(fields["phase"]),
-            term=int(fields["term"]),
+            term=_decode_count(fields["term"]),
             primary_id=fields["primary_id"],
             old_id=fields["old_id"],
-            fence=int(fields["fence"]),
+            fence=_decode_count(fields["fence"]),
             revision=revision,
-            sealed=LogPosition(*sealed) if sealed else None,
+            sealed=_decode_position(sealed) if sealed else None,
             stopped_by_id={
                 target_id: StoppedReplica(
-                    LogPosition(*position), int(born_ms_by_id[target_id])
+                    _decode_position(position),
+                    _decode_count(born_ms_by_id[target_id]),
                 )
                 for target_id, position in stopped.items()
                 if target_id in born_ms_by_id
             },
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         return Missing(f"malformed group record: {error!r}")
 
 
+def _decode_position(fields: list[int]) -> LogPosition:
+    term, number = fields
+    return LogPosition(_decode_count(term), _decode_count(number))
+
+
+def _decode_count(value: object) -> int:
+    if not isinstance(value, int):
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
+
+
 def decode_group_records(records: Iterable[Record]) -> dict[str, GroupRecord]:
     """Return the valid group records by service."""
     groups = {}
--- a/bulrushloom/proxy/member_records.py
+++ b/bulrushloom/proxy/member_records.py
@@ -74,7 +74,7 @@
                 str(target_id), service, address, str(domain), int(born_ms)
             )
         primary_id = str(fields["primary_id"])
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         return Missing(f"malformed record of group members: {error!r}")
     return GroupMembers(service, primary_id, target_by_id, revision)
 
