Ask the primary of an idle service for its position after an instance ended

A failover that misses a replica needs a position of the primary from after the last end of an instance. The leader now asks the primary once, 0.5 s after an instance ended, unless a statement has brought a position. Found by the review; test_idle_service_after_an_instance_has_left [left] and test_idle_service_after_a_rolling_restart failed before.

Open: an instance that is killed within 0.5 s before the primary, together with a listed replica out of reach. The failover then waits for that replica.

--- a/bulrushloom/proxy/primary_monitor.py
+++ b/bulrushloom/proxy/primary_monitor.py
@@ -14,6 +14,7 @@
 from bulrushloom.proxy.groups import GroupPhase
 from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.messages import ServerStatus
+from bulrushloom.proxy.positions import PositionSample
 from bulrushloom.proxy.replacement import Abandoned, FailoverRunner
 from bulrushloom.proxy.server_status import CONNECTION_REFUSED, OVERLOADED, StatusReader
 from bulrushloom.proxy.services import Services
@@ -24,6 +25,10 @@
 FAILOVER_RETRY_INTERVAL = timedelta(milliseconds=100)
 # Delay before the next attempt to stop a draining replica, which may no longer run.
 STOP_RETRY_INTERVAL = timedelta(seconds=1)
+# An instance that ended may have acknowledged commits without a report. Statements of a
+# busy service bring a position of the primary within this time.
+SAMPLE_DELAY = timedelta(milliseconds=500)
+SAMPLE_RETRY_INTERVAL = timedelta(seconds=1)
 # A status request briefly occupies a slot, so only suspected primaries are probed.
 PROBE_INTERVAL = timedelta(milliseconds=100)
 # Interval at which a relay that is not the leader probes a suspected primary.
@@ -42,9 +47,10 @@
 class PrimaryMonitor:
     """Monitor of all services' primaries, active while this instance is the leader.
 
-    ``_failing_over``, ``_probing`` and ``_stopping`` hold the services whose primary is
-    being replaced, whose primary is being probed, and whose draining replicas are being
-    stopped, so that no second task of the kind starts.
+    ``_failing_over``, ``_probing``, ``_stopping`` and ``_sampling`` hold the services
+    whose primary is being replaced, whose primary is being probed, whose draining
+    replicas are being stopped, and whose primary is asked for its position, so that no
+    second task of the kind starts.
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         self._failing_over: set[str] = set()
         self._probing: set[str] = set()
         self._stopping: set[str] = set()
+        self._sampling: set[str] = set()
         self._unclaimed_since: dict[str, timedelta] = {}
         self._stall_failover_at: dict[str, timedelta] = {}
 
@@ -132,6 +139,7 @@
             self._start_failover(service, old_id, reason)
         elif not isinstance(primary, Missing):
             self._start_stopping_replicas(service, primary)
+            self._start_sampling(service, primary)
 
     def _is_primary_lost(self, service: str) -> bool:
         """Return whether a primary that is not listed is not going to be.
@@ -154,6 +162,32 @@
         since = self._unclaimed_since.setdefault(service, now)
         return now - since >= FIRST_CLAIM_TIMEOUT
 
+    def _start_sampling(self, service: str, primary: Target) -> None:
+        """Ask the primary for its position if none is known since an instance ended.
+
+        A failover could not tell otherwise what that instance acknowledged. Statements
+        bring positions as well, so this is for services that are idle.
+        """
+        ended_at, now = self._fleet.member_ended_at, self._loop.now()
+        is_known = self._services.history(service).position_since(ended_at)
+        if service in self._sampling or not isinstance(is_known, Missing):
+            return
+        if now - ended_at >= SAMPLE_DELAY:
+            self._sampling.add(service)
+            self._loop.spawn(self._sample_position(service, primary))
+
+    def _sample_position(self, service: str, primary: Target) -> Steps:
+        try:
+            requested_at = self._loop.now()
+            status = yield from self._status.read(primary)
+            is_current = self._services.is_current_primary(primary)
+            if not isinstance(status, Missing) and is_current:
+                sample = PositionSample(requested_at, status.received)
+                self._services.history(service).record(sample)
+            yield self._loop.sleep(SAMPLE_RETRY_INTERVAL)
+        finally:
+            self._sampling.discard(service)
+
     def _start_stopping_replicas(self, service: str, primary: Target) -> None:
         """Stop replication to draining replicas unless this is already under way."""
         table = self._services.table
