Do not acknowledge a commit in a later term of its primary

An instance that missed the records of two failovers, away from a primary and back to it, would have acknowledged a commit that was pending since the first term.

--- a/bulrushloom/proxy/commits.py
+++ b/bulrushloom/proxy/commits.py
@@ -46,6 +46,7 @@
         self._freshness = freshness
         self._replacement_by_service: dict[str, _Replacement] = {}
         self._pending_by_service: dict[str, dict[Future[None], str]] = {}
+        self._term_by_service: dict[str, int] = {}
         self.position_by_service: dict[str, LogPosition] = {}
         self.on_followed: Callable[[], None] = lambda: None
 
@@ -80,9 +81,14 @@
         evidence: until it knew the record, this instance acted on the older evidence.
         """
         service = group.service
+        known_term = self._term_by_service.get(service, group.term)
+        self._term_by_service[service] = group.term
         if group.phase is GroupPhase.STEADY:
             self._replacement_by_service.pop(service, None)
-            self._give_up(service, except_for=group.primary_id)
+            # In another term, the commits that are pending at this primary may be those
+            # of an earlier one.
+            is_same_term = known_term == group.term
+            self._give_up(service, group.primary_id if is_same_term else "")
             return
         known = self._replacement_by_service.get(service)
         if known is not None and (known.old_id, known.term) == (
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -258,7 +258,7 @@
             try:
                 with services.commits.pending(primary) as cutoff:
                     answer = yield from self._write_once(attempt, primary, cutoff)
-                    self._require_acknowledgement(primary, answer)
+                    self._require_acknowledgement(primary, answer, cutoff)
             except NotOffered as error:
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
@@ -282,10 +282,12 @@
                 break
         return self._refused(last_reason, service)
 
-    def _require_acknowledgement(self, primary: Target, answer: ServerAnswer) -> None:
+    def _require_acknowledgement(
+        self, primary: Target, answer: ServerAnswer, cutoff: "Future[None]"
+    ) -> None:
         """Raise ``AnswerLost`` if a commit was answered too late to be acknowledged."""
         if answer.failure is None and not self._services.acknowledge_commit(
-            primary, answer.position
+            primary, answer.position, cutoff
         ):
             raise AnswerLost(primary, AnswerCode.IN_DOUBT, COMMIT_TOO_LATE)
 
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -152,15 +152,16 @@
             self.history(target.service).record(sample)
 
     def acknowledge_commit(
-        self, target: Target, position: LogPosition | Missing
+        self, target: Target, position: LogPosition | Missing, cutoff: "Future[None]"
     ) -> bool:
         """Return whether a commit that ``target`` ran may be acknowledged now.
 
+        ``cutoff`` is what the commit got when it became pending.
         Records its position if so. Otherwise a successor that lacks the commit may have
         been chosen, and its outcome is in doubt.
         """
-        is_allowed = self.is_current_primary(target) or (
-            self.commits.allows_replaced(target)
+        is_allowed = not cutoff.done() and (
+            self.is_current_primary(target) or self.commits.allows_replaced(target)
         )
         if is_allowed:
             self.commits.record_position(target.service, position)
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -284,7 +284,7 @@
                 return Outcome(self._unanswered_commit_failure(str(error)), None)
             if answer.failure is None:
                 if self.wrote and not self._services.acknowledge_commit(
-                    connection.target, answer.position
+                    connection.target, answer.position, cutoff
                 ):
                     failure = self._unanswered_commit_failure(COMMIT_TOO_LATE)
                     return Outcome(failure, None)
