Stop no draining replica while replicas are being resumed

A RESUME that was under way when a replica began to drain could follow the order to stop. The group's record then said that the replica had stopped, although it received again.

--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -76,6 +76,8 @@
         self._name = name
         self._status = status
         self.orders_in_flight = 0
+        # Services of which replicas are being resumed.
+        self._resuming: set[str] = set()
 
     def replace_primary(self, service: str, old_id: str) -> Steps:
         """Replace the primary of a service; return the id of the new one."""
@@ -146,6 +148,9 @@
         A commit that only a draining replica confirmed would be lost with that replica,
         or unreachable if a network partition cuts it off together with the primary.
         """
+        if service in self._resuming:
+            # The order to resume carries no term, and could follow the one to stop.
+            return
         draining = self._services.table.draining_replicas(service, primary.target_id)
         term = yield from self._next_term(service, "")
         answers = yield from self._status.read_all(draining, wire.pause_text(term))
@@ -212,7 +217,11 @@
                 yield from self._resume(service, [targets[name] for name in stopped])
 
     def _resume(self, service: str, replicas: list[Target]) -> Steps:
-        answers = yield from self._status.read_all(replicas, wire.RESUME)
+        self._resuming.add(service)
+        try:
+            answers = yield from self._status.read_all(replicas, wire.RESUME)
+        finally:
+            self._resuming.discard(service)
         self._log.write(
             "replicas_resumed",
             service=service,
