Repeat the order of a promotion only if the successor answers

The order is now repeated only after a status that has the sealed position; after 3 s of silence the attempt ends, and the next one decides.

--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -42,6 +42,8 @@
 RESUME_CHECK_INTERVAL = timedelta(seconds=1)
 RESUME_ATTEMPTS = 10
 FAILOVER_TIMEOUT = timedelta(seconds=30)
+# A successor that does not answer for this long after its order may have crashed.
+SUCCESSOR_SILENCE_TIMEOUT = timedelta(seconds=3)
 ACCEPTED_STATUSES = (200, 202, 204)
 
 
@@ -301,11 +303,13 @@
     def _promote_successor(self, group: GroupRecord, successor: Successor) -> Steps:
         """Order the promotion and wait until the successor is the primary.
 
-        The successor is asked again before each order: it may have restarted without
-        its log.
+        The successor is asked again before the order is repeated: it may have restarted
+        without its log.
         """
         service, target_id = group.service, successor.target_id
         deadline = self._loop.now() + FAILOVER_TIMEOUT
+        answered_at = self._loop.now()
+        is_ordered = False
         while self._loop.now() < deadline:
             known = self._services.table.listed_target_by_id.get(target_id)
             if known is None:
@@ -313,9 +317,17 @@
             if not self._leadership.is_leader():
                 raise Abandoned("this instance no longer holds the leader lease")
             status = yield from self._status.read(known.target)
-            if not isinstance(status, Missing) and status.received < successor.sealed:
-                raise Abandoned("the successor no longer has every commit")
+            if not isinstance(status, Missing):
+                answered_at = self._loop.now()
+                if status.received < successor.sealed:
+                    raise Abandoned("the successor no longer has every commit")
+            elif is_ordered:
+                if self._loop.now() - answered_at >= SUCCESSOR_SILENCE_TIMEOUT:
+                    raise Abandoned("the successor does not answer")
+                yield self._loop.sleep(REPEAT_INTERVAL)
+                continue
             code = yield from self._order_promotion(service, target_id)
+            is_ordered = True
             if code == 409:
                 yield from self._write(group._replace(primary_id=""))
                 raise Abandoned("the successor is not running")
