Take no known position for a bound while an instance has not confirmed

If an instance is out of reach, the failover is closed by time, and the leader does not know what that instance acknowledged. The search nevertheless took the highest position it knew for enough: within a second after closing, and for servers that are given up after 10 s.

Then only the positions of all members count, with a list of servers that was read 150 ms after closing; servers are given up only if all instances have confirmed, or after 60 s.

--- a/bulrushloom/proxy/failover.py
+++ b/bulrushloom/proxy/failover.py
@@ -104,9 +104,10 @@
     """State of a group's servers during a failover.
 
     ``is_closed`` means that no instance can acknowledge commits of the old primary any
-    more. ``status_by_id`` holds the servers that answered, ``missing`` those that may
-    have acknowledged commits and have not answered since the failover was closed.
-    ``demoted`` is the status of the old primary once it confirmed that it is a replica.
+    more, and ``is_confirmed`` that all have confirmed that. ``status_by_id`` holds the
+    servers that answered, ``missing`` those that may have acknowledged commits and have
+    not answered since the failover was closed. ``demoted`` is the status of the old
+    primary once it confirmed that it is a replica.
     ``acknowledged`` is the highest known position of an acknowledged commit, and
     ``acknowledged_bound`` a position that covers them all, if one is known.
     ``stopped_position_by_id`` holds the positions of servers that had stopped
@@ -122,6 +123,7 @@
     """
 
     is_closed: bool
+    is_confirmed: bool
     status_by_id: Mapping[str, ServerStatus]
     missing: frozenset[str]
     demoted: ServerStatus | None
@@ -199,16 +201,19 @@
     log_end = _end_of_demoted_log(state)
     if log_end is not None and highest >= log_end:
         return True
-    if state.is_list_complete and not _missing_ahead_of(highest, state):
-        # Every server that could acknowledge a commit has reported its position.
-        has_unknown_servers = (
-            state.has_given_up_servers or state.awaits_unlisted_servers
-        )
-        if not has_unknown_servers or state.accepts_missing_commits:
-            return True
-        return state.acknowledged is None or highest >= state.acknowledged
-    bound = state.acknowledged_bound
-    return bound is not None and highest >= bound
+    bound, acknowledged = state.acknowledged_bound, state.acknowledged
+    if bound is not None and highest >= bound:
+        return True
+    if not state.is_list_complete or _missing_ahead_of(highest, state):
+        return False
+    # Every known server that could acknowledge a commit has reported its position.
+    covers_known = acknowledged is None or highest >= acknowledged
+    if state.accepts_missing_commits:
+        return True
+    if state.has_given_up_servers:
+        # An instance that has not confirmed may have acknowledged more than is known.
+        return covers_known and state.is_confirmed
+    return covers_known or not state.awaits_unlisted_servers
 
 
 def _end_of_demoted_log(state: FailoverState) -> LogPosition | None:
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -34,8 +34,11 @@
 MISSING_COMMITS_TIMEOUT = timedelta(seconds=60)
 # An order without an answer may be executed for this time.
 ORDER_LIFETIME = timedelta(seconds=9)
-# A server that joined the group just before the failover is listed within this time.
-UNLISTED_SERVER_TIMEOUT = timedelta(seconds=1)
+# A server registers within this time after it started to receive commits.
+LISTING_DELAY = timedelta(milliseconds=150)
+# The same if acknowledged commits are known to be missing at all servers that answer. A
+# failover has to finish within 12 s.
+UNLISTED_SERVER_TIMEOUT = timedelta(seconds=8)
 
 
 class Successor(NamedTuple):
@@ -67,6 +70,8 @@
         self._demoted = demoted
         self._started_at = services.loop.now()
         self._instances_asked_at = self._started_at
+        # The announcement requests the first list.
+        self._listed_since = confirmations.announcement.announced_at
         self._logged_at: timedelta | None = None
         self._status_by_id: dict[str, ServerStatus] = {}
         # When a status that was received was requested, and the last request.
@@ -108,13 +113,14 @@
 
     def _ask_instances(self, closed_at: timedelta | None) -> None:
         """Announce the replacement again, or read the list of servers, if needed."""
-        now, since = self._loop.now(), closed_at
-        if since is None:
-            since = self._confirmations.announcement.announced_at
-        if now - self._instances_asked_at < REPEAT_INTERVAL:
+        now, since = self._loop.now(), self._confirmations.announcement.announced_at
+        if closed_at is not None and now >= closed_at + LISTING_DELAY:
+            since = closed_at + LISTING_DELAY
+        is_first = self._listed_since != since
+        if not is_first and now - self._instances_asked_at < REPEAT_INTERVAL:
             return
-        self._instances_asked_at = now
-        if closed_at is None:
+        self._instances_asked_at, self._listed_since = now, since
+        if closed_at is None and not is_first:
             self._confirmations.announce_again()
         if not self._services.table.is_read_since(since):
             self._services.request_list()
@@ -221,6 +227,7 @@
         waited = now - self._confirmations.announcement.first_announced_at
         return FailoverState(
             is_closed=closed_at is not None,
+            is_confirmed=self._confirmations.confirmed_at is not None,
             status_by_id=self._status_by_id,
             missing=frozenset(
                 target_id
@@ -233,13 +240,13 @@
             stopped_position_by_id=stopped_position_by_id,
             is_list_complete=services.table.is_complete
             and closed_at is not None
-            and services.table.is_read_since(closed_at),
+            and services.table.is_read_since(closed_at + LISTING_DELAY),
             ordered_id=group.primary_id,
             sealed=group.sealed,
             has_given_up_servers=bool(self._given_up_ids - self._status_by_id.keys()),
             awaits_ordered_server=self._awaits_ordered_server(),
             awaits_unlisted_servers=closed_at is not None
-            and now - closed_at < UNLISTED_SERVER_TIMEOUT,
+            and not services.table.is_read_since(closed_at + UNLISTED_SERVER_TIMEOUT),
             accepts_missing_commits=waited >= MISSING_COMMITS_TIMEOUT,
         )
 
@@ -307,7 +314,7 @@
             acknowledged_bound=str(state.acknowledged_bound),
             is_list_complete=state.is_list_complete,
         )
-        if state.accepts_missing_commits and acknowledged and position < acknowledged:
+        if acknowledged is not None and position < acknowledged:
             self._services.log.write(
                 "acknowledged_commits_missing",
                 service=service,
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -263,6 +263,7 @@
     def state(self, **changes):
         state = FailoverState(
             is_closed=True,
+            is_confirmed=True,
             status_by_id={},
             missing=frozenset(),
             demoted=None,
@@ -398,9 +399,10 @@
             has_given_up_servers=True,
         )
         assert not choose_successor(self.targets, state)
-        assert choose_successor(
-            self.targets, state._replace(acknowledged=LogPosition(1, 4))
-        )
+        covered = state._replace(acknowledged=LogPosition(1, 4))
+        assert choose_successor(self.targets, covered)
+        # An instance that was cut off may have acknowledged more by way of them.
+        assert not choose_successor(self.targets, covered._replace(is_confirmed=False))
         assert choose_successor(
             self.targets, state._replace(accepts_missing_commits=True)
         )
