Ask a demoted primary again once no commit can be acknowledged

A demotion ends with a restart. The old primary is asked again when the failover is closed; if it does not answer as a replica, the failover goes on as for a primary that was lost.

--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -9,7 +9,7 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.confirmations import InstanceConfirmations
 from bulrushloom.proxy.failover import FailoverState, choose_successor
-from bulrushloom.proxy.messages import LogPosition, ServerStatus
+from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
@@ -69,6 +69,8 @@
         self._group = confirmations.group
         self._demoted = demoted
         self._started_at = services.loop.now()
+        # When the last status of the demoted primary was requested, or earlier.
+        self._demoted_at = confirmations.announcement.announced_at
         self._instances_asked_at = self._started_at
         # The announcement requests the first list.
         self._listed_since = confirmations.announcement.announced_at
@@ -95,6 +97,8 @@
             targets |= self._reinstatable_primary(self._demoted)
         self._update_required_ids(targets)
         closed_at = self._confirmations.closed_at()
+        if closed_at is not None:
+            yield from self._check_demotion(closed_at)
         state = self._state(closed_at)
         choice = choose_successor(targets, state)
         if isinstance(choice, Missing):
@@ -105,6 +109,23 @@
         self._log_choice(choice, state)
         return Successor(choice, self._status_by_id[choice].received)
 
+    def _check_demotion(self, closed_at: timedelta) -> Steps:
+        """Ask the demoted primary again, since a restart ends its demotion.
+
+        Until the failover was closed, it may have acknowledged further commits then.
+        """
+        if self._demoted is None or self._demoted_at >= closed_at:
+            return
+        self._demoted_at = self._loop.now()
+        old = self._services.table.find_target(self._group.old_id)
+        status = None
+        if old is not None:
+            status = yield from self._status.read(old)
+        is_replica = isinstance(status, ServerStatus) and (
+            status.role is ServerRole.REPLICA
+        )
+        self._demoted = status if is_replica else None
+
     def _is_catching_up(self, demoted: ServerStatus) -> bool:
         if self._loop.now() - self._started_at >= CATCH_UP_TIMEOUT:
             return False
