Let simulated servers restart, join and lose their logs at any time

The stand-in of the servers could not do this: a restarted replica copied the log of a primary that was stopped or out of reach, a resumed one received later commits without the earlier ones, a stopped server could be promoted, and `born` never changed.

A restarted, resumed or new replica now copies the primary's log once it reaches the primary and is not paused, receives nothing before that, and counts as a receiver of all that it copied. A server that does not run cannot be promoted. A crash closes the connections of running statements as well, which were counted as open for ever. Daemons can be started at a host of their own, and a stream knows the host of its peer, so that links can tell them apart.

--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -133,6 +133,14 @@
         self._reading_paused = False
         loop.watch(sock, selectors.EVENT_READ, self._on_event)
 
+    @property
+    def peer_host(self) -> str:
+        """Return the IP address of the peer, empty if it is not connected any more."""
+        try:
+            return str(self._sock.getpeername()[0])
+        except OSError:
+            return ""
+
     def write(self, data: bytes) -> None:
         """Send ``data``; bytes that the socket does not accept are buffered."""
         if not self.is_open:
--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -13,7 +13,7 @@
 
 from bulrushloom.runtime.loop import Loop
 from bulrushloom.runtime.streams import Stream
-from standins.platform.records import Commit, Run
+from standins.platform.records import Commit, Promotion, Run
 from standins.platform.server_session import ServerSession
 
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=5)
@@ -22,6 +22,8 @@
 MAX_QUEUE = 24
 # A replaced primary follows its reachable successor after this delay.
 STEP_DOWN_DELAY = timedelta(seconds=1)
+# A replica that cannot reach the primary tries again after this time.
+REJOIN_INTERVAL = timedelta(milliseconds=50)
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -36,6 +38,7 @@
         self.promoted_id = ""
         self.runs: list[Run] = []
         self.acknowledged: list[tuple[Commit, timedelta]] = []
+        self.promotions: list[Promotion] = []
         self.connection_numbers = itertools.count(1)
         self.transaction_numbers = itertools.count(1)
 
@@ -54,21 +57,31 @@
         return server
 
     def primary(self) -> "SimulatedServer":
-        """Return the primary of the highest term."""
-        primaries = [s for s in self.server_by_id.values() if s.is_primary]
-        return max(primaries, key=lambda server: server.term)
+        """Return the primary of the highest term.
+
+        After a demotion there may be none; it is then the server with the longest log.
+        """
+        servers = self.server_by_id.values()
+        primaries = [server for server in servers if server.is_primary]
+        return max(primaries or servers, key=lambda s: (s.term, s.received()))
 
     def promote(self, server_id: str, after: timedelta) -> None:
         """Make a server the primary of the next term after a delay."""
         self.loop.call_later(after, lambda: self._become_primary(server_id))
 
     def _become_primary(self, server_id: str) -> None:
-        server = self.server_by_id[server_id]
+        server = self.server_by_id.get(server_id)
+        if server is None or not server.is_running:
+            return
         self.promoted_id = server_id
         server.term = max(s.term for s in self.server_by_id.values()) + 1
         server.is_primary = True
+        server.is_joining = False
         server.paused_term = 0
         server.applied = len(server.log)
+        self.promotions.append(
+            Promotion(self.loop.now(), server_id, server.term, server.received())
+        )
         for other in self.server_by_id.values():
             if other is server:
                 continue
@@ -87,6 +100,22 @@
             server.is_primary = False
             server.follow(new_primary)
 
+    def rejoin(self, server: "SimulatedServer") -> None:
+        """Make a replica copy the primary's log as soon as it reaches the primary.
+
+        It receives no commits before that, because it lacks earlier ones.
+        """
+        server.is_joining = not server.is_primary
+        self._try_to_join(server)
+
+    def _try_to_join(self, server: "SimulatedServer") -> None:
+        if server not in self.server_by_id.values() or not server.is_joining:
+            return
+        server.copy_from_primary()
+        if server.is_joining:
+            retry = partial(self._try_to_join, server)
+            self.loop.call_later(REJOIN_INTERVAL, retry)
+
     def replicate(self, source: "SimulatedServer", commit: Commit) -> None:
         """Send a commit to all replicas after the replication delay."""
         for server in self.server_by_id.values():
@@ -108,7 +137,8 @@
     - ``statements_to_refuse``: number of next statements that are refused as busy
     - ``drops_replication``: whether commits of the primary are lost
 
-    ``born_ms`` is the time of its latest start.
+    ``born_ms`` is the time of its latest start. ``is_joining`` means that the server is
+    a replica whose log lacks commits.
     """
 
     def __init__(
@@ -119,6 +149,8 @@
         self.server_id = server_id
         self.address = address
         self.is_primary = is_primary
+        self.is_running = True
+        self.is_joining = False
         self.born_ms = 1
         self.term = 1
         self.paused_term = 0
@@ -138,17 +170,27 @@
         self.drops_replication = False
         self._callback_by_commit: dict[Commit, Callable[[], None]] = {}
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the server runs and reaches the other servers."""
+        return self.is_running and not self.drops_replication
+
     def accept(self, stream: Stream) -> None:
         """Start a session on a new connection."""
         self.connections.add(ServerSession(self, stream))
 
     def follow(self, new_primary: "SimulatedServer") -> None:
-        """Copy the log of a new primary; entries that it lacks are discarded."""
+        """Copy the log of a new primary, which ends a pause."""
+        self.copy_log(new_primary)
+        self.paused_term = 0
+        self._callback_by_commit.clear()
+
+    def copy_log(self, new_primary: "SimulatedServer") -> None:
+        """Copy the log of a primary; entries that it lacks are discarded."""
         self.term = new_primary.term
         self.log = list(new_primary.log)
         self.applied = min(self.applied, len(self.log))
-        self.paused_term = 0
-        self._callback_by_commit.clear()
+        self.is_joining = False
 
     def restart(self, kept_commits: int | None = None) -> None:
         """Start again under the same id, with the first ``kept_commits`` of the log.
@@ -175,13 +217,13 @@
 
     def copy_from_primary(self) -> None:
         """Copy the log of the primary, if in reach, and acknowledge its commits."""
-        source = self.group.server_by_id[self.group.promoted_id]
-        is_cut = self.drops_replication or source.drops_replication
-        if is_cut or self.is_primary or not source.is_primary:
+        source = self.group.server_by_id.get(self.group.promoted_id)
+        if source is None or self.is_primary or not source.is_primary:
             return
-        if self.paused_term > source.term:
+        is_cut = not self.is_reachable or not source.is_reachable
+        if is_cut or self.paused_term > source.term:
             return
-        self.follow(source)
+        self.copy_log(source)
         for commit in self.log[self.applied :]:
             self.loop.call_later(self.lag, self._apply)
             source.acknowledge(commit)
@@ -202,7 +244,7 @@
         """
         if self.drops_replication or self.paused_term > source.term or self.is_primary:
             return
-        if source.term < self.term:
+        if self.is_joining or source.term < self.term:
             return
         if commit in self.log:
             return
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -13,7 +13,7 @@
 import yaml
 
 from bulrushloom.runtime.loop import Loop
-from bulrushloom.runtime.streams import Listener
+from bulrushloom.runtime.streams import Listener, split_address
 from standins.platform.documents import build_document, build_entry
 from standins.platform.group import SimulatedGroup, SimulatedServer
 from standins.platform.kv_server import KeyValueServer
@@ -29,6 +29,8 @@
 RATE_WINDOW = timedelta(seconds=5)
 RATE_EXCESS = 0.1
 RATE_SLACK = 20
+# Unix time in milliseconds at which the clock of a platform starts.
+EPOCH_MS = 1_700_000_000_000
 _SECOND = timedelta(seconds=1)
 _MILLISECOND = timedelta(milliseconds=1)
 # Settings of the daemons. The unknown field checks that daemons ignore such fields.
@@ -63,7 +65,6 @@
         stack.callback(self.store.close)
         self.listener_by_id: dict[str, Listener] = {}
         self.listed_address_by_id: dict[str, str] = {}
-        self.born_by_id: dict[str, int] = {}
         self.crashed_ids: set[str] = set()
         self.leaving_ids: set[str] = set()
         self._unlisted_until_by_id: dict[str, timedelta] = {}
@@ -89,11 +90,14 @@
     def crash(self, server_id: str) -> None:
         """Stop a server, close its connections and expire its store entry later.
 
-        The server keeps its log.
+        The server keeps its log. A server that has crashed already is left as it is.
         """
+        if server_id in self.crashed_ids:
+            return
         self.crashed_ids.add(server_id)
         self.listener_by_id[server_id].close()
         server = self.group.server_by_id[server_id]
+        server.is_running = False
         server.drops_replication = True
         for connection in list(server.connections):
             connection.stream.close("crashed")
@@ -103,14 +107,19 @@
         if server_id in self.crashed_ids:
             self.store.item_by_key.pop(f"servers/{server_id}", None)
 
-    def restart(self, server_id: str) -> None:
-        """Restart a crashed server with its log, as a replica if it was replaced."""
-        server = self.group.server_by_id[server_id]
+    def restart(self, server_id: str, keeps_log: bool = True) -> None:
+        """Restart a crashed server, as a replica if it was replaced.
+
+        It is not paused any more. A replica copies the primary's log once it reaches
+        it. A server that runs already or has left is left as it is.
+        """
+        server = self.group.server_by_id.get(server_id)
+        if server is None or server_id not in self.crashed_ids:
+            return
+        server.is_running = True
         server.drops_replication = False
-        current_primary = self.group.primary()
-        if current_primary is not server:
-            server.is_primary = False
-            server.follow(current_primary)
+        server.restart(None if keeps_log else 0)
+        self.group.rejoin(server)
         self.listen(server)
         self.crashed_ids.discard(server_id)
 
@@ -142,18 +151,27 @@
                 Addr=self.listed_address_by_id[server_id],
                 DbRole="primary" if server.is_primary else "replica",
                 State="draining" if server_id in self.leaving_ids else "ready",
+                born=EPOCH_MS + server.born_ms,
             )
             self.store.put_json(f"servers/{server_id}", entry)
 
-    def start(self, name: str, store: str = "", **changes: Any) -> "Daemon":
+    def start(
+        self,
+        name: str,
+        store: str = "",
+        host: str = "127.0.0.1",
+        module: str = "bulrushloom",
+        **changes: Any,
+    ) -> "Daemon":
         """Start a daemon; ``changes`` replace its settings.
 
         ``store`` is the address of the store for this daemon, if it is not the
-        platform's own.
+        platform's own. ``host`` is a loopback address, and ``module`` has the
+        command ``proxy``.
         """
         ports = free_ports(len(_ADDRESSES))
         addresses = {
-            field: f"127.0.0.1:{port}"
+            field: f"{host}:{port}"
             for field, port in zip(_ADDRESSES, ports, strict=True)
         }
         platform_store = f"127.0.0.1:{self.store.port}"
@@ -166,7 +184,7 @@
         }
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings | changes))
-        daemon = Daemon(name, path, addresses)
+        daemon = Daemon(name, path, addresses, module)
         self.stack.callback(daemon.kill)
         return daemon
 
@@ -174,10 +192,17 @@
 class Daemon:
     """A proxy daemon with its settings file, its addresses and its current process."""
 
-    def __init__(self, name: str, path: Path, addresses: dict[str, str]):
+    def __init__(
+        self,
+        name: str,
+        path: Path,
+        addresses: dict[str, str],
+        module: str = "bulrushloom",
+    ):
         self.name = name
         self.path = path
         self.addresses = addresses
+        self.module = module
         self.process = self.launch()
 
     def launch(self) -> "subprocess.Popen[bytes]":
@@ -187,7 +212,7 @@
                 [
                     sys.executable,
                     "-m",
-                    "bulrushloom",
+                    self.module,
                     "proxy",
                     f"--settings={self.path}",
                 ],
@@ -196,6 +221,16 @@
             )
         return self.process
 
+    def launch_if_stopped(self) -> None:
+        """Start a process unless one is running."""
+        if not self.is_running:
+            self.launch()
+
+    @property
+    def host(self) -> str:
+        """Return the loopback host that instances reach the daemon at."""
+        return split_address(self.addresses["peer_address"])[0]
+
     @property
     def is_running(self) -> bool:
         """Return whether the process is running."""
--- a/standins/platform/kv_server.py
+++ b/standins/platform/kv_server.py
@@ -133,9 +133,10 @@
 
     def _promote(self, content: dict[str, Any]) -> Reply:
         assert self._group is not None
-        if content["Id"] not in self._group.server_by_id:
+        server = self._group.server_by_id.get(content["Id"])
+        if server is None or not server.is_running:
             return _reply(409, {})
-        if not self._group.server_by_id[content["Id"]].is_primary:
+        if not server.is_primary:
             self._group.promote(content["Id"], PROMOTE_DELAY)
         return _reply(200, {})
 
--- a/standins/platform/records.py
+++ b/standins/platform/records.py
@@ -12,6 +12,15 @@
     request_ids: tuple[str, ...]
 
 
+class Promotion(NamedTuple):
+    """A promotion that took effect, with the last position of the server's log."""
+
+    at: timedelta
+    server: str
+    term: int
+    position: tuple[int, int]
+
+
 class Run(NamedTuple):
     """A statement that a server ran.
 
--- a/standins/platform/server_session.py
+++ b/standins/platform/server_session.py
@@ -135,6 +135,8 @@
                 self.send_ready(self.server.status_row(), "DONE -")
             case "RESUME":
                 self.server.paused_term = 0
+                if not self.server.is_primary:
+                    self.group.rejoin(self.server)
                 self.send_ready(self.server.status_row(), "DONE -")
             case "DEMOTE":
                 self.server.demote(int(rest))
@@ -176,6 +178,7 @@
         """Run a queued statement unless the connection was closed meanwhile."""
         if self.stream.at_eof:
             self.is_busy = False
+            self.server.connections.discard(self)
             return
         word, _, rest = text.partition(" ")
         shape, writes = "", word == "WRITE"
