Restart and add replicas, and isolate daemons, during failovers of the soak

A new version of the plan adds: a replica that restarts with or without its log, or joins, at any time or shortly after replication was paused; a daemon that is cut off from the store and the other daemons (TCP and datagrams) and reaches a primary that looks cut off or crashed to the others; all daemons killed while one or two servers are away. Logs are lost by one server at a time only, and not while another one is crashed or cut off.

Two faults no longer start a second process of a daemon.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,4 +1,4 @@
-"""The faults that a soak run injects, and its plan, which follows from the seed.
+"""Faults that a soak run injects into daemons, servers, links and the store.
 
 There is no clock fault of its own: the daemons use a clock that includes suspended time
 and cannot be set from outside. A process that is paused by a signal sees it jump. The
@@ -9,10 +9,10 @@
 import signal
 from abc import ABC, abstractmethod
 from datetime import timedelta
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from bulrushloom.runtime.loop import Steps
-from soak.links import FaultLink
+from soak.links import DIRECTIONS, FaultLink
 from standins.platform.group import DEFAULT_LAG, DEFAULT_SERVICE_TIME
 from standins.platform.host import STOP_GRACE_S, WITHDRAWN_KEY_BOUND, Daemon
 
@@ -27,11 +27,15 @@
 LONG_LAG = timedelta(seconds=3)
 LINK_DELAYS_MS = (50, 200, 600)
 STORE_STATUSES = (503, 429)
-DIRECTIONS = ("there", "back")
 # A server serves for this long after it announced that it leaves.
 LEAVE_PERIOD = timedelta(seconds=7)
 # Bound for the replacement of a leaving primary.
 REPLACE_TIMEOUT = timedelta(seconds=12)
+# Entries expire after three heartbeat intervals of the platform (1.2 s), and the last
+# heartbeat may be one interval old when the outage begins.
+MIN_EXPIRING_OUTAGE = timedelta(milliseconds=2400)
+# A running server registers again within this time of the end of an outage.
+RETURN_TIME = timedelta(seconds=2)
 
 
 class Fault(ABC):
@@ -78,7 +82,7 @@
         """Kill the process and start a new one after a short delay."""
         self.daemon.kill()
         yield self.loop.sleep(min(duration, RESTART_DELAY * 4))
-        self.daemon.launch()
+        self.daemon.launch_if_stopped()
 
 
 class KillMany(Fault):
@@ -92,7 +96,7 @@
             daemon.kill()
         yield self.loop.sleep(RESTART_DELAY)
         for daemon in killed:
-            daemon.launch()
+            daemon.launch_if_stopped()
 
 
 class Pause(DaemonFault):
@@ -125,8 +129,7 @@
             self.daemon.kill()
         self.world.record_planned_stop(self.daemon, started_at)
         yield self.loop.sleep(RESTART_DELAY)
-        if not self.daemon.is_running:
-            self.daemon.launch()
+        self.daemon.launch_if_stopped()
 
 
 class Reload(DaemonFault):
@@ -359,52 +362,3 @@
         while self.loop.now() < end:
             self.world.operator.change_limit(self.rng.choice((10, 20, 30)))
             yield self.loop.sleep(STORM_INTERVAL)
-
-
-KINDS: tuple[type[Fault], ...] = (
-    Kill,
-    KillMany,
-    Pause,
-    Terminate,
-    Reload,
-    CrashServer,
-    CutServer,
-    DeafReplica,
-    SlowServer,
-    LoseAnswers,
-    LeavingServer,
-    HarmServerLink,
-    HarmStoreLinks,
-    StoreRefuses,
-    LapseLeases,
-    WithdrawKey,
-    ConfigurationStorm,
-)
-# Entries expire after three heartbeat intervals of the platform (1.2 s), and the last
-# heartbeat may be one interval old when the outage begins.
-MIN_EXPIRING_OUTAGE = timedelta(milliseconds=2400)
-# A running server registers again within this time of the end of an outage.
-RETURN_TIME = timedelta(seconds=2)
-MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
-
-
-class PlannedFault(NamedTuple):
-    """An entry of the plan; ``at`` is the time since the start of the run."""
-
-    at: timedelta
-    kind: type[Fault]
-    duration: timedelta
-
-
-def make_plan(rng: random.Random, length: timedelta) -> list[PlannedFault]:
-    """Return random faults, sorted by start time, which may overlap."""
-    count = rng.randint(4, max(5, length // timedelta(seconds=1)))
-    plan = [
-        PlannedFault(
-            length * rng.random(),
-            rng.choice(KINDS),
-            timedelta(seconds=rng.uniform(MIN_DURATION_S, MAX_DURATION_S)),
-        )
-        for _ in range(count)
-    ]
-    return sorted(plan, key=lambda entry: entry.at)
--- a/soak/links.py
+++ b/soak/links.py
@@ -5,9 +5,10 @@
 from datetime import timedelta
 
 from bulrushloom.runtime.loop import Loop, Steps
-from bulrushloom.runtime.streams import Listener, Stream, TcpNetwork
+from bulrushloom.runtime.streams import Listener, Stream, TcpNetwork, TcpStream
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
+DIRECTIONS = ("there", "back")
 _ZERO = timedelta()
 
 
@@ -17,6 +18,8 @@
     ``delay`` is the latency added to all bytes. ``held_directions`` has the directions
     (``"there"``, ``"back"``) in which bytes are held until the direction is removed, as
     in a one-way partition. With ``is_refusing``, new connections are closed at once.
+    ``held_hosts`` and ``refused_hosts`` do the same to connections from some hosts, in
+    both directions.
     """
 
     def __init__(self, loop: Loop, address: str, target: str):
@@ -29,20 +32,23 @@
         self.delay = _ZERO
         self.held_directions: set[str] = set()
         self.is_refusing = False
+        self.held_hosts: set[str] = set()
+        self.refused_hosts: set[str] = set()
 
     def _accept(self, near: Stream) -> None:
-        if self.is_refusing:
+        host = near.peer_host if isinstance(near, TcpStream) else ""
+        if self.is_refusing or host in self.refused_hosts:
             near.close("refused")
             return
-        self.loop.spawn(self._connect(near))
+        self.loop.spawn(self._connect(near, host))
 
-    def _connect(self, near: Stream) -> Steps:
+    def _connect(self, near: Stream, host: str) -> Steps:
         try:
             far = yield self._network.connect(self._target, CONNECT_TIMEOUT)
         except OSError as error:
             near.close(f"no connection: {error}")
             return
-        relay = Relay(self, near, far, self._relays.discard)
+        relay = Relay(self, near, far, host, self._relays.discard)
         self._relays.add(relay)
         # Forwards the bytes that arrived before the connection to the target was open.
         relay.flush()
@@ -52,6 +58,17 @@
         for relay in list(self._relays):
             relay.close()
 
+    def refuse(self, hosts: set[str]) -> None:
+        """Close the connections from some hosts, and refuse new ones."""
+        self.refused_hosts |= hosts
+        for relay in list(self._relays):
+            if relay.host in hosts:
+                relay.close()
+
+    def is_held(self, host: str, direction: str) -> bool:
+        """Return whether bytes of connections from ``host`` are held."""
+        return direction in self.held_directions or host in self.held_hosts
+
     def silence(self) -> None:
         """Drop all further data of the current connections, also after ``heal``."""
         for relay in self._relays:
@@ -61,6 +78,8 @@
         """Remove all faults and deliver the held bytes."""
         self.delay = _ZERO
         self.held_directions.clear()
+        self.held_hosts.clear()
+        self.refused_hosts.clear()
         self.is_refusing = False
         for relay in list(self._relays):
             relay.flush()
@@ -79,10 +98,12 @@
         link: FaultLink,
         near: Stream,
         far: Stream,
+        host: str,
         on_close: Callable[["Relay"], None],
     ):
         self._link = link
         self._on_close = on_close
+        self.host = host
         self.is_silent = False
         self._pipes = (
             Pipe(self, link, "there", near, far),
@@ -124,7 +145,8 @@
 
     def forward(self) -> None:
         """Forward the received bytes after the link's delay."""
-        if self._relay.is_silent or self._direction in self._link.held_directions:
+        relay = self._relay
+        if relay.is_silent or self._link.is_held(relay.host, self._direction):
             return
         data = self._source.read_all()
         has_ended = self._source.at_eof
--- /dev/null
+++ b/soak/plans.py
@@ -0,0 +1,120 @@
+"""Plans of soak runs, which follow from the seed.
+
+The seeds of failed runs are recorded with the version of their plan, so a version is
+never changed; new faults go into a new one.
+"""
+
+import random
+from datetime import timedelta
+from typing import NamedTuple
+
+from soak.failovers import (
+    CrashPrimary,
+    CutPrimary,
+    IsolateDaemon,
+    JoinDuringFailover,
+    JoinServer,
+    KillAllDuringCrash,
+    LoseReplicaLog,
+    RestartDuringFailover,
+    RestartServer,
+)
+from soak.faults import (
+    ConfigurationStorm,
+    CrashServer,
+    CutServer,
+    DeafReplica,
+    Fault,
+    HarmServerLink,
+    HarmStoreLinks,
+    Kill,
+    KillMany,
+    LapseLeases,
+    LeavingServer,
+    LoseAnswers,
+    Pause,
+    Reload,
+    SlowServer,
+    StoreRefuses,
+    Terminate,
+    WithdrawKey,
+)
+
+CURRENT_VERSION = 2
+MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
+FIRST_KINDS: tuple[type[Fault], ...] = (
+    Kill,
+    KillMany,
+    Pause,
+    Terminate,
+    Reload,
+    CrashServer,
+    CutServer,
+    DeafReplica,
+    SlowServer,
+    LoseAnswers,
+    LeavingServer,
+    HarmServerLink,
+    HarmStoreLinks,
+    StoreRefuses,
+    LapseLeases,
+    WithdrawKey,
+    ConfigurationStorm,
+)
+# Faults that change the servers of a group or cause a failover.
+GROUP_KINDS: tuple[type[Fault], ...] = (
+    RestartServer,
+    LoseReplicaLog,
+    JoinServer,
+    KillAllDuringCrash,
+    CrashPrimary,
+    CutPrimary,
+    IsolateDaemon,
+    IsolateDaemon,
+    IsolateDaemon,
+)
+# Faults that wait for a failover, and those that usually cause one.
+COMPANIONS: tuple[type[Fault], ...] = (RestartDuringFailover, JoinDuringFailover)
+CAUSES: tuple[type[Fault], ...] = (CrashPrimary, CutPrimary, IsolateDaemon)
+KINDS = tuple(dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS))
+# Probabilities of a fault from ``GROUP_KINDS``, and of each companion of a cause.
+GROUP_SHARE = 0.5
+COMPANION_SHARE = 0.5
+
+
+class PlannedFault(NamedTuple):
+    """An entry of the plan; ``at`` is the time since the start of the run."""
+
+    at: timedelta
+    kind: type[Fault]
+    duration: timedelta
+
+
+def make_plan(
+    rng: random.Random, length: timedelta, version: int = CURRENT_VERSION
+) -> list[PlannedFault]:
+    """Return random faults, sorted by start time, which may overlap."""
+    count = rng.randint(4, max(5, length // timedelta(seconds=1)))
+    choose = _choose_first_kind if version == 1 else _choose_kind
+    plan = []
+    for _ in range(count):
+        at, kind = length * rng.random(), choose(rng)
+        duration = timedelta(seconds=rng.uniform(MIN_DURATION_S, MAX_DURATION_S))
+        plan.append(PlannedFault(at, kind, duration))
+        if version > 1 and kind in CAUSES:
+            plan += [
+                PlannedFault(at, companion, timedelta(seconds=MAX_DURATION_S))
+                for companion in COMPANIONS
+                if rng.random() < COMPANION_SHARE
+            ]
+    return sorted(plan, key=lambda entry: entry.at)
+
+
+def _choose_first_kind(rng: random.Random) -> type[Fault]:
+    return rng.choice(FIRST_KINDS)
+
+
+def _choose_kind(rng: random.Random) -> type[Fault]:
+    if rng.random() < GROUP_SHARE:
+        return rng.choice(GROUP_KINDS)
+    return rng.choice(FIRST_KINDS)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 import orjson
 
 from bulrushloom.runtime.loop import BootClock, Loop
+from soak.plans import CURRENT_VERSION
 from soak.world import Result, World
 
 OUTPUT_FOLDER = Path("build/soak")
@@ -22,7 +23,16 @@
 _SECOND = timedelta(seconds=1)
 
 
-def run_seed(seed: int, seconds: float, daemon_count: int, folder: Path) -> Result:
+class PlannedRun(NamedTuple):
+    """The parameters that determine the plan of a run."""
+
+    seed: int
+    seconds: float
+    instances: int
+    plan: int = CURRENT_VERSION
+
+
+def run_seed(run: PlannedRun, folder: Path) -> Result:
     """Run one seed in this process and return its result.
 
     The daemons are separate processes. Their settings files and logs go to ``folder``,
@@ -35,42 +45,42 @@
     with ExitStack() as stack:
         loop = Loop(BootClock(), errors.append)
         stack.callback(loop.close)
-        world = World(stack, loop, folder, seed, daemon_count)
-        task = loop.spawn(world.run(_SECOND * seconds))
+        world = World(stack, loop, folder, run.seed, run.instances, run.plan)
+        task = loop.spawn(world.run(_SECOND * run.seconds))
         deadline = loop.now() + RUN_TIMEOUT
         while not task.done():
             loop.run_once()
             if loop.now() > deadline:
-                raise TimeoutError(f"seed {seed} did not end within {RUN_TIMEOUT}")
+                raise TimeoutError(f"seed {run.seed} did not end within {RUN_TIMEOUT}")
         result: Result = task.result()
     found = [f"unhandled error in the soak test: {error!r}" for error in errors]
     return result._replace(violations=result.violations + found)
 
 
-class PlannedRun(NamedTuple):
-    """The parameters that determine the plan of a run."""
-
-    seed: int
-    seconds: float
-    instances: int
-
-
 def read_regressions() -> list[PlannedRun]:
     """Return the runs listed in ``regressions.txt``, which failed in the past."""
     found = []
     for line in REGRESSIONS_FILE.read_text().splitlines():
         if line[:1].isdigit():
-            seed, seconds, instances = line.split()[:3]
-            found.append(PlannedRun(int(seed), float(seconds), int(instances)))
+            seed, seconds, instances, plan = line.split()[:4]
+            run = PlannedRun(int(seed), float(seconds), int(instances), int(plan))
+            found.append(run)
     return found
 
 
 class Commands:
     """Run soak tests: real daemons under faults that follow from a seed."""
 
-    def one(self, seed: int, seconds: float = 18.0, instances: int = 6) -> None:
+    def one(
+        self,
+        seed: int,
+        seconds: float = 18.0,
+        instances: int = 6,
+        plan: int = CURRENT_VERSION,
+    ) -> None:
         """Run one seed and print its result as a line of JSON."""
-        result = run_seed(seed, seconds, instances, OUTPUT_FOLDER / str(seed))
+        run = PlannedRun(seed, seconds, instances, plan)
+        result = run_seed(run, OUTPUT_FOLDER / str(seed))
         print(orjson.dumps(result._asdict()).decode())
 
     def many(
@@ -80,13 +90,17 @@
         seconds: float = 18.0,
         instances: int = 6,
         jobs: int = 3,
+        plan: int = CURRENT_VERSION,
     ) -> None:
         """Run ``seeds`` seeds from ``first``; exit with status 1 if any run fails.
 
         With ``first`` 0, the seeds are new ones, derived from the time of day.
         """
         first = first or time.time_ns() % 10**8
-        runs = [PlannedRun(n, seconds, instances) for n in range(first, first + seeds)]
+        runs = [
+            PlannedRun(seed, seconds, instances, plan)
+            for seed in range(first, first + seeds)
+        ]
         self._run_all(runs, jobs)
 
     def again(self, jobs: int = 3) -> None:
@@ -105,9 +119,9 @@
 
 def _run_in_subprocess(run: PlannedRun) -> str:
     """Run one seed in a subprocess and return a line that summarizes its result."""
-    seed, seconds, instances = run
+    seed, seconds, instances, plan = run
     command = [sys.executable, "-m", "soak.run", "one", f"--seed={seed}"]
-    command += [f"--seconds={seconds}", f"--instances={instances}"]
+    command += [f"--seconds={seconds}", f"--instances={instances}", f"--plan={plan}"]
     done = subprocess.run(command, capture_output=True, text=True)
     folder = OUTPUT_FOLDER / str(seed)
     try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,7 +14,8 @@
 from bulrushloom.runtime.loop import Loop, Steps
 from bulrushloom.runtime.streams import TcpNetwork
 from soak.callers import Caller, NoAnswer, SessionClient
-from soak.faults import Fault, make_plan
+from soak.daemon import HOST_PREFIX, write_partition
+from soak.faults import Fault
 from soak.links import FaultLink
 from soak.operators import (
     INITIAL_RATE_PER_S,
@@ -23,6 +24,7 @@
     AccountChecks,
     Operator,
 )
+from soak.plans import CURRENT_VERSION, make_plan
 from standins.platform.group import SimulatedServer
 from standins.platform.host import (
     STOP_GRACE_S,
@@ -67,11 +69,19 @@
     """
 
     def __init__(
-        self, stack: ExitStack, loop: Loop, folder: Path, seed: int, daemon_count: int
+        self,
+        stack: ExitStack,
+        loop: Loop,
+        folder: Path,
+        seed: int,
+        daemon_count: int,
+        plan_version: int = CURRENT_VERSION,
     ):
         self.loop = loop
         self.stack = stack
         self.seed = seed
+        self._folder = folder
+        self._plan_version = plan_version
         self.rng = random.Random(seed)
         self.platform = Platform(stack, loop, folder)
         self.history = History(self.platform.group, STALENESS)
@@ -118,7 +128,13 @@
         self.stack.callback(link.close)
         name = f"{DOMAINS[number % len(DOMAINS)]}-{number}"
         self.store_link_by_daemon[name] = link
-        return self.platform.start(name, address, duties_address=address)
+        return self.platform.start(
+            name,
+            address,
+            f"{HOST_PREFIX}{number + 1}",
+            "soak.daemon",
+            duties_address=address,
+        )
 
     # Events of faults and callers
 
@@ -126,6 +142,10 @@
         """Add violations to the result of the run."""
         self.violations += violations
 
+    def isolate(self, hosts: set[str]) -> None:
+        """Cut the daemons at ``hosts`` off from all other daemons, and no others."""
+        write_partition(self._folder, hosts)
+
     def record_planned_stop(self, daemon: Daemon, since: timedelta) -> None:
         """Record that a daemon was stopped with SIGTERM at ``since``."""
         until = since + _SECOND * (STOP_GRACE_S + 1)
@@ -170,6 +190,9 @@
         )
         recovered = self.loop.now() - ended_at
         self.fault_names.append(f"all served {recovered} after the last fault")
+        self.fault_names += [
+            f"{promotion}" for promotion in self.platform.group.promotions
+        ]
         self.is_over = True
         yield checking
         self.report_violations(self.history.check_transactions())
@@ -206,7 +229,7 @@
     def _run_faults(self, length: timedelta) -> Steps:
         started_at = self.loop.now()
         running: list[Future[Any]] = []
-        for planned in make_plan(self.rng, length):
+        for planned in make_plan(self.rng, length, self._plan_version):
             yield self.loop.sleep(planned.at - (self.loop.now() - started_at))
             if planned.kind.exclusion_tag in self._active_exclusion_tags:
                 continue
@@ -216,8 +239,7 @@
         for future in running:
             yield future
         for daemon in self.daemons:
-            if not daemon.is_running:
-                daemon.launch()
+            daemon.launch_if_stopped()
 
     def _run_fault(self, fault: Fault, duration: timedelta) -> Steps:
         name, started_at = fault.describe(), self.loop.now()
--- a/tests/soak/test_links.py
+++ b/tests/soak/test_links.py
@@ -95,3 +95,27 @@
 def test_reset_ends_both_sides(ends):
     ends.link.reset()
     wait_until(ends.loop, lambda: ends.near.at_eof and ends.far.at_eof)
+
+
+def test_connections_of_a_held_host_are_held(ends):
+    ends.link.held_hosts.add("127.0.0.2")
+    ends.near.write(b"early")
+    wait_until(ends.loop, lambda: ends.far.unread_bytes == 5)
+    ends.link.held_hosts.add("127.0.0.1")
+    ends.near.write(b"late")
+    ends.wait(SECOND * 0.1)
+    assert ends.far.unread_bytes == 5
+    ends.link.heal()
+    wait_until(ends.loop, lambda: ends.far.unread_bytes == 9)
+
+
+def test_connections_of_a_refused_host_are_closed(ends):
+    ends.link.refuse({"127.0.0.2"})
+    ends.wait(SECOND * 0.1)
+    assert not ends.near.at_eof
+    ends.link.refuse({"127.0.0.1"})
+    wait_until(ends.loop, lambda: ends.near.at_eof and ends.far.at_eof)
+    later = wait_for(
+        ends.loop, TcpNetwork(ends.loop).connect(ends.link.address, SECOND)
+    )
+    wait_until(ends.loop, lambda: later.at_eof)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,11 +1,12 @@
 """Short soak runs with real daemons, and the plan of faults."""
 
+import hashlib
 import random
 from datetime import timedelta
 
 import pytest
 
-from soak.faults import KINDS, make_plan
+from soak.plans import KINDS, make_plan
 from soak.run import PlannedRun, read_regressions, run_seed
 
 RUNS = (PlannedRun(11, 8.0, 3), PlannedRun(12, 8.0, 3), *read_regressions())
@@ -13,7 +14,7 @@
 
 @pytest.mark.parametrize("run", RUNS, ids=lambda run: f"seed-{run.seed}")
 def test_seed_breaks_no_promise(run, tmp_path):
-    result = run_seed(run.seed, run.seconds, run.instances, tmp_path)
+    result = run_seed(run, tmp_path)
     assert result.violations == [], result
     assert result.served > 100
 
@@ -23,3 +24,16 @@
     assert make_plan(random.Random(5), length) == make_plan(random.Random(5), length)
     planned = {e.kind for s in range(200) for e in make_plan(random.Random(s), length)}
     assert planned == set(KINDS)
+
+
+def test_plans_of_recorded_seeds_do_not_change():
+    plans = [
+        [(e.at, e.kind.__name__, e.duration) for e in make_plan(rng, length, 1)]
+        for rng, length in (
+            (random.Random(seed), timedelta(seconds=seconds))
+            for seed in range(100)
+            for seconds in (8, 16, 18)
+        )
+    ]
+    digest = hashlib.sha256(repr(plans).encode()).hexdigest()
+    assert digest == "6a8004697851ea01cdc99e0090b66970668aa553fc2c9a933538b3dc5c89c0a3"
