Lose the log of a replica only while no other fault is active

The restart without a log could coincide with the restart of the primary or with a failover. Commits that only these two servers had would then be lost whatever the proxy did, which is what the rule of exclusion is for. Such a restart now waits for no other fault, and none begins until the log is copied.

--- a/soak/failovers.py
+++ b/soak/failovers.py
@@ -56,7 +56,6 @@
     """Restart a server with its log; a pause of its replication ends."""
 
     exclusion_tag = ""
-    keeps_log = True
 
     def run(self, duration: timedelta) -> Steps:
         """Stop the server and start it again shortly after."""
@@ -69,20 +68,29 @@
             return
         platform.crash(server_id)
         yield self.loop.sleep(random_time(self.rng, MIN_RESTART_S, MAX_RESTART_S))
-        platform.restart(server_id, self.keeps_log)
+        platform.restart(server_id)
 
 
-class LoseReplicaLog(RestartServer):
-    """Restart a replica without its log, which it copies from the primary."""
+class LoseReplicaLog(ServerFault):
+    """Restart a replica without its log, which it copies from the primary.
 
-    exclusion_tag = "server"
-    keeps_log = False
+    No other fault begins until it has copied the log, because commits that only the
+    replica and a lost primary had would be lost.
+    """
+
+    is_exclusive = True
 
     def run(self, duration: timedelta) -> Steps:
-        """Restart the server unless it is the primary or cannot copy the log."""
-        primary = self.world.platform.group.primary()
-        if not self.server.is_primary and primary.is_reachable:
-            yield from self.restart(self.server.server_id)
+        """Restart the server, unless it is the primary or another fault is active."""
+        platform, server = self.world.platform, self.server
+        if self.world.has_other_faults() or server is platform.group.primary():
+            return
+        platform.crash(server.server_id)
+        platform.restart(
+            server.server_id, random_time(self.rng, MIN_RESTART_S, MAX_RESTART_S)
+        )
+        while server.is_joining:
+            yield self.loop.sleep(PAUSE_POLL_INTERVAL)
 
 
 class FailoverCompanion(Fault):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,10 +43,12 @@
 
     ``is_planned`` marks operations of operators, during which no answer may be lost.
     Faults with the same non-empty ``exclusion_tag`` do not overlap, because the loss of
-    two servers at the same time may lose commits.
+    two servers at the same time may lose commits. No fault starts during an exclusive
+    one.
     """
 
     is_planned = False
+    is_exclusive = False
     exclusion_tag = ""
 
     def __init__(self, world: "World", rng: random.Random):
--- a/soak/world.py
+++ b/soak/world.py
@@ -91,6 +91,7 @@
         self.link_by_server: dict[str, FaultLink] = {}
         self.store_link_by_daemon: dict[str, FaultLink] = {}
         self._active_exclusion_tags: set[str] = set()
+        self._exclusive_faults = 0
         self._disturbances: list[tuple[timedelta, timedelta]] = []
         self._planned_stops: list[tuple[Daemon, timedelta, timedelta]] = []
         self._unanswered: list[tuple[Daemon, str, timedelta]] = []
@@ -146,6 +147,10 @@
         """Cut the daemons at ``hosts`` off from all other daemons, and no others."""
         write_partition(self._folder, hosts)
 
+    def has_other_faults(self) -> bool:
+        """Return whether an unplanned fault is active besides the one that asks."""
+        return sum(until == timedelta.max for _, until in self._disturbances) > 1
+
     def record_planned_stop(self, daemon: Daemon, since: timedelta) -> None:
         """Record that a daemon was stopped with SIGTERM at ``since``."""
         until = since + _SECOND * (STOP_GRACE_S + 1)
@@ -233,6 +238,8 @@
             yield self.loop.sleep(planned.at - (self.loop.now() - started_at))
             if planned.kind.exclusion_tag in self._active_exclusion_tags:
                 continue
+            if self._exclusive_faults:
+                continue
             fault = planned.kind(self, self.rng)
             steps = self._run_fault(fault, planned.duration)
             running.append(self.loop.spawn(steps))
@@ -245,6 +252,7 @@
         name, started_at = fault.describe(), self.loop.now()
         if fault.exclusion_tag:
             self._active_exclusion_tags.add(fault.exclusion_tag)
+        self._exclusive_faults += fault.is_exclusive
         if not fault.is_planned:
             self._disturbances.append((started_at, timedelta.max))
             index = len(self._disturbances) - 1
@@ -252,6 +260,7 @@
         if not fault.is_planned:
             self._disturbances[index] = (started_at, self.loop.now())
         self._active_exclusion_tags.discard(fault.exclusion_tag)
+        self._exclusive_faults -= fault.is_exclusive
         at = started_at // timedelta(milliseconds=1)
         self.fault_names.append(f"{at} {name} for {self.loop.now() - started_at}")
 
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from contextlib import ExitStack
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import Any
 from urllib.request import urlopen
@@ -107,22 +108,36 @@
         if server_id in self.crashed_ids:
             self.store.item_by_key.pop(f"servers/{server_id}", None)
 
-    def restart(self, server_id: str, keeps_log: bool = True) -> None:
+    def restart(
+        self, server_id: str, copies_log_after: timedelta | None = None
+    ) -> None:
         """Restart a crashed server, as a replica if it was replaced.
 
         It is not paused any more. A replica copies the primary's log once it reaches
-        it. A server that runs already or has left is left as it is.
+        it. With ``copies_log_after`` it has lost its own and starts to copy after that
+        time. A server that runs already or has left is left as it is.
         """
         server = self.group.server_by_id.get(server_id)
         if server is None or server_id not in self.crashed_ids:
             return
         server.is_running = True
-        server.drops_replication = False
-        server.restart(None if keeps_log else 0)
-        self.group.rejoin(server)
+        if copies_log_after is None:
+            server.drops_replication = False
+            server.restart()
+            self.group.rejoin(server)
+        else:
+            # It is not reachable for replication until it copies the log.
+            server.restart(kept_commits=0)
+            server.is_joining = True
+            join = partial(self._join, server)
+            self.loop.call_later(copies_log_after, join)
         self.listen(server)
         self.crashed_ids.discard(server_id)
 
+    def _join(self, server: SimulatedServer) -> None:
+        server.drops_replication = False
+        self.group.rejoin(server)
+
     def configure(self, version: int, **changes: Any) -> None:
         """Write a configuration document to the store, as operators do."""
         self.store.put_json("op/config", build_document(version, **changes))
