--- a/standins/ports.py
+++ b/standins/ports.py
@@ -20,7 +20,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that nothing listens on.
+    """Return ports that nothing listens on at any loopback address.
 
     The ports are below the ephemeral range, from which the system takes the ports of
     outgoing connections. Each process starts its search at a different port, so that
@@ -32,7 +32,7 @@
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
-                sock.bind(("127.0.0.1", port))
+                sock.bind(("", port))
             except OSError:
                 continue
         ports.append(port)
