Keep writes under way at the daemon that the soak isolates

A loss needs a commit that waits for a replica at that moment, and few of the callers use the isolated daemon.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -74,9 +74,21 @@
 
 
 class Caller:
-    """A caller that opens one session after another at random instances."""
-
-    def __init__(self, world: "World", name: str, account: str, think_time_s: float):
+    """A caller that opens one session after another at random instances.
+
+    With ``daemon``, it uses this instance only.
+    """
+
+    def __init__(
+        self,
+        world: "World",
+        name: str,
+        account: str,
+        think_time_s: float,
+        daemon: Daemon | None = None,
+    ):
+        self._daemon = daemon
+        self._has_stopped = False
         self._world = world
         self._loop = world.loop
         self._name = name
@@ -88,15 +100,22 @@
         self.failed = 0
 
     def run(self) -> Steps:
-        """Open sessions until the run is over."""
-        while not self._world.is_over:
-            daemon = self._random.choice(self._world.daemons)
+        """Open sessions until the caller is stopped or the run is over."""
+        while not self._is_done():
+            daemon = self._daemon or self._random.choice(self._world.daemons)
             try:
                 yield from self._session(daemon)
             except (NoAnswer, OSError):
                 self.failed += 1
             yield self._loop.sleep(MAX_RETRY_DELAY * self._random.random())
 
+    def stop(self) -> None:
+        """Stop after the current operation."""
+        self._has_stopped = True
+
+    def _is_done(self) -> bool:
+        return self._has_stopped or self._world.is_over
+
     def _session(self, daemon: Daemon) -> Steps:
         self._session_count += 1
         key = self._random.choice(self._world.operator.keys_for(self._account))
@@ -110,7 +129,7 @@
             client = SessionClient(self._world, stream)
             yield from client.request(f"START {database} {key}")
             for _ in range(self._random.randint(1, MAX_OPERATIONS)):
-                if self._world.is_over:
+                if self._is_done():
                     return
                 yield from self._operation(daemon, client, record)
                 pause = self._random.expovariate(1 / self._think_time_s)
--- a/soak/failovers.py
+++ b/soak/failovers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bulrushloom.runtime.loop import Steps
+from soak.callers import Caller
 from soak.faults import (
     POLL_INTERVAL,
     RESTART_DELAY,
@@ -27,6 +28,9 @@
 # A daemon is isolated for longer than this, the time until the primary is replaced.
 MIN_ISOLATION = timedelta(seconds=2)
 MAX_CUT_STEP_S = 0.1
+# Callers that have a write under way at an isolated daemon most of the time.
+ISOLATED_CALLERS = 4
+CALLER_THINK_TIME_S = 0.01
 PAUSE_POLL_INTERVAL = timedelta(milliseconds=5)
 
 
@@ -182,7 +186,15 @@
         for cut in cuts:
             cut()
             yield self.loop.sleep(random_time(self.rng, 0, MAX_CUT_STEP_S))
+        callers = [
+            Caller(world, f"i{number}", "hotel", CALLER_THINK_TIME_S, self.daemon)
+            for number in world.take_caller_numbers(ISOLATED_CALLERS)
+        ]
+        for caller in callers:
+            self.loop.spawn(caller.run())
         yield self.loop.sleep(MIN_ISOLATION + duration)
+        for caller in callers:
+            caller.stop()
         world.isolate(set())
         primary_link.heal()
         store_link.heal()
--- a/soak/world.py
+++ b/soak/world.py
@@ -100,6 +100,7 @@
             self.platform.group, self.history, self.operator
         )
         self._probe_numbers = itertools.count(1)
+        self._caller_numbers = itertools.count(1)
         for server_id in list(self.platform.group.server_by_id):
             self._link_server(server_id)
         self.operator.change_limit(INITIAL_RATE_PER_S)
@@ -147,6 +148,10 @@
         """Cut the daemons at ``hosts`` off from all other daemons, and no others."""
         write_partition(self._folder, hosts)
 
+    def take_caller_numbers(self, count: int) -> list[int]:
+        """Return unused numbers for the names of callers that a fault starts."""
+        return list(itertools.islice(self._caller_numbers, count))
+
     def has_other_faults(self) -> bool:
         """Return whether an unplanned fault is active besides the one that asks."""
         return sum(until == timedelta.max for _, until in self._disturbances) > 1
