--- a/soak/world.py
+++ b/soak/world.py
@@ -200,9 +200,7 @@
         )
         recovered = self.loop.now() - ended_at
         self.fault_names.append(f"all served {recovered} after the last fault")
-        self.fault_names += [
-            f"{promotion}" for promotion in self.platform.group.promotions
-        ]
+        self._record_promotions()
         self.is_over = True
         yield checking
         self.report_violations(self.history.check_transactions())
@@ -219,6 +217,16 @@
             len(self.platform.group.runs),
         )
 
+    def _record_promotions(self) -> None:
+        """Add the promotions, and the commits that they rolled back, to the result."""
+        group = self.platform.group
+        self.fault_names += [str(promotion) for promotion in group.promotions]
+        kept = set(group.primary().log)
+        rolled_back = sum(commit not in kept for commit, _ in group.acknowledged)
+        self.fault_names.append(
+            f"{rolled_back} commits that a replica had received were rolled back"
+        )
+
     def _start_callers(self) -> list[Caller]:
         callers = [
             Caller(self, f"c{number}", "hotel", DEFAULT_THINK_TIME_S)
