--- a/soak/world.py
+++ b/soak/world.py
@@ -52,11 +52,17 @@
 
 
 class Result(NamedTuple):
-    """The result of a run."""
+    """The result of a run.
+
+    ``rolled_back`` is the number of commits that a replica had received and that a
+    promotion rolled back. Their callers may have been told that the outcome is unknown.
+    """
 
     seed: int
     violations: list[str]
     faults: list[str]
+    promotions: list[str]
+    rolled_back: int
     served: int
     failed: int
     runs: int
@@ -200,7 +206,6 @@
         )
         recovered = self.loop.now() - ended_at
         self.fault_names.append(f"all served {recovered} after the last fault")
-        self._record_promotions()
         self.is_over = True
         yield checking
         self.report_violations(self.history.check_transactions())
@@ -212,20 +217,17 @@
             self.seed,
             self.violations,
             self.fault_names,
+            [str(promotion) for promotion in self.platform.group.promotions],
+            self._count_rolled_back(),
             sum(caller.served for caller in callers),
             sum(caller.failed for caller in callers),
             len(self.platform.group.runs),
         )
 
-    def _record_promotions(self) -> None:
-        """Add the promotions, and the commits that they rolled back, to the result."""
+    def _count_rolled_back(self) -> int:
         group = self.platform.group
-        self.fault_names += [str(promotion) for promotion in group.promotions]
         kept = set(group.primary().log)
-        rolled_back = sum(commit not in kept for commit, _ in group.acknowledged)
-        self.fault_names.append(
-            f"{rolled_back} commits that a replica had received were rolled back"
-        )
+        return sum(commit not in kept for commit, _ in group.acknowledged)
 
     def _start_callers(self) -> list[Caller]:
         callers = [
