--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -114,3 +114,26 @@
     assert len(history.check_acknowledged_commits()) == 1
     group.primary().log.append(Commit(1, 1, (request_id,)))
     assert history.check_acknowledged_commits() == []
+
+
+def test_acknowledged_transaction_that_is_lost_is_found(history, caller):
+    answers = (("BEGIN", "DONE -", "T"), ("WRITE 1 data", "DONE signed-{}", "T"))
+    for text, answer, state in answers:
+        request_id = history.send(caller, text, SECOND)
+        lines = [answer.format(request_id), f"READY {state} 1.0"]
+        assert history.answer(request_id, lines, SECOND) == []
+    assert history.check_acknowledged_commits() == []
+    commit_id = history.send(caller, "COMMIT", SECOND)
+    history.answer(commit_id, [f"DONE signed-{commit_id}", "READY I 1.1"], SECOND)
+    assert history.check_acknowledged_commits() == [
+        f"{request_id} was acknowledged but is lost"
+    ]
+
+
+def test_write_with_an_unknown_outcome_may_be_lost(group, history, caller):
+    # The server may acknowledge a commit after the caller was told of a timeout.
+    request_id = history.send(caller, "WRITE 1 data", SECOND)
+    history.answer(request_id, ["ERR TIMEOUT late", "READY I -"], SECOND)
+    group.acknowledged.append((Commit(1, 1, (request_id,)), SECOND))
+    history.send(caller, "WRITE 1 data", SECOND)
+    assert history.check_acknowledged_commits() == []
