Say in a violation of freshness whether a caller was told of the commit

A replica that restarts acknowledges commits whose callers were told before that the outcome is not known. Reads without them are still violations, since the platform calls a commit acknowledged once a replica has received it, but they have another cause than reads without a commit that a caller was told of.

--- a/standins/platform/promises.py
+++ b/standins/platform/promises.py
@@ -161,11 +161,20 @@
             if not is_own and acknowledged_at >= bound:
                 continue
             if commit in self._group.primary().log:
+                was_told = any(map(self._was_acknowledged, commit.request_ids))
                 yield (
                     f"{run.request_id} read {run.server} at {run.position} without "
                     f"{commit}, acknowledged {first - acknowledged_at} earlier"
+                    f"{'' if was_told else ', of which its caller was not told'}"
                 )
 
+    def _was_acknowledged(self, request_id: str) -> bool:
+        """Return whether the caller of a write was told that it is committed."""
+        sent = self.sent_by_id.get(request_id)
+        return sent is not None and (
+            request_id in sent.caller.acknowledged_at_by_request
+        )
+
     def check_transactions(self) -> list[str]:
         """Check that each transaction runs on one connection, apart from others."""
         request_ids_by_transaction: dict[int, set[str]] = {}
@@ -219,7 +228,7 @@
             is_write = sent.keyword == "WRITE" or (
                 sent.keyword == "EXEC" and sent.caller.shapes["s"][0] == "WRITE"
             )
-            was_acknowledged = request_id in sent.caller.acknowledged_at_by_request
+            was_acknowledged = self._was_acknowledged(request_id)
             is_kept = request_id in kept
             if is_write and was_acknowledged and sent.code == "OK" and not is_kept:
                 violations.append(f"{request_id} was acknowledged but is lost")
