Look for ports that are unused by UDP as well

Its log has "Address already in use" at the socket for datagrams: ports were checked for TCP only, and a daemon of another test worker used the port for datagrams.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -20,7 +20,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on at any loopback address.
+    """Return ports that are unused by TCP and by UDP at all loopback addresses.
 
     The ports are below the ephemeral range, from which the system takes the ports of
     outgoing connections. Each process starts its search at a different port, so that
@@ -29,11 +29,17 @@
     ports: list[int] = []
     while len(ports) < count:
         port = next(_CANDIDATE_PORTS)
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind(("", port))
-            except OSError:
-                continue
-        ports.append(port)
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
+            ports.append(port)
     return ports
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(type=kind) as sock:
+        if kind is socket.SOCK_STREAM:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("", port))
+        except OSError:
+            return False
+    return True
