--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -28,6 +28,8 @@
 
     ``prepared`` is set if the statement executes a prepared one. ``session_position``
     is the log position of the session's latest write, or ``Missing`` before the first.
+    The operation waited ``admission_wait`` for its admission, which began under the
+    configuration ``admitted_version``.
     """
 
     statement: Statement
@@ -36,6 +38,8 @@
     account: str
     started_at: timedelta
     session_position: LogPosition | Missing
+    admitted_version: int
+    admission_wait: timedelta
 
     @property
     def deadline(self) -> timedelta:
--- a/bulrushloom/proxy/configuration.py
+++ b/bulrushloom/proxy/configuration.py
@@ -82,6 +82,40 @@
 EMPTY_CONFIGURATION = Configuration(0, 0, {}, {}, {}, {}, timedelta(seconds=3))
 
 
+class ConfigurationChange(NamedTuple):
+    """Numbers of the differences between two configurations, for the log.
+
+    ``keys_withdrawn`` no account holds any more, ``keys_moved`` another account holds.
+    """
+
+    keys_added: int
+    keys_withdrawn: int
+    keys_moved: int
+    routes_added: int
+    routes_removed: int
+    routes_changed: int
+
+
+def changes_between(old: Configuration, new: Configuration) -> ConfigurationChange:
+    """Return how ``new`` differs from ``old`` in its keys and routes."""
+    old_holders, new_holders = old.account_by_key, new.account_by_key
+    old_routes, new_routes = old.route_by_database, new.route_by_database
+    return ConfigurationChange(
+        keys_added=len(new_holders.keys() - old_holders.keys()),
+        keys_withdrawn=len(old_holders.keys() - new_holders.keys()),
+        keys_moved=sum(
+            old_holders[key].name != new_holders[key].name
+            for key in old_holders.keys() & new_holders.keys()
+        ),
+        routes_added=len(new_routes.keys() - old_routes.keys()),
+        routes_removed=len(old_routes.keys() - new_routes.keys()),
+        routes_changed=sum(
+            old_routes[name] != new_routes[name]
+            for name in old_routes.keys() & new_routes.keys()
+        ),
+    )
+
+
 class Target(NamedTuple):
     """A database server as described by its entry in the store.
 
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -325,6 +325,7 @@
             yield from self._run_in_transaction(message, prepared, writes)
             return
         started_at = self._loop.now()
+        admitted_version = self._services.configuration.version
         route = self._services.configuration.route_by_database.get(self._database)
         failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
         if route is not None:
@@ -340,6 +341,8 @@
             self._admission.account_name(),
             started_at,
             self._position,
+            admitted_version,
+            self._loop.now() - started_at,
         )
         if writes:
             outcome = yield from self._runner.write(attempt)
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.proxy.configuration import Configuration
+from bulrushloom.proxy.configuration import Configuration, changes_between
 from bulrushloom.proxy.exchange.directory import decode_directory, make_directory
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.keys import (
@@ -258,7 +258,7 @@
         services = self._services
         if configuration.revision <= services.configuration.revision:
             return
-        services.configuration = configuration
+        previous, services.configuration = services.configuration, configuration
         self._log.write(
             "configuration_in_force",
             version=configuration.version,
@@ -266,6 +266,7 @@
             routes=len(configuration.route_by_database),
             accounts=len(configuration.account_by_name),
             source=source,
+            **changes_between(previous, configuration)._asdict(),
         )
 
     def _record_read_result(self, failure: StoreFailure | None) -> None:
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -102,6 +102,8 @@
             self.account,
             self._loop.now(),
             self._session_position,
+            self._services.configuration.version,
+            _ZERO,
         )
 
     def _send(self, attempt: Attempt, connection: ServerConnection) -> Steps:
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -115,9 +115,10 @@
 
 
 class SimulatedInstance:
-    """Sessions of one instance in front of a simulated group of three servers.
+    """Sessions of one instance in front of simulated groups of servers.
 
-    While ``store_is_reachable`` is false, simulated reads of the store fail;
+    ``group`` is the one of ``SERVICE`` and has three servers. While
+    ``store_is_reachable`` is false, simulated reads of the store fail;
     ``store_read_at`` is the time of the last one that succeeded.
     """
 
@@ -132,14 +133,21 @@
         self.network = MemoryNetwork(self.loop)
         self.services = Services(self.loop, self.network, SETTINGS, self.log, Metrics())
         self.services.configuration = build_configuration(**configuration_changes)
-        self.group = SimulatedGroup(self.loop, SERVICE)
+        self.groups: list[SimulatedGroup] = []
         self.store_is_reachable = True
         self.store_read_at = NEVER
-        for number, target_id in enumerate(("a", "b", "c")):
-            server = self.group.add(target_id, f"{target_id}:1", number == 0)
+        self.group = self.add_group(SERVICE, ("a", "b", "c"))
+        self.run(ms(6000))
+
+    def add_group(self, service: str, target_ids: tuple[str, ...]) -> SimulatedGroup:
+        """Add a service; the first of its servers is the primary."""
+        group = SimulatedGroup(self.loop, service)
+        self.groups.append(group)
+        for number, target_id in enumerate(target_ids):
+            server = group.add(target_id, f"{target_id}:1", number == 0)
             self.network.accept_by_address[server.address] = server.accept
         self.refresh()
-        self.run(ms(6000))
+        return group
 
     def _on_task_error(self, error: BaseException) -> None:
         self.errors.append(error)
@@ -152,9 +160,12 @@
         self.store_read_at = now
         targets = {
             server.server_id: build_target(
-                server.server_id, claims_primary=server.is_primary
+                server.server_id,
+                service=group.service,
+                claims_primary=server.is_primary,
             )
-            for server in self.group.server_by_id.values()
+            for group in self.groups
+            for server in group.server_by_id.values()
         }
         self.services.store_freshness.record_read(now)
         self.services.update_targets(targets, now)
