Admit an operation with one grant of its account and route

Admission.admit found the account of the key, then waited for a rate token, and the session looked the key up again after it. If the key had been withdrawn during the wait, the second lookup found nothing, and "" stood both for this and for a caller without a key on a public route.

The admission now returns a Grant with the route and the account, which an operation keeps to its end. It is decided after each wait for a token, from the configuration of that moment, so the token is taken for the account that the statement runs for. Only a public route gives a grant without an account.

--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -1,6 +1,7 @@
 """Admission of operations: checks of the route, the API key and the account's rate."""
 
 from datetime import timedelta
+from typing import NamedTuple
 
 from bulrushloom.proxy.configuration import Account, Route
 from bulrushloom.proxy.messages import AnswerCode, Failure
@@ -13,9 +14,31 @@
 TOKEN_WAIT_FRACTION = 0.2
 # Timeout of the read of the store before an unknown key or database is refused.
 LOOKUP_TIMEOUT = timedelta(milliseconds=600)
+# Name that servers are told if a caller on a public route has no account.
+ANONYMOUS = ""
 _ZERO = timedelta()
 
 
+class Grant(NamedTuple):
+    """Permission of one operation: its route and account, from one configuration.
+
+    An operation uses its grant from the admission to the answer, so that all its parts
+    follow the same configuration. ``account`` is ``None`` if the caller has none, which
+    only public routes allow. ``arrival_version`` is the version of the configuration
+    at which the operation arrived; it then waited ``wait`` for its rate token.
+    """
+
+    route: Route
+    account: Account | None
+    arrival_version: int
+    wait: timedelta = _ZERO
+
+    @property
+    def account_name(self) -> str:
+        """Return the name that servers are told."""
+        return ANONYMOUS if self.account is None else self.account.name
+
+
 class Admission:
     """Admission checks of one session's operations.
 
@@ -48,40 +71,44 @@
 
     def refusal(self) -> Failure | None:
         """Return why the session may not run operations now, or ``None``."""
-        configuration = self._services.configuration
-        route = configuration.route_by_database.get(self._database)
-        if route is None:
-            return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
-        if route.is_public:
+        decided = self._decide()
+        if isinstance(decided, Failure):
+            return decided
+        if decided.route.is_public:
             return None
-        if self._key not in configuration.account_by_key:
-            return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
         if not self._services.store_freshness.allows_keys(self._loop.now()):
             reason = "keys cannot be checked: the store has not answered lately"
             return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
         return None
 
-    def refusal_in_transaction(self, account_name: str) -> Failure | None:
-        """Return why a transaction of the account may not continue, or ``None``.
+    def _decide(self) -> Grant | Failure:
+        """Return the grant of an operation by the current configuration."""
+        configuration = self._services.configuration
+        route = configuration.route_by_database.get(self._database)
+        if route is None:
+            return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
+        account = configuration.account_by_key.get(self._key)
+        if account is None and not route.is_public:
+            return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
+        return Grant(route, account, configuration.version)
+
+    def refusal_in_transaction(self, grant: Grant) -> Failure | None:
+        """Return why a transaction may not continue, or ``None``.
 
         Its connection belongs to the account that held the key at its begin.
         """
         refusal = self.refusal()
-        if refusal is None and account_name != self.account_name():
+        if refusal is not None:
+            return refusal
+        decided = self._decide()
+        if isinstance(decided, Failure):
+            return decided
+        if decided.account_name != grant.account_name:
             return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
-        return refusal
-
-    def account_name(self) -> str:
-        """Return the name of the key's account, or an empty string."""
-        account = self.account()
-        return account.name if account is not None else ""
-
-    def account(self) -> Account | None:
-        """Return the account of the key; ``None`` on public routes without a key."""
-        return self._services.configuration.account_by_key.get(self._key)
+        return None
 
-    def admit(self, route: Route, begins_transaction: bool = False) -> Steps:
-        """Wait for a rate token; return why an operation may not start, or ``None``."""
+    def admit(self, begins_transaction: bool = False) -> Steps:
+        """Wait for a rate token; return a ``Grant``, or a ``Failure`` if refused."""
         plan = self._services.stop_plan
         if plan is not None and plan.refuses(self._loop.now(), begins_transaction):
             return REFUSED_BY_STOP
@@ -91,19 +118,37 @@
             failure = self.refusal()
         if failure is not None:
             return failure
-        account = self.account()
-        if account is None:
-            return None
-        limiter, now = self._services.limiter, self._loop.now()
-        limiter.record_demand(account, now)
-        deadline = now + route.latency_objective * TOKEN_WAIT_FRACTION
+        return (yield from self._take_token())
+
+    def _take_token(self) -> Steps:
+        """Wait for a rate token of the key's account; return a grant or a failure.
+
+        The configuration may change during the wait, so each token is taken for the
+        account that holds the key at that moment.
+        """
+        limiter = self._services.limiter
+        started_at = self._loop.now()
+        arrival_version = self._services.configuration.version
+        counted_account = ""
         while True:
-            wait = limiter.try_admit(account, now)
-            if wait <= _ZERO:
-                return None
-            if now + wait > deadline:
+            decided, now = self._decide(), self._loop.now()
+            if isinstance(decided, Failure):
+                return decided
+            grant = decided._replace(
+                arrival_version=arrival_version, wait=now - started_at
+            )
+            account = grant.account
+            if account is None:
+                return grant
+            if account.name != counted_account:
+                limiter.record_demand(account, now)
+                counted_account = account.name
+            token_wait = limiter.try_admit(account, now)
+            if token_wait <= _ZERO:
+                return grant
+            longest_wait = grant.route.latency_objective * TOKEN_WAIT_FRACTION
+            if grant.wait + token_wait > longest_wait:
                 self._services.metrics.count("rate_limited", account.name)
                 reason = limiter.describe_refusal(account, now)
-                return Failure(AnswerCode.NOT_RUN, reason, wait)
-            yield self._loop.sleep(wait)
-            now = self._loop.now()
+                return Failure(AnswerCode.NOT_RUN, reason, token_wait)
+            yield self._loop.sleep(token_wait)
--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.admission import Grant
 from bulrushloom.proxy.configuration import Route, Target
 from bulrushloom.proxy.messages import (
     AnswerCode,
@@ -28,18 +29,23 @@
 
     ``prepared`` is set if the statement executes a prepared one. ``session_position``
     is the log position of the session's latest write, or ``Missing`` before the first.
-    The operation waited ``admission_wait`` for its admission, which began under the
-    configuration ``admitted_version``.
     """
 
     statement: Statement
     prepared: PreparedStatement | None
-    route: Route
-    account: str
+    grant: Grant
     started_at: timedelta
     session_position: LogPosition | Missing
-    admitted_version: int
-    admission_wait: timedelta
+
+    @property
+    def route(self) -> Route:
+        """Return the route that the statement was admitted with."""
+        return self.grant.route
+
+    @property
+    def account(self) -> str:
+        """Return the name of the account that the server is told."""
+        return self.grant.account_name
 
     @property
     def deadline(self) -> timedelta:
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -272,20 +272,14 @@
             reason = "a transaction is open already"
             self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
             return
-        route = self._services.configuration.route_by_database.get(self._database)
-        failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
-        if route is not None:
-            failure = yield from self._admission.admit(route, begins_transaction=True)
-        if failure is not None or route is None:
-            assert failure is not None
-            self._log_failure(message, failure)
-            self._answer_failure(failure)
+        grant = yield from self._admission.admit(begins_transaction=True)
+        if isinstance(grant, Failure):
+            self._answer(message, Outcome(grant, None))
             return
         self._transaction = Transaction(
             self._services,
             self._runner,
-            route,
-            self._admission.account_name(),
+            grant,
             message.kind is StatementKind.BEGIN_READ_ONLY,
             self._position,
         )
@@ -302,7 +296,7 @@
             transaction.roll_back()
             self._answer_locally()
             return
-        refusal = self._admission.refusal_in_transaction(transaction.account)
+        refusal = self._admission.refusal_in_transaction(transaction.grant)
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
@@ -325,25 +319,11 @@
             yield from self._run_in_transaction(message, prepared, writes)
             return
         started_at = self._loop.now()
-        admitted_version = self._services.configuration.version
-        route = self._services.configuration.route_by_database.get(self._database)
-        failure: Failure | None = Failure(AnswerCode.UNKNOWN_DATABASE, "no such route")
-        if route is not None:
-            failure = yield from self._admission.admit(route)
-        if failure is not None or route is None:
-            assert failure is not None
-            self._answer(message, Outcome(failure, None))
+        grant = yield from self._admission.admit()
+        if isinstance(grant, Failure):
+            self._answer(message, Outcome(grant, None))
             return
-        attempt = Attempt(
-            message,
-            prepared,
-            route,
-            self._admission.account_name(),
-            started_at,
-            self._position,
-            admitted_version,
-            self._loop.now() - started_at,
-        )
+        attempt = Attempt(message, prepared, grant, started_at, self._position)
         if writes:
             outcome = yield from self._runner.write(attempt)
         else:
@@ -359,7 +339,7 @@
     ) -> Steps:
         transaction = self._transaction
         assert transaction is not None
-        refusal = self._admission.refusal_in_transaction(transaction.account)
+        refusal = self._admission.refusal_in_transaction(transaction.grant)
         if refusal is not None:
             transaction.fail(refusal.reason)
             outcome = Outcome(refusal, None)
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -5,8 +5,9 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.admission import Grant
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
-from bulrushloom.proxy.configuration import Consistency, Route, Target
+from bulrushloom.proxy.configuration import Consistency, Target
 from bulrushloom.proxy.connections import (
     ConnectionLost,
     ConnectionRejected,
@@ -47,16 +48,15 @@
         self,
         services: Services,
         runner: StatementRunner,
-        route: Route,
-        account: str,
+        grant: Grant,
         is_read_only: bool,
         session_position: LogPosition | Missing,
     ):
         self._services = services
         self._loop = services.loop
         self._runner = runner
-        self._route = route
-        self.account = account
+        self.grant = grant
+        self._route = grant.route
         self._is_read_only = is_read_only
         self._session_position = session_position
         self._connection: ServerConnection | None = None
@@ -98,12 +98,9 @@
         return Attempt(
             statement,
             prepared,
-            self._route,
-            self.account,
+            self.grant,
             self._loop.now(),
             self._session_position,
-            self._services.configuration.version,
-            _ZERO,
         )
 
     def _send(self, attempt: Attempt, connection: ServerConnection) -> Steps:
@@ -194,7 +191,7 @@
     ) -> Steps:
         timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         connection = yield from self._runner.acquire_connection(
-            target, self.account, self._route.priority, timeout
+            target, attempt.account, self._route.priority, timeout
         )
         answer = None
         try:
