Count an operation whose wait for a token rounds to zero

AccountLimiter.try_admit returns zero for an admission and a wait otherwise. A wait of less than half a microsecond was rounded to zero, so the caller went on with an operation that had taken no token and that no limit counted.

--- a/bulrushloom/proxy/limits.py
+++ b/bulrushloom/proxy/limits.py
@@ -362,9 +362,9 @@
         admit_rate_per_s = headroom.admit_rate_per_s
         if admit_rate_per_s <= 0.0:
             return self.window.length / 5
-        return min(
-            _SECOND * ((1.0 - state.tokens) / admit_rate_per_s), self.window.length
-        )
+        wait = _SECOND * ((1.0 - state.tokens) / admit_rate_per_s)
+        # A wait that rounds to zero must not look like an admission.
+        return min(max(wait, timedelta.resolution), self.window.length)
 
     def _state(self, account: Account, now: timedelta) -> _AccountState:
         state = self._state_by_account.get(account.name)
--- a/tests/proxy/test_limits.py
+++ b/tests/proxy/test_limits.py
@@ -425,3 +425,15 @@
     for _ in range(100):
         fleet.step(account, [3, 2, 2, 2])
     assert fleet.max_admitted_in_window() <= upper_bound(account)
+
+
+def test_operation_that_waits_for_less_than_a_microsecond_is_counted():
+    # Guards against an operation that is admitted without a token.
+    account = build_account("hotel", rate_per_s=20.0, burst=1.0)
+    limiter = AccountLimiter(WINDOW, LONG_AGO)
+    now, admitted = timedelta(), 0
+    while admitted < 50:
+        wait = limiter.try_admit(account, now)
+        admitted += wait <= timedelta()
+        assert limiter.own_usage(now).get("hotel", NO_USAGE).admitted == admitted
+        now += wait
