Decide again on a grant before each statement is sent

After its admission a statement waits for a primary, a connection, between tries or for a hedged copy, up to the timeout of its route.

Dispatcher.send asks the session's admission directly before the first byte, and a transaction asks it before its begin. A single statement whose grant has ended was not sent, or was refused as not run, so it is admitted again: it runs for the new holder of the key, with a token of that account, or at the new service, or is refused. A transaction fails; it keeps its route, because a change to a route applies from the next transaction onward. Changes that concern neither the account nor the destination end no wait and take no second token.

--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -23,15 +23,18 @@
     """Permission of one operation: its route and account, from one configuration.
 
     An operation uses its grant from the admission to the answer, so that all its parts
-    follow the same configuration. ``account`` is ``None`` if the caller has none, which
-    only public routes allow. ``arrival_version`` is the version of the configuration
-    at which the operation arrived; it then waited ``wait`` for its rate token.
+    follow the same configuration, the one with ``revision``. ``account`` is ``None`` if
+    the caller has none, which only public routes allow. ``arrival_version`` is the
+    version of the configuration at which the operation arrived; it then waited ``wait``
+    for its rate token. An open transaction keeps its route if ``keeps_route``.
     """
 
     route: Route
     account: Account | None
+    revision: int
     arrival_version: int
     wait: timedelta = _ZERO
+    keeps_route: bool = False
 
     @property
     def account_name(self) -> str:
@@ -90,23 +93,34 @@
         account = configuration.account_by_key.get(self._key)
         if account is None and not route.is_public:
             return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
-        return Grant(route, account, configuration.version)
+        return Grant(route, account, configuration.revision, configuration.version)
 
-    def refusal_in_transaction(self, grant: Grant) -> Failure | None:
-        """Return why a transaction may not continue, or ``None``.
+    def refusal_of(self, grant: Grant) -> Failure | None:
+        """Return why a statement of a granted operation may not be sent, or ``None``.
 
-        Its connection belongs to the account that held the key at its begin.
+        Asked directly before each statement is sent, because the configuration may have
+        changed since the grant. Only changes of the account and of the destination end
+        a grant. The age of the last read of the store does not: the bound for withdrawn
+        keys counts from the arrival of a statement.
         """
-        refusal = self.refusal()
-        if refusal is not None:
-            return refusal
+        if grant.revision == self._services.configuration.revision:
+            return None
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
         if decided.account_name != grant.account_name:
             return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
+        if not grant.keeps_route and not decided.route.leads_like(grant.route):
+            return Failure(AnswerCode.ABORTED, "the route leads elsewhere now")
         return None
 
+    def refusal_in_transaction(self, grant: Grant) -> Failure | None:
+        """Return why a transaction may not continue with a new statement, or ``None``.
+
+        Its connection belongs to the account that held the key at its begin.
+        """
+        return self.refusal() or self.refusal_of(grant)
+
     def admit(self, begins_transaction: bool = False) -> Steps:
         """Wait for a rate token; return a ``Grant``, or a ``Failure`` if refused."""
         plan = self._services.stop_plan
@@ -118,6 +132,24 @@
             failure = self.refusal()
         if failure is not None:
             return failure
+        granted = yield from self._take_token()
+        if isinstance(granted, Failure):
+            return granted
+        return granted._replace(keeps_route=begins_transaction)
+
+    def renew(self, grant: Grant) -> Steps:
+        """Admit a statement again that was not sent under ``grant``.
+
+        Returns a ``Grant`` by the current configuration, or a ``Failure``. Takes a rate
+        token only if the key belongs to another account now.
+        """
+        decided = self._decide()
+        if isinstance(decided, Failure):
+            return decided
+        if decided.account_name == grant.account_name:
+            return decided._replace(
+                arrival_version=grant.arrival_version, wait=grant.wait
+            )
         return (yield from self._take_token())
 
     def _take_token(self) -> Steps:
--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -92,6 +92,15 @@
         self.retry_delay = retry_delay
 
 
+class GrantEnded(Exception):
+    """The configuration no longer permits a statement, which was not sent."""
+
+    def __init__(self, target: Target, failure: Failure):
+        super().__init__(failure.reason)
+        self.target = target
+        self.failure = failure
+
+
 class AnswerLost(Exception):
     """The statement was sent to a target, and no answer arrived.
 
--- a/bulrushloom/proxy/configuration.py
+++ b/bulrushloom/proxy/configuration.py
@@ -39,6 +39,14 @@
     priority: int
     is_public: bool
 
+    def leads_like(self, other: "Route") -> bool:
+        """Return whether both routes allow the same targets for each statement."""
+        return (self.service, self.consistency, self.max_staleness) == (
+            other.service,
+            other.consistency,
+            other.max_staleness,
+        )
+
 
 class Service(NamedTuple):
     """A replicated group of targets.
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -10,7 +10,8 @@
 import xxhash
 
 from bulrushloom.platform import wire
-from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered
+from bulrushloom.proxy.admission import Admission
+from bulrushloom.proxy.attempts import AnswerLost, Attempt, GrantEnded, NotOffered
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.connections import (
     ConnectionLost,
@@ -44,12 +45,16 @@
 class Dispatcher:
     """Sender of the statements of one session.
 
-    ``values`` holds the session values, which the client sets with ``SET``.
+    ``admission`` decides what the session may send. ``values`` holds the session
+    values, which the client sets with ``SET``.
     """
 
-    def __init__(self, services: Services, values: dict[bytes, bytes]):
+    def __init__(
+        self, services: Services, admission: Admission, values: dict[bytes, bytes]
+    ):
         self._services = services
         self._loop = services.loop
+        self._admission = admission
         self._values = values
 
     def acquire_connection(
@@ -134,6 +139,12 @@
         if not self._services.is_current_primary(target):
             raise NotOffered(target, PRIMARY_REPLACED)
 
+    def require_grant(self, target: Target, attempt: Attempt) -> None:
+        """Raise ``GrantEnded`` if the configuration no longer permits the statement."""
+        failure = self._admission.refusal_of(attempt.grant)
+        if failure is not None:
+            raise GrantEnded(target, failure)
+
     def send(
         self,
         connection: ServerConnection,
@@ -141,10 +152,13 @@
         after: LogPosition | None,
         cutoff: "Future[None] | None" = None,
     ) -> Steps:
-        """Send the statement and return the answer; raise ``AnswerLost``.
+        """Send the statement and return the answer.
 
         The wait for the answer ends at the latest when ``cutoff`` is done.
+
+        Raise ``GrantEnded`` before the statement is sent, or ``AnswerLost``.
         """
+        self.require_grant(connection.target, attempt)
         text = statement_text(attempt.statement, attempt.prepared)
         sent_at = self._loop.now()
         answer_future = connection.query(attempt.statement.request_id, text, after)
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -5,9 +5,11 @@
 
 from bulrushloom.coordination.retries.backoff import Backoff
 from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.admission import Admission
 from bulrushloom.proxy.attempts import (
     AnswerLost,
     Attempt,
+    GrantEnded,
     HedgedRead,
     NotOffered,
     Outcome,
@@ -51,11 +53,14 @@
 class StatementRunner(Dispatcher):
     """Runner of one session's statements: chooses targets, hedges reads and retries.
 
-    ``values`` holds the session values, which the client sets with ``SET``.
+    Both ``read`` and ``write`` raise ``GrantEnded`` if the configuration no longer
+    permits the statement, and nothing that was sent may have taken effect.
     """
 
-    def __init__(self, services: Services, values: dict[bytes, bytes]):
-        super().__init__(services, values)
+    def __init__(
+        self, services: Services, admission: Admission, values: dict[bytes, bytes]
+    ):
+        super().__init__(services, admission, values)
         self._backoff = Backoff(
             services.random, BUSY_RETRY_DELAY * 2, MAX_BUSY_RETRY_DELAY
         )
@@ -83,7 +88,12 @@
         hedge_after = attempt.route.latency_objective * HEDGE_DELAY_FRACTION
         sent_count = 0
         refusals = 0
-        while sent_count < MAX_READ_ATTEMPTS and self._loop.now() < attempt.deadline:
+        ended: GrantEnded | None = None
+        while (
+            ended is None
+            and sent_count < MAX_READ_ATTEMPTS
+            and self._loop.now() < attempt.deadline
+        ):
             choice = self.choose_read(attempt, tried)
             if isinstance(choice, Missing):
                 if not running:
@@ -110,10 +120,14 @@
                 hedge_after *= 2
             for future in [f for f in running if f.done()]:
                 running.remove(future)
-                sent_count -= isinstance(future.exception(), NotOffered)
+                error = future.exception()
+                if isinstance(error, GrantEnded):
+                    ended = error
+                sent_count -= isinstance(error, NotOffered)
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
+        # A copy that was sent before the grant ended may still answer.
         for future in running:
             remaining = max(attempt.deadline - self._loop.now(), _ZERO)
             yield self._loop.first_of([future, self._loop.sleep(remaining)])
@@ -121,6 +135,8 @@
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
+        if ended is not None:
+            raise ended
         return self._refused(f"the last of {len(tried)} tries: {last_reason}", service)
 
     def _read_outcome(
@@ -129,7 +145,7 @@
         """Return the outcome, or ``None`` and the reason if a retry may succeed."""
         error = future.exception()
         if error is not None:
-            if not isinstance(error, NotOffered | AnswerLost):
+            if not isinstance(error, NotOffered | AnswerLost | GrantEnded):
                 raise error
             self.log_attempt(attempt, error.target, str(error))
             return None, str(error)
@@ -145,7 +161,7 @@
     ) -> Steps:
         """Send one copy of the read to the chosen target; return the answer.
 
-        Raise ``NotOffered`` or ``AnswerLost``.
+        Raise ``NotOffered``, ``GrantEnded`` or ``AnswerLost``.
         """
         timeout = attempt.dispatch_deadline - self._loop.now()
         connection = yield from self.acquire_connection(
@@ -263,6 +279,9 @@
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
                 yield self._loop.sleep(error.retry_delay)
+            except GrantEnded as error:
+                self.log_attempt(attempt, primary, str(error))
+                raise
             except AnswerLost as error:
                 self.log_attempt(attempt, primary, str(error))
                 reason = f"the outcome of the write is not known: {error}"
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -8,7 +8,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
-from bulrushloom.proxy.attempts import Attempt, Outcome
+from bulrushloom.proxy.attempts import Attempt, GrantEnded, Outcome
 from bulrushloom.proxy.execution import StatementRunner
 from bulrushloom.proxy.messages import (
     NO_POSITION,
@@ -52,7 +52,7 @@
         self._prepared_by_name: dict[bytes, PreparedStatement] = {}
         self._position: LogPosition | Missing = NO_POSITION
         self._transaction: Transaction | None = None
-        self._runner = StatementRunner(services, self._values)
+        self._runner = StatementRunner(services, self._admission, self._values)
         self.is_awaiting_statement = True
         self.awaiting_since = services.loop.now()
         self._message: Any = None
@@ -197,6 +197,7 @@
             return False
         self._database = message.database
         self._admission = Admission(self._services, message.database, message.key)
+        self._runner = StatementRunner(self._services, self._admission, self._values)
         failure = self._admission.refusal()
         if failure is not None and failure.code is not AnswerCode.NOT_RUN:
             yield from self._admission.refresh_configuration()
@@ -296,12 +297,9 @@
             transaction.roll_back()
             self._answer_locally()
             return
-        refusal = self._admission.refusal_in_transaction(transaction.grant)
-        if refusal is not None:
-            transaction.fail(refusal.reason)
-            outcome = Outcome(refusal, None)
-        else:
-            outcome = yield from transaction.commit(message)
+        outcome = yield from self._run_granted(
+            transaction, lambda: transaction.commit(message)
+        )
         self._transaction = None
         if outcome.answer is not None and transaction.wrote:
             self._advance_position(outcome.answer.position)
@@ -319,15 +317,18 @@
             yield from self._run_in_transaction(message, prepared, writes)
             return
         started_at = self._loop.now()
+        run = self._runner.write if writes else self._runner.read
+        outcome: Outcome | None = None
         grant = yield from self._admission.admit()
-        if isinstance(grant, Failure):
-            self._answer(message, Outcome(grant, None))
-            return
-        attempt = Attempt(message, prepared, grant, started_at, self._position)
-        if writes:
-            outcome = yield from self._runner.write(attempt)
-        else:
-            outcome = yield from self._runner.read(attempt)
+        while outcome is None:
+            if isinstance(grant, Failure):
+                self._answer(message, Outcome(grant, None))
+                return
+            attempt = Attempt(message, prepared, grant, started_at, self._position)
+            try:
+                outcome = yield from run(attempt)
+            except GrantEnded:
+                grant = yield from self._admission.renew(grant)
         if outcome.answer is not None and writes:
             self._advance_position(outcome.answer.position)
         kind = "write" if writes else "read"
@@ -339,14 +340,27 @@
     ) -> Steps:
         transaction = self._transaction
         assert transaction is not None
-        refusal = self._admission.refusal_in_transaction(transaction.grant)
-        if refusal is not None:
-            transaction.fail(refusal.reason)
-            outcome = Outcome(refusal, None)
-        else:
-            outcome = yield from transaction.run(message, prepared, writes)
+        outcome = yield from self._run_granted(
+            transaction, lambda: transaction.run(message, prepared, writes)
+        )
         self._answer(message, outcome)
 
+    def _run_granted(
+        self, transaction: Transaction, start: Callable[[], Steps]
+    ) -> Steps:
+        """Run a statement of a transaction unless its grant has ended.
+
+        Returns an ``Outcome``. The transaction fails with its grant.
+        """
+        refusal = self._admission.refusal_in_transaction(transaction.grant)
+        if refusal is None:
+            try:
+                return (yield from start())
+            except GrantEnded as error:
+                refusal = error.failure
+        transaction.fail(refusal.reason)
+        return Outcome(refusal, None)
+
     def _advance_position(self, position: LogPosition | Missing) -> None:
         if isinstance(position, Missing):
             return
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -66,7 +66,7 @@
     def run(
         self, statement: Statement, prepared: PreparedStatement | None, writes: bool
     ) -> Steps:
-        """Run one statement; return an ``Outcome``."""
+        """Run one statement; return an ``Outcome``, or raise ``GrantEnded``."""
         attempt = self._attempt(statement, prepared)
         if self._connection is None:
             begun = yield from self._begin(attempt)
@@ -215,6 +215,7 @@
             after = self._runner.require_position(
                 target, self._route, self._session_position
             )
+        self._runner.require_grant(target, attempt)
         text = wire.BEGIN_READ if self._is_read_only else wire.BEGIN
         sent_at = self._loop.now()
         answer_future = connection.query(wire.PROXY_REQUEST_ID, text, after)
@@ -248,7 +249,10 @@
     # End
 
     def commit(self, statement: Statement) -> Steps:
-        """Commit; the outcome has the code ``IN_DOUBT`` if the result is unknown."""
+        """Commit; the outcome has the code ``IN_DOUBT`` if the result is unknown.
+
+        Raise ``GrantEnded`` before the commit is sent.
+        """
         attempt = self._attempt(statement, None)
         if self._connection is None:
             begun = yield from self._begin(attempt)
