Check the key and the access again before a request is sent (HTTP)

The entry knew the new rules in each case. An open transaction could be committed by an account without access, or to the former group of its database.

Fix: a request carries the digest of its key beside its account, as far as the router of its entry instance. StatementRouter._start_attempt, which all attempts pass through, asks ConfigurationView.check_access under the present rules. The same view decides at the arrival, so there is one rule for both. Messages between instances are unchanged; the digest stays at the entry.

--- a/benchmarks/gateway_cost.py
+++ b/benchmarks/gateway_cost.py
@@ -46,7 +46,9 @@
         """Accept any key."""
         return "account"
 
-    def submit(self, request: CallerRequest) -> Future[CallerAnswer | Refusal]:
+    def submit(
+        self, request: CallerRequest, key_digest: str
+    ) -> Future[CallerAnswer | Refusal]:
         """Return a finished future."""
         future: Future[CallerAnswer | Refusal] = Future()
         columns = ["id", "state", "total"]
--- a/bulrushloom/coordination/configuration/view.py
+++ b/bulrushloom/coordination/configuration/view.py
@@ -40,3 +40,31 @@
                 "this instance cannot tell whether the key was withdrawn",
             )
         return rule.account
+
+    def find_group(self, database: str, account: str) -> str | Refusal:
+        """Return the group of ``database``, or why ``account`` may not use it."""
+        group = self.rules.group_by_database.get(database)
+        if group is None:
+            return Refusal(ErrorKind.UNKNOWN_DATABASE, f"no database {database!r}")
+        if account not in self.rules.accounts_by_database.get(database, frozenset()):
+            return Refusal(
+                ErrorKind.FORBIDDEN, f"the account may not use database {database!r}"
+            )
+        return group
+
+    def check_access(
+        self, digest: str, account: str, database: str, now: timedelta
+    ) -> str | Refusal:
+        """Return the group of ``database`` for a request that was accepted earlier.
+
+        The result is a refusal if the key with ``digest`` no longer belongs to
+        ``account``, may have been withdrawn, or no longer gives access to ``database``.
+        """
+        holder = self.check_key(self.rules.key_by_digest.get(digest), now)
+        if isinstance(holder, Refusal):
+            return holder
+        if holder != account:
+            return Refusal(
+                ErrorKind.FORBIDDEN, "the key was moved to another account meanwhile"
+            )
+        return self.find_group(database, account)
--- a/bulrushloom/gateway/base.py
+++ b/bulrushloom/gateway/base.py
@@ -94,9 +94,12 @@
         """
 
     @abstractmethod
-    def submit(self, request: CallerRequest) -> Future[CallerAnswer | Refusal]:
+    def submit(
+        self, request: CallerRequest, key_digest: str
+    ) -> Future[CallerAnswer | Refusal]:
         """Start a request and return the future of its answer.
 
+        ``key_digest`` is the digest of the key that was authenticated for the request.
         The future completes by the deadline of the request and never holds an
         exception.
         """
--- a/bulrushloom/gateway/server.py
+++ b/bulrushloom/gateway/server.py
@@ -15,6 +15,7 @@
 from bulrushloom.core.servers import BufferedServer, ServerOptions, StartResponse
 from bulrushloom.gateway import bodies
 from bulrushloom.gateway.base import CallerAnswer, CallerRequest, RequestHandler
+from bulrushloom.rules.keys import key_digest
 
 # Maximum wait of a thread for the answer of the handler. It is far above all request
 # deadlines and frees the thread if a handler violates its contract and does not
@@ -132,7 +133,9 @@
             request = _parse_request(environ, path, account)
             if isinstance(request, Refusal):
                 return request
-            future = self._handler.submit(request._replace(request_id=request_id))
+            future = self._handler.submit(
+                request._replace(request_id=request_id), key_digest(key)
+            )
             return future.result(ANSWER_TIMEOUT.total_seconds())
         except Exception as error:
             return _internal_error(error, key)
--- a/bulrushloom/instance/base.py
+++ b/bulrushloom/instance/base.py
@@ -61,11 +61,16 @@
 
 
 class Submit(NamedTuple):
-    """Message to the router: serve a request, which completes by ``deadline``."""
+    """Message to the router: serve a request, which completes by ``deadline``.
+
+    ``key_digest`` is the digest of the key that came with the request. It stays at the
+    entry instance, which checks with it whether the key still holds.
+    """
 
     request_id: str
     request: EntryRequest
     deadline: timedelta
+    key_digest: str
 
 
 class Outcome(NamedTuple):
--- a/bulrushloom/instance/frontend.py
+++ b/bulrushloom/instance/frontend.py
@@ -109,7 +109,9 @@
         self._post(StatusRequest(future))
         return future.result(self._request_timeout.total_seconds())
 
-    def submit(self, request: CallerRequest) -> "Future[CallerAnswer | Refusal]":
+    def submit(
+        self, request: CallerRequest, key_digest: str
+    ) -> "Future[CallerAnswer | Refusal]":
         """Validate the request and pass it to the coordinator."""
         answer_future: Future[CallerAnswer | Refusal] = Future()
         validated = self._validate(request)
@@ -125,7 +127,7 @@
         )
         request_id = request.request_id or self.new_request_id()
         deadline = self._clock.monotonic() + self._request_timeout
-        submit = Submit(request_id, entry_request, deadline)
+        submit = Submit(request_id, entry_request, deadline, key_digest)
         self._post(CallerSubmit(request.account, submit, future))
         return answer_future
 
@@ -147,8 +149,8 @@
                 request.commit,
             )
             return token, end
-        rules = self.configuration.rules
-        group = _group_of(rules, request.database, request.account)
+        configuration = self.configuration
+        group = configuration.find_group(request.database, request.account)
         if isinstance(group, Refusal):
             return group
         capacity_refusal = self._session_codec.check_capacity(token, group)
@@ -156,7 +158,7 @@
             return capacity_refusal
         if isinstance(request, BeginRequest):
             return token, Begin(request.account, request.database, group)
-        statement = self._validate_statement(request, token, group, rules)
+        statement = self._validate_statement(request, token, group, configuration.rules)
         return statement if isinstance(statement, Refusal) else (token, statement)
 
     def _validate_statement(
@@ -235,14 +237,3 @@
             outcome.target,
             outcome.role,
         )
-
-
-def _group_of(rules: RuleSet, database: str, account: str) -> str | Refusal:
-    group = rules.group_by_database.get(database)
-    if group is None:
-        return Refusal(ErrorKind.UNKNOWN_DATABASE, f"no database {database!r}")
-    if account not in rules.accounts_by_database.get(database, frozenset()):
-        return Refusal(
-            ErrorKind.FORBIDDEN, f"the account may not use database {database!r}"
-        )
-    return group
--- a/bulrushloom/instance/pending.py
+++ b/bulrushloom/instance/pending.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from bulrushloom.coordination.base import LogEntry, Message
+from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.coordination.sessions.base import ORIGIN
 from bulrushloom.core.clock import milliseconds
 from bulrushloom.core.errors import ErrorKind, Refusal
@@ -34,6 +35,7 @@
         self.request_id = submit.request_id
         self.request = submit.request
         self.deadline = submit.deadline
+        self._key_digest = submit.key_digest
         self.attempt = 0
         self.owner = ""
         self.target = ""
@@ -86,6 +88,36 @@
             isinstance(self.request, Statement) and self.request.transaction is not None
         )
 
+    def check_access(
+        self, configuration: ConfigurationView, now: timedelta
+    ) -> Refusal | None:
+        """Return why the rules no longer allow the request, or ``None`` if they do.
+
+        A rollback is always allowed, because it only frees a connection.
+        """
+        request = self.request
+        if isinstance(request, End) and not request.commit:
+            return None
+        group = configuration.check_access(
+            self._key_digest, request.account, request.database, now
+        )
+        if isinstance(group, Refusal):
+            return group
+        if group == self._target_group:
+            return None
+        kind = ErrorKind.NO_TARGET
+        if self.in_transaction:
+            kind = ErrorKind.TRANSACTION_LOST
+        return Refusal(kind, f"database {request.database!r} moved to another group")
+
+    @property
+    def _target_group(self) -> str:
+        """Return the group of the targets that may get the request."""
+        request = self.request
+        if isinstance(request, Begin) or request.transaction is None:
+            return request.group
+        return request.transaction.group
+
     def message(self, incarnation: str, now: timedelta) -> Message:
         """Return the message of the current attempt to an incarnation of the owner."""
         request = self.request
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -1,5 +1,6 @@
 """Routing of requests at the entry instance: target selection and retries."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
     SendMessage,
     next_idle_tick,
 )
+from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.retries.base import RetryPolicy
 from bulrushloom.coordination.routing.base import ReadPolicy, ReadRequirements
@@ -43,6 +45,9 @@
 WRITE_ATTEMPT_TIMEOUT = timedelta(seconds=2)
 
 
+GetConfiguration = Callable[[], ConfigurationView]
+
+
 class _Route(NamedTuple):
     """Destination of the next attempt."""
 
@@ -64,11 +69,13 @@
         views: GroupViewCache,
         read_policy: ReadPolicy,
         retries: RetryPolicy,
+        get_configuration: GetConfiguration,
     ):
         self._table = table
         self._views = views
         self._read_policy = read_policy
         self._retries = retries
+        self._get_configuration = get_configuration
         self._rules = EMPTY_RULES
         self._pending_by_id: dict[str, PendingRequest] = {}
         self._request_by_attempt: dict[str, str] = {}
@@ -120,7 +127,14 @@
         return self._start_attempt(pending, now)
 
     def _start_attempt(self, pending: PendingRequest, now: timedelta) -> list[Effect]:
+        """Send the request if the present rules still allow it.
+
+        The rules may have changed since it arrived, or since its last attempt.
+        """
         pending.retry_at = None
+        refusal = pending.check_access(self._get_configuration(), now)
+        if refusal is not None:
+            return self._complete(pending, refusal)
         request = pending.request
         if not isinstance(request, Begin) and request.transaction is not None:
             transaction = request.transaction
--- a/bulrushloom/instance/runtime.py
+++ b/bulrushloom/instance/runtime.py
@@ -151,8 +151,10 @@
         table = InstanceTable(self._entry)
         views = GroupViewCache(table)
         retries = BudgetedRetries()
-        router = StatementRouter(table, views, FreshReplicaPolicy(), retries)
         tracker = ConfigurationTracker(settings.name, settings.domain, rng)
+        router = StatementRouter(
+            table, views, FreshReplicaPolicy(), retries, lambda: tracker.view
+        )
         member = (settings.name, self._incarnation, settings.domain)
         client = ShareClient(*member, shards=SHARDS_PER_DOMAIN)
         holders = [ShareHolder(*member, shard) for shard in range(SHARDS_PER_DOMAIN)]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -15,12 +15,17 @@
 from bulrushloom.rules.base import (
     AccountRule,
     DomainRule,
+    KeyRule,
     RuleSet,
     TargetRule,
 )
+from bulrushloom.rules.keys import key_digest
 
 SECOND = timedelta(seconds=1)
 DEADLINE = timedelta(seconds=10)
+# The key is accepted until after ``DEADLINE`` without news of the rules.
+KEY_DIGEST = key_digest("test key")
+KEY_OFFLINE = timedelta(minutes=1)
 
 
 def instance_entry(name="east-1", domain="east", **changes) -> InstanceEntry:
@@ -47,7 +52,7 @@
         {"orders": tuple(rules)},
         {"orders": "orders"},
         {"hotel": AccountRule("hotel", 100, 50, SECOND)},
-        {},
+        {KEY_DIGEST: KeyRule(KEY_DIGEST, "hotel", KEY_OFFLINE)},
         {"orders": frozenset({"hotel"})},
     )
 
@@ -70,7 +75,7 @@
 
 
 def submit(request: Statement | Begin | End, request_id="r1") -> Submit:
-    return Submit(request_id, request, DEADLINE)
+    return Submit(request_id, request, DEADLINE, KEY_DIGEST)
 
 
 def transaction_ref(owner="east-1") -> TransactionRef:
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -33,6 +33,7 @@
 
     def __init__(self):
         self.requests: list[Any] = []
+        self.digests: list[str] = []
         self.open_futures: list[Future] | None = None
         self.error: Exception | None = None
         self.not_ready: Refusal | None = None
@@ -42,8 +43,9 @@
             return "hotel-orders"
         return Refusal(ErrorKind.UNAUTHENTICATED, "unknown key")
 
-    def submit(self, request):
+    def submit(self, request, key_digest):
         self.requests.append(request)
+        self.digests.append(key_digest)
         if self.error is not None:
             raise self.error
         future: Future = Future()
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -124,8 +124,8 @@
 class LargeAnswers(FakeHandler):
     """Answer with more data than fits into socket buffers."""
 
-    def submit(self, request):
-        future = super().submit(request)
+    def submit(self, request, key_digest):
+        future = super().submit(request, key_digest)
         large = future.result()._replace(rows=[["x" * 20_000_000]])
         future = type(future)()
         future.set_result(large)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -8,6 +8,7 @@
 from bulrushloom.core.requests import RequestLimits
 from bulrushloom.gateway.base import BeginRequest, EndRequest, QueryRequest
 from bulrushloom.gateway.server import create_server
+from bulrushloom.rules.keys import key_digest
 from tests.gateway.builders import (
     BODY,
     KEY,
@@ -30,6 +31,7 @@
 def gateway(shared):
     handler, server = shared
     handler.requests.clear()
+    handler.digests.clear()
     handler.error = handler.not_ready = None
     with Caller(server) as caller:
         yield handler, caller
@@ -48,6 +50,7 @@
         "hotel-orders", "orders", "SELECT 1", BODY["params"], "s", age, None, "i1"
     )
     assert handler.requests == [expected]
+    assert handler.digests == [key_digest(KEY)]
 
 
 def test_transaction_routes(gateway):
--- a/tests/instance/builders.py
+++ b/tests/instance/builders.py
@@ -150,11 +150,11 @@
         fleet = self.fleet
         table = InstanceTable(self.entry)
         views = GroupViewCache(table)
-        router = fleet.router_class(
-            table, views, FreshReplicaPolicy(), BudgetedRetries()
-        )
         source = random.Random(fleet.random.getrandbits(32))
         tracker = ConfigurationTracker(self.name, self.domain, source)
+        router = fleet.router_class(
+            table, views, FreshReplicaPolicy(), BudgetedRetries(), lambda: tracker.view
+        )
         member = (self.name, self.incarnation, self.domain)
         parts = NodeComponents(
             table, views, router, tracker, ShareClient(*member), [ShareHolder(*member)]
--- a/tests/instance/callers.py
+++ b/tests/instance/callers.py
@@ -149,6 +149,7 @@
             f"{process.incarnation}.{number}",
             entry_request,
             process.now + REQUEST_TIMEOUT,
+            key_digest(key),
         )
         process.admit(account, submit, answered)
         return request
--- a/tests/instance/test_node.py
+++ b/tests/instance/test_node.py
@@ -48,8 +48,10 @@
 def node(client):
     table = InstanceTable(builders.instance_entry())
     views = GroupViewCache(table)
-    router = StatementRouter(table, views, FreshReplicaPolicy(), BudgetedRetries())
     tracker = ConfigurationTracker("east-1", "east", random.Random(1))
+    router = StatementRouter(
+        table, views, FreshReplicaPolicy(), BudgetedRetries(), lambda: tracker.view
+    )
     holders = [ShareHolder("east-1", "east-1.run", "east", 0)]
     parts = NodeComponents(table, views, router, tracker, client, holders)
     return Node(parts, FailoverPolicy(), lambda: FairQueue(256))
--- a/tests/instance/test_router.py
+++ b/tests/instance/test_router.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bulrushloom.coordination.base import SendMessage, select_effects
+from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.coordination.membership.base import InstanceTable
 from bulrushloom.coordination.retries.budgets import BudgetedRetries
 from bulrushloom.coordination.routing.policies import FreshReplicaPolicy
@@ -39,8 +40,13 @@
         table.update(entries, ZERO)
         views = GroupViewCache(table)
         self.router = StatementRouter(
-            table, views, FreshReplicaPolicy(), BudgetedRetries()
+            table,
+            views,
+            FreshReplicaPolicy(),
+            BudgetedRetries(),
+            lambda: self.configuration,
         )
+        self.configuration = ConfigurationView(builders.rule_set(), ZERO)
         views.update_rules(builders.rule_set())
         self.router.update_rules(builders.rule_set())
         self.views = views
