Cancel statements that wait for a slot when their access is lost (HTTP)

Seen by callers of the HTTP interface: a statement in the queue of an owner ran when a slot became free, up to 5 s after it was sent, although its key had been withdrawn or moved, or its account or database had changed, in the meantime. A key that the store withdrew 3 s before (the objective of design, section 1.3) still ran a write. Statements of open transactions were concerned as well.

Fix: the entry instance, which decides, checks a request that awaits an answer every 0.5 s, and sends CancelStatement to the owners of its unanswered attempts when the access is lost. The owner drops a statement that has no slot yet and answers it as not run, for another try; the entry then refuses it with the reason, or sends it again if the access holds again. A statement that runs is not affected, so "not run" stays true. The transaction stays open for other keys of the account.

Weighed: a check of the account by the owner under its own rules. It can't see a withdrawn key of an account with two, and refuses an account whose access is so new that the owner has not heard of it.

Instances of two versions: no message changed. An owner without CancelStatement logs peer.message_refused and serves the rest of the batch (test_codec.py, test_invalid_message_does_not_affect_the_rest_of_the_batch); its statements run as before.

--- a/bulrushloom/instance/group_table.py
+++ b/bulrushloom/instance/group_table.py
@@ -27,6 +27,7 @@
 from bulrushloom.instance.base import Executed
 from bulrushloom.instance.groups import GROUP_RETENTION, WatchedGroup
 from bulrushloom.instance.messages import (
+    CancelStatement,
     GroupViewRequest,
     StatementRequest,
     TransactionRequest,
@@ -89,7 +90,8 @@
             TransactionRequest: self._handle_request,
             GroupViewRequest: self._handle_view_request,
             WatcherReport: self._handle_report,
-            Executed: self._handle_executed,
+            Executed: self._handle_owner_message,
+            CancelStatement: self._handle_owner_message,
         }
         handlers.update(dict.fromkeys(_OBSERVATIONS, self._handle_observation))
         return handlers
@@ -157,11 +159,13 @@
         group = self._group_of(message.target)
         return [] if group is None else group.observe(sender, message, now)
 
-    def _handle_executed(
-        self, sender: str, message: Executed, now: timedelta
+    def _handle_owner_message(
+        self, sender: str, message: Executed | CancelStatement, now: timedelta
     ) -> list[Effect]:
         group = self._group_of(message.target)
-        return [] if group is None else group.handle_executed(message, now)
+        if group is None:
+            return []
+        return group.handle_owner_message(sender, message, now)
 
     def _get_or_create_group(self, name: str, now: timedelta) -> WatchedGroup:
         group = self.group_by_name.get(name)
--- a/bulrushloom/instance/groups.py
+++ b/bulrushloom/instance/groups.py
@@ -24,6 +24,7 @@
 from bulrushloom.instance.base import Executed
 from bulrushloom.instance.jobs import AwaitDurable
 from bulrushloom.instance.messages import (
+    CancelStatement,
     GroupView,
     GroupViewRequest,
     ServerView,
@@ -109,13 +110,15 @@
             owner, owner.handle(sender, message, now), now
         )
 
-    def handle_executed(self, message: Executed, now: timedelta) -> list[Effect]:
-        """Pass the result of an operation to the owner of its target."""
+    def handle_owner_message(
+        self, sender: str, message: Executed | CancelStatement, now: timedelta
+    ) -> list[Effect]:
+        """Pass a result or a cancellation to the owner of its target, if it exists."""
         owner = self.owner_by_target.get(message.target)
         if owner is None:
             return []
         return self._process_internal_effects(
-            owner, owner.handle(self._instance, message, now), now
+            owner, owner.handle(sender, message, now), now
         )
 
     def observe(self, sender: str, message: object, now: timedelta) -> list[Effect]:
--- a/bulrushloom/instance/messages.py
+++ b/bulrushloom/instance/messages.py
@@ -52,6 +52,17 @@
     retry_elsewhere: bool
 
 
+class CancelStatement(NamedTuple):
+    """Request to the owner of ``target`` to cancel a statement that waits for a slot.
+
+    The owner answers the ``StatementRequest`` as not run. A statement that runs or has
+    run is not affected.
+    """
+
+    request_id: str
+    target: str
+
+
 class TransactionRequest(NamedTuple):
     """Request to the owner of the primary to ``begin``, ``commit`` or ``rollback``.
 
--- a/bulrushloom/instance/owner.py
+++ b/bulrushloom/instance/owner.py
@@ -11,6 +11,7 @@
 from bulrushloom.instance.failures import STATEMENT_ONLY_KINDS, Failure, classify
 from bulrushloom.instance.jobs import Job, JobTable
 from bulrushloom.instance.messages import (
+    CancelStatement,
     StatementAnswer,
     StatementRequest,
     TransactionRequest,
@@ -87,13 +88,15 @@
         return effects
 
     def handle(self, sender: str, message: Message, now: timedelta) -> list[Effect]:
-        """Handle a request or the result of an operation at the target."""
+        """Handle a request, its cancellation or the result of an operation."""
         if isinstance(message, StatementRequest):
             return self._accept_statement(sender, message, now)
         if isinstance(message, TransactionRequest):
             return self._accept_transaction(sender, message, now)
         if isinstance(message, Executed):
             return self._handle_executed(message, now)
+        if isinstance(message, CancelStatement):
+            return self._cancel_statement(sender, message, now)
         raise TypeError(f"unsupported message {type(message).__name__}")
 
     def tick(self, now: timedelta) -> list[Effect]:
@@ -170,6 +173,26 @@
         message = f"{self.rule.name} is not the primary"
         return Failure(ErrorKind.NO_TARGET, message, True)
 
+    def _cancel_statement(
+        self, sender: str, message: CancelStatement, now: timedelta
+    ) -> list[Effect]:
+        """Answer a statement that waits for a slot as not run.
+
+        Its transaction stays open, because another key of the account may use it.
+        """
+        job = self._jobs.job_by_id.get(message.request_id)
+        if job is None or job.sender != sender:
+            return []
+        request = job.request
+        if not isinstance(request, StatementRequest):
+            return []
+        if not self._queue.remove(request.request_id):
+            return []
+        reason = "the entry instance cancelled the statement"
+        failure = Failure(ErrorKind.NO_TARGET, reason, True)
+        effects = self._transactions.end_statement(request, None, now)
+        return effects + self._jobs.fail(request, failure, now)
+
     def _accept_transaction(
         self, sender: str, request: TransactionRequest, now: timedelta
     ) -> list[Effect]:
--- a/bulrushloom/instance/pending.py
+++ b/bulrushloom/instance/pending.py
@@ -2,8 +2,9 @@
 
 from datetime import timedelta
 from http import HTTPStatus
+from typing import NamedTuple
 
-from bulrushloom.coordination.base import LogEntry, Message
+from bulrushloom.coordination.base import Effect, LogEntry, Message, SendMessage
 from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.coordination.sessions.base import ORIGIN
 from bulrushloom.core.clock import milliseconds
@@ -17,6 +18,7 @@
     TransactionRef,
 )
 from bulrushloom.instance.messages import (
+    CancelStatement,
     StatementAnswer,
     StatementRequest,
     TransactionAnswer,
@@ -24,11 +26,19 @@
 )
 
 
+class Route(NamedTuple):
+    """Destination of an attempt."""
+
+    target: str
+    owner: str
+
+
 class PendingRequest:
     """State of one open request.
 
     ``attempt`` counts the messages sent for it. ``sent_at`` is ``None`` unless the
-    latest of them awaits its answer.
+    latest of them awaits its answer. ``route_by_attempt`` contains the attempts that
+    were not answered.
     """
 
     def __init__(self, submit: Submit):
@@ -40,6 +50,8 @@
         self.owner = ""
         self.target = ""
         self.sent_at: timedelta | None = None
+        self.access_check_at = timedelta()
+        self.route_by_attempt: dict[str, Route] = {}
         self.may_have_run = False
         self.tried_targets: set[str] = set()
         self.retry_at: timedelta | None = None
@@ -144,6 +156,15 @@
             request.idempotency_key,
         )
 
+    def cancellations(self) -> list[Effect]:
+        """Return the messages that cancel the attempts that may wait for a slot."""
+        if not isinstance(self.request, Statement):
+            return []
+        return [
+            SendMessage(route.owner, CancelStatement(attempt_id, route.target))
+            for attempt_id, route in self.route_by_attempt.items()
+        ]
+
     def _transaction_request(
         self, incarnation: str, action: str, handle: str, timeout_ms: int
     ) -> TransactionRequest:
--- a/bulrushloom/instance/protocol.py
+++ b/bulrushloom/instance/protocol.py
@@ -20,6 +20,7 @@
     TokenLoanRequest,
 )
 from bulrushloom.instance.messages import (
+    CancelStatement,
     GroupView,
     GroupViewRequest,
     StatementAnswer,
@@ -32,6 +33,7 @@
 PEER_MESSAGES: tuple[type, ...] = (
     StatementRequest,
     StatementAnswer,
+    CancelStatement,
     TransactionRequest,
     TransactionAnswer,
     GroupViewRequest,
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from bulrushloom.coordination.base import (
     DecisionComponent,
@@ -30,7 +29,7 @@
     TransactionAnswer,
     TransactionRequest,
 )
-from bulrushloom.instance.pending import PendingRequest
+from bulrushloom.instance.pending import PendingRequest, Route
 from bulrushloom.instance.views import LAGGING_REFRESH_INTERVAL, GroupViewCache
 from bulrushloom.peers.base import MessageUndelivered, PeerLost
 from bulrushloom.rules.base import EMPTY_RULES, RuleSet
@@ -45,14 +44,12 @@
 WRITE_ATTEMPT_TIMEOUT = timedelta(seconds=2)
 
 
-GetConfiguration = Callable[[], ConfigurationView]
-
+# Interval at which the access of a request that awaits an answer is checked. If it was
+# lost, the owner is asked to cancel the statement, again after each interval because
+# messages may be lost.
+ACCESS_CHECK_INTERVAL = timedelta(milliseconds=500)
 
-class _Route(NamedTuple):
-    """Destination of the next attempt."""
-
-    target: str
-    owner: str
+GetConfiguration = Callable[[], ConfigurationView]
 
 
 class StatementRouter(DecisionComponent):
@@ -134,12 +131,12 @@
         pending.retry_at = None
         refusal = pending.check_access(self._get_configuration(), now)
         if refusal is not None:
-            return self._complete(pending, refusal)
+            return pending.cancellations() + self._complete(pending, refusal)
         request = pending.request
         if not isinstance(request, Begin) and request.transaction is not None:
             transaction = request.transaction
             return self._send(
-                pending, _Route(transaction.target, transaction.owner), now
+                pending, Route(transaction.target, transaction.owner), now
             )
         effects = self._views.refresh(pending.group, now)
         route = self._choose_route(pending, now)
@@ -150,7 +147,7 @@
             effects += self._views.refresh(pending.group, now, LAGGING_REFRESH_INTERVAL)
         return effects + self._send(pending, route, now)
 
-    def _choose_route(self, pending: PendingRequest, now: timedelta) -> _Route | None:
+    def _choose_route(self, pending: PendingRequest, now: timedelta) -> Route | None:
         for target in self._candidate_targets(pending):
             if target in pending.tried_targets:
                 continue
@@ -159,7 +156,7 @@
                 continue
             owner = self._table.reachable_owner(rule, now)
             if owner is not None:
-                return _Route(target, owner)
+                return Route(target, owner)
         pending.tried_targets.clear()
         return None
 
@@ -179,12 +176,14 @@
         return []
 
     def _send(
-        self, pending: PendingRequest, route: _Route, now: timedelta
+        self, pending: PendingRequest, route: Route, now: timedelta
     ) -> list[Effect]:
         pending.attempt += 1
         pending.target = route.target
         pending.owner = route.owner
         pending.sent_at = now
+        pending.access_check_at = now + ACCESS_CHECK_INTERVAL
+        pending.route_by_attempt[pending.attempt_id] = route
         self._request_by_attempt[pending.attempt_id] = pending.request_id
         self._count_in_flight(route.target, 1)
         message = pending.message(self._incarnation(route.owner), now)
@@ -207,6 +206,7 @@
         pending = self._pending_by_id.get(request_id)
         if pending is None:
             return None
+        pending.route_by_attempt.pop(attempt_id, None)
         if attempt_id == pending.attempt_id and pending.sent_at is not None:
             pending.sent_at = None
             self._count_in_flight(pending.target, -1)
@@ -233,7 +233,10 @@
             pending.may_have_run = True
             self._views.invalidate(pending.group)
             return self._schedule_retry(pending, now)
-        if not elsewhere or pending.in_transaction:
+        if elsewhere and pending.in_transaction:
+            access_refusal = pending.check_access(self._get_configuration(), now)
+            return self._complete(pending, access_refusal or refusal)
+        if not elsewhere:
             return self._complete(pending, refusal)
         return self._retry_elsewhere(pending, refusal, now)
 
@@ -309,7 +312,11 @@
         timeout = READ_ATTEMPT_TIMEOUT if pending.is_read else WRITE_ATTEMPT_TIMEOUT
         if pending.is_repeatable and now - pending.sent_at >= timeout:
             return self._abandon_attempt(pending, now)
-        return []
+        if now < pending.access_check_at:
+            return []
+        pending.access_check_at = now + ACCESS_CHECK_INTERVAL
+        refusal = pending.check_access(self._get_configuration(), now)
+        return [] if refusal is None else pending.cancellations()
 
     def _expire(self, pending: PendingRequest) -> list[Effect]:
         if pending.sent_at is not None:
--- a/tests/instance/test_access_during_waits.py
+++ b/tests/instance/test_access_during_waits.py
@@ -15,6 +15,8 @@
 from tests.instance.callers import WITHDRAWAL_LIMIT, Callers, Session, rules_text
 from tests.instance.servers import WRITE
 
+# Time after which a withdrawn key has stopped working (design, section 1.3).
+WITHDRAWAL_OBJECTIVE = seconds(3)
 KEY = "small-1"
 OTHER_KEY = "shop-1"
 RULES = rules_text()
@@ -85,19 +87,19 @@
         self.run(0.2)
         return request.result.transaction
 
-    def send_inside(self, transaction):
+    def send_inside(self, transaction, key=KEY):
         def make(request, account):
             statement = self.callers._statement(self.session, WRITE, request, account)
             params = [request.marker, account, "t"]
             return statement._replace(transaction=transaction, params=params)
 
-        return self.callers.submit(self.entry, KEY, "in", make, lambda request: None)
+        return self.callers.submit(self.entry, key, "in", make, lambda request: None)
 
-    def commit(self, transaction):
+    def commit(self, transaction, key=KEY):
         def make(request, account):
             return End(account, "orders", "orders", transaction, True)
 
-        return self.callers.submit(self.entry, KEY, "end", make, lambda request: None)
+        return self.callers.submit(self.entry, key, "end", make, lambda request: None)
 
     def exhaust_rate(self):
         """Use the tokens of the account, so that its next request waits for one."""
@@ -167,6 +169,71 @@
     assert result is not None, "refused only after its wait"
 
 
+@changes
+@pytest.mark.parametrize("is_inside", [False, True])
+def test_statement_that_waits_for_a_slot_is_decided_again(world, is_inside, change):
+    transaction = world.begin() if is_inside else None
+    held = world.hold_statements()
+    for _ in range(3):
+        world.send("write", OTHER_KEY)
+    world.run(0.1)
+    waiting = world.send_inside(transaction) if is_inside else world.send("write")
+    world.run(0.1)
+    assert len(held) == 3
+    world.change_rules(CHANGES[change])
+    world.run(1)
+    result = waiting.result
+    world.release(held)
+    world.run(1)
+    if is_inside:
+        world.commit(transaction)
+        world.run(1)
+    assert_not_run(world, waiting)
+    assert result is not None, "refused only after its wait"
+
+
+@pytest.mark.parametrize("wait", ["target", "slot"])
+def test_withdrawn_key_runs_nothing_after_the_promised_time(world, wait):
+    # The rules reach the instances as usual, from the store and from each other.
+    held = []
+    if wait == "target":
+        world.set_servers_up(False)
+    else:
+        held = world.hold_statements()
+        for _ in range(3):
+            world.send("write", OTHER_KEY)
+        world.run(0.1)
+    request = world.send("write")
+    world.run(0.2)
+    world.callers.apply_rules("", {KEY}, seconds(0))
+    world.run(WITHDRAWAL_OBJECTIVE.total_seconds())
+    world.set_servers_up(True)
+    world.release(held)
+    world.run(3)
+    assert_not_run(world, request)
+
+
+def test_cancelled_statement_leaves_its_transaction_to_other_keys(world):
+    transaction = world.begin()
+    held = world.hold_statements()
+    for _ in range(3):
+        world.send("write", OTHER_KEY)
+    world.run(0.1)
+    cancelled = world.send_inside(transaction)
+    world.run(0.1)
+    world.change_rules(CHANGES["key withdrawn"])
+    world.run(1)
+    world.release(held)
+    inside = world.send_inside(transaction, "small-2")
+    world.run(0.5)
+    request = world.commit(transaction, "small-2")
+    world.run(0.5)
+    assert isinstance(cancelled.result, Refusal)
+    assert isinstance(inside.result, Outcome)
+    assert isinstance(request.result, Outcome)
+    assert not world.has_run(cancelled)
+
+
 @pytest.mark.parametrize("change", ["access removed", "database moved"])
 def test_transaction_is_not_committed_without_access(world, change):
     transaction = world.begin()
--- a/tests/instance/test_owner.py
+++ b/tests/instance/test_owner.py
@@ -16,6 +16,7 @@
 )
 from bulrushloom.instance.base import Executed, RunBegin, RunEnd, RunStatement
 from bulrushloom.instance.jobs import AwaitDurable
+from bulrushloom.instance.messages import CancelStatement
 from bulrushloom.instance.owner import TargetOwner
 from tests import builders
 
@@ -138,6 +139,33 @@
     assert not select_effects(late, RunStatement)
 
 
+def test_cancelled_statement_does_not_run_later(driver):
+    for number in range(4):
+        driver.send(builders.statement_request(f"r{number}.1"))
+    cancel = CancelStatement("r2.1", "orders-a")
+    refused = answer(driver.send(cancel))
+    assert (refused.request_id, refused.retry_elsewhere) == ("r2.1", True)
+    # Neither a free slot nor a late duplicate runs it.
+    [run] = select_effects(driver.executed("r0.1", ROWS), RunStatement)
+    assert run.request_id == "r3.1"
+    repeated = driver.send(builders.statement_request("r2.1"))
+    assert not select_effects(repeated, RunStatement)
+
+
+def test_cancellation_of_a_running_statement_does_not_deny_its_run(driver):
+    driver.send(builders.statement_request(read_only=True))
+    assert driver.send(CancelStatement("r1.1", "orders-a")) == []
+    assert answer(driver.executed("r1.1", ROWS)).error == ""
+
+
+def test_cancellation_by_another_instance_is_ignored(driver):
+    for number in range(3):
+        driver.send(builders.statement_request(f"r{number}.1"))
+    cancel = CancelStatement("r2.1", "orders-a")
+    assert driver.owner.handle("north-1", cancel, ZERO) == []
+    assert select_effects(driver.executed("r0.1", ROWS), RunStatement)
+
+
 @pytest.mark.parametrize(
     ("error", "kind", "elsewhere"),
     [
--- a/tests/instance/test_router.py
+++ b/tests/instance/test_router.py
@@ -12,6 +12,7 @@
 from bulrushloom.core.errors import ErrorKind, Refusal, RunOutcome
 from bulrushloom.instance.base import Begin, Complete, End, Outcome
 from bulrushloom.instance.messages import (
+    CancelStatement,
     GroupViewRequest,
     StatementRequest,
     TransactionAnswer,
@@ -138,6 +139,37 @@
     assert refusal.response.ran is RunOutcome.UNKNOWN
 
 
+def test_abandoned_attempt_is_cancelled_with_its_request(driver):
+    # The first attempt still waits for a slot when the second one is not sent.
+    [first] = sent(driver.submit(READ))
+    rules = driver.configuration.rules._replace(accounts_by_database={})
+    driver.configuration = ConfigurationView(rules, ZERO)
+    effects = driver.router.tick(timedelta(seconds=1))
+    cancellations = [
+        message.message for message in select_effects(effects, SendMessage)
+    ]
+    target = first.message.target
+    assert cancellations == [CancelStatement(first.message.request_id, target)]
+    assert result(effects).response.ran is RunOutcome.UNKNOWN
+
+
+def test_cancellation_is_repeated_until_the_owner_answers(driver):
+    [first] = sent(driver.submit(UNKEYED))
+    rules = driver.configuration.rules._replace(accounts_by_database={})
+    driver.configuration = ConfigurationView(rules, ZERO)
+    cancel = CancelStatement(first.message.request_id, "orders-a")
+    for count in (0.5, 1, 1.5):
+        [message] = driver.router.tick(timedelta(seconds=count))
+        assert message == SendMessage("east-1", cancel)
+    answered = builders.answer(
+        first.message, error="no_target", error_message="x", retry_elsewhere=True
+    )
+    later = timedelta(seconds=2)
+    driver.send(answered, later)
+    refusal = result(driver.router.tick(later + timedelta(milliseconds=100)))
+    assert refusal.kind is ErrorKind.FORBIDDEN
+
+
 def test_expiry_before_anything_was_sent_is_not_run():
     driver = RouterDriver()
     driver.submit(UNKEYED)
