--- a/bulrushloom/instance/pending.py
+++ b/bulrushloom/instance/pending.py
@@ -2,8 +2,10 @@
 
 from datetime import timedelta
 from http import HTTPStatus
+from typing import NamedTuple
 
-from bulrushloom.coordination.base import LogEntry, Message
+from bulrushloom.coordination.base import Effect, LogEntry, Message, SendMessage
+from bulrushloom.coordination.configuration.view import ConfigurationView
 from bulrushloom.coordination.sessions.base import ORIGIN
 from bulrushloom.core.clock import milliseconds
 from bulrushloom.core.errors import ErrorKind, Refusal
@@ -16,6 +18,7 @@
     TransactionRef,
 )
 from bulrushloom.instance.messages import (
+    CancelStatement,
     StatementAnswer,
     StatementRequest,
     TransactionAnswer,
@@ -23,21 +26,32 @@
 )
 
 
+class Route(NamedTuple):
+    """Destination of an attempt."""
+
+    target: str
+    owner: str
+
+
 class PendingRequest:
     """State of one open request.
 
     ``attempt`` counts the messages sent for it. ``sent_at`` is ``None`` unless the
-    latest of them awaits its answer.
+    latest of them awaits its answer. ``route_by_attempt`` contains the attempts that
+    were not answered.
     """
 
     def __init__(self, submit: Submit):
         self.request_id = submit.request_id
         self.request = submit.request
         self.deadline = submit.deadline
+        self._key_digest = submit.key_digest
         self.attempt = 0
         self.owner = ""
         self.target = ""
         self.sent_at: timedelta | None = None
+        self.access_check_at = timedelta()
+        self.route_by_attempt: dict[str, Route] = {}
         self.may_have_run = False
         self.tried_targets: set[str] = set()
         self.retry_at: timedelta | None = None
@@ -86,6 +100,36 @@
             isinstance(self.request, Statement) and self.request.transaction is not None
         )
 
+    def check_access(
+        self, configuration: ConfigurationView, now: timedelta
+    ) -> Refusal | None:
+        """Return why the rules no longer allow the request, or ``None`` if they do.
+
+        A rollback is always allowed, because it only frees a connection.
+        """
+        request = self.request
+        if isinstance(request, End) and not request.commit:
+            return None
+        group = configuration.check_access(
+            self._key_digest, request.account, request.database, now
+        )
+        if isinstance(group, Refusal):
+            return group
+        if group == self._target_group:
+            return None
+        kind = ErrorKind.NO_TARGET
+        if self.in_transaction:
+            kind = ErrorKind.TRANSACTION_LOST
+        return Refusal(kind, f"database {request.database!r} moved to another group")
+
+    @property
+    def _target_group(self) -> str:
+        """Return the group of the targets that may get the request."""
+        request = self.request
+        if isinstance(request, Begin) or request.transaction is None:
+            return request.group
+        return request.transaction.group
+
     def message(self, incarnation: str, now: timedelta) -> Message:
         """Return the message of the current attempt to an incarnation of the owner."""
         request = self.request
@@ -112,6 +156,15 @@
             request.idempotency_key,
         )
 
+    def cancellations(self) -> list[Effect]:
+        """Return the messages that cancel the attempts that may wait for a slot."""
+        if not isinstance(self.request, Statement):
+            return []
+        return [
+            SendMessage(route.owner, CancelStatement(attempt_id, route.target))
+            for attempt_id, route in self.route_by_attempt.items()
+        ]
+
     def _transaction_request(
         self, incarnation: str, action: str, handle: str, timeout_ms: int
     ) -> TransactionRequest:
