Test that a commit of a suspended process is not acknowledged late

Cause: `CommitAcknowledgements.allows_replaced` could return true after the deadline, and all of tests/proxy still passed. The timer of the deadline gives up pending commits as well, and it runs before the tasks that an answer resumes, so only a process that is suspended between the answer and the decision depends on this line.

Ruled out: that the line has no effect. Between the answer and the decision nothing else compares the time with the deadline.

Change: a test with a single write and a transaction, and the opposite case. With the line changed to return true, the two late cases fail ("DONE signed-last-1" where INDOUBT is required); without the change all four pass.

--- a/tests/proxy/test_replaced_primary.py
+++ b/tests/proxy/test_replaced_primary.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bulrushloom.proxy.commits import PENDING_COMMIT_TIMEOUT
 from bulrushloom.proxy.groups import GroupPhase
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
@@ -12,6 +13,19 @@
 )
 
 
+def suspend_at_next_answer(instance, duration):
+    """Suspend the process for ``duration`` once it has read a server's answer."""
+    services, clock = instance.services, instance.loop.clock
+    record_answer_position = services.record_answer_position
+
+    def suspend(*arguments):
+        services.record_answer_position = record_answer_position
+        clock.advance(duration)
+        record_answer_position(*arguments)
+
+    services.record_answer_position = suspend
+
+
 def announce(instance, **changes):
     """Apply a group record; by default the primary ``a`` is being replaced."""
     instance.services.apply_group_records({SERVICE: build_group(**changes)})
@@ -86,6 +100,38 @@
     assert texts_run(instance) == []
 
 
+@pytest.mark.parametrize("is_transaction", [False, True])
+@pytest.mark.parametrize(
+    ("suspension", "is_acknowledged"), [(ms(0), True), (PENDING_COMMIT_TIMEOUT, False)]
+)
+def test_commit_of_a_process_that_is_suspended_past_its_deadline(
+    instance, is_transaction, suspension, is_acknowledged
+):
+    # Guards against a commit that is acknowledged after another server may have been
+    # promoted: the process is suspended between the answer and the decision, so the
+    # timer that gives up pending commits has not run yet.
+    instance.group.primary().work = ms(100)
+    if is_transaction:
+        client = open_transaction(instance, "WRITE 1 data")
+        client.send("QUERY last-1 COMMIT")
+    else:
+        client = instance.client("strict")
+        client.query("READ 1")
+        client.send("QUERY last-1 WRITE 1 data")
+    instance.run(ms(50))
+    assert instance.group.acknowledged == []
+    suspend_at_next_answer(instance, suspension)
+    announced_at = instance.loop.now()
+    announce(instance)
+    instance.run(PENDING_COMMIT_TIMEOUT - ms(150))
+    assert instance.group.acknowledged, "the commit has not run"
+    is_late = instance.loop.now() - announced_at >= PENDING_COMMIT_TIMEOUT
+    assert is_late is not is_acknowledged
+    instance.run(ms(10))
+    expected = "DONE signed" if is_acknowledged else "ERR INDOUBT"
+    assert client.received()[0].startswith(expected)
+
+
 def test_commits_of_open_transactions_are_kept_by_a_failover(fleet):
     # Guards against the loss of transactions that were open at the old primary while
     # the leader reaches neither it nor the replica that receives its commits.
