Test a stopped draining replica that restarts out of reach of the leader

Cause: `SuccessorSearch._state` could use the position of a draining replica's first stop after its restart (without `StoppedReplica.describes`), and all of tests/proxy still passed. In the tests so far the leader reaches the replica after its restart and stores the position of another stop, which hides the line.

Ruled out: that the second stop covers all cases. It needs a connection from the leader to the replica.

Change: a test in which the leader does not reach the replica.

--- a/tests/proxy/test_promotion_window.py
+++ b/tests/proxy/test_promotion_window.py
@@ -156,6 +156,32 @@
     check_commits_after_failover(fleet, writers)
 
 
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_draining_replica_that_restarts_out_of_reach_loses_no_commits(
+    fleet, is_cut_off
+):
+    # Guards against the same when the leader cannot stop the replica again after its
+    # restart, so that the stored position is that of the first stop.
+    stop_draining_replica(fleet)
+    leader = fleet.leader()
+    writing = next(member for member in fleet.members if member is not leader)
+    others = [member for member in fleet.members if member is not writing]
+    cut_servers_off(fleet, others, {"c"})
+    fleet.group.server_by_id["c"].restart()
+    fleet.run(SECOND)
+    drop_replication_to_remaining_replicas(fleet)
+    writers = start_writers(writing, 4)
+    fleet.run(ms(300))
+    if is_cut_off:
+        assert cut_off_instance(fleet) is writing
+    cut_servers_off(fleet, others if is_cut_off else fleet.members, {"a", "c"})
+    send_reads(open_clients(fleet, others))
+    fleet.run(SECOND * 15)
+    check_commits_told_to_clients(fleet)
+    heal_network(fleet)
+    check_commits_after_failover(fleet, writers)
+
+
 def test_demoted_primary_beside_a_cut_off_instance_loses_no_commits(fleet):
     # The case without a restart.
     writers = drain_primary_beside_a_cut_off_instance(fleet)
