Let the simulated platform promote a primary that was replaced

Cause: `SimulatedPromotion` took every server that sees itself as the primary for the present one, and changed nothing.

Change: only the primary of the highest term counts as the present one.

--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -65,6 +65,14 @@
         primaries = [server for server in servers if server.is_primary]
         return max(primaries or servers, key=lambda s: (s.term, s.received()))
 
+    def present_primary(self) -> "SimulatedServer | None":
+        """Return the server that leads, or ``None`` after a demotion.
+
+        A primary that was replaced may not have discovered its successor yet.
+        """
+        server = self.primary()
+        return server if server.is_primary else None
+
     def promote(self, server_id: str, after: timedelta) -> None:
         """Make a server the primary of the next term after a delay."""
         self.loop.call_later(after, lambda: self._become_primary(server_id))
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -264,7 +264,7 @@
             return future
         server = self._group.server_by_id.get(target_id)
         status = 200 if server is not None else 409
-        if server is not None and not server.is_primary:
+        if server is not None and server is not self._group.present_primary():
             self._group.promote(target_id, PROMOTE_DELAY)
         if self.answers_to_lose:
             self.answers_to_lose -= 1
