Keep commits from a promotion order that is executed late

Cause: an order without an answer may be executed seconds later. If its server had lost its entry or its log by then, the failover ordered another server and let instances use it at once.

Ruled out: to hold back the second order until the first can't be executed any more. A server that restarted without its log would be promoted while no other server leads, and all of them would be rolled back; the wait also breaks the limit of test_successor_that_restarts_without_its_log_is_not_promoted. A higher fence does not help where the platform does not check it.

Change: the group record names the servers with an order without an answer, and counts these orders (`unanswered_by_id`); each instance remembers when it learned of the last one (`PromotionOrders`). Another server is still promoted at once, but no instance uses it until such orders are 9 s old. If the late order is executed in that time, the successor is ordered again. An order that was answered, or after which its server became the primary, counts no more. Another primary of a higher term shows that the successor has been replaced.

--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/groups.py
@@ -64,7 +64,8 @@
     the leader that wrote the record. ``sealed`` is set once a failover has chosen the
     successor; it is the log position that covers every commit acknowledged so far.
     ``stopped_by_id`` holds the draining replicas that stopped replicating since the
-    last promotion.
+    last promotion. ``unanswered_by_id`` holds the number of orders to promote a server
+    that got no answer, and may still be executed.
     """
 
     service: str
@@ -76,6 +77,7 @@
     revision: int
     sealed: LogPosition | None = None
     stopped_by_id: Mapping[str, StoppedReplica] = MappingProxyType({})
+    unanswered_by_id: Mapping[str, int] = MappingProxyType({})
 
     def encode(self) -> bytes:
         """Return the value to store."""
@@ -96,6 +98,7 @@
                     target_id: stopped.born_ms
                     for target_id, stopped in self.stopped_by_id.items()
                 },
+                "unanswered": dict(self.unanswered_by_id),
             }
         )
 
@@ -128,6 +131,10 @@
                 for target_id, position in stopped.items()
                 if target_id in born_ms_by_id
             },
+            unanswered_by_id={
+                target_id: _decode_count(count)
+                for target_id, count in fields.get("unanswered", {}).items()
+            },
         )
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         return Missing(f"malformed group record: {error!r}")
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/replacement.py
@@ -19,7 +19,7 @@
     StoppedReplica,
 )
 from bulrushloom.proxy.leadership import Leadership
-from bulrushloom.proxy.messages import ServerRole
+from bulrushloom.proxy.messages import ServerRole, ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
@@ -47,6 +47,11 @@
 ACCEPTED_STATUSES = (200, 202, 204)
 
 
+def leads(status: ServerStatus, term: int) -> bool:
+    """Return whether a server is the primary, and not one that was replaced."""
+    return status.role is ServerRole.PRIMARY and status.term >= term
+
+
 class Abandoned(Exception):
     """The failover cannot continue on this instance."""
 
@@ -69,6 +74,7 @@
         name: str,
     ):
         self._services = services
+        self._orders = services.orders
         self._loop = services.loop
         self._log = services.log
         self._store = store
@@ -98,11 +104,16 @@
                 sealed=successor.sealed,
                 primary_id=successor.target_id,
                 stopped_by_id={},
+                unanswered_by_id=self._orders.including(service, successor.target_id),
             )
         )
-        yield from self._promote_successor(group, successor)
+        group = yield from self._promote_successor(group, successor)
+        yield from self._outlast_earlier_orders(group, successor)
         # No instance uses the old primary since the search has ended.
-        yield from self._write(group._replace(phase=GroupPhase.STEADY))
+        pending = self._orders.pending(service)
+        yield from self._write(
+            group._replace(phase=GroupPhase.STEADY, unanswered_by_id=pending)
+        )
         return successor.target_id
 
     def _confirmations(self, group: GroupRecord) -> InstanceConfirmations:
@@ -264,6 +275,7 @@
             fence=self._leadership.fence,
             revision=known.revision if known else 0,
             stopped_by_id=known.stopped_by_id if known else {},
+            unanswered_by_id=self._orders.pending(service),
         )
         if known is not None and known.phase is GroupPhase.REPLACING:
             # An order of an earlier attempt may still be executed.
@@ -303,8 +315,8 @@
     def _promote_successor(self, group: GroupRecord, successor: Successor) -> Steps:
         """Order the promotion and wait until the successor is the primary.
 
-        The successor is asked again before the order is repeated: it may have restarted
-        without its log.
+        Returns the last record written. The successor is asked again before the order
+        is repeated: it may have restarted without its log.
         """
         service, target_id = group.service, successor.target_id
         deadline = self._loop.now() + FAILOVER_TIMEOUT
@@ -326,16 +338,29 @@
                     raise Abandoned("the successor does not answer")
                 yield self._loop.sleep(REPEAT_INTERVAL)
                 continue
+            if is_ordered:
+                unanswered_by_id = self._orders.including(service, target_id)
+                group = yield from self._write(
+                    group._replace(unanswered_by_id=unanswered_by_id)
+                )
             code = yield from self._order_promotion(service, target_id)
             is_ordered = True
+            if code:
+                self._orders.record_end(service, target_id)
             if code == 409:
-                yield from self._write(group._replace(primary_id=""))
+                pending = self._orders.pending(service)
+                yield from self._write(
+                    group._replace(primary_id="", unanswered_by_id=pending)
+                )
                 raise Abandoned("the successor is not running")
             is_primary = yield from self._wait_until_primary(
-                known.target, code in ACCEPTED_STATUSES
+                known.target, successor.term, code in ACCEPTED_STATUSES
             )
+            was_primary = isinstance(status, Missing) or leads(status, successor.term)
+            if is_primary and not code and not was_primary:
+                self._orders.record_end(service, target_id)
             if is_primary:
-                return
+                return group
         raise Abandoned("the successor did not become the primary")
 
     def _order_promotion(self, service: str, target_id: str) -> Steps:
@@ -360,12 +385,55 @@
         )
         return code
 
-    def _wait_until_primary(self, target: Target, is_accepted: bool) -> Steps:
+    def _outlast_earlier_orders(
+        self, group: GroupRecord, successor: Successor
+    ) -> Steps:
+        """Wait until no earlier order can make another server the primary.
+
+        No instance uses the successor meanwhile, so nothing is lost if that happens.
+        """
+        service, target_id = group.service, successor.target_id
+        ordered_ids = group.unanswered_by_id.keys() - {target_id}
+        answered_at = self._loop.now()
+        if ordered_ids:
+            self._log.write(
+                "earlier_orders_awaited",
+                service=service,
+                successor=target_id,
+                ordered=sorted(ordered_ids),
+            )
+        while ordered_ids:
+            if not self._leadership.is_leader():
+                raise Abandoned("this instance no longer holds the leader lease")
+            pending_ids = self._orders.pending(service).keys() - {target_id}
+            found = map(self._services.table.find_target, {target_id, *ordered_ids})
+            statuses = yield from self._status.read_all(
+                [target for target in found if target is not None], None
+            )
+            status = statuses.pop(target_id, None)
+            if status is not None:
+                answered_at = self._loop.now()
+                terms = [
+                    other.term
+                    for other in statuses.values()
+                    if other.role is ServerRole.PRIMARY
+                ]
+                if not leads(status, max(terms, default=0)):
+                    raise Abandoned("an earlier order has promoted another server")
+                if not pending_ids:
+                    return
+            if self._loop.now() - answered_at >= SUCCESSOR_SILENCE_TIMEOUT:
+                raise Abandoned("the successor does not answer")
+            yield self._loop.sleep(REPEAT_INTERVAL)
+
+    def _wait_until_primary(
+        self, target: Target, term: int, is_accepted: bool
+    ) -> Steps:
         timeout = PROMOTION_TIMEOUT if is_accepted else REPEAT_INTERVAL * 3
         deadline = self._loop.now() + timeout
         while self._loop.now() < deadline:
             status = yield from self._status.read(target)
-            if not isinstance(status, Missing) and status.role is ServerRole.PRIMARY:
+            if not isinstance(status, Missing) and leads(status, term):
                 return True
             yield self._loop.sleep(PROMOTION_POLL_INTERVAL)
         return False
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -15,6 +15,7 @@
 from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
+from bulrushloom.proxy.promotion_orders import PromotionOrders
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.stopping import StopPlan
@@ -76,6 +77,7 @@
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.store_freshness = StoreFreshness(settings)
         self.commits = CommitAcknowledgements(loop, self.store_freshness)
+        self.orders = PromotionOrders(loop)
         self.table = GroupTable(settings.target_drain_bound)
         window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
@@ -324,6 +326,7 @@
         for group in changed:
             is_suspected = group.old_id in self.suspected_targets()
             self.commits.apply_group_record(group, is_suspected)
+            self.orders.apply_group_record(group)
             self.log.write(
                 "group_changed",
                 service=group.service,
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/successor.py
@@ -10,6 +10,7 @@
 from bulrushloom.proxy.confirmations import InstanceConfirmations
 from bulrushloom.proxy.failover import FailoverState, choose_successor
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
+from bulrushloom.proxy.promotion_orders import ORDER_LIFETIME
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
@@ -32,8 +33,6 @@
 # The same while acknowledged commits are known to be missing at all servers that
 # answer. A server that has them may come back with its log.
 MISSING_COMMITS_TIMEOUT = timedelta(seconds=60)
-# An order without an answer may be executed for this time.
-ORDER_LIFETIME = timedelta(seconds=9)
 # A server registers within this time after it started to receive commits.
 LISTING_DELAY = timedelta(milliseconds=150)
 # The same if acknowledged commits are known to be missing at all servers that answer. A
@@ -42,10 +41,15 @@
 
 
 class Successor(NamedTuple):
-    """The server to promote, and a position that covers every commit acknowledged."""
+    """The server to promote, and a position that covers every commit acknowledged.
+
+    ``term`` is the highest term of another server that is a primary. A primary of a
+    lower term has been replaced.
+    """
 
     target_id: str
     sealed: LogPosition
+    term: int
 
 
 class SuccessorSearch:
@@ -107,7 +111,13 @@
             yield self._loop.sleep(POLL_INTERVAL)
             return choice
         self._log_choice(choice, state)
-        return Successor(choice, self._status_by_id[choice].received)
+        terms = [
+            status.term
+            for target_id, status in self._status_by_id.items()
+            if target_id != choice and status.role is ServerRole.PRIMARY
+        ]
+        received = self._status_by_id[choice].received
+        return Successor(choice, received, max(terms, default=0))
 
     def _check_demotion(self, closed_at: timedelta) -> Steps:
         """Ask the demoted primary again, since a restart ends its demotion.
--- a/tests/proxy/test_promotion_orders.py
+++ b/tests/proxy/test_promotion_orders.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.groups import GroupPhase, decode_group
 from bulrushloom.proxy.replacement import RESUME_CHECK_INTERVAL
 from bulrushloom.proxy.services import EXPECTED_FAILOVER_TIME, OVERDUE_WAIT_FRACTION
 from standins.platform.store import NO_ANSWER_DELAY
@@ -13,10 +13,12 @@
     SECOND,
     PartitionedNetwork,
     Writers,
+    check_commits_told_to_clients,
     primary_id,
     send_reads,
     write_until_served,
 )
+from tests.proxy.test_failover_evidence import LateOrder
 
 
 def reach_only(fleet, members, server_ids):
@@ -283,3 +285,161 @@
     services.apply_group_records({SERVICE: build_group(revision=14, fence=2)})
     overdue = SECOND * 3 * OVERDUE_WAIT_FRACTION
     assert services.expected_primary_wait(SERVICE) == overdue
+
+
+def write_through_all(fleet):
+    """Write through each instance; return the clients."""
+    clients = [member.client("strict") for member in fleet.members]
+    for client in clients:
+        write_until_served(fleet, client)
+    return clients
+
+
+def crash_while_it_is_away(fleet, server_id):
+    """Crash a server; return a function that lets it return with its log."""
+    accept = fleet.network.accept_by_address[f"{server_id}:1"]
+    fleet.crash(server_id)
+    fleet.deregistered.add(server_id)
+
+    def come_back():
+        fleet.network.accept_by_address[f"{server_id}:1"] = accept
+        fleet.deregistered.discard(server_id)
+
+    return come_back
+
+
+def order_that_is_executed_late(fleet, delay):
+    """Let the primary crash; return the orders once the first one is sent."""
+    clients = write_through_all(fleet)
+    fleet.join("d", ms(0))
+    fleet.run(SECOND)
+    orders = LateOrder(fleet, delay)
+    fleet.crash("a")
+    send_reads(clients)
+    fleet.run_until(lambda: orders.ordered)
+    return orders
+
+
+def test_late_order_of_the_failover_before(fleet):
+    # Guards against an order that is forgotten when its failover ends: its server is
+    # replaced soon afterwards, and then leads again without the commits since.
+    orders = order_that_is_executed_late(fleet, SECOND * 8)
+    started_at, chosen = fleet.loop.now(), orders.ordered[0][0]
+    fleet.run_until(lambda: primary_id(fleet) == chosen)
+    clients = write_through_all(fleet)
+    come_back = crash_while_it_is_away(fleet, chosen)
+    send_reads(clients)
+    fleet.run(SECOND * 2)
+    come_back()
+    write_until_served(fleet, clients[0], SECOND * 12)
+    fleet.run_until(lambda: fleet.loop.now() - started_at > SECOND * 10, SECOND * 12)
+    check_commits_told_to_clients(fleet)
+
+
+def test_late_order_is_known_to_the_next_leader(fleet):
+    # Guards against an order that is forgotten with its leader, which is lost while it
+    # waits for the end of that order.
+    orders = order_that_is_executed_late(fleet, SECOND * 8)
+    started_at, chosen = fleet.loop.now(), orders.ordered[0][0]
+    come_back = crash_while_it_is_away(fleet, chosen)
+    fleet.run_until(lambda: fleet.group.promoted_id not in ("a", chosen))
+    leader = fleet.leader()
+    fleet.store.refused.add(leader.name)
+    come_back()
+    others = [member for member in fleet.members if member is not leader]
+    groups = others[0].services.table.group_by_service
+    fleet.run_until(lambda: groups[SERVICE].phase is GroupPhase.STEADY, SECOND * 12)
+    # Guards against a successor that is announced although the late order was executed,
+    # and against orders that are repeated until the one for the successor is executed.
+    assert [p.server for p in fleet.group.promotions].count(chosen) == 1
+    assert fleet.group.primary().server_id == groups[SERVICE].primary_id != chosen
+    assert len(orders.ordered) == 4
+    write_until_served(fleet, others[0].client("strict"), SECOND * 12)
+    fleet.run_until(lambda: fleet.loop.now() - started_at > SECOND * 10, SECOND * 12)
+    check_commits_told_to_clients(fleet)
+
+
+class RefusedOrder(LateOrder):
+    """As ``LateOrder``; the server crashes right before the second order for it."""
+
+    come_back = None
+
+    def order(self, *arguments):
+        target_id = arguments[1]
+        if self.come_back is None and target_id in dict(self.ordered):
+            self.come_back = crash_while_it_is_away(self.fleet, target_id)
+        return super().order(*arguments)
+
+
+def test_late_order_of_a_server_that_is_not_running(fleet):
+    # Guards against an order that is forgotten because a later one for the same server
+    # was refused.
+    clients = write_through_all(fleet)
+    fleet.join("d", ms(0))
+    fleet.run(SECOND)
+    orders = RefusedOrder(fleet, SECOND * 8)
+    fleet.crash("a")
+    send_reads(clients)
+    fleet.run_until(lambda: orders.come_back)
+    fleet.run(SECOND * 4)
+    orders.come_back()
+    write_until_served(fleet, clients[0], SECOND * 12)
+    fleet.run(SECOND * 5)
+    assert check_commits_told_to_clients(fleet) > len(clients)
+
+
+@pytest.mark.parametrize(
+    ("is_steady", "lost_answers"), [(False, 0), (True, 0), (True, 1)]
+)
+def test_answered_order_delays_no_other_server(fleet, is_steady, lost_answers):
+    # The opposite case: an order that was answered, or has taken effect, is not
+    # executed later.
+    clients = write_through_all(fleet)
+    fleet.promotion.answers_to_lose = lost_answers
+    fleet.join("d", ms(0))
+    fleet.run(SECOND)
+    fleet.crash("a")
+    send_reads(clients)
+    fleet.run_until(lambda: fleet.promotion.orders)
+    chosen = fleet.promotion.orders[0].target_id
+    fleet.run(ms(50))
+    if is_steady:
+        fleet.run_until(lambda: primary_id(fleet) == chosen)
+        clients = write_through_all(fleet)
+    crash_while_it_is_away(fleet, chosen)
+    send_reads(clients)
+    gap = write_until_served(fleet, clients[0], SECOND * 12)
+    assert gap < SECOND * 5
+
+
+@pytest.mark.parametrize(
+    ("counts", "pending"),
+    [
+        # Repeated after 6 s, so the last order is 4 s old.
+        ([1, 2], {"b": 2}),
+        # Another attempt that has not ordered the server yet.
+        ([1, 1], {}),
+        # The second of two orders was answered.
+        ([2, 1], {}),
+        ([2, 1, 2], {"b": 2}),
+    ],
+)
+def test_order_counts_for_its_lifetime(instance, counts, pending):
+    # Guards against an order that an instance forgets too early, or counts too long,
+    # because it takes a record without a further order for the order.
+    orders = instance.services.orders
+    orders.apply_group_record(build_group(unanswered_by_id={"b": counts[0]}))
+    instance.run(SECOND * 6)
+    assert orders.pending(SERVICE) == {"b": counts[0]}
+    for count in counts[1:]:
+        orders.apply_group_record(build_group(unanswered_by_id={"b": count}))
+    instance.run(SECOND * 4)
+    assert orders.pending(SERVICE) == pending
+    orders.apply_group_record(build_group())
+    assert orders.pending(SERVICE) == {}
+
+
+def test_record_keeps_the_servers_with_an_order_without_an_answer():
+    # Guards against a field that one of encode and decode lacks.
+    group = build_group(unanswered_by_id={"b": 2, "c": 1})
+    assert decode_group(group.encode(), group.revision) == group
