--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.admission import Grant
 from bulrushloom.proxy.configuration import Route, Target
 from bulrushloom.proxy.messages import (
     AnswerCode,
@@ -32,11 +33,20 @@
 
     statement: Statement
     prepared: PreparedStatement | None
-    route: Route
-    account: str
+    grant: Grant
     started_at: timedelta
     session_position: LogPosition | Missing
 
+    @property
+    def route(self) -> Route:
+        """Return the route that the statement was admitted with."""
+        return self.grant.route
+
+    @property
+    def account(self) -> str:
+        """Return the name of the account that the server is told."""
+        return self.grant.account_name
+
     @property
     def deadline(self) -> timedelta:
         """Return when the route's statement timeout expires."""
@@ -82,6 +92,15 @@
         self.retry_delay = retry_delay
 
 
+class GrantEnded(Exception):
+    """The configuration no longer permits a statement, which was not sent."""
+
+    def __init__(self, target: Target, failure: Failure):
+        super().__init__(failure.reason)
+        self.target = target
+        self.failure = failure
+
+
 class AnswerLost(Exception):
     """The statement was sent to a target, and no answer arrived.
 
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -5,8 +5,9 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.admission import Grant
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
-from bulrushloom.proxy.configuration import Consistency, Route, Target
+from bulrushloom.proxy.configuration import Consistency, Target
 from bulrushloom.proxy.connections import (
     ConnectionLost,
     ConnectionRejected,
@@ -47,16 +48,15 @@
         self,
         services: Services,
         runner: StatementRunner,
-        route: Route,
-        account: str,
+        grant: Grant,
         is_read_only: bool,
         session_position: LogPosition | Missing,
     ):
         self._services = services
         self._loop = services.loop
         self._runner = runner
-        self._route = route
-        self.account = account
+        self.grant = grant
+        self._route = grant.route
         self._is_read_only = is_read_only
         self._session_position = session_position
         self._connection: ServerConnection | None = None
@@ -66,7 +66,7 @@
     def run(
         self, statement: Statement, prepared: PreparedStatement | None, writes: bool
     ) -> Steps:
-        """Run one statement; return an ``Outcome``."""
+        """Run one statement; return an ``Outcome``, or raise ``GrantEnded``."""
         attempt = self._attempt(statement, prepared)
         if self._connection is None:
             begun = yield from self._begin(attempt)
@@ -98,8 +98,7 @@
         return Attempt(
             statement,
             prepared,
-            self._route,
-            self.account,
+            self.grant,
             self._loop.now(),
             self._session_position,
         )
@@ -192,7 +191,7 @@
     ) -> Steps:
         timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         connection = yield from self._runner.acquire_connection(
-            target, self.account, self._route.priority, timeout
+            target, attempt.account, self._route.priority, timeout
         )
         answer = None
         try:
@@ -216,6 +215,7 @@
             after = self._runner.require_position(
                 target, self._route, self._session_position
             )
+        self._runner.require_grant(target, attempt)
         text = wire.BEGIN_READ if self._is_read_only else wire.BEGIN
         sent_at = self._loop.now()
         answer_future = connection.query(wire.PROXY_REQUEST_ID, text, after)
@@ -249,7 +249,10 @@
     # End
 
     def commit(self, statement: Statement) -> Steps:
-        """Commit; the outcome has the code ``IN_DOUBT`` if the result is unknown."""
+        """Commit; the outcome has the code ``IN_DOUBT`` if the result is unknown.
+
+        Raise ``GrantEnded`` before the commit is sent.
+        """
         attempt = self._attempt(statement, None)
         if self._connection is None:
             begun = yield from self._begin(attempt)
