Write log lines in pieces that a pipe takes as a whole

flush wrote the lines of 200 ms at once. Lines are now written in pieces of whole lines of up to PIPE_BUF bytes.

test_each_write_has_complete_lines_that_fit_into_a_pipe failed before.

--- a/bulrushloom/proxy/telemetry.py
+++ b/bulrushloom/proxy/telemetry.py
@@ -8,6 +8,7 @@
 import os
 from collections import Counter, deque
 from datetime import timedelta
+from select import PIPE_BUF
 from typing import Any
 
 import eliot
@@ -85,15 +86,20 @@
         self.flush()
 
     def flush(self) -> None:
-        """Write as much as the descriptor accepts; the rest stays buffered."""
+        """Write as much as the descriptor accepts; the rest stays buffered.
+
+        A pipe takes a write of up to ``PIPE_BUF`` bytes as a whole or not at all, so
+        that a collector with a small buffer gets complete lines.
+        """
         # Joining the lines may start a garbage collection, which finalizes tasks that
         # log as they end, so the lines are replaced first.
         lines, self._lines = self._lines, deque()
         data = self._unwritten + b"".join(lines)
         self._unwritten = b""
         while data:
+            end_of_lines = data.rfind(b"\n", 0, PIPE_BUF) + 1
             try:
-                written = os.write(self._descriptor, data)
+                written = os.write(self._descriptor, data[: end_of_lines or PIPE_BUF])
             except BlockingIOError:
                 self._unwritten = data
                 return
--- a/tests/proxy/test_telemetry.py
+++ b/tests/proxy/test_telemetry.py
@@ -4,6 +4,7 @@
 import os
 from collections import deque
 from datetime import timedelta
+from select import PIPE_BUF
 
 import orjson
 import pytest
@@ -54,6 +55,29 @@
     assert line["instance"] == "north-1"
 
 
+def test_each_write_has_complete_lines_that_fit_into_a_pipe(logged, monkeypatch):
+    # Guards against lines that a collector cuts off at the end of a large write.
+    loop, log, _ = logged
+    writes = []
+    monkeypatch.setattr(os, "write", lambda _, data: writes.append(data) or len(data))
+    for number in range(100):
+        log.write("statement_attempt", request_id=f"x{number}", reason="r" * 300)
+    run_for(loop, SECOND)
+    assert len(writes) > 1
+    assert all(len(data) <= PIPE_BUF and data.endswith(b"\n") for data in writes)
+    lines = [orjson.loads(line) for line in b"".join(writes).splitlines()]
+    assert [line["request_id"] for line in lines] == [f"x{n}" for n in range(100)]
+
+
+def test_line_that_is_longer_than_a_pipe_takes_is_written_whole(logged):
+    loop, log, reader = logged
+    log.write("task_failed", traceback="t" * (PIPE_BUF * 2))
+    log.write("started")
+    run_for(loop, SECOND)
+    events = [line["message_type"] for line in read_lines(reader)]
+    assert events == ["task_failed", "started"]
+
+
 def test_excess_events_are_dropped_and_counted(logged):
     # Guards against logging that uses up the CPU under peak load.
     loop, log, reader = logged
