--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -19,10 +19,10 @@
 _ZERO = timedelta()
 
 
-class Grant(NamedTuple):
+class Permit(NamedTuple):
     """Permission of one operation: its route and account, from one configuration.
 
-    An operation uses its grant from the admission to the answer, so that all its parts
+    An operation uses its permit from the admission to the answer, so that all its parts
     follow the same configuration, the one with ``revision``. ``account`` is ``None`` if
     the caller has none, which only public routes allow. ``arrival_version`` is the
     version of the configuration at which the operation arrived; it then waited ``wait``
@@ -84,8 +84,8 @@
             return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
         return None
 
-    def _decide(self) -> Grant | Failure:
-        """Return the grant of an operation by the current configuration."""
+    def _decide(self) -> Permit | Failure:
+        """Return the permit of an operation by the current configuration."""
         configuration = self._services.configuration
         route = configuration.route_by_database.get(self._database)
         if route is None:
@@ -93,36 +93,36 @@
         account = configuration.account_by_key.get(self._key)
         if account is None and not route.is_public:
             return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
-        return Grant(route, account, configuration.revision, configuration.version)
+        return Permit(route, account, configuration.revision, configuration.version)
 
-    def refusal_of(self, grant: Grant) -> Failure | None:
-        """Return why a statement of a granted operation may not be sent, or ``None``.
+    def refusal_of(self, permit: Permit) -> Failure | None:
+        """Return why a statement of an admitted operation may not be sent, or ``None``.
 
         Asked directly before each statement is sent, because the configuration may have
-        changed since the grant. Only changes of the account and of the destination end
-        a grant. The age of the last read of the store does not: the bound for withdrawn
-        keys counts from the arrival of a statement.
+        changed since the admission. Only a change of the account or of the destination
+        ends a permit. The age of the last read of the store does not: the bound for
+        withdrawn keys counts from the arrival of a statement.
         """
-        if grant.revision == self._services.configuration.revision:
+        if permit.revision == self._services.configuration.revision:
             return None
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
-        if decided.account_name != grant.account_name:
+        if decided.account_name != permit.account_name:
             return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
-        if not grant.keeps_route and not decided.route.leads_like(grant.route):
+        if not permit.keeps_route and not decided.route.leads_like(permit.route):
             return Failure(AnswerCode.ABORTED, "the route leads elsewhere now")
         return None
 
-    def refusal_in_transaction(self, grant: Grant) -> Failure | None:
+    def refusal_in_transaction(self, permit: Permit) -> Failure | None:
         """Return why a transaction may not continue with a new statement, or ``None``.
 
         Its connection belongs to the account that held the key at its begin.
         """
-        return self.refusal() or self.refusal_of(grant)
+        return self.refusal() or self.refusal_of(permit)
 
     def admit(self, begins_transaction: bool = False) -> Steps:
-        """Wait for a rate token; return a ``Grant``, or a ``Failure`` if refused."""
+        """Wait for a rate token; return a ``Permit``, or a ``Failure`` if refused."""
         plan = self._services.stop_plan
         if plan is not None and plan.refuses(self._loop.now(), begins_transaction):
             return REFUSED_BY_STOP
@@ -132,28 +132,28 @@
             failure = self.refusal()
         if failure is not None:
             return failure
-        granted = yield from self._take_token()
-        if isinstance(granted, Failure):
-            return granted
-        return granted._replace(keeps_route=begins_transaction)
+        admitted = yield from self._take_token()
+        if isinstance(admitted, Failure):
+            return admitted
+        return admitted._replace(keeps_route=begins_transaction)
 
-    def renew(self, grant: Grant) -> Steps:
-        """Admit a statement again that was not sent under ``grant``.
+    def renew(self, permit: Permit) -> Steps:
+        """Admit a statement again that was not sent under ``permit``.
 
-        Returns a ``Grant`` by the current configuration, or a ``Failure``. Takes a rate
-        token only if the key belongs to another account now.
+        Returns a ``Permit`` by the current configuration, or a ``Failure``. Takes a
+        rate token only if the key belongs to another account now.
         """
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
-        if decided.account_name == grant.account_name:
+        if decided.account_name == permit.account_name:
             return decided._replace(
-                arrival_version=grant.arrival_version, wait=grant.wait
+                arrival_version=permit.arrival_version, wait=permit.wait
             )
         return (yield from self._take_token())
 
     def _take_token(self) -> Steps:
-        """Wait for a rate token of the key's account; return a grant or a failure.
+        """Wait for a rate token of the key's account; return a permit or a failure.
 
         The configuration may change during the wait, so each token is taken for the
         account that holds the key at that moment.
@@ -166,20 +166,20 @@
             decided, now = self._decide(), self._loop.now()
             if isinstance(decided, Failure):
                 return decided
-            grant = decided._replace(
+            permit = decided._replace(
                 arrival_version=arrival_version, wait=now - started_at
             )
-            account = grant.account
+            account = permit.account
             if account is None:
-                return grant
+                return permit
             if account.name != counted_account:
                 limiter.record_demand(account, now)
                 counted_account = account.name
             token_wait = limiter.try_admit(account, now)
             if token_wait <= _ZERO:
-                return grant
-            longest_wait = grant.route.latency_objective * TOKEN_WAIT_FRACTION
-            if grant.wait + token_wait > longest_wait:
+                return permit
+            longest_wait = permit.route.latency_objective * TOKEN_WAIT_FRACTION
+            if permit.wait + token_wait > longest_wait:
                 self._services.metrics.count("rate_limited", account.name)
                 reason = limiter.describe_refusal(account, now)
                 return Failure(AnswerCode.NOT_RUN, reason, token_wait)
--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.proxy.admission import Grant
+from bulrushloom.proxy.admission import Permit
 from bulrushloom.proxy.configuration import Route, Target
 from bulrushloom.proxy.messages import (
     AnswerCode,
@@ -33,19 +33,19 @@
 
     statement: Statement
     prepared: PreparedStatement | None
-    grant: Grant
+    permit: Permit
     started_at: timedelta
     session_position: LogPosition | Missing
 
     @property
     def route(self) -> Route:
         """Return the route that the statement was admitted with."""
-        return self.grant.route
+        return self.permit.route
 
     @property
     def account(self) -> str:
         """Return the name of the account that the server is told."""
-        return self.grant.account_name
+        return self.permit.account_name
 
     @property
     def deadline(self) -> timedelta:
@@ -92,7 +92,7 @@
         self.retry_delay = retry_delay
 
 
-class GrantEnded(Exception):
+class PermitEnded(Exception):
     """The configuration no longer permits a statement, which was not sent."""
 
     def __init__(self, target: Target, failure: Failure):
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -11,7 +11,7 @@
 
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
-from bulrushloom.proxy.attempts import AnswerLost, Attempt, GrantEnded, NotOffered
+from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, PermitEnded
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.connections import (
     ConnectionLost,
@@ -139,11 +139,11 @@
         if not self._services.is_current_primary(target):
             raise NotOffered(target, PRIMARY_REPLACED)
 
-    def require_grant(self, target: Target, attempt: Attempt) -> None:
-        """Raise ``GrantEnded`` if the configuration no longer permits the statement."""
-        failure = self._admission.refusal_of(attempt.grant)
+    def require_permit(self, target: Target, attempt: Attempt) -> None:
+        """Raise ``PermitEnded`` if the statement may no longer be sent."""
+        failure = self._admission.refusal_of(attempt.permit)
         if failure is not None:
-            raise GrantEnded(target, failure)
+            raise PermitEnded(target, failure)
 
     def send(
         self,
@@ -156,9 +156,9 @@
 
         The wait for the answer ends at the latest when ``cutoff`` is done.
 
-        Raise ``GrantEnded`` before the statement is sent, or ``AnswerLost``.
+        Raise ``PermitEnded`` before the statement is sent, or ``AnswerLost``.
         """
-        self.require_grant(connection.target, attempt)
+        self.require_permit(connection.target, attempt)
         text = statement_text(attempt.statement, attempt.prepared)
         sent_at = self._loop.now()
         answer_future = connection.query(attempt.statement.request_id, text, after)
@@ -211,9 +211,9 @@
             account=attempt.account,
             route=attempt.route.name,
             is_public=attempt.route.is_public,
-            admitted_configuration=attempt.grant.arrival_version,
+            admitted_configuration=attempt.permit.arrival_version,
             configuration=self._services.configuration.version,
-            admission_wait=attempt.grant.wait,
+            admission_wait=attempt.permit.wait,
             target=target.target_id,
             required=str(required) if required else "",
             evidence_age=self._services.store_freshness.age(self._loop.now()),
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -9,10 +9,10 @@
 from bulrushloom.proxy.attempts import (
     AnswerLost,
     Attempt,
-    GrantEnded,
     HedgedRead,
     NotOffered,
     Outcome,
+    PermitEnded,
 )
 from bulrushloom.proxy.configuration import Consistency, Route, Target
 from bulrushloom.proxy.dispatch import COMMIT_TOO_LATE, Dispatcher
@@ -53,7 +53,7 @@
 class StatementRunner(Dispatcher):
     """Runner of one session's statements: chooses targets, hedges reads and retries.
 
-    Both ``read`` and ``write`` raise ``GrantEnded`` if the configuration no longer
+    Both ``read`` and ``write`` raise ``PermitEnded`` if the configuration no longer
     permits the statement, and nothing that was sent may have taken effect.
     """
 
@@ -88,7 +88,7 @@
         hedge_after = attempt.route.latency_objective * HEDGE_DELAY_FRACTION
         sent_count = 0
         refusals = 0
-        ended: GrantEnded | None = None
+        ended: PermitEnded | None = None
         while (
             ended is None
             and sent_count < MAX_READ_ATTEMPTS
@@ -121,13 +121,13 @@
             for future in [f for f in running if f.done()]:
                 running.remove(future)
                 error = future.exception()
-                if isinstance(error, GrantEnded):
+                if isinstance(error, PermitEnded):
                     ended = error
                 sent_count -= isinstance(error, NotOffered)
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
-        # A copy that was sent before the grant ended may still answer.
+        # A copy that was sent before the permit ended may still answer.
         for future in running:
             remaining = max(attempt.deadline - self._loop.now(), _ZERO)
             yield self._loop.first_of([future, self._loop.sleep(remaining)])
@@ -145,7 +145,7 @@
         """Return the outcome, or ``None`` and the reason if a retry may succeed."""
         error = future.exception()
         if error is not None:
-            if not isinstance(error, NotOffered | AnswerLost | GrantEnded):
+            if not isinstance(error, NotOffered | AnswerLost | PermitEnded):
                 raise error
             self.log_attempt(attempt, error.target, str(error))
             return None, str(error)
@@ -161,7 +161,7 @@
     ) -> Steps:
         """Send one copy of the read to the chosen target; return the answer.
 
-        Raise ``NotOffered``, ``GrantEnded`` or ``AnswerLost``.
+        Raise ``NotOffered``, ``PermitEnded`` or ``AnswerLost``.
         """
         timeout = attempt.dispatch_deadline - self._loop.now()
         connection = yield from self.acquire_connection(
@@ -279,7 +279,7 @@
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
                 yield self._loop.sleep(error.retry_delay)
-            except GrantEnded as error:
+            except PermitEnded as error:
                 self.log_attempt(attempt, primary, str(error))
                 raise
             except AnswerLost as error:
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -8,7 +8,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
-from bulrushloom.proxy.attempts import Attempt, GrantEnded, Outcome
+from bulrushloom.proxy.attempts import Attempt, Outcome, PermitEnded
 from bulrushloom.proxy.execution import StatementRunner
 from bulrushloom.proxy.messages import (
     NO_POSITION,
@@ -273,14 +273,14 @@
             reason = "a transaction is open already"
             self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
             return
-        grant = yield from self._admission.admit(begins_transaction=True)
-        if isinstance(grant, Failure):
-            self._answer(message, Outcome(grant, None))
+        permit = yield from self._admission.admit(begins_transaction=True)
+        if isinstance(permit, Failure):
+            self._answer(message, Outcome(permit, None))
             return
         self._transaction = Transaction(
             self._services,
             self._runner,
-            grant,
+            permit,
             message.kind is StatementKind.BEGIN_READ_ONLY,
             self._position,
         )
@@ -297,7 +297,7 @@
             transaction.roll_back()
             self._answer_locally()
             return
-        outcome = yield from self._run_granted(
+        outcome = yield from self._run_permitted(
             transaction, lambda: transaction.commit(message)
         )
         self._transaction = None
@@ -319,16 +319,16 @@
         started_at = self._loop.now()
         run = self._runner.write if writes else self._runner.read
         outcome: Outcome | None = None
-        grant = yield from self._admission.admit()
+        permit = yield from self._admission.admit()
         while outcome is None:
-            if isinstance(grant, Failure):
-                self._answer(message, Outcome(grant, None))
+            if isinstance(permit, Failure):
+                self._answer(message, Outcome(permit, None))
                 return
-            attempt = Attempt(message, prepared, grant, started_at, self._position)
+            attempt = Attempt(message, prepared, permit, started_at, self._position)
             try:
                 outcome = yield from run(attempt)
-            except GrantEnded:
-                grant = yield from self._admission.renew(grant)
+            except PermitEnded:
+                permit = yield from self._admission.renew(permit)
         if outcome.answer is not None and writes:
             self._advance_position(outcome.answer.position)
         kind = "write" if writes else "read"
@@ -340,23 +340,23 @@
     ) -> Steps:
         transaction = self._transaction
         assert transaction is not None
-        outcome = yield from self._run_granted(
+        outcome = yield from self._run_permitted(
             transaction, lambda: transaction.run(message, prepared, writes)
         )
         self._answer(message, outcome)
 
-    def _run_granted(
+    def _run_permitted(
         self, transaction: Transaction, start: Callable[[], Steps]
     ) -> Steps:
-        """Run a statement of a transaction unless its grant has ended.
+        """Run a statement of a transaction unless its permit has ended.
 
-        Returns an ``Outcome``. The transaction fails with its grant.
+        Returns an ``Outcome``. The transaction fails with its permit.
         """
-        refusal = self._admission.refusal_in_transaction(transaction.grant)
+        refusal = self._admission.refusal_in_transaction(transaction.permit)
         if refusal is None:
             try:
                 return (yield from start())
-            except GrantEnded as error:
+            except PermitEnded as error:
                 refusal = error.failure
         transaction.fail(refusal.reason)
         return Outcome(refusal, None)
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -5,7 +5,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
-from bulrushloom.proxy.admission import Grant
+from bulrushloom.proxy.admission import Permit
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
 from bulrushloom.proxy.configuration import Consistency, Target
 from bulrushloom.proxy.connections import (
@@ -48,15 +48,15 @@
         self,
         services: Services,
         runner: StatementRunner,
-        grant: Grant,
+        permit: Permit,
         is_read_only: bool,
         session_position: LogPosition | Missing,
     ):
         self._services = services
         self._loop = services.loop
         self._runner = runner
-        self.grant = grant
-        self._route = grant.route
+        self.permit = permit
+        self._route = permit.route
         self._is_read_only = is_read_only
         self._session_position = session_position
         self._connection: ServerConnection | None = None
@@ -66,7 +66,7 @@
     def run(
         self, statement: Statement, prepared: PreparedStatement | None, writes: bool
     ) -> Steps:
-        """Run one statement; return an ``Outcome``, or raise ``GrantEnded``."""
+        """Run one statement; return an ``Outcome``, or raise ``PermitEnded``."""
         attempt = self._attempt(statement, prepared)
         if self._connection is None:
             begun = yield from self._begin(attempt)
@@ -98,7 +98,7 @@
         return Attempt(
             statement,
             prepared,
-            self.grant,
+            self.permit,
             self._loop.now(),
             self._session_position,
         )
@@ -215,7 +215,7 @@
             after = self._runner.require_position(
                 target, self._route, self._session_position
             )
-        self._runner.require_grant(target, attempt)
+        self._runner.require_permit(target, attempt)
         text = wire.BEGIN_READ if self._is_read_only else wire.BEGIN
         sent_at = self._loop.now()
         answer_future = connection.query(wire.PROXY_REQUEST_ID, text, after)
@@ -251,7 +251,7 @@
     def commit(self, statement: Statement) -> Steps:
         """Commit; the outcome has the code ``IN_DOUBT`` if the result is unknown.
 
-        Raise ``GrantEnded`` before the commit is sent.
+        Raise ``PermitEnded`` before the commit is sent.
         """
         attempt = self._attempt(statement, None)
         if self._connection is None:
