Record what START tells the soak's simulated servers

Cause: a server kept the account of a connection only with the statements that ran on it, so a connection for an account that never existed, on which nothing ran, left no trace. The record of a caller had one account for good, so a key that moves between accounts could not be described.

Change: servers record each START with its account and time. The account of a caller may be missing; the checks of the history skip it then, and the account checks of the soak, which know who held a key when, take its place.

--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -13,7 +13,7 @@
 
 from bulrushloom.runtime.loop import Loop
 from bulrushloom.runtime.streams import Stream
-from standins.platform.records import Commit, Promotion, Run
+from standins.platform.records import Commit, Promotion, Run, Start
 from standins.platform.server_session import ServerSession
 
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=5)
@@ -37,6 +37,7 @@
         self.server_by_id: dict[str, SimulatedServer] = {}
         self.promoted_id = ""
         self.runs: list[Run] = []
+        self.starts: list[Start] = []
         self.acknowledged: list[tuple[Commit, timedelta]] = []
         self.promotions: list[Promotion] = []
         self.connection_numbers = itertools.count(1)
--- a/standins/platform/records.py
+++ b/standins/platform/records.py
@@ -21,6 +21,14 @@
     position: tuple[int, int]
 
 
+class Start(NamedTuple):
+    """A START message that a server received, with the account that it named."""
+
+    server: str
+    account: str
+    at: timedelta
+
+
 class Run(NamedTuple):
     """A statement that a server ran.
 
--- a/standins/platform/server_session.py
+++ b/standins/platform/server_session.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from bulrushloom.runtime.streams import Stream
-from standins.platform.records import Run
+from standins.platform.records import Run, Start
 
 if TYPE_CHECKING:
     from standins.platform.group import SimulatedServer
@@ -57,6 +57,8 @@
 
     def handle_start(self, fields: list[str]) -> None:
         """Check service name, server id and connection limit; start the session."""
+        start = Start(self.server.server_id, fields[1], self.loop.now())
+        self.group.starts.append(start)
         is_misrouted = fields[0] != self.group.service
         if len(fields) > 2 and fields[2] != self.server.server_id:
             is_misrouted = True
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bulrushloom.core.clock import ManualClock
+from bulrushloom.core.sentinels import Missing
 from bulrushloom.runtime.loop import Loop
 from standins.platform.group import SimulatedGroup
 from standins.platform.promises import CallerRecord, History
@@ -137,3 +138,10 @@
     group.acknowledged.append((Commit(1, 1, (request_id,)), SECOND))
     history.send(caller, "WRITE 1 data", SECOND)
     assert history.check_acknowledged_commits() == []
+
+
+def test_account_of_a_key_that_moves_is_not_compared(group, history, caller):
+    # ``AccountChecks`` compares it with the accounts that held the key.
+    caller.account = Missing("the key moves")
+    group.runs.append(run(history.send(caller, "READ 1", SECOND), account="other"))
+    assert history.check_runs() == []
--- a/tests/soak/test_servers.py
+++ b/tests/soak/test_servers.py
@@ -10,7 +10,7 @@
 from bulrushloom.core.clock import ManualClock
 from bulrushloom.runtime.loop import Loop
 from standins.platform.host import Platform
-from standins.platform.network import run_for
+from standins.platform.network import MemoryNetwork, run_for
 
 SECOND = timedelta(seconds=1)
 PROMOTION = orjson.dumps({"Id": "b"})
@@ -148,3 +148,16 @@
     platform.restart("b")
     platform.restart("b")
     assert servers["b"].is_running and platform.crashed_ids == set()
+
+
+def test_accounts_that_servers_are_told_are_recorded(platform, servers):
+    # Guards against a connection for a wrong account on which no statement runs.
+    network = MemoryNetwork(platform.loop)
+    network.accept_by_address["a:1"] = servers["a"].accept
+    for line in (b"START orders hotel a", b"START orders  a", b"START orders x b"):
+        connecting = network.connect("a:1", SECOND)
+        run_for(platform.loop, SECOND / 10)
+        connecting.result().write(line + b"\r\n")
+        run_for(platform.loop, SECOND / 10)
+    starts = [(start.server, start.account) for start in platform.group.starts]
+    assert starts == [("a", "hotel"), ("a", ""), ("a", "x")]
