Check for which account the soak's statements run

Cause: a statement was compared with the fixed account of its caller, a withdrawn key by the time of sending only, and START with nothing.

Ruled out: a bound by the time of sending alone. It allows a statement that was sent before a change any delay, so it cannot see one that waits past the change and runs for the former account. A bound by the run alone holds only while nothing delays what an instance has sent, so it is applied while no fault of instances, links or the store was active, and the bound by the time of sending always.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream, TcpNetwork
+from soak.operators import CallerAccount
 from standins.platform.host import Daemon
 from standins.platform.promises import CallerRecord
 
@@ -20,7 +21,6 @@
 MAX_OPERATIONS = 60
 THINK_TIME_S = 0.08
 MAX_RETRY_DELAY = timedelta(milliseconds=250)
-DATABASES = ("strict", "bounded", "own")
 # Probability that a session ends with invalid or incomplete input.
 MISBEHAVIOR_PROBABILITY = 0.08
 
@@ -83,7 +83,7 @@
         self,
         world: "World",
         name: str,
-        account: str,
+        account: CallerAccount,
         think_time_s: float,
         daemon: Daemon | None = None,
     ):
@@ -118,10 +118,11 @@
 
     def _session(self, daemon: Daemon) -> Steps:
         self._session_count += 1
-        key = self._random.choice(self._world.operator.keys_for(self._account))
-        database = self._random.choice(DATABASES)
+        account = self._account
+        key = self._random.choice(account.keys)
+        database = self._random.choice(account.databases)
         name = f"{self._name}s{self._session_count}"
-        record = CallerRecord(name, self._account, key, database)
+        record = CallerRecord(name, account.name, key, database)
         stream = yield TcpNetwork(self._loop).connect(
             daemon.addresses["session_address"], CONNECT_TIMEOUT
         )
--- a/soak/failovers.py
+++ b/soak/failovers.py
@@ -16,6 +16,7 @@
     ServerFault,
 )
 from soak.links import DIRECTIONS
+from soak.operators import HOTEL
 
 if TYPE_CHECKING:
     from soak.world import World
@@ -59,6 +60,8 @@
 class RestartServer(ServerFault):
     """Restart a server with its log; a pause of its replication ends."""
 
+    disturbs_instances = False
+
     exclusion_tag = ""
 
     def run(self, duration: timedelta) -> Steps:
@@ -82,6 +85,7 @@
     replica and a lost primary had would be lost.
     """
 
+    disturbs_instances = False
     is_exclusive = True
 
     def run(self, duration: timedelta) -> Steps:
@@ -132,6 +136,8 @@
 class JoinServer(Fault):
     """Add a replica to the group."""
 
+    disturbs_instances = False
+
     def run(self, duration: timedelta) -> Steps:
         """Register a server, which copies the primary's log at once or a little later.
 
@@ -187,7 +193,7 @@
             cut()
             yield self.loop.sleep(random_time(self.rng, 0, MAX_CUT_STEP_S))
         callers = [
-            Caller(world, f"i{number}", "hotel", CALLER_THINK_TIME_S, self.daemon)
+            Caller(world, f"i{number}", HOTEL, CALLER_THINK_TIME_S, self.daemon)
             for number in world.take_caller_numbers(ISOLATED_CALLERS)
         ]
         for caller in callers:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -44,10 +44,12 @@
     ``is_planned`` marks operations of operators, during which no answer may be lost.
     Faults with the same non-empty ``exclusion_tag`` do not overlap, because the loss of
     two servers at the same time may lose commits. No fault starts during an exclusive
-    one.
+    one. ``disturbs_instances`` is false for faults of servers that leave instances,
+    their links and the store alone.
     """
 
     is_planned = False
+    disturbs_instances = True
     is_exclusive = False
     exclusion_tag = ""
 
@@ -175,6 +177,8 @@
 class CrashServer(ServerFault):
     """Crash a server and restart it with its log."""
 
+    disturbs_instances = False
+
     def run(self, duration: timedelta) -> Steps:
         """Crash the server and restart it after ``duration``."""
         self.world.platform.crash(self.server.server_id)
@@ -199,6 +203,8 @@
 class DeafReplica(ServerFault):
     """Stop the replication to a server, which still serves statements."""
 
+    disturbs_instances = False
+
     def run(self, duration: timedelta) -> Steps:
         """Drop the commits sent to the server, then copy them to it."""
         self.server.drops_replication = True
@@ -239,6 +245,8 @@
 class LeavingServer(ServerFault):
     """Replace a server: add a new one, then remove the old one."""
 
+    disturbs_instances = False
+
     def run(self, duration: timedelta) -> Steps:
         """Add a server, announce that the old one leaves, and remove it."""
         platform, server_id = self.world.platform, self.server.server_id
--- a/soak/world.py
+++ b/soak/world.py
@@ -18,10 +18,13 @@
 from soak.faults import Fault
 from soak.links import FaultLink
 from soak.operators import (
+    FLOOD,
+    HOTEL,
     INITIAL_RATE_PER_S,
     STALENESS,
     STEADY_KEY,
     AccountChecks,
+    CallerAccount,
     Operator,
 )
 from soak.plans import CURRENT_VERSION, make_plan
@@ -68,6 +71,14 @@
     runs: int
 
 
+class Disturbance(NamedTuple):
+    """A span in which an unplanned fault was active; its end may be unknown yet."""
+
+    since: timedelta
+    until: timedelta
+    disturbs_instances: bool
+
+
 class World:
     """The environment of a run: a simulated platform with real daemons.
 
@@ -98,13 +109,10 @@
         self.store_link_by_daemon: dict[str, FaultLink] = {}
         self._active_exclusion_tags: set[str] = set()
         self._exclusive_faults = 0
-        self._disturbances: list[tuple[timedelta, timedelta]] = []
+        self._disturbances: list[Disturbance] = []
         self._planned_stops: list[tuple[Daemon, timedelta, timedelta]] = []
         self._unanswered: list[tuple[Daemon, str, timedelta]] = []
         self.operator = Operator(self.platform, self.rng)
-        self._account_checks = AccountChecks(
-            self.platform.group, self.history, self.operator
-        )
         self._probe_numbers = itertools.count(1)
         self._caller_numbers = itertools.count(1)
         for server_id in list(self.platform.group.server_by_id):
@@ -112,6 +120,13 @@
         self.operator.change_limit(INITIAL_RATE_PER_S)
         self.platform.send_heartbeats()
         self.daemons = [self._start_daemon(number) for number in range(daemon_count)]
+        self._account_checks = AccountChecks(
+            self.platform.group,
+            self.history,
+            self.operator,
+            {daemon.name for daemon in self.daemons},
+            self._were_in_touch,
+        )
 
     # Setup
 
@@ -160,7 +175,7 @@
 
     def has_other_faults(self) -> bool:
         """Return whether an unplanned fault is active besides the one that asks."""
-        return sum(until == timedelta.max for _, until in self._disturbances) > 1
+        return sum(d.until == timedelta.max for d in self._disturbances) > 1
 
     def record_planned_stop(self, daemon: Daemon, since: timedelta) -> None:
         """Record that a daemon was stopped with SIGTERM at ``since``."""
@@ -185,8 +200,16 @@
 
     def _is_undisturbed(self, since: timedelta, until: timedelta) -> bool:
         return not any(
-            begin <= until and since - UNDISTURBED_PERIOD <= end
-            for begin, end in self._disturbances
+            d.since <= until and since - UNDISTURBED_PERIOD <= d.until
+            for d in self._disturbances
+        )
+
+    def _were_in_touch(self, since: timedelta, until: timedelta) -> bool:
+        """Return whether only servers were disturbed in a span and shortly before."""
+        return not any(
+            d.since <= until and since - UNDISTURBED_PERIOD <= d.until
+            for d in self._disturbances
+            if d.disturbs_instances
         )
 
     # Running
@@ -230,17 +253,15 @@
         return sum(commit not in kept for commit, _ in group.acknowledged)
 
     def _start_callers(self) -> list[Caller]:
-        callers = [
-            Caller(self, f"c{number}", "hotel", DEFAULT_THINK_TIME_S)
-            for number in range(len(self.daemons) * 2)
+        groups: list[tuple[str, CallerAccount, float, int]] = [
+            ("c", HOTEL, DEFAULT_THINK_TIME_S, len(self.daemons) * 2),
+            ("f", FLOOD, FLOOD_THINK_TIME_S, FLOOD_CALLERS),
+            ("b", HOTEL, BUSY_THINK_TIME_S, BUSY_CALLERS),
         ]
-        callers += [
-            Caller(self, f"f{number}", "flood", FLOOD_THINK_TIME_S)
-            for number in range(FLOOD_CALLERS)
-        ]
-        callers += [
-            Caller(self, f"b{number}", "hotel", BUSY_THINK_TIME_S)
-            for number in range(BUSY_CALLERS)
+        callers = [
+            Caller(self, f"{prefix}{number}", account, think_time_s)
+            for prefix, account, think_time_s, count in groups
+            for number in range(count)
         ]
         for caller in callers:
             self.loop.spawn(caller.run())
@@ -269,11 +290,14 @@
             self._active_exclusion_tags.add(fault.exclusion_tag)
         self._exclusive_faults += fault.is_exclusive
         if not fault.is_planned:
-            self._disturbances.append((started_at, timedelta.max))
+            disturbance = Disturbance(
+                started_at, timedelta.max, fault.disturbs_instances
+            )
+            self._disturbances.append(disturbance)
             index = len(self._disturbances) - 1
         yield from fault.run(duration)
         if not fault.is_planned:
-            self._disturbances[index] = (started_at, self.loop.now())
+            self._disturbances[index] = disturbance._replace(until=self.loop.now())
         self._active_exclusion_tags.discard(fault.exclusion_tag)
         self._exclusive_faults -= fault.is_exclusive
         at = started_at // timedelta(milliseconds=1)
