Change keys and routes in the soak while statements wait

The account whose key is withdrawn has 2,000 operations a second and never waits for a token; the account that waits keeps its key; no key moves; no route changes. The comparison of the run with the account of its caller would have found an empty name, but no statement ever met a change while it waited.

Ruled out: changing the accounts of versions 1 and 2, whose seeds are recorded with their traffic. A wait for the former account that ends within 3 s of the change, as in most failovers, is not counted: an instance may use the former configuration until then.

Change: version 3 of the plan. Twelve callers keep an account at its rate, so that their statements wait for tokens. Its keys are withdrawn, restored and moved in series, at any time and beside each fault that may replace a primary; a route is removed, restored and given other timeouts. In an outage of all servers the keys move, and the outage lasts past the bound of the change. Digests keep the plans of versions 1 and 2 as they were; that of version 2 was computed before this change.

--- a/soak/plans.py
+++ b/soak/plans.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from soak.configuration_faults import ChangeKeys, ChangeRoute, MoveKeysDuringOutage
 from soak.failovers import (
     CrashPrimary,
     CutPrimary,
@@ -40,7 +41,8 @@
     WithdrawKey,
 )
 
-CURRENT_VERSION = 2
+CURRENT_VERSION = 3
+FIRST_VERSION_WITH_MOVING_KEYS = 3
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
 FIRST_KINDS: tuple[type[Fault], ...] = (
     Kill,
@@ -76,9 +78,18 @@
 # Faults that wait for a failover, and those that usually cause one.
 COMPANIONS: tuple[type[Fault], ...] = (RestartDuringFailover, JoinDuringFailover)
 CAUSES: tuple[type[Fault], ...] = (CrashPrimary, CutPrimary, IsolateDaemon)
-KINDS = tuple(dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS))
-# Probabilities of a fault from ``GROUP_KINDS``, and of each companion of a cause.
+# Changes of the configuration, which meet waiting statements beside a failover.
+CHANGE_KINDS: tuple[type[Fault], ...] = (
+    ChangeKeys,
+    ChangeKeys,
+    ChangeRoute,
+    MoveKeysDuringOutage,
+)
+KINDS = tuple(dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS + CHANGE_KINDS))
+# Probabilities of a fault from ``GROUP_KINDS`` or, from version 3 on, ``CHANGE_KINDS``,
+# and of each companion of a cause.
 GROUP_SHARE = 0.5
+CHANGE_SHARE = 0.3
 COMPANION_SHARE = 0.5
 
 
@@ -95,7 +106,7 @@
 ) -> list[PlannedFault]:
     """Return random faults, sorted by start time, which may overlap."""
     count = rng.randint(4, max(5, length // timedelta(seconds=1)))
-    choose = _choose_first_kind if version == 1 else _choose_kind
+    choose = _CHOICE_BY_VERSION[version]
     plan = []
     for _ in range(count):
         at, kind = length * rng.random(), choose(rng)
@@ -107,6 +118,8 @@
                 for companion in COMPANIONS
                 if rng.random() < COMPANION_SHARE
             ]
+        if version > 2 and kind in CAUSES:
+            plan.append(PlannedFault(at, ChangeKeys, timedelta(seconds=MAX_DURATION_S)))
     return sorted(plan, key=lambda entry: entry.at)
 
 
@@ -118,3 +131,16 @@
     if rng.random() < GROUP_SHARE:
         return rng.choice(GROUP_KINDS)
     return rng.choice(FIRST_KINDS)
+
+
+def _choose_kind_or_change(rng: random.Random) -> type[Fault]:
+    if rng.random() < CHANGE_SHARE:
+        return rng.choice(CHANGE_KINDS)
+    return _choose_kind(rng)
+
+
+_CHOICE_BY_VERSION = {
+    1: _choose_first_kind,
+    2: _choose_kind,
+    3: _choose_kind_or_change,
+}
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,13 +21,15 @@
     FLOOD,
     HOTEL,
     INITIAL_RATE_PER_S,
+    MOVING,
+    OTHER,
     STALENESS,
     STEADY_KEY,
     AccountChecks,
     CallerAccount,
     Operator,
 )
-from soak.plans import CURRENT_VERSION, make_plan
+from soak.plans import CURRENT_VERSION, FIRST_VERSION_WITH_MOVING_KEYS, make_plan
 from standins.platform.group import SimulatedServer
 from standins.platform.host import (
     STOP_GRACE_S,
@@ -49,6 +51,10 @@
 # Callers that send the next statement as soon as they have the answer.
 BUSY_CALLERS = 2
 BUSY_THINK_TIME_S = 0.0005
+# Callers that keep an account near its rate, so that many of them wait for a token.
+MOVING_CALLERS = 12
+OTHER_CALLERS = 2
+MOVING_THINK_TIME_S = 0.03
 DEFAULT_THINK_TIME_S = 0.08
 DOMAINS = ("north", "south", "west")
 _SECOND = timedelta(seconds=1)
@@ -112,7 +118,8 @@
         self._disturbances: list[Disturbance] = []
         self._planned_stops: list[tuple[Daemon, timedelta, timedelta]] = []
         self._unanswered: list[tuple[Daemon, str, timedelta]] = []
-        self.operator = Operator(self.platform, self.rng)
+        self._has_moving_keys = plan_version >= FIRST_VERSION_WITH_MOVING_KEYS
+        self.operator = Operator(self.platform, self.rng, self._has_moving_keys)
         self._probe_numbers = itertools.count(1)
         self._caller_numbers = itertools.count(1)
         for server_id in list(self.platform.group.server_by_id):
@@ -258,6 +265,11 @@
             ("f", FLOOD, FLOOD_THINK_TIME_S, FLOOD_CALLERS),
             ("b", HOTEL, BUSY_THINK_TIME_S, BUSY_CALLERS),
         ]
+        if self._has_moving_keys:
+            groups += [
+                ("m", MOVING, MOVING_THINK_TIME_S, MOVING_CALLERS),
+                ("o", OTHER, MOVING_THINK_TIME_S, OTHER_CALLERS),
+            ]
         callers = [
             Caller(self, f"{prefix}{number}", account, think_time_s)
             for prefix, account, think_time_s, count in groups
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -26,14 +26,20 @@
     assert planned == set(KINDS)
 
 
-def test_plans_of_recorded_seeds_do_not_change():
+@pytest.mark.parametrize(
+    "version, expected",
+    [
+        (1, "6a8004697851ea01cdc99e0090b66970668aa553fc2c9a933538b3dc5c89c0a3"),
+        (2, "fa2d3e3b315d7c47e8af4b608534829d3f048d653e70ad606e3b0a7a986603b8"),
+    ],
+)
+def test_plans_of_recorded_seeds_do_not_change(version, expected):
     plans = [
-        [(e.at, e.kind.__name__, e.duration) for e in make_plan(rng, length, 1)]
+        [(e.at, e.kind.__name__, e.duration) for e in make_plan(rng, length, version)]
         for rng, length in (
             (random.Random(seed), timedelta(seconds=seconds))
             for seed in range(100)
             for seconds in (8, 16, 18)
         )
     ]
-    digest = hashlib.sha256(repr(plans).encode()).hexdigest()
-    assert digest == "6a8004697851ea01cdc99e0090b66970668aa553fc2c9a933538b3dc5c89c0a3"
+    assert hashlib.sha256(repr(plans).encode()).hexdigest() == expected
