Apply a changed idle limit to the transaction that waits

The limit was fixed when the wait for the next statement began, so a transaction was aborted by a limit that the operators had raised.

--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from concurrent.futures import Future
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any
 
@@ -178,17 +179,21 @@
         """Return the next line; abort the transaction at its idle timeout."""
         line = self._next_line()
         transaction = self._transaction
-        if transaction is not None and not line.done():
-            idle_timeout = self._services.configuration.transaction_idle_limit
-            try:
-                yield self._loop.wait_for(line, idle_timeout)
-            except TimeoutError:
+        since = self._loop.now()
+        while transaction is not None and not line.done():
+            # The limit may change during the wait.
+            limit = self._services.configuration.transaction_idle_limit
+            remaining = since + limit - self._loop.now()
+            if remaining <= _ZERO:
                 transaction.fail("the transaction was idle for too long")
                 self._services.log.write(
-                    "transaction_idle", database=self._database, limit=idle_timeout
+                    "transaction_idle", database=self._database, limit=limit
                 )
         return (yield line)
 
+                break
+            with suppress(TimeoutError):
+                yield self._loop.wait_for(line, remaining)
     # Session start
 
     def _start(self, message: Any) -> Steps:
