--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -51,6 +51,8 @@
         self._admission = Admission(services, "", "")
         self._values: dict[bytes, bytes] = {}
         self._prepared_by_name: dict[bytes, PreparedStatement] = {}
+        # Latest commit of the session at each service that its route has led to.
+        self._position_by_service: dict[str, LogPosition] = {}
         self._position: LogPosition | Missing = NO_POSITION
         self._transaction: Transaction | None = None
         self._runner = StatementRunner(services, self._admission, self._values)
@@ -287,7 +289,7 @@
             self._runner,
             permit,
             message.kind is StatementKind.BEGIN_READ_ONLY,
-            self._position,
+            self._position_at(permit.route.service),
         )
         self._answer_locally()
 
@@ -307,7 +309,8 @@
         )
         self._transaction = None
         if outcome.answer is not None and transaction.wrote:
-            self._advance_position(outcome.answer.position)
+            service = transaction.permit.route.service
+            self._advance_position(service, outcome.answer.position)
         self._answer(message, outcome)
 
     def _run_statement(self, message: Statement) -> Steps:
@@ -329,13 +332,14 @@
             if isinstance(permit, Failure):
                 self._answer(message, Outcome(permit, None))
                 return
-            attempt = Attempt(message, prepared, permit, started_at, self._position)
+            position = self._position_at(permit.route.service)
+            attempt = Attempt(message, prepared, permit, started_at, position)
             try:
                 outcome = yield from run(attempt)
             except PermitEnded:
                 permit = yield from self._admission.renew(permit)
         if outcome.answer is not None and writes:
-            self._advance_position(outcome.answer.position)
+            self._advance_position(permit.route.service, outcome.answer.position)
         kind = "write" if writes else "read"
         self._services.metrics.record(f"{kind}_latency", self._loop.now() - started_at)
         self._answer(message, outcome)
@@ -366,11 +370,15 @@
         transaction.fail(refusal.reason)
         return Outcome(refusal, None)
 
-    def _advance_position(self, position: LogPosition | Missing) -> None:
+    def _position_at(self, service: str) -> LogPosition | Missing:
+        return self._position_by_service.get(service, NO_POSITION)
+
+    def _advance_position(self, service: str, position: LogPosition | Missing) -> None:
+        known = self._position_at(service)
         if isinstance(position, Missing):
             return
-        if isinstance(self._position, Missing) or position > self._position:
-            self._position = position
+        if isinstance(known, Missing) or position > known:
+            self._position = self._position_by_service[service] = position
 
     # Responses
 
