--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -16,6 +16,12 @@
 LOOKUP_TIMEOUT = timedelta(milliseconds=600)
 # Name that servers are told if a caller on a public route has no account.
 ANONYMOUS = ""
+# What a change of the configuration ended may be repeated after this time.
+CHANGE_RETRY_DELAY = timedelta(milliseconds=15)
+KEY_NOT_KNOWN = Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
+KEY_MOVED = Failure(
+    AnswerCode.ABORTED, "the key belongs to another account now", CHANGE_RETRY_DELAY
+)
 _ZERO = timedelta()
 
 
@@ -25,8 +31,8 @@
     An operation uses its permit from the admission to the answer, so that all its parts
     follow the same configuration, the one with ``revision``. ``account`` is ``None`` if
     the caller has none, which only public routes allow. ``arrival_version`` is the
-    version of the configuration at which the operation arrived; it then waited ``wait``
-    for its rate token. An open transaction keeps its route if ``keeps_route``.
+    version of the configuration at which the operation arrived; since then it waited
+    ``wait`` for rate tokens, and took one of each account in ``charged_accounts``.
     """
 
     route: Route
@@ -34,7 +40,8 @@
     revision: int
     arrival_version: int
     wait: timedelta = _ZERO
-    keeps_route: bool = False
+    charged_accounts: frozenset[str] = frozenset()
+    in_transaction: bool = False
 
     @property
     def account_name(self) -> str:
@@ -77,12 +84,14 @@
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
-        if decided.route.is_public:
+        return None if decided.route.is_public else self._refusal_without_evidence()
+
+    def _refusal_without_evidence(self) -> Failure | None:
+        """Return a refusal if a withdrawn key might be taken for a valid one."""
+        if self._services.store_freshness.allows_keys(self._loop.now()):
             return None
-        if not self._services.store_freshness.allows_keys(self._loop.now()):
-            reason = "keys cannot be checked: the store has not answered lately"
-            return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
-        return None
+        reason = "keys cannot be checked: the store has not answered lately"
+        return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
 
     def _decide(self) -> Permit | Failure:
         """Return the permit of an operation by the current configuration."""
@@ -92,7 +101,7 @@
             return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
         account = configuration.account_by_key.get(self._key)
         if account is None and not route.is_public:
-            return Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
+            return KEY_NOT_KNOWN
         return Permit(route, account, configuration.revision, configuration.version)
 
     def refusal_of(self, permit: Permit) -> Failure | None:
@@ -105,54 +114,70 @@
         """
         if permit.revision == self._services.configuration.revision:
             return None
+        if permit.in_transaction:
+            return self._refusal_of_transaction(permit)
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
         if decided.account_name != permit.account_name:
-            return Failure(AnswerCode.ABORTED, "the key belongs to another account now")
-        if not permit.keeps_route and not decided.route.leads_like(permit.route):
-            return Failure(AnswerCode.ABORTED, "the route leads elsewhere now")
+            return KEY_MOVED
+        if not decided.route.leads_like(permit.route):
+            return Failure(
+                AnswerCode.ABORTED, "the route has changed", CHANGE_RETRY_DELAY
+            )
         return None
 
-    def refusal_in_transaction(self, permit: Permit) -> Failure | None:
-        """Return why a transaction may not continue with a new statement, or ``None``.
+    def _refusal_of_transaction(self, permit: Permit) -> Failure | None:
+        """Return why an open transaction may not continue, or ``None``.
 
-        Its connection belongs to the account that held the key at its begin.
+        A change to a route applies from the next transaction on. The connection belongs
+        to the account that held the key at the begin.
         """
-        return self.refusal() or self.refusal_of(permit)
+        if permit.route.is_public:
+            return None
+        account = self._services.configuration.account_by_key.get(self._key)
+        if account is None:
+            return KEY_NOT_KNOWN
+        return None if account.name == permit.account_name else KEY_MOVED
+
+    def refusal_in_transaction(self, permit: Permit) -> Failure | None:
+        """Return why a transaction may not run a new statement, or ``None``."""
+        refusal = self.refusal_of(permit)
+        if refusal is None and not permit.route.is_public:
+            refusal = self._refusal_without_evidence()
+        return refusal
 
     def admit(self, begins_transaction: bool = False) -> Steps:
         """Wait for a rate token; return a ``Permit``, or a ``Failure`` if refused."""
         plan = self._services.stop_plan
         if plan is not None and plan.refuses(self._loop.now(), begins_transaction):
             return REFUSED_BY_STOP
+        arrival_version = self._services.configuration.version
         failure = self.refusal()
         if failure is not None and failure.code is not AnswerCode.NOT_RUN:
             yield from self.refresh_configuration()
             failure = self.refusal()
         if failure is not None:
             return failure
-        admitted = yield from self._take_token()
+        admitted = yield from self._take_token(arrival_version)
         if isinstance(admitted, Failure):
             return admitted
-        return admitted._replace(keeps_route=begins_transaction)
+        return admitted._replace(in_transaction=begins_transaction)
 
-    def renew(self, permit: Permit) -> Steps:
+    def renew(self, permit: Permit, deadline: timedelta) -> Steps:
         """Admit a statement again that was not sent under ``permit``.
 
         Returns a ``Permit`` by the current configuration, or a ``Failure``. Takes a
-        rate token only if the key belongs to another account now.
+        rate token only of an account that was not charged yet, and by ``deadline``.
         """
-        decided = self._decide()
-        if isinstance(decided, Failure):
-            return decided
-        if decided.account_name == permit.account_name:
-            return decided._replace(
-                arrival_version=permit.arrival_version, wait=permit.wait
-            )
-        return (yield from self._take_token())
-
-    def _take_token(self) -> Steps:
+        return (yield from self._take_token(permit.arrival_version, permit, deadline))
+
+    def _take_token(
+        self,
+        arrival_version: int,
+        ended: Permit | None = None,
+        deadline: timedelta = timedelta.max,
+    ) -> Steps:
         """Wait for a rate token of the key's account; return a permit or a failure.
 
         The configuration may change during the wait, so each token is taken for the
@@ -160,26 +185,38 @@
         """
         limiter = self._services.limiter
         started_at = self._loop.now()
-        arrival_version = self._services.configuration.version
+        charged_accounts = ended.charged_accounts if ended else frozenset()
+        earlier_wait = ended.wait if ended else _ZERO
         counted_account = ""
         while True:
             decided, now = self._decide(), self._loop.now()
             if isinstance(decided, Failure):
                 return decided
+            wait = now - started_at
             permit = decided._replace(
-                arrival_version=arrival_version, wait=now - started_at
+                arrival_version=arrival_version,
+                wait=earlier_wait + wait,
+                charged_accounts=charged_accounts,
             )
             account = permit.account
-            if account is None:
+            if account is None or account.name in charged_accounts:
                 return permit
+            if now >= deadline:
+                reason = "the key was moved at the end of the timeout"
+                return Failure(AnswerCode.NOT_RUN, reason, CHANGE_RETRY_DELAY)
             if account.name != counted_account:
                 limiter.record_demand(account, now)
                 counted_account = account.name
             token_wait = limiter.try_admit(account, now)
             if token_wait <= _ZERO:
-                return permit
-            longest_wait = permit.route.latency_objective * TOKEN_WAIT_FRACTION
-            if permit.wait + token_wait > longest_wait:
+                return permit._replace(
+                    charged_accounts=charged_accounts | {account.name}
+                )
+            longest_wait = min(
+                permit.route.latency_objective * TOKEN_WAIT_FRACTION,
+                deadline - started_at,
+            )
+            if wait + token_wait > longest_wait:
                 self._services.metrics.count("rate_limited", account.name)
                 reason = limiter.describe_refusal(account, now)
                 return Failure(AnswerCode.NOT_RUN, reason, token_wait)
--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -95,9 +95,8 @@
 class PermitEnded(Exception):
     """The configuration no longer permits a statement, which was not sent."""
 
-    def __init__(self, target: Target, failure: Failure):
+    def __init__(self, failure: Failure):
         super().__init__(failure.reason)
-        self.target = target
         self.failure = failure
 
 
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -139,11 +139,15 @@
         if not self._services.is_current_primary(target):
             raise NotOffered(target, PRIMARY_REPLACED)
 
-    def require_permit(self, target: Target, attempt: Attempt) -> None:
-        """Raise ``PermitEnded`` if the statement may no longer be sent."""
+    def require_permit(self, attempt: Attempt, target: Target | None = None) -> None:
+        """Raise ``PermitEnded`` if the statement may no longer be sent.
+
+        ``target`` is where it was about to be sent.
+        """
         failure = self._admission.refusal_of(attempt.permit)
         if failure is not None:
-            raise PermitEnded(target, failure)
+            self.log_attempt(attempt, target, failure.reason)
+            raise PermitEnded(failure)
 
     def send(
         self,
@@ -158,7 +162,7 @@
 
         Raise ``PermitEnded`` before the statement is sent, or ``AnswerLost``.
         """
-        self.require_permit(connection.target, attempt)
+        self.require_permit(attempt, connection.target)
         text = statement_text(attempt.statement, attempt.prepared)
         sent_at = self._loop.now()
         answer_future = connection.query(attempt.statement.request_id, text, after)
@@ -196,7 +200,7 @@
     def log_attempt(
         self,
         attempt: Attempt,
-        target: Target,
+        target: Target | None,
         outcome: str,
         required: LogPosition | None = None,
         duration: timedelta = _ZERO,
@@ -204,6 +208,7 @@
         """Log the target of a statement, the inputs of its choice, and the outcome.
 
         ``required`` is the log position that the target had to have applied.
+        ``target`` is ``None`` if the statement ended before one was chosen.
         """
         self._services.log.write(
             "statement_attempt",
@@ -214,7 +219,7 @@
             admitted_configuration=attempt.permit.arrival_version,
             configuration=self._services.configuration.version,
             admission_wait=attempt.permit.wait,
-            target=target.target_id,
+            target=target.target_id if target else "",
             required=str(required) if required else "",
             evidence_age=self._services.store_freshness.age(self._loop.now()),
             duration=duration,
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -54,7 +54,7 @@
     """Runner of one session's statements: chooses targets, hedges reads and retries.
 
     Both ``read`` and ``write`` raise ``PermitEnded`` if the configuration no longer
-    permits the statement, and nothing that was sent may have taken effect.
+    permits the statement; a write has not run then.
     """
 
     def __init__(
@@ -88,12 +88,7 @@
         hedge_after = attempt.route.latency_objective * HEDGE_DELAY_FRACTION
         sent_count = 0
         refusals = 0
-        ended: PermitEnded | None = None
-        while (
-            ended is None
-            and sent_count < MAX_READ_ATTEMPTS
-            and self._loop.now() < attempt.deadline
-        ):
+        while sent_count < MAX_READ_ATTEMPTS and self._loop.now() < attempt.deadline:
             choice = self.choose_read(attempt, tried)
             if isinstance(choice, Missing):
                 if not running:
@@ -113,21 +108,25 @@
                 steps = self._read_once(attempt, choice, hedged_read)
                 running.append(self._loop.spawn_unreported(steps))
                 sent_count += 1
-            timer = self._loop.sleep(hedge_after)
+            time_left = max(attempt.deadline - self._loop.now(), _ZERO)
+            timer = self._loop.sleep(min(hedge_after, time_left))
             yield self._loop.first_of([*running, timer])
             if timer.done():
                 # Under load every target is slow, and more copies add to the load.
                 hedge_after *= 2
+            ended: PermitEnded | None = None
             for future in [f for f in running if f.done()]:
                 running.remove(future)
                 error = future.exception()
                 if isinstance(error, PermitEnded):
                     ended = error
+                    continue
                 sent_count -= isinstance(error, NotOffered)
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
-        # A copy that was sent before the permit ended may still answer.
+            if ended is not None:
+                raise ended
         for future in running:
             remaining = max(attempt.deadline - self._loop.now(), _ZERO)
             yield self._loop.first_of([future, self._loop.sleep(remaining)])
@@ -135,8 +134,6 @@
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
-        if ended is not None:
-            raise ended
         return self._refused(f"the last of {len(tried)} tries: {last_reason}", service)
 
     def _read_outcome(
@@ -145,7 +142,7 @@
         """Return the outcome, or ``None`` and the reason if a retry may succeed."""
         error = future.exception()
         if error is not None:
-            if not isinstance(error, NotOffered | AnswerLost | PermitEnded):
+            if not isinstance(error, NotOffered | AnswerLost):
                 raise error
             self.log_attempt(attempt, error.target, str(error))
             return None, str(error)
@@ -246,6 +243,7 @@
         """Wait for a new primary, at most ``PRIMARY_CHECK_INTERVAL``.
 
         Return whether a primary can be ready before the deadline of the statement.
+        Raise ``PermitEnded`` if it may not be sent any more.
         """
         services, now = self._services, self._loop.now()
         remaining = attempt.deadline - now
@@ -254,6 +252,7 @@
         changed = services.next_primary_change(attempt.route.service)
         delay = min(PRIMARY_CHECK_INTERVAL, max(remaining, _ZERO))
         yield self._loop.first_of([changed, self._loop.sleep(delay)])
+        self.require_permit(attempt)
         return self._loop.now() < attempt.deadline
 
     # Writes
@@ -279,9 +278,6 @@
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
                 yield self._loop.sleep(error.retry_delay)
-            except PermitEnded as error:
-                self.log_attempt(attempt, primary, str(error))
-                raise
             except AnswerLost as error:
                 self.log_attempt(attempt, primary, str(error))
                 reason = f"the outcome of the write is not known: {error}"
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -191,11 +191,11 @@
                 self._services.log.write(
                     "transaction_idle", database=self._database, limit=limit
                 )
-        return (yield line)
-
                 break
             with suppress(TimeoutError):
                 yield self._loop.wait_for(line, remaining)
+        return (yield line)
+
     # Session start
 
     def _start(self, message: Any) -> Steps:
@@ -337,7 +337,7 @@
             try:
                 outcome = yield from run(attempt)
             except PermitEnded:
-                permit = yield from self._admission.renew(permit)
+                permit = yield from self._admission.renew(permit, attempt.deadline)
         if outcome.answer is not None and writes:
             self._advance_position(permit.route.service, outcome.answer.position)
         kind = "write" if writes else "read"
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -215,7 +215,7 @@
             after = self._runner.require_position(
                 target, self._route, self._session_position
             )
-        self._runner.require_permit(target, attempt)
+        self._runner.require_permit(attempt, target)
         text = wire.BEGIN_READ if self._is_read_only else wire.BEGIN
         sent_at = self._loop.now()
         answer_future = connection.query(wire.PROXY_REQUEST_ID, text, after)
@@ -251,7 +251,7 @@
     def commit(self, statement: Statement) -> Steps:
         """Commit; the outcome has the code ``IN_DOUBT`` if the result is unknown.
 
-        Raise ``PermitEnded`` before the commit is sent.
+        Raise ``PermitEnded`` if the commit was not sent, or was refused as not run.
         """
         attempt = self._attempt(statement, None)
         if self._connection is None:
