--- a/bulrushloom/instance/pending.py
+++ b/bulrushloom/instance/pending.py
@@ -26,8 +26,8 @@
 )
 
 
-class Route(NamedTuple):
-    """Destination of an attempt."""
+class Destination(NamedTuple):
+    """Target of an attempt, and the instance that owns its connections."""
 
     target: str
     owner: str
@@ -37,8 +37,8 @@
     """State of one open request.
 
     ``attempt`` counts the messages sent for it. ``sent_at`` is ``None`` unless the
-    latest of them awaits its answer. ``route_by_attempt`` contains the attempts that
-    were not answered.
+    latest of them awaits its answer; ``access_check_at`` is when its access is checked
+    again. ``destination_by_attempt`` contains the attempts that were not answered.
     """
 
     def __init__(self, submit: Submit):
@@ -51,7 +51,7 @@
         self.target = ""
         self.sent_at: timedelta | None = None
         self.access_check_at = timedelta()
-        self.route_by_attempt: dict[str, Route] = {}
+        self.destination_by_attempt: dict[str, Destination] = {}
         self.may_have_run = False
         self.tried_targets: set[str] = set()
         self.retry_at: timedelta | None = None
@@ -100,7 +100,7 @@
             isinstance(self.request, Statement) and self.request.transaction is not None
         )
 
-    def check_access(
+    def access_refusal(
         self, configuration: ConfigurationView, now: timedelta
     ) -> Refusal | None:
         """Return why the rules no longer allow the request, or ``None`` if they do.
@@ -162,7 +162,7 @@
             return []
         return [
             SendMessage(route.owner, CancelStatement(attempt_id, route.target))
-            for attempt_id, route in self.route_by_attempt.items()
+            for attempt_id, route in self.destination_by_attempt.items()
         ]
 
     def _transaction_request(
--- a/bulrushloom/instance/router.py
+++ b/bulrushloom/instance/router.py
@@ -29,7 +29,7 @@
     TransactionAnswer,
     TransactionRequest,
 )
-from bulrushloom.instance.pending import PendingRequest, Route
+from bulrushloom.instance.pending import Destination, PendingRequest
 from bulrushloom.instance.views import LAGGING_REFRESH_INTERVAL, GroupViewCache
 from bulrushloom.peers.base import MessageUndelivered, PeerLost
 from bulrushloom.rules.base import EMPTY_RULES, RuleSet
@@ -43,7 +43,6 @@
 # An idempotent write or a begin without an answer is sent again after this time.
 WRITE_ATTEMPT_TIMEOUT = timedelta(seconds=2)
 
-
 # Interval at which the access of a request that awaits an answer is checked. If it was
 # lost, the owner is asked to cancel the statement, again after each interval because
 # messages may be lost.
@@ -129,14 +128,14 @@
         The rules may have changed since it arrived, or since its last attempt.
         """
         pending.retry_at = None
-        refusal = pending.check_access(self._get_configuration(), now)
+        refusal = pending.access_refusal(self._get_configuration(), now)
         if refusal is not None:
             return pending.cancellations() + self._complete(pending, refusal)
         request = pending.request
         if not isinstance(request, Begin) and request.transaction is not None:
             transaction = request.transaction
             return self._send(
-                pending, Route(transaction.target, transaction.owner), now
+                pending, Destination(transaction.target, transaction.owner), now
             )
         effects = self._views.refresh(pending.group, now)
         route = self._choose_route(pending, now)
@@ -147,7 +146,9 @@
             effects += self._views.refresh(pending.group, now, LAGGING_REFRESH_INTERVAL)
         return effects + self._send(pending, route, now)
 
-    def _choose_route(self, pending: PendingRequest, now: timedelta) -> Route | None:
+    def _choose_route(
+        self, pending: PendingRequest, now: timedelta
+    ) -> Destination | None:
         for target in self._candidate_targets(pending):
             if target in pending.tried_targets:
                 continue
@@ -156,7 +157,7 @@
                 continue
             owner = self._table.reachable_owner(rule, now)
             if owner is not None:
-                return Route(target, owner)
+                return Destination(target, owner)
         pending.tried_targets.clear()
         return None
 
@@ -176,14 +177,14 @@
         return []
 
     def _send(
-        self, pending: PendingRequest, route: Route, now: timedelta
+        self, pending: PendingRequest, route: Destination, now: timedelta
     ) -> list[Effect]:
         pending.attempt += 1
         pending.target = route.target
         pending.owner = route.owner
         pending.sent_at = now
         pending.access_check_at = now + ACCESS_CHECK_INTERVAL
-        pending.route_by_attempt[pending.attempt_id] = route
+        pending.destination_by_attempt[pending.attempt_id] = route
         self._request_by_attempt[pending.attempt_id] = pending.request_id
         self._count_in_flight(route.target, 1)
         message = pending.message(self._incarnation(route.owner), now)
@@ -206,7 +207,7 @@
         pending = self._pending_by_id.get(request_id)
         if pending is None:
             return None
-        pending.route_by_attempt.pop(attempt_id, None)
+        pending.destination_by_attempt.pop(attempt_id, None)
         if attempt_id == pending.attempt_id and pending.sent_at is not None:
             pending.sent_at = None
             self._count_in_flight(pending.target, -1)
@@ -234,7 +235,7 @@
             self._views.invalidate(pending.group)
             return self._schedule_retry(pending, now)
         if elsewhere and pending.in_transaction:
-            access_refusal = pending.check_access(self._get_configuration(), now)
+            access_refusal = pending.access_refusal(self._get_configuration(), now)
             return self._complete(pending, access_refusal or refusal)
         if not elsewhere:
             return self._complete(pending, refusal)
@@ -315,7 +316,7 @@
         if now < pending.access_check_at:
             return []
         pending.access_check_at = now + ACCESS_CHECK_INTERVAL
-        refusal = pending.check_access(self._get_configuration(), now)
+        refusal = pending.access_refusal(self._get_configuration(), now)
         return [] if refusal is None else pending.cancellations()
 
     def _expire(self, pending: PendingRequest) -> list[Effect]:
