--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -104,7 +104,7 @@
             return KEY_NOT_KNOWN
         return Permit(route, account, configuration.revision, configuration.version)
 
-    def refusal_of(self, permit: Permit) -> Failure | None:
+    def refusal_to_send(self, permit: Permit) -> Failure | None:
         """Return why a statement of an admitted operation may not be sent, or ``None``.
 
         Asked directly before each statement is sent, because the configuration may have
@@ -115,7 +115,7 @@
         if permit.revision == self._services.configuration.revision:
             return None
         if permit.in_transaction:
-            return self._refusal_of_transaction(permit)
+            return self._refusal_to_continue(permit)
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
@@ -127,7 +127,7 @@
             )
         return None
 
-    def _refusal_of_transaction(self, permit: Permit) -> Failure | None:
+    def _refusal_to_continue(self, permit: Permit) -> Failure | None:
         """Return why an open transaction may not continue, or ``None``.
 
         A change to a route applies from the next transaction on. The connection belongs
@@ -142,7 +142,7 @@
 
     def refusal_in_transaction(self, permit: Permit) -> Failure | None:
         """Return why a transaction may not run a new statement, or ``None``."""
-        refusal = self.refusal_of(permit)
+        refusal = self.refusal_to_send(permit)
         if refusal is None and not permit.route.is_public:
             refusal = self._refusal_without_evidence()
         return refusal
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -144,7 +144,7 @@
 
         ``target`` is where it was about to be sent.
         """
-        failure = self._admission.refusal_of(attempt.permit)
+        failure = self._admission.refusal_to_send(attempt.permit)
         if failure is not None:
             self.log_attempt(attempt, target, failure.reason)
             raise PermitEnded(failure)
