--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -25,7 +25,7 @@
 from bulrushloom.proxy.exchange.sightings import Sightings
 from bulrushloom.proxy.exchange.totals import DomainTotals
 from bulrushloom.proxy.exchange.tree import ParentChooser
-from bulrushloom.proxy.groups import decode_group
+from bulrushloom.proxy.failover.groups import decode_group
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
 
--- /dev/null
+++ b/bulrushloom/proxy/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Failover of a primary: group records, detection, choice and promotion."""
--- a/bulrushloom/proxy/commits.py
+++ b/bulrushloom/proxy/failover/commits.py
@@ -8,7 +8,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.groups import GroupPhase, GroupRecord
+from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE, StoreFreshness
 from bulrushloom.runtime.loop import Loop, set_result_if_pending
--- a/bulrushloom/proxy/confirmations.py
+++ b/bulrushloom/proxy/failover/confirmations.py
@@ -5,7 +5,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.exchange.fleet import Fleet
-from bulrushloom.proxy.groups import GroupRecord
+from bulrushloom.proxy.failover.groups import GroupRecord
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE
--- a/bulrushloom/proxy/group_members.py
+++ b/bulrushloom/proxy/failover/group_members.py
@@ -3,13 +3,13 @@
 from datetime import timedelta
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.proxy.leadership import Leadership
-from bulrushloom.proxy.member_records import (
+from bulrushloom.proxy.failover.member_records import (
     GROUP_MEMBERS_PREFIX,
     GroupMembers,
     build_member,
     encode_group_members,
 )
+from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import ExpectedRevision, ProxyStore, Put, StoreFailure
 from bulrushloom.runtime.loop import Steps
--- a/bulrushloom/proxy/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -10,7 +10,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.member_records import GroupMembers
+from bulrushloom.proxy.failover.member_records import GroupMembers
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store import Record
 
--- a/bulrushloom/proxy/primary_monitor.py
+++ b/bulrushloom/proxy/failover/primary_monitor.py
@@ -5,17 +5,17 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.fleet import Fleet
-from bulrushloom.proxy.failover import (
+from bulrushloom.proxy.failover.decisions import (
     STALLED_REASON,
     PrimaryProbe,
     is_majority,
     reason_to_replace,
 )
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.failover.groups import GroupPhase
+from bulrushloom.proxy.failover.replacement import Abandoned, FailoverRunner
 from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.messages import ServerStatus
 from bulrushloom.proxy.positions import PositionSample
-from bulrushloom.proxy.replacement import Abandoned, FailoverRunner
 from bulrushloom.proxy.server_status import CONNECTION_REFUSED, OVERLOADED, StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
--- a/bulrushloom/proxy/promotion_orders.py
+++ b/bulrushloom/proxy/failover/promotion_orders.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from bulrushloom.proxy.groups import GroupRecord
+from bulrushloom.proxy.failover.groups import GroupRecord
 from bulrushloom.runtime.loop import Loop
 
 # An order without an answer may be executed for this time.
--- a/bulrushloom/proxy/replacement.py
+++ b/bulrushloom/proxy/failover/replacement.py
@@ -9,15 +9,20 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.confirmations import Announcement, InstanceConfirmations
 from bulrushloom.proxy.exchange.fleet import Fleet
-from bulrushloom.proxy.failover import stopped_replicas
-from bulrushloom.proxy.groups import (
+from bulrushloom.proxy.failover.confirmations import Announcement, InstanceConfirmations
+from bulrushloom.proxy.failover.decisions import stopped_replicas
+from bulrushloom.proxy.failover.groups import (
     GROUP_PREFIX,
     GroupPhase,
     GroupRecord,
     StoppedReplica,
 )
+from bulrushloom.proxy.failover.successor import (
+    REPEAT_INTERVAL,
+    Successor,
+    SuccessorSearch,
+)
 from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.messages import ServerRole, ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
@@ -29,7 +34,6 @@
     Put,
     StoreFailure,
 )
-from bulrushloom.proxy.successor import REPEAT_INTERVAL, Successor, SuccessorSearch
 from bulrushloom.runtime.loop import Steps
 
 # The successor becomes the primary a few hundred milliseconds after the order.
--- a/bulrushloom/proxy/successor.py
+++ b/bulrushloom/proxy/failover/successor.py
@@ -7,10 +7,10 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.confirmations import InstanceConfirmations
-from bulrushloom.proxy.failover import FailoverState, choose_successor
+from bulrushloom.proxy.failover.confirmations import InstanceConfirmations
+from bulrushloom.proxy.failover.decisions import FailoverState, choose_successor
+from bulrushloom.proxy.failover.promotion_orders import ORDER_LIFETIME
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
-from bulrushloom.proxy.promotion_orders import ORDER_LIFETIME
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.runtime.loop import Steps
--- a/bulrushloom/proxy/leadership.py
+++ b/bulrushloom/proxy/leadership.py
@@ -13,7 +13,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.exchange.keys import EXCHANGE_KEYS_KEY, new_keys
-from bulrushloom.proxy.groups import FENCE_KEY, LEADER_KEY
+from bulrushloom.proxy.failover.groups import FENCE_KEY, LEADER_KEY
 from bulrushloom.proxy.store import (
     ExpectedRevision,
     Lease,
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -17,12 +17,12 @@
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
 from bulrushloom.proxy.exchange.messages import Member
-from bulrushloom.proxy.group_members import GroupMembersRecorder
+from bulrushloom.proxy.failover.group_members import GroupMembersRecorder
+from bulrushloom.proxy.failover.primary_monitor import PrimaryMonitor
+from bulrushloom.proxy.failover.replacement import FailoverRunner
 from bulrushloom.proxy.hot_accounts import HotAccountRecorder
 from bulrushloom.proxy.leadership import Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration
-from bulrushloom.proxy.primary_monitor import PrimaryMonitor
-from bulrushloom.proxy.replacement import FailoverRunner
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -8,14 +8,14 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy import connection_allowance
-from bulrushloom.proxy.commits import CommitAcknowledgements
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
 from bulrushloom.proxy.connections import ConnectionPool
-from bulrushloom.proxy.groups import GroupPhase, GroupRecord, GroupTable
+from bulrushloom.proxy.failover.commits import CommitAcknowledgements
+from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord, GroupTable
+from bulrushloom.proxy.failover.promotion_orders import PromotionOrders
 from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
-from bulrushloom.proxy.promotion_orders import PromotionOrders
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.stopping import StopPlan
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -21,10 +21,10 @@
     next_rotation_step,
 )
 from bulrushloom.proxy.exchange.messages import Member
-from bulrushloom.proxy.groups import LEADER_KEY, decode_group_records
+from bulrushloom.proxy.failover.groups import LEADER_KEY, decode_group_records
+from bulrushloom.proxy.failover.member_records import decode_all_group_members
 from bulrushloom.proxy.hot_accounts import decode_hot_accounts
 from bulrushloom.proxy.leadership import RANK_DELAY, Leadership, decode_holder
-from bulrushloom.proxy.member_records import decode_all_group_members
 from bulrushloom.proxy.membership import decode_members
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -15,7 +15,7 @@
     Service,
     Target,
 )
-from bulrushloom.proxy.groups import GroupPhase, GroupRecord
+from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings
--- a/tests/proxy/change_builders.py
+++ b/tests/proxy/change_builders.py
@@ -1,6 +1,6 @@
 """Builders for tests that change the configuration while a statement waits."""
 
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.failover.groups import GroupPhase
 from tests.proxy.builders import (
     SERVICE,
     build_account,
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -9,11 +9,11 @@
 from bulrushloom.core.clock import ManualClock
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
 from bulrushloom.proxy.exchange.messages import Member
-from bulrushloom.proxy.group_members import GroupMembersRecorder
+from bulrushloom.proxy.failover.group_members import GroupMembersRecorder
+from bulrushloom.proxy.failover.primary_monitor import PrimaryMonitor
+from bulrushloom.proxy.failover.replacement import FailoverRunner
 from bulrushloom.proxy.leadership import Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration
-from bulrushloom.proxy.primary_monitor import PrimaryMonitor
-from bulrushloom.proxy.replacement import FailoverRunner
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store_reader import StoreReader
--- a/tests/proxy/test_configuration_machine.py
+++ b/tests/proxy/test_configuration_machine.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from bulrushloom.proxy.configuration import Consistency
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.failover.groups import GroupPhase
 from tests.proxy.builders import (
     SERVICE,
     SimulatedClient,
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -5,14 +5,14 @@
 import pytest
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.proxy.failover import (
+from bulrushloom.proxy.failover.decisions import (
     FailoverState,
     PrimaryProbe,
     choose_successor,
     is_majority,
     reason_to_replace,
 )
-from bulrushloom.proxy.groups import (
+from bulrushloom.proxy.failover.groups import (
     GroupPhase,
     GroupTable,
     StoppedReplica,
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bulrushloom.proxy.configuration import Service
-from bulrushloom.proxy.groups import GROUP_PREFIX, LEADER_KEY, GroupPhase
+from bulrushloom.proxy.failover.groups import GROUP_PREFIX, LEADER_KEY, GroupPhase
 from bulrushloom.proxy.store import Put
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
--- a/tests/proxy/test_failover_evidence.py
+++ b/tests/proxy/test_failover_evidence.py
@@ -7,8 +7,12 @@
 import pytest
 
 from bulrushloom.platform import wire
-from bulrushloom.proxy.groups import GROUP_PREFIX, GroupPhase, decode_group_records
-from bulrushloom.proxy.member_records import (
+from bulrushloom.proxy.failover.groups import (
+    GROUP_PREFIX,
+    GroupPhase,
+    decode_group_records,
+)
+from bulrushloom.proxy.failover.member_records import (
     GROUP_MEMBERS_PREFIX,
     decode_all_group_members,
 )
--- a/tests/proxy/test_partitions.py
+++ b/tests/proxy/test_partitions.py
@@ -6,8 +6,8 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.admission import Admission
-from bulrushloom.proxy.commits import PENDING_COMMIT_TIMEOUT
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.failover.commits import PENDING_COMMIT_TIMEOUT
+from bulrushloom.proxy.failover.groups import GroupPhase
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE
 from tests.proxy.builders import SERVICE, SETTINGS, build_account, build_group, ms
 from tests.proxy.fleet_builders import (
--- a/tests/proxy/test_promotion_orders.py
+++ b/tests/proxy/test_promotion_orders.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from bulrushloom.proxy.groups import GroupPhase, decode_group
-from bulrushloom.proxy.replacement import RESUME_CHECK_INTERVAL
+from bulrushloom.proxy.failover.groups import GroupPhase, decode_group
+from bulrushloom.proxy.failover.replacement import RESUME_CHECK_INTERVAL
 from bulrushloom.proxy.services import EXPECTED_FAILOVER_TIME, OVERDUE_WAIT_FRACTION
 from standins.platform.store import NO_ANSWER_DELAY
 from tests.proxy.builders import SERVICE, build_group, ms
--- a/tests/proxy/test_promotion_window.py
+++ b/tests/proxy/test_promotion_window.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bulrushloom.proxy.groups import GROUP_PREFIX
+from bulrushloom.proxy.failover.groups import GROUP_PREFIX
 from tests.proxy.builders import SERVICE, ms
 from tests.proxy.fleet_builders import (
     SECOND,
--- a/tests/proxy/test_replaced_primary.py
+++ b/tests/proxy/test_replaced_primary.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from bulrushloom.proxy.commits import PENDING_COMMIT_TIMEOUT
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.failover.commits import PENDING_COMMIT_TIMEOUT
+from bulrushloom.proxy.failover.groups import GroupPhase
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
     SECOND,
--- a/tests/proxy/test_session.py
+++ b/tests/proxy/test_session.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bulrushloom.proxy.configuration import Consistency
-from bulrushloom.proxy.groups import GroupPhase
+from bulrushloom.proxy.failover.groups import GroupPhase
 from bulrushloom.proxy.services import expected_time_left
 from tests.proxy.builders import (
     SERVICE,
--- a/tests/proxy/test_store_outages.py
+++ b/tests/proxy/test_store_outages.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bulrushloom.proxy.groups import GROUP_PREFIX, GroupPhase, GroupTable
+from bulrushloom.proxy.failover.groups import GROUP_PREFIX, GroupPhase, GroupTable
 from bulrushloom.proxy.store import Put
 from tests.proxy.builders import SERVICE, build_group, build_target, ms
 from tests.proxy.fleet_builders import (
