--- /dev/null
+++ b/bulrushloom/proxy/limits/starting.py
@@ -0,0 +1,56 @@
+"""Limits of an instance that has not observed a whole window since its start; no I/O.
+
+What the fleet admitted before the start is known from a record in the store, which only
+has the accounts that used much of their limit.
+"""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+# Accounts above this fraction of their limit are recorded in the store for instances
+# that restart. For an account without a record a restarted instance assumes this usage.
+HOT_ACCOUNT_SHARE = 0.4
+# Fraction of the limit available right after a restart, whatever usage is recorded.
+MIN_START_FRACTION = 0.1
+_ZERO = timedelta()
+
+
+class StartingLimits:
+    """Reduction of the limits of an instance after its start.
+
+    The usage before the start counts until a whole window has passed. All of it may
+    have been admitted just before the start: an account whose usage was assumed to
+    leave the window evenly got 143 operations where 141 are permitted, after all
+    instances had been killed within 3 s of its first one.
+    """
+
+    def __init__(self, started_at: timedelta):
+        self._started_at = started_at
+        self._recorded_by_account: dict[str, float] = {}
+
+    def load(self, recorded_by_account: Mapping[str, float]) -> None:
+        """Use the operations that the store recorded for each hot account."""
+        self._recorded_by_account = dict(recorded_by_account)
+
+    def is_over(self, now: timedelta, window: timedelta) -> bool:
+        """Return whether this process has observed a whole window."""
+        return now - self._started_at >= window
+
+    def is_recorded(self, account: str) -> bool:
+        """Return whether the account was near its limit before the start."""
+        return account in self._recorded_by_account
+
+    def recorded(self, account: str, now: timedelta, window: timedelta) -> float:
+        """Return the recorded operations that still count."""
+        if self.is_over(now, window):
+            return 0.0
+        return self._recorded_by_account.get(account, 0.0)
+
+    def reduced(
+        self, account: str, limit: float, now: timedelta, window: timedelta
+    ) -> float:
+        """Return what is left of ``limit`` after the usage before the start."""
+        if self.is_over(now, window):
+            return limit
+        used = self._recorded_by_account.get(account, limit * HOT_ACCOUNT_SHARE)
+        return max(limit - used, limit * MIN_START_FRACTION)
