Add the optional settings for regions, evacuation, cold targets and machine limits

Each is optional: a missing key and an empty value mean the default, so settings files of earlier releases and deployments without a value still load.

tests/proxy/test_settings.py passes, with cases for files without the keys, with unfilled placeholders and with invalid values.

--- a/bulrushloom/proxy/settings.py
+++ b/bulrushloom/proxy/settings.py
@@ -1,8 +1,9 @@
 """Settings of the session proxy: a YAML file that is validated at startup."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import yaml
@@ -23,6 +24,14 @@
     ``target_drain_bound`` is how long a draining target may receive new statements.
     ``stop_grace`` is the time from SIGTERM to SIGKILL. ``lease_minimum`` is the
     shortest time to live of a lease that the store accepts.
+
+    The rest is optional. ``region`` is the region of ``domain``; ``region_by_domain``
+    has the regions of all domains, and is empty where there is only one.
+    ``evacuation_bound`` is the time within which the targets of an evacuated domain
+    must get no more statements. A target that started recently may get
+    ``ColdPerS x cold_excess + cold_slack`` requests in a second, with the ``ColdPerS``
+    of its service. ``memory_limit_mb`` and ``descriptor_limit`` are those of the
+    machine; ``None`` if they are not known.
     """
 
     name: str
@@ -41,6 +50,13 @@
     rate_excess: float
     rate_slack: float
     lease_minimum: timedelta
+    region: str = ""
+    region_by_domain: Mapping[str, str] = MappingProxyType({})
+    evacuation_bound: timedelta = timedelta(seconds=5)
+    cold_excess: float = 1.5
+    cold_slack: float = 5.0
+    memory_limit_mb: float | None = None
+    descriptor_limit: int | None = None
 
 
 def _address(value: Any) -> str:
@@ -62,6 +78,26 @@
     return float(value)
 
 
+def _positive_number(value: Any) -> float:
+    number = _non_negative_number(value)
+    if not number:
+        raise ValueError("must be a positive number")
+    return number
+
+
+def _positive_count(value: Any) -> int:
+    number = _positive_number(value)
+    if not number.is_integer():
+        raise ValueError("must be a whole number")
+    return int(number)
+
+
+def _name_by_name(value: Any) -> Mapping[str, str]:
+    if not isinstance(value, dict):
+        raise ValueError("must be a mapping of names to names")
+    return MappingProxyType({_name(k): _name(v) for k, v in value.items()})
+
+
 def _milliseconds(value: Any) -> timedelta:
     return timedelta(milliseconds=_non_negative_number(value))
 
@@ -88,6 +124,17 @@
     "rate_slack": ("rate_slack", _non_negative_number),
     "lease_minimum_ms": ("lease_minimum", _milliseconds),
 }
+# A missing key and an empty value, such as a placeholder that a deployment does not
+# fill, both mean the default.
+_OPTIONAL_FIELD_AND_PARSER_BY_KEY: dict[str, tuple[str, Callable[[Any], Any]]] = {
+    "region": ("region", _name),
+    "region_by_domain": ("region_by_domain", _name_by_name),
+    "evacuation_bound_ms": ("evacuation_bound", _milliseconds),
+    "cold_excess": ("cold_excess", _non_negative_number),
+    "cold_slack": ("cold_slack", _non_negative_number),
+    "memory_limit_mb": ("memory_limit_mb", _positive_number),
+    "descriptor_limit": ("descriptor_limit", _positive_count),
+}
 
 
 def load_proxy_settings(path: str) -> ProxySettings:
@@ -115,7 +162,10 @@
         raise SettingsError([f"{path}: must contain a mapping"])
     problems: list[str] = []
     values: dict[str, Any] = {}
-    for key, (field, parse) in _FIELD_AND_PARSER_BY_KEY.items():
+    parsers = _FIELD_AND_PARSER_BY_KEY | _OPTIONAL_FIELD_AND_PARSER_BY_KEY
+    for key, (field, parse) in parsers.items():
+        if key in _OPTIONAL_FIELD_AND_PARSER_BY_KEY and content.get(key) in (None, ""):
+            continue
         if key not in content:
             problems.append(f"{path}: {key}: the key is missing")
             continue
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -71,3 +71,49 @@
 def test_missing_file_is_an_error():
     with pytest.raises(SettingsError):
         load_proxy_settings("missing.yaml")
+
+
+OPTIONAL = {
+    "region": "coast",
+    "region_by_domain": {"north": "coast", "east": "hills"},
+    "evacuation_bound_ms": 4000,
+    "cold_excess": 2,
+    "cold_slack": 7,
+    "memory_limit_mb": 152,
+    "descriptor_limit": 1605,
+}
+
+
+def test_optional_settings_are_read():
+    settings = parse(**OPTIONAL)
+    assert settings.region == "coast"
+    assert settings.region_by_domain == {"north": "coast", "east": "hills"}
+    assert settings.evacuation_bound.total_seconds() == 4
+    assert (settings.cold_excess, settings.cold_slack) == (2, 7)
+    assert (settings.memory_limit_mb, settings.descriptor_limit) == (152, 1605)
+
+
+def test_settings_without_values_for_the_optional_keys_load():
+    # Guards against an instance that does not start in an older deployment: a file of
+    # an earlier release lacks the keys, and unfilled placeholders leave them empty.
+    unfilled = yaml.safe_dump(VALID) + "".join(f"{key}: \n" for key in OPTIONAL)
+    assert parse_proxy_settings(unfilled.encode(), "s.yaml") == parse()
+    assert parse().region_by_domain == {}
+    assert parse().evacuation_bound.total_seconds() == 5
+    assert parse().memory_limit_mb is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"region_by_domain": ["north"]},
+        {"region_by_domain": {"north": 3}},
+        {"evacuation_bound_ms": "soon"},
+        {"memory_limit_mb": 0},
+        {"descriptor_limit": 10.5},
+    ],
+)
+def test_error_for_an_invalid_optional_value_names_its_key(changes):
+    with pytest.raises(SettingsError) as caught:
+        parse(**changes)
+    assert next(iter(changes)) in str(caught.value.problems)
