Send nothing to the targets of evacuated domains

Operators ask with a key in the store that nothing more is sent to the targets of a domain. No such request existed: only draining and failed targets lost their statements.

* New statements, hedged copies, retries and begins leave the domain as soon as the request is known.
This is checked again after each wait.
A commit that was sent is awaited and acknowledged.
* The leader replaces a primary there by a planned change, and chooses no successor there.
A chosen one whose order was not sent yet is withdrawn.
Evacuated replicas still report their positions to a failover, which needs them to lose no commit.
* While no target is left, statements are refused at once with the reason and 2 s.

--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -31,6 +31,9 @@
 
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
+# The rest of such a key is the name of a domain; its value has no meaning.
+EVACUATION_PREFIX = "op/evacuate/"
+MAX_DOMAIN_LENGTH = 200
 # The keys of members sort before the configuration key, so that a read can start after
 # them; ``0`` is the character that follows ``/``.
 MEMBER_PREFIX = "members/"
@@ -118,12 +121,15 @@
         records: dict[str, Record] = {}
         members: dict[str, Record] = {}
         target_by_key = {}
+        evacuated_domains = set()
         for item in items:
             key = item["Key"]
             if key == CONFIGURATION_KEY:
                 self._read_configuration(item)
             elif key.startswith(TARGET_PREFIX):
                 target_by_key[key] = self._read_target(item)
+            elif key.startswith(EVACUATION_PREFIX):
+                evacuated_domains.add(key.removeprefix(EVACUATION_PREFIX))
             elif key.startswith(MEMBER_PREFIX):
                 members[key] = _record(item)
             else:
@@ -137,6 +143,7 @@
             {t.target_id: t for t in targets if not isinstance(t, Missing)},
             records,
             members if with_members else None,
+            frozenset(d for d in evacuated_domains if 0 < len(d) <= MAX_DOMAIN_LENGTH),
         )
 
     def _read_configuration(self, item: dict[str, Any]) -> None:
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -92,13 +92,25 @@
             raise NotOffered(target, str(error)) from error
         return connection
 
+    def require_no_evacuation(self, connection: ServerConnection) -> None:
+        """Raise ``NotOffered`` if the domain of the target is evacuated.
+
+        Open transactions have some time left, which ``Transaction`` checks.
+        """
+        target = connection.target
+        reason = self._services.table.evacuations.reason(target)
+        if reason and connection.state is TransactionState.IDLE:
+            raise NotOffered(target, reason)
+
     def apply_session_state(
         self, connection: ServerConnection, prepared: PreparedStatement | None
     ) -> Steps:
         """Set the session values and the prepared statement on the connection.
 
-        Raise ``NotOffered`` if the server does not confirm them.
+        Raise ``NotOffered`` if the server does not confirm them, or if its domain was
+        evacuated during the wait for the connection.
         """
+        self.require_no_evacuation(connection)
         texts = []
         stale_names = connection.values.keys() - self._values.keys()
         is_full = len(connection.prepared_by_name) > MAX_PREPARED_STATEMENTS
--- a/bulrushloom/proxy/exchange/directory.py
+++ b/bulrushloom/proxy/exchange/directory.py
@@ -1,12 +1,13 @@
-"""Encoding of the directory of targets and members, which instances copy over HTTP.
+"""Encoding of the directory, which instances copy over HTTP.
 
-The directory does not fit a datagram in a large fleet and rarely changes. Reports carry
-its version only, and an instance that has another one copies the content.
+The directory has the targets, the members and the evacuated domains. It does not fit a
+datagram in a large fleet and rarely changes. Reports carry its version only, and an
+instance that has another one copies the content.
 """
 
 from collections.abc import Mapping
 from datetime import timedelta
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 import orjson
@@ -39,12 +40,14 @@
 class _WireDirectory(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     targets: Annotated[list[_WireTarget], MAX_ENTRIES]
     members: Annotated[list[WireMember], MAX_ENTRIES]
+    evacuated: Annotated[list[Name], MAX_ENTRIES] = []
 
 
 def make_directory(
     listed_at: timedelta,
     target_by_id: Mapping[str, Target],
     member_by_name: Mapping[str, Member],
+    evacuated_domains: frozenset[str] = frozenset(),
 ) -> Directory:
     """Return a directory with the version of its content.
 
@@ -54,7 +57,9 @@
         target_id: target._replace(cold_left=_ZERO, revision=0)
         for target_id, target in target_by_id.items()
     }
-    directory = Directory(listed_at, "", targets, dict(member_by_name))
+    directory = Directory(
+        listed_at, "", targets, dict(member_by_name), evacuated_domains
+    )
     version = xxhash.xxh64_hexdigest(encode_directory(directory))
     return directory._replace(version=version)
 
@@ -75,7 +80,12 @@
         for _, target in sorted(directory.target_by_id.items())
     ]
     members = [list(m) for _, m in sorted(directory.member_by_name.items())]
-    return orjson.dumps({"targets": targets, "members": members})
+    content: dict[str, list[Any]] = {"targets": targets, "members": members}
+    if directory.evacuated_domains:
+        # Earlier releases reject a directory with further keys, so it is added only
+        # when there is something to say.
+        content["evacuated"] = sorted(directory.evacuated_domains)
+    return orjson.dumps(content)
 
 
 def decode_directory(content: bytes, listed_at: timedelta) -> Directory | Missing:
@@ -104,4 +114,4 @@
         for wire_target in wire.targets
     }
     members = {member.name: Member(*member) for member in wire.members}
-    return make_directory(listed_at, targets, members)
+    return make_directory(listed_at, targets, members, frozenset(wire.evacuated))
--- a/bulrushloom/proxy/exchange/fleet_members.py
+++ b/bulrushloom/proxy/exchange/fleet_members.py
@@ -72,6 +72,10 @@
     def send_immediately(self) -> None:
         """Report to the other instances now."""
 
+    @abstractmethod
+    def announce_directory(self) -> None:
+        """Tell the instances that copy the directory from this one of a new version."""
+
     @abstractmethod
     def _on_datagram(self, data: bytes, sender: str) -> None:
         """Handle a received datagram."""
@@ -109,6 +113,10 @@
         if previous is None:
             # An instance may have restarted before this one knew of any.
             self.member_ended_at = now
+        if self._services.update_evacuated_domains(
+            directory.evacuated_domains, directory.listed_at
+        ):
+            self._loop.call_soon(self.announce_directory)
         self._services.update_targets(directory.target_by_id, directory.listed_at)
         if previous and directory.listed_at - previous.listed_at > LIST_GAP:
             self._kept_members_until = now + REPORTING_MEMBER_LIFETIME
--- a/bulrushloom/proxy/exchange/messages.py
+++ b/bulrushloom/proxy/exchange/messages.py
@@ -64,7 +64,7 @@
 
 
 class Directory(NamedTuple):
-    """The targets and members that a store read listed.
+    """The targets, members and evacuated domains that a store read listed.
 
     ``listed_at`` is the time just before that read was sent. ``version`` is a digest of
     the content, so that equal directories have equal versions.
@@ -74,6 +74,7 @@
     version: str
     target_by_id: Mapping[str, Target]
     member_by_name: Mapping[str, Member]
+    evacuated_domains: frozenset[str] = frozenset()
 
 
 class DirectoryVersion(NamedTuple):
--- a/bulrushloom/proxy/exchange/rounds.py
+++ b/bulrushloom/proxy/exchange/rounds.py
@@ -204,6 +204,18 @@
         report = self._build_report(ReportKind.DIRECT)
         self._send(members, report._replace(group_by_service=group_by_service))
 
+    def announce_directory(self) -> None:
+        """Send the version of the directory to the children, as the leader to relays.
+
+        In rounds, a new version needs up to a round for each level of the tree.
+        """
+        self._send_down(())
+        if self.is_leader:
+            receivers = self._sightings.relay_receivers(
+                self.peers_by_name, self._heard_relays(), self._round
+            )
+            self._send(receivers, self._build_relay_report())
+
     def _send(
         self,
         members: Iterable[Member],
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -16,6 +16,7 @@
 )
 from bulrushloom.proxy.configuration import Consistency, Route, Target
 from bulrushloom.proxy.dispatch import COMMIT_TOO_LATE, Dispatcher
+from bulrushloom.proxy.failover.groups import ALL_EVACUATED
 from bulrushloom.proxy.messages import (
     AnswerCode,
     Failure,
@@ -170,6 +171,7 @@
                 # The session has continued and may have changed its values, so the
                 # connection must not run this copy of the read.
                 raise NotOffered(choice.target, "another target has answered")
+            self.require_no_evacuation(connection)
             after = None
             if choice.is_primary:
                 self.require_primary(choice.target)
@@ -185,6 +187,8 @@
     def choose_read(self, attempt: Attempt, tried: list[str]) -> Candidate | Missing:
         """Return a target for a read that is not in ``tried``, or why there is none."""
         services, route = self._services, attempt.route
+        if services.table.is_evacuated(route.service):
+            return Missing(ALL_EVACUATED)
         if route.consistency is Consistency.PRIMARY:
             primary = services.primary(route.service)
             if isinstance(primary, Missing):
@@ -246,6 +250,9 @@
         Raise ``PermitEnded`` if it may not be sent any more.
         """
         services, now = self._services, self._loop.now()
+        if services.table.is_evacuated(attempt.route.service):
+            # The end of an evacuation cannot be foreseen.
+            return False
         remaining = attempt.deadline - now
         if services.expected_primary_wait(attempt.route.service) > remaining:
             return False
--- a/bulrushloom/proxy/failover/decisions.py
+++ b/bulrushloom/proxy/failover/decisions.py
@@ -52,11 +52,19 @@
 
 
 def reason_to_replace(
-    target: Target | Missing, probe: PrimaryProbe, now: timedelta
+    target: Target | Missing,
+    probe: PrimaryProbe,
+    now: timedelta,
+    is_evacuated: bool = False,
 ) -> str:
-    """Return the reason to replace a primary, or an empty string."""
+    """Return the reason to replace a primary, or an empty string.
+
+    ``is_evacuated`` means that the domain of the primary is evacuated.
+    """
     if isinstance(target, Missing):
         return target.reason
+    if is_evacuated:
+        return "the domain of the primary is evacuated"
     if target.is_draining:
         return "the primary is draining"
     if probe.is_suspected_widely:
--- a/bulrushloom/proxy/failover/group_members.py
+++ b/bulrushloom/proxy/failover/group_members.py
@@ -41,7 +41,7 @@
         A server is left out only while the primary, which has every commit, answers.
         """
         table = self._services.table
-        primary = table.primary_of(service)
+        primary = table.recorded_primary(service)
         if isinstance(primary, Missing) or not table.is_complete:
             return
         if primary.target_id in self._services.suspected_targets():
--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -10,6 +10,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.failover.evacuation import Evacuations
 from bulrushloom.proxy.failover.member_records import GroupMembers
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store import Record
@@ -29,6 +30,7 @@
 DEPARTED_TARGET_LIFETIME = timedelta(seconds=10)
 # With a single remaining replica, its failure would block all commits.
 MIN_REMAINING_REPLICAS = 2
+ALL_EVACUATED = "every target of the service is in an evacuated domain"
 
 
 class GroupPhase(Enum):
@@ -187,8 +189,13 @@
 class GroupTable:
     """Targets and primaries of all services, as last read or announced."""
 
-    def __init__(self, drain_bound: timedelta):
+    def __init__(
+        self,
+        drain_bound: timedelta,
+        evacuation_bound: timedelta = timedelta(seconds=5),
+    ):
         self.drain_bound = drain_bound
+        self.evacuations = Evacuations(evacuation_bound)
         self.group_by_service: dict[str, GroupRecord] = {}
         self.listed_target_by_id: dict[str, KnownTarget] = {}
         self._departed_target_by_id: dict[str, DepartedTarget] = {}
@@ -357,8 +364,32 @@
         receiving = self.commit_holders(service)
         return [t for t in replicas if t.is_draining and t in receiving]
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """Return the domains whose targets get no statements."""
+        return self.evacuations.domains
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all listed targets of a service are in evacuated domains."""
+        targets = self.targets_of(service)
+        return bool(targets) and all(
+            self.evacuations.covers(known.target) for known in targets
+        )
+
     def primary_of(self, service: str) -> Target | Missing:
-        """Return the current primary, or the reason why there is none."""
+        """Return the primary that may get statements, or why there is none."""
+        if self.is_evacuated(service):
+            return Missing(ALL_EVACUATED)
+        primary = self.recorded_primary(service)
+        if not isinstance(primary, Missing) and self.evacuations.covers(primary):
+            return Missing(self.evacuations.reason(primary))
+        return primary
+
+    def recorded_primary(self, service: str) -> Target | Missing:
+        """Return the current primary, or why there is none.
+
+        It may be in an evacuated domain, and answer statements that were sent before.
+        """
         group = self.group_by_service.get(service)
         if group is None:
             return self._self_declared_primary(service)
@@ -400,10 +431,11 @@
     def accepts_new_work(self, target_id: str, now: timedelta) -> bool:
         """Return whether a target may receive new statements.
 
-        A draining target may receive them for ``drain_bound``.
+        A draining target may receive them for ``drain_bound``, and one in an evacuated
+        domain not at all.
         """
         known = self.listed_target_by_id.get(target_id)
-        if known is None:
+        if known is None or self.evacuations.covers(known.target):
             return False
         if known.draining_since is None:
             return True
--- a/bulrushloom/proxy/failover/primary_monitor.py
+++ b/bulrushloom/proxy/failover/primary_monitor.py
@@ -75,6 +75,7 @@
         self._sampling: set[str] = set()
         self._unclaimed_since: dict[str, timedelta] = {}
         self._stall_failover_at: dict[str, timedelta] = {}
+        self._evacuated: frozenset[str] = frozenset()
 
     def run(self) -> Steps:
         """Check all services at fixed intervals while the process runs."""
@@ -85,10 +86,26 @@
                 self._unclaimed_since.clear()
                 self._check_suspected_primaries()
                 continue
+            self._check_ended_evacuations()
             for service in self._services.configuration.service_by_name:
                 if service not in self._failing_over:
                     self._watch_service(service)
 
+    def _check_ended_evacuations(self) -> None:
+        """Let the replicas of a domain receive again once its evacuation has ended.
+
+        A failover stops all replicas, and those of evacuated domains are not asked
+        afterwards whether they follow the new primary.
+        """
+        table = self._services.table
+        previous, self._evacuated = self._evacuated, table.evacuated_domains
+        if previous <= self._evacuated:
+            return
+        for service, group in table.group_by_service.items():
+            if group.phase is GroupPhase.STEADY:
+                steps = self._replacement.resume_replicas(service, group.primary_id)
+                self._loop.spawn(steps)
+
     def _check_suspected_primaries(self) -> None:
         """Probe the primaries that other instances suspect, if this one is a relay.
 
@@ -119,7 +136,9 @@
 
     def _watch_service(self, service: str) -> None:
         """Start a failover, or else stop draining replicas, if the service needs it."""
-        if not self._services.table.targets_of(service):
+        table = self._services.table
+        if not table.targets_of(service) or table.is_evacuated(service):
+            # There is no successor.
             return
         group = self._services.table.group_by_service.get(service)
         if group is not None and group.phase is GroupPhase.REPLACING:
@@ -127,9 +146,15 @@
                 service, group.old_id, "the previous failover was not finished"
             )
             return
-        primary = self._services.table.primary_of(service)
-        probe = self._update_probe(service, primary)
-        reason = reason_to_replace(primary, probe, self._loop.now())
+        primary = table.recorded_primary(service)
+        is_evacuated = not isinstance(primary, Missing) and table.evacuations.covers(
+            primary
+        )
+        # An evacuated primary is not probed.
+        probe = PrimaryProbe()
+        if not is_evacuated:
+            probe = self._update_probe(service, primary)
+        reason = reason_to_replace(primary, probe, self._loop.now(), is_evacuated)
         if isinstance(primary, Missing) and not self._is_primary_lost(service):
             return
         if reason:
--- a/bulrushloom/proxy/failover/replacement.py
+++ b/bulrushloom/proxy/failover/replacement.py
@@ -13,6 +13,7 @@
 from bulrushloom.proxy.failover.confirmations import Announcement, InstanceConfirmations
 from bulrushloom.proxy.failover.decisions import stopped_replicas
 from bulrushloom.proxy.failover.groups import (
+    ALL_EVACUATED,
     GROUP_PREFIX,
     GroupPhase,
     GroupRecord,
@@ -154,6 +155,8 @@
         while self._loop.now() < deadline:
             if not self._leadership.is_leader():
                 raise Abandoned("this instance no longer holds the leader lease")
+            if self._services.table.is_evacuated(search.service):
+                raise Abandoned(ALL_EVACUATED)
             found = yield from search.run()
             if not isinstance(found, Missing):
                 return found
@@ -218,10 +221,11 @@
                 return
             if group.primary_id != primary_id or not self._leadership.is_leader():
                 return
+            evacuations = self._services.table.evacuations
             targets = {
                 known.target.target_id: known.target
                 for known in self._services.table.targets_of(service)
-                if not known.target.is_draining
+                if not known.target.is_draining and not evacuations.covers(known.target)
             }
             statuses = yield from self._status.read_all(targets.values(), None)
             if self._services.table.group_by_service.get(service) != group:
@@ -342,6 +346,11 @@
                     raise Abandoned("the successor does not answer")
                 yield self._loop.sleep(REPEAT_INTERVAL)
                 continue
+            if self._services.table.evacuations.covers(known.target):
+                if not isinstance(status, Missing) and leads(status, successor.term):
+                    # It is replaced again at once.
+                    return group
+                yield from self._withdraw_choice(group, target_id, is_ordered)
             if is_ordered:
                 unanswered_by_id = self._orders.including(service, target_id)
                 group = yield from self._write(
@@ -352,11 +361,7 @@
             if code:
                 self._orders.record_end(service, target_id)
             if code == 409:
-                pending = self._orders.pending(service)
-                yield from self._write(
-                    group._replace(primary_id="", unanswered_by_id=pending)
-                )
-                raise Abandoned("the successor is not running")
+                yield from self._withdraw_choice(group, target_id, True)
             is_primary = yield from self._wait_until_primary(
                 known.target, successor.term, code in ACCEPTED_STATUSES
             )
@@ -367,6 +372,17 @@
                 return group
         raise Abandoned("the successor did not become the primary")
 
+    def _withdraw_choice(
+        self, group: GroupRecord, target_id: str, is_ordered: bool
+    ) -> Steps:
+        """Record that a successor was not promoted, and abandon this attempt."""
+        if not is_ordered:
+            # Its order is recorded as one that may be executed, but was not sent.
+            self._orders.record_end(group.service, target_id)
+        pending = self._orders.pending(group.service)
+        yield from self._write(group._replace(primary_id="", unanswered_by_id=pending))
+        raise Abandoned("the successor is not running, or its domain is evacuated")
+
     def _order_promotion(self, service: str, target_id: str) -> Steps:
         """Order a promotion; return the status of the answer, or 0 without one."""
         self.orders_in_flight += 1
--- a/bulrushloom/proxy/failover/successor.py
+++ b/bulrushloom/proxy/failover/successor.py
@@ -71,6 +71,7 @@
         self._status = status
         self._confirmations = confirmations
         self._group = confirmations.group
+        self.service = confirmations.group.service
         self._demoted = demoted
         self._started_at = services.loop.now()
         # When the last status of the demoted primary was requested, or earlier.
@@ -95,11 +96,16 @@
         if self._demoted is not None and self._is_catching_up(self._demoted):
             yield self._loop.sleep(CATCH_UP_POLL_INTERVAL)
             return Missing("the replicas receive the last commits")
-        targets = self._listed_replicas()
+        listed = self._listed_replicas()
+        targets = {
+            target_id: target
+            for target_id, target in listed.items()
+            if not self._services.table.evacuations.covers(target)
+        }
         elapsed = self._loop.now() - self._started_at
         if self._demoted is not None and elapsed >= REINSTATEMENT_DELAY:
             targets |= self._reinstatable_primary(self._demoted)
-        self._update_required_ids(targets)
+        self._update_required_ids(listed | targets)
         closed_at = self._confirmations.closed_at()
         if closed_at is not None:
             yield from self._check_demotion(closed_at)
@@ -226,11 +232,13 @@
         return closed_at is not None and self._reported_at_by_id[target_id] < closed_at
 
     def _reinstatable_primary(self, demoted: ServerStatus) -> dict[str, Target]:
-        """Return the demoted primary unless it is draining; it has every commit."""
+        """Return the demoted primary unless it has to go; it has every commit."""
         old_id = self._group.old_id
         known = self._services.table.listed_target_by_id.get(old_id)
         if known is None or known.target.is_draining:
             return {}
+        if self._services.table.evacuations.covers(known.target):
+            return {}
         self._status_by_id[old_id] = demoted
         self._reported_at_by_id[old_id] = self._loop.now()
         return {old_id: known.target}
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -38,6 +38,9 @@
 # Suspicion of a target ends if no further failure follows within this time: a failure
 # says nothing about a target that received no requests since.
 SUSPICION_LIFETIME = timedelta(seconds=2)
+# Callers return after this time while no target of a service may get statements. The
+# operators end an evacuation, so nothing here tells how long it takes.
+EVACUATION_RETRY_DELAY = timedelta(seconds=2)
 # An instance that cannot reach the store retries twice in this time.
 EXPECTED_STORE_RECOVERY_TIME = timedelta(seconds=2)
 _ZERO = timedelta()
@@ -78,7 +81,7 @@
         self.store_freshness = StoreFreshness(settings)
         self.commits = CommitAcknowledgements(loop, self.store_freshness)
         self.orders = PromotionOrders(loop)
-        self.table = GroupTable(settings.target_drain_bound)
+        self.table = GroupTable(settings.target_drain_bound, settings.evacuation_bound)
         window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
         )
@@ -148,8 +151,7 @@
         if isinstance(position, Missing):
             return
         self.router.health(target.target_id).record_applied_position(position)
-        primary = self.primary(target.service)
-        if not isinstance(primary, Missing) and primary.target_id == target.target_id:
+        if self.is_recorded_primary(target):
             sample = PositionSample(sent_at, position)
             self.history(target.service).record(sample)
 
@@ -162,8 +164,9 @@
         Records its position if so. Otherwise a successor that lacks the commit may have
         been chosen, and its outcome is in doubt.
         """
+        # A commit that was sent before an evacuation is acknowledged like any other.
         is_allowed = not cutoff.done() and (
-            self.is_current_primary(target) or self.commits.allows_replaced(target)
+            self.is_recorded_primary(target) or self.commits.allows_replaced(target)
         )
         if is_allowed:
             self.commits.record_position(target.service, position)
@@ -196,6 +199,15 @@
             return Missing("the last read of the store is too old")
         return self.table.primary_of(service)
 
+    def is_recorded_primary(self, target: Target) -> bool:
+        """Return whether ``target`` is the primary, be its domain evacuated or not."""
+        if not self.store_freshness.allows_primary(self.loop.now()):
+            return False
+        primary = self.table.recorded_primary(target.service)
+        return (
+            not isinstance(primary, Missing) and primary.target_id == target.target_id
+        )
+
     def is_current_primary(self, target: Target) -> bool:
         """Return whether ``target`` is the primary that may be used now.
 
@@ -210,12 +222,16 @@
     def candidates(self, service: str, account: str) -> list[Candidate]:
         """Return the targets that may run a read.
 
-        Draining replicas are left out. While there is no primary, so are the one being
-        replaced and targets that claim to be the primary.
+        Draining replicas and evacuated domains are left out. While there is no primary,
+        so are the one being replaced and targets that claim to be the primary.
         """
         now = self.loop.now()
         primary = self.primary(service)
         primary_id = None if isinstance(primary, Missing) else primary.target_id
+        if primary_id is None and self.store_freshness.allows_primary(now):
+            # The replicas of a primary in an evacuated domain serve reads.
+            primary = self.table.recorded_primary(service)
+            primary_id = None if isinstance(primary, Missing) else primary.target_id
         group = self.table.group_by_service.get(service)
         old_primary_id = group.old_id if group and primary_id is None else None
         found = []
@@ -295,10 +311,31 @@
         self.settings = settings
         self.store_freshness.settings = settings
         self.table.drain_bound = settings.target_drain_bound
+        self.table.evacuations.bound = settings.evacuation_bound
         self.limiter.window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
         )
 
+    def update_evacuated_domains(
+        self, domains: frozenset[str], listed_at: timedelta
+    ) -> bool:
+        """Apply the evacuated domains of a store read; return whether they changed."""
+        has_changed = self.table.evacuations.update(domains, listed_at)
+        self.metrics.gauges["evacuated_domains"] = len(domains)
+        if not has_changed:
+            return False
+        self.log.write(
+            "evacuation_changed",
+            domains=sorted(domains),
+            evidence_age=self.loop.now() - listed_at,
+        )
+        for known in self.table.listed_target_by_id.values():
+            if self.table.evacuations.covers(known.target):
+                self.pool.close_idle_connections(
+                    known.target.target_id, "the domain of the target is evacuated"
+                )
+        return True
+
     def update_targets(
         self, target_by_id: Mapping[str, Target], listed_at: timedelta
     ) -> None:
@@ -373,6 +410,8 @@
     def expected_primary_wait(self, service: str) -> timedelta:
         """Return the expected time until a statement can run at the primary."""
         now = self.loop.now()
+        if self.table.is_evacuated(service):
+            return EVACUATION_RETRY_DELAY
         if not self.store_freshness.allows_primary(now):
             return EXPECTED_STORE_RECOVERY_TIME
         started_at = self.commits.replacing_since(service)
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -32,6 +32,8 @@
 
 # Time in which a client must send its start message; clients give up after it as well.
 SESSION_START_TIMEOUT = timedelta(seconds=5)
+# Interval at which an idle transaction checks whether its domain is evacuated.
+TRANSACTION_CHECK_INTERVAL = timedelta(milliseconds=500)
 _ZERO = timedelta()
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -186,6 +188,13 @@
             # The limit may change during the wait.
             limit = self._services.configuration.transaction_idle_limit
             remaining = since + limit - self._loop.now()
+            reason = transaction.evacuation_reason()
+            if reason:
+                transaction.fail(reason)
+                self._services.log.write(
+                    "transaction_ended", database=self._database, reason=reason
+                )
+                break
             if remaining <= _ZERO:
                 transaction.fail("the transaction was idle for too long")
                 self._services.log.write(
@@ -193,7 +202,9 @@
                 )
                 break
             with suppress(TimeoutError):
-                yield self._loop.wait_for(line, remaining)
+                yield self._loop.wait_for(
+                    line, min(remaining, TRANSACTION_CHECK_INTERVAL)
+                )
         return (yield line)
 
     # Session start
--- a/bulrushloom/proxy/store.py
+++ b/bulrushloom/proxy/store.py
@@ -45,7 +45,8 @@
 
     ``requested_at`` is the monotonic time just before the request was sent; all changes
     acknowledged before it are included. ``member_by_key`` is ``None`` if the members
-    were not requested.
+    were not requested. ``evacuated_domains`` are the domains whose targets must get no
+    more statements.
     """
 
     requested_at: timedelta
@@ -54,6 +55,7 @@
     target_by_id: Mapping[str, Target]
     record_by_key: Mapping[str, Record]
     member_by_key: Mapping[str, Record] | None
+    evacuated_domains: frozenset[str] = frozenset()
 
 
 class Lease(NamedTuple):
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -59,6 +59,8 @@
 MAX_FOLLOWER_READ_AGE = timedelta(milliseconds=1550)
 # The same for the list of targets, which is relayed less often.
 MAX_DIRECTORY_AGE = timedelta(milliseconds=3500)
+# The directory has the evacuated domains, so a read must also end within their bound.
+EVACUATION_READ_FRACTION = 0.7
 # Clients with unknown keys must not cause more frequent reads than this.
 MIN_READ_INTERVAL = timedelta(milliseconds=250)
 # Copying the configuration within a domain takes milliseconds; if that fails, the store
@@ -126,7 +128,9 @@
         if self._fleet.is_domain_relay() and not self._fleet.has_live_leader():
             # The leader lease may expire at any time; relays are the first candidates.
             return now - self._read_at >= LEADERLESS_READ_INTERVAL
-        is_listed = self._services.table.is_read_since(now - MAX_DIRECTORY_AGE)
+        bound = self._services.settings.evacuation_bound
+        max_directory_age = min(MAX_DIRECTORY_AGE, bound * EVACUATION_READ_FRACTION)
+        is_listed = self._services.table.is_read_since(now - max_directory_age)
         is_relay = self._fleet.is_domain_relay()
         max_age = MAX_RELAYED_READ_AGE if is_relay else MAX_FOLLOWER_READ_AGE
         return self._services.store_freshness.age(now) >= max_age or not is_listed
@@ -297,7 +301,12 @@
         delay = self._candidacy_delay()
         members = decode_members(snapshot.member_by_key or {})
         self._fleet.update_directory(
-            make_directory(snapshot.requested_at, snapshot.target_by_id, members)
+            make_directory(
+                snapshot.requested_at,
+                snapshot.target_by_id,
+                members,
+                snapshot.evacuated_domains,
+            )
         )
         services.table.apply_group_members(
             decode_all_group_members(snapshot.record_by_key.values()),
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -74,23 +74,37 @@
                 return Outcome(self.failure, None)
         connection = self._connection
         assert connection is not None
+        reason = self.evacuation_reason()
+        if reason:
+            return self._fail_with(reason)
         try:
             yield from self._runner.apply_session_state(connection, prepared)
         except NotOffered as error:
             return self._fail_with(f"the connection was lost: {error}")
         self.wrote = self.wrote or writes
-        if not self._may_commit(connection):
-            return self._fail_with(PRIMARY_REPLACED)
         return (yield from self._send(attempt, connection))
 
-    def _may_commit(self, connection: ServerConnection) -> bool:
-        """Return whether the writes, if any, may be committed on the connection.
+    def evacuation_reason(self) -> str:
+        """Return why the transaction may send nothing more, or an empty string.
+
+        That is so some time after the evacuation of the domain of its target.
+        """
+        if self._connection is None:
+            return ""
+        target, evacuations = self._connection.target, self._services.table.evacuations
+        if not evacuations.ends_transactions(target, self._loop.now()):
+            return ""
+        return evacuations.reason(target)
+
+    def _reason_to_end(self, connection: ServerConnection) -> str:
+        """Return why nothing more may be sent on the connection, or an empty string.
 
         Commits of a primary that is being replaced might be missing at its successor.
         """
-        if self._is_read_only or not self.wrote:
-            return True
-        return self._services.is_current_primary(connection.target)
+        has_writes = self.wrote and not self._is_read_only
+        if has_writes and not self._services.is_recorded_primary(connection.target):
+            return PRIMARY_REPLACED
+        return self.evacuation_reason()
 
     def _attempt(
         self, statement: Statement, prepared: PreparedStatement | None
@@ -109,6 +123,9 @@
         Any other failure makes the transaction fail.
         """
         for retries in range(1, MAX_BUSY_RETRIES + 1):
+            reason = self._reason_to_end(connection)
+            if reason:
+                return self._fail_with(reason)
             try:
                 answer = yield from self._runner.send(connection, attempt, None)
             except AnswerLost as error:
@@ -196,6 +213,7 @@
         answer = None
         try:
             yield from self._runner.apply_session_state(connection, attempt.prepared)
+            self._runner.require_no_evacuation(connection)
             if is_primary:
                 self._runner.require_primary(target)
             answer = yield from self._send_begin(attempt, connection, is_primary)
@@ -274,8 +292,9 @@
     ) -> Steps:
         """Send the commit, again while the server is busy; return an ``Outcome``."""
         for retries in range(1, MAX_BUSY_RETRIES + 1):
-            if not self._may_commit(connection):
-                reason = f"commit: {PRIMARY_REPLACED}"
+            reason = self._reason_to_end(connection)
+            if reason:
+                reason = f"commit: {reason}"
                 self._runner.log_attempt(attempt, connection.target, reason)
                 return Outcome(self._replaced_primary_failure(reason), None)
             try:
@@ -347,6 +366,13 @@
         self._loop.spawn(self._roll_back_on(connection))
 
     def _roll_back_on(self, connection: ServerConnection) -> Steps:
+        reason = self._services.table.evacuations.reason(connection.target)
+        if reason:
+            # Nothing more is sent there; the server rolls back when it is closed.
+            self._services.metrics.count("transactions_ended_by_evacuation")
+            connection.close(reason)
+            self._services.pool.release(connection)
+            return
         try:
             answer_future = connection.query(wire.PROXY_REQUEST_ID, wire.ROLLBACK)
             yield self._loop.wait_for(answer_future, ROLLBACK_TIMEOUT)
--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -13,7 +13,7 @@
 
 from bulrushloom.runtime.loop import Loop
 from bulrushloom.runtime.streams import Stream
-from standins.platform.records import Commit, Promotion, Run, Start
+from standins.platform.records import Commit, Promotion, Query, Run, Start
 from standins.platform.server_session import ServerSession
 
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=5)
@@ -38,6 +38,7 @@
         self.promoted_id = ""
         self.runs: list[Run] = []
         self.starts: list[Start] = []
+        self.queries: list[Query] = []
         self.acknowledged: list[tuple[Commit, timedelta]] = []
         self.promotions: list[Promotion] = []
         self.connection_numbers = itertools.count(1)
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -55,6 +55,7 @@
     ``crashed_ids`` has the servers that write no store entry, ``leaving_ids`` those
     whose entry says that they are draining. ``listed_address_by_id`` has the addresses
     in the store entries, which a test can point at a proxy in front of the server.
+    ``domain_by_id`` has the domains of servers that are not in "north".
     """
 
     def __init__(self, stack: ExitStack, loop: Loop, folder: Path):
@@ -68,6 +69,7 @@
         self.listed_address_by_id: dict[str, str] = {}
         self.crashed_ids: set[str] = set()
         self.leaving_ids: set[str] = set()
+        self.domain_by_id: dict[str, str] = {}
         self._unlisted_until_by_id: dict[str, timedelta] = {}
         for server_id in "abc":
             self.add_server(server_id)
@@ -142,6 +144,14 @@
         """Write a configuration document to the store, as operators do."""
         self.store.put_json("op/config", build_document(version, **changes))
 
+    def evacuate(self, domain: str) -> None:
+        """Request that the servers of a domain get no more statements."""
+        self.store.put(f"op/evacuate/{domain}", b"")
+
+    def end_evacuation(self, domain: str) -> None:
+        """Withdraw the request."""
+        self.store.delete(f"op/evacuate/{domain}")
+
     def send_heartbeats(self) -> None:
         """Write the entries of all servers now and at each heartbeat interval."""
         self.write_server_entries()
@@ -164,6 +174,7 @@
                 continue
             entry = build_entry(
                 Addr=self.listed_address_by_id[server_id],
+                Zone=self.domain_by_id.get(server_id, "north"),
                 DbRole="primary" if server.is_primary else "replica",
                 State="draining" if server_id in self.leaving_ids else "ready",
                 born=EPOCH_MS + server.born_ms,
--- a/standins/platform/kv_server.py
+++ b/standins/platform/kv_server.py
@@ -51,6 +51,11 @@
             "Lease": lease,
         }
 
+    def delete(self, key: str) -> None:
+        """Delete an item if it exists."""
+        if self.item_by_key.pop(key, None) is not None:
+            self.revision += 1
+
     def put_json(self, key: str, value: Any) -> None:
         """Write an item whose value is a JSON document."""
         self.put(key, orjson.dumps(value))
--- a/standins/platform/records.py
+++ b/standins/platform/records.py
@@ -29,6 +29,15 @@
     at: timedelta
 
 
+class Query(NamedTuple):
+    """A QUERY message that a server received, whether or not it ran."""
+
+    server: str
+    request_id: str
+    text: str
+    at: timedelta
+
+
 class Run(NamedTuple):
     """A statement that a server ran.
 
--- a/standins/platform/server_session.py
+++ b/standins/platform/server_session.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from bulrushloom.runtime.streams import Stream
-from standins.platform.records import Run, Start
+from standins.platform.records import Query, Run, Start
 
 if TYPE_CHECKING:
     from standins.platform.group import SimulatedServer
@@ -104,6 +104,8 @@
 
     def handle_query(self, request_id: str, text: str) -> None:
         """Handle a statement; reads, writes and commits are queued."""
+        query = Query(self.server.server_id, request_id, text, self.loop.now())
+        self.group.queries.append(query)
         if text.startswith("AFTER "):
             _, position, text = text.split(" ", 2)
             term, number = position.split(".")
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -39,6 +39,7 @@
     ``is_down`` makes all calls fail, ``refused`` those of the named instances.
     ``answers_to_lose`` is the number of next calls that take effect but are not
     answered; their writes take effect only after ``write_delay``.
+    ``evacuated_domains`` are those whose evacuation the operators have requested.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.refused: set[str] = set()
         self.answers_to_lose = 0
         self.write_delay = timedelta()
+        self.evacuated_domains: set[str] = set()
 
     def client(self, name: str) -> "SimulatedStoreClient":
         """Return the store client of an instance."""
@@ -178,6 +180,7 @@
             store.targets(),
             records,
             members,
+            frozenset(store.evacuated_domains),
         )
 
     def document(self) -> ConfigurationDocument | None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -56,6 +56,21 @@
     assert wait_for(loop, client.snapshot(False)).member_by_key is None
 
 
+def test_snapshot_contains_the_evacuated_domains(platform):
+    # Guards against a request that is not seen because its value cannot be read.
+    loop, server, client, _ = platform
+    server.put("op/evacuate/north", b"")
+    server.put("op/evacuate/old town/1", b"{not json")
+    server.item_by_key["op/evacuate/north"]["Value"] = None
+    for key in ("op/evacuate", "op/evacuate/", "op/evacuate/" + "x" * 1000):
+        server.put(key, b"1")
+    snapshot = wait_for(loop, client.snapshot(True))
+    assert snapshot.evacuated_domains == {"north", "old town/1"}
+    server.delete("op/evacuate/north")
+    snapshot = wait_for(loop, client.snapshot(False))
+    assert snapshot.evacuated_domains == {"old town/1"}
+
+
 def test_snapshot_reads_all_pages(platform):
     loop, server, client, _ = platform
     server.page_items = 2
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -147,6 +147,7 @@
         self.group = SimulatedGroup(self.loop, SERVICE)
         self.draining: set[str] = set()
         self.deregistered: set[str] = set()
+        self.domain_by_server_id: dict[str, str] = {}
         for number, target_id in enumerate(("a", "b", "c")):
             server = self.group.add(target_id, f"{target_id}:1", number == 0)
             self.network.accept_by_address[server.address] = server.accept
@@ -166,6 +167,7 @@
         return {
             server.server_id: build_target(
                 server.server_id,
+                self.domain_by_server_id.get(server.server_id, "north"),
                 claims_primary=server.is_primary,
                 is_draining=server.server_id in self.draining,
                 born_ms=server.born_ms,
