Use no list of targets that is older than the bound of evacuations

An instance that was paused or cut off adopts the freshness of the store from the reports of the others before it has copied the directory. With a copy that took 700 ms, it sent 92 statements to evacuated targets after the bound.

While somebody reads the store, a list of targets older than 0.9 of the bound is not used; statements are refused until the list is copied. While nobody reads it, the last known list holds. The new test fails without this and passes with it.

--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -98,7 +98,7 @@
         Open transactions have some time left, which ``Transaction`` checks.
         """
         target = connection.target
-        reason = self._services.table.evacuations.reason(target)
+        reason = self._services.evacuation_reason(target)
         if reason and connection.state is TransactionState.IDLE:
             raise NotOffered(target, reason)
 
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -41,6 +41,10 @@
 # Callers return after this time while no target of a service may get statements. The
 # operators end an evacuation, so nothing here tells how long it takes.
 EVACUATION_RETRY_DELAY = timedelta(seconds=2)
+# Age of the list of targets, as a fraction of the bound of evacuations, up to which it
+# is used. The rest is for a statement that is on its way.
+MAX_LIST_AGE_FRACTION = 0.9
+OUTDATED_LIST = "the list of targets is too old"
 # An instance that cannot reach the store retries twice in this time.
 EXPECTED_STORE_RECOVERY_TIME = timedelta(seconds=2)
 _ZERO = timedelta()
@@ -197,8 +201,27 @@
         """Return the primary that may be used now, or why there is none."""
         if not self.store_freshness.allows_primary(self.loop.now()):
             return Missing("the last read of the store is too old")
+        if self.has_outdated_list():
+            return Missing(OUTDATED_LIST)
         return self.table.primary_of(service)
 
+    def evacuation_reason(self, target: Target) -> str:
+        """Return why ``target`` may not get new statements, or an empty string."""
+        if self.has_outdated_list():
+            return OUTDATED_LIST
+        return self.table.evacuations.reason(target)
+
+    def has_outdated_list(self) -> bool:
+        """Return whether a domain may be evacuated that the list does not name yet.
+
+        An instance that was paused or cut off hears of the store again before it has
+        copied the list. While nobody reads the store, the last known list holds.
+        """
+        max_age = self.settings.evacuation_bound * MAX_LIST_AGE_FRACTION
+        oldest = self.loop.now() - max_age
+        is_store_read = self.store_freshness.last_read_at >= oldest
+        return is_store_read and not self.table.is_read_since(oldest)
+
     def is_recorded_primary(self, target: Target) -> bool:
         """Return whether ``target`` is the primary, be its domain evacuated or not."""
         if not self.store_freshness.allows_primary(self.loop.now()):
@@ -226,6 +249,8 @@
         so are the one being replaced and targets that claim to be the primary.
         """
         now = self.loop.now()
+        if self.has_outdated_list():
+            return []
         primary = self.primary(service)
         primary_id = None if isinstance(primary, Missing) else primary.target_id
         if primary_id is None and self.store_freshness.allows_primary(now):
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -25,7 +25,7 @@
     Statement,
     TransactionState,
 )
-from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.services import OUTDATED_LIST, Services
 from bulrushloom.runtime.loop import Steps
 
 # A rollback takes one round trip. The connection is closed if the server does not
@@ -91,6 +91,8 @@
         """
         if self._connection is None:
             return ""
+        if self._services.has_outdated_list():
+            return OUTDATED_LIST
         target, evacuations = self._connection.target, self._services.table.evacuations
         if not evacuations.ends_transactions(target, self._loop.now()):
             return ""
@@ -366,7 +368,7 @@
         self._loop.spawn(self._roll_back_on(connection))
 
     def _roll_back_on(self, connection: ServerConnection) -> Steps:
-        reason = self._services.table.evacuations.reason(connection.target)
+        reason = self._services.evacuation_reason(connection.target)
         if reason:
             # Nothing more is sent there; the server rolls back when it is closed.
             self._services.metrics.count("transactions_ended_by_evacuation")
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -46,6 +46,8 @@
         self.loop = fleet.loop
         self.name = name
         self.is_stopped = False
+        # Time that copying the directory of another instance takes.
+        self.copy_delay = ms(4)
         self.errors = fleet.errors
         settings = SETTINGS._replace(name=name, domain=domain)
         incarnation = incarnation or f"run-{name}"
@@ -108,7 +110,7 @@
                 self.fleet.update_directory(directory._replace(listed_at=listed_at))
 
         if frozenset((self.name, source.name)) not in simulation.datagrams.cut:
-            self.loop.call_later(ms(4), copy)
+            self.loop.call_later(self.copy_delay, copy)
 
     def run(self, duration):
         self.simulation.run(duration)
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from tests.proxy.builders import SERVICE, SETTINGS, ms
+from bulrushloom.proxy.configuration import Consistency
+from tests.proxy.builders import SERVICE, SETTINGS, build_route, ms
 from tests.proxy.evacuation_builders import (
+    ContinuousReader,
     Load,
     build_fleet,
     evacuate,
@@ -304,3 +306,28 @@
     fleet.run(TARGET_TIME)
     assert member.services.metrics.gauges["evacuated_domains"] == 0
     assert SERVICE in member.services.table.group_by_service
+
+
+@pytest.mark.parametrize("is_public", [False, True])
+def test_instance_that_was_cut_off_during_the_request(fleet, is_public):
+    # Guards against an instance that adopts the freshness of the store from the others
+    # before it has copied the directory, which takes some time.
+    member = next(m for m in fleet.members if m is not fleet.leader())
+    route = build_route("bounded", Consistency.BOUNDED_STALENESS, is_public=is_public)
+    routes = fleet.store.configuration.route_by_database | {"bounded": route}
+    fleet.store.configuration = fleet.store.configuration._replace(
+        revision=2, version=2, route_by_database=routes
+    )
+    fleet.run(SECOND)
+    reader = ContinuousReader(member.client("bounded"))
+    member.copy_delay = ms(700)
+    fleet.store.refused.add(member.name)
+    fleet.datagrams.freeze(member.name)
+    requested_at = evacuate(fleet, "south", "west")
+    fleet.run(SECOND * 7)
+    fleet.datagrams.thaw(member.name)
+    fleet.run(SECOND * 4)
+    assert statements_at(fleet, {"south", "west"}, requested_at + BOUND) == []
+    assert max(reader.served_at) > fleet.loop.now() - SECOND
+    reader.is_stopped = True
+    fleet.run(SECOND)
