Let the soak evacuate domains

Nothing in the soak requested an evacuation beside failovers, cut links and outages of the store. From version 4 of the plans on, the servers are in three domains, and 15% of the faults evacuate one, two or all of them.

--- a/soak/plans.py
+++ b/soak/plans.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from soak.configuration_faults import ChangeKeys, ChangeRoute, MoveKeysDuringOutage
+from soak.evacuations import Evacuate
 from soak.failovers import (
     CrashPrimary,
     CutPrimary,
@@ -41,8 +42,9 @@
     WithdrawKey,
 )
 
-CURRENT_VERSION = 3
+CURRENT_VERSION = 4
 FIRST_VERSION_WITH_MOVING_KEYS = 3
+FIRST_VERSION_WITH_SERVER_DOMAINS = 4
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
 FIRST_KINDS: tuple[type[Fault], ...] = (
     Kill,
@@ -85,11 +87,14 @@
     ChangeRoute,
     MoveKeysDuringOutage,
 )
-KINDS = tuple(dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS + CHANGE_KINDS))
+KINDS = tuple(
+    dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS + CHANGE_KINDS + (Evacuate,))
+)
 # Probabilities of a fault from ``GROUP_KINDS`` or, from version 3 on, ``CHANGE_KINDS``,
-# and of each companion of a cause.
+# of an evacuation from version 4 on, and of each companion of a cause.
 GROUP_SHARE = 0.5
 CHANGE_SHARE = 0.3
+EVACUATION_SHARE = 0.15
 COMPANION_SHARE = 0.5
 
 
@@ -139,8 +144,15 @@
     return _choose_kind(rng)
 
 
+def _choose_kind_or_evacuation(rng: random.Random) -> type[Fault]:
+    if rng.random() < EVACUATION_SHARE:
+        return Evacuate
+    return _choose_kind_or_change(rng)
+
+
 _CHOICE_BY_VERSION = {
     1: _choose_first_kind,
     2: _choose_kind,
     3: _choose_kind_or_change,
+    4: _choose_kind_or_evacuation,
 }
--- a/soak/world.py
+++ b/soak/world.py
@@ -29,7 +29,12 @@
     CallerAccount,
     Operator,
 )
-from soak.plans import CURRENT_VERSION, FIRST_VERSION_WITH_MOVING_KEYS, make_plan
+from soak.plans import (
+    CURRENT_VERSION,
+    FIRST_VERSION_WITH_MOVING_KEYS,
+    FIRST_VERSION_WITH_SERVER_DOMAINS,
+    make_plan,
+)
 from standins.platform.group import SimulatedServer
 from standins.platform.host import (
     STOP_GRACE_S,
@@ -144,6 +149,9 @@
         self.stack.callback(link.close)
         self.link_by_server[server_id] = link
         self.platform.listed_address_by_id[server_id] = address
+        if self._plan_version >= FIRST_VERSION_WITH_SERVER_DOMAINS:
+            domain = DOMAINS[(len(self.link_by_server) - 1) % len(DOMAINS)]
+            self.platform.domain_by_id[server_id] = domain
 
     def add_server(self) -> SimulatedServer:
         """Add a replica with a new id."""
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -144,6 +144,10 @@
         """Write a configuration document to the store, as operators do."""
         self.store.put_json("op/config", build_document(version, **changes))
 
+    def domain_of(self, server_id: str) -> str:
+        """Return the domain of a server."""
+        return self.domain_by_id.get(server_id, "north")
+
     def evacuate(self, domain: str) -> None:
         """Request that the servers of a domain get no more statements."""
         self.store.put(f"op/evacuate/{domain}", b"")
@@ -174,7 +178,7 @@
                 continue
             entry = build_entry(
                 Addr=self.listed_address_by_id[server_id],
-                Zone=self.domain_by_id.get(server_id, "north"),
+                Zone=self.domain_of(server_id),
                 DbRole="primary" if server.is_primary else "replica",
                 State="draining" if server_id in self.leaving_ids else "ready",
                 born=EPOCH_MS + server.born_ms,
