Send totals between domains without names, and count the bytes by distance

Reports between domains repeated the names of all accounts in use, which made up half of each total, and the echoes of all receivers. Between instances that know the same list of accounts, totals now are columns in the order of that list; a digest names the list, and a total by an unknown list counts as lost. Datagrams that leave the domain are compressed and have one receiver. Who reports to whom, and when, is unchanged.

The counter gossip_bytes_sent tells the own domain, the own region and other regions apart. Reads cost 3 ms to another domain of the region, as before, and 17 ms to another region; without regions in the settings nothing changes.

--- a/bulrushloom/proxy/exchange/codec.py
+++ b/bulrushloom/proxy/exchange/codec.py
@@ -9,8 +9,8 @@
 One datagram carries the echoes of all its receivers, so it is encoded only once.
 """
 
-import math
-from collections.abc import Iterable, Iterator, Mapping
+import zlib
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import Annotated, NamedTuple
 
@@ -21,26 +21,40 @@
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
 from bulrushloom.proxy.exchange.messages import (
     DirectoryVersion,
-    GroupUsage,
     LeaderSighting,
     Member,
     Report,
     ReportKind,
     StoreView,
 )
-from bulrushloom.proxy.limits import Usage
+from bulrushloom.proxy.exchange.usage_codec import (
+    AccountLists,
+    Count,
+    LargeMap,
+    Milliseconds,
+    Name,
+    ReceivedUsage,
+    WireGroupUsage,
+    WireIndexedUsage,
+    WireUsage,
+    age_ms,
+    from_indexed,
+    to_group_usage,
+    to_indexed,
+    to_wire_total,
+    to_wire_usage,
+)
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.positions import PositionSample
 from bulrushloom.runtime.streams import split_address
 
 WIRE_VERSION = 1
 MAX_DATAGRAM_BYTES = 60_000
+# First byte of a body that zlib compressed; the others start with an array of msgpack.
+_COMPRESSED = b"\x78"
 # Timestamps of instances without a datagram for this long are dropped, and an echo that
 # is older proves nothing.
 TIMESTAMP_LIFETIME = timedelta(seconds=5)
-# Admitted operations and rates are sent as integers in these units.
-ADMITTED_UNIT = 0.1
-RATE_UNIT_PER_S = 0.01
 _MILLISECOND = timedelta(milliseconds=1)
 # Stamps have a finer unit than ages: they must not run ahead of the clock when several
 # reports are sent in one millisecond.
@@ -50,12 +64,8 @@
 _FLAG_LEADER = 2
 _FLAG_LEFT = 4
 
-Name = Annotated[str, Meta(min_length=1, max_length=200)]
-Count = Annotated[int, Meta(ge=0, le=2**53)]
-Milliseconds = Annotated[int, Meta(ge=0, le=2**45)]
 Microseconds = Annotated[int, Meta(ge=0, le=2**53)]
 SmallMap = Meta(max_length=2_000)
-LargeMap = Meta(max_length=20_000)
 
 
 class WireMember(NamedTuple):
@@ -68,50 +78,6 @@
     document_address: Name
 
 
-class WireUsage(NamedTuple):
-    """Encoded ``Usage``."""
-
-    admitted: Count
-    demand: Count
-    leaving: Count
-
-
-class ReceivedUsage(Mapping[str, Usage]):
-    """Usage by account that is converted only for the accounts that are asked for.
-
-    Totals of domains are received several times a second, contain hundreds of accounts
-    and are mostly passed on, in the form in which they came.
-    """
-
-    __slots__ = ("wire_by_account",)
-
-    def __init__(self, wire_by_account: dict[str, WireUsage]):
-        self.wire_by_account = wire_by_account
-
-    def __getitem__(self, account: str) -> Usage:
-        admitted, demand, leaving = self.wire_by_account[account]
-        return Usage(
-            admitted * ADMITTED_UNIT,
-            demand * RATE_UNIT_PER_S,
-            leaving * RATE_UNIT_PER_S,
-        )
-
-    def __iter__(self) -> Iterator[str]:
-        return iter(self.wire_by_account)
-
-    def __len__(self) -> int:
-        return len(self.wire_by_account)
-
-
-class WireGroupUsage(NamedTuple):
-    """Encoded ``GroupUsage``."""
-
-    instance_count: Count
-    age_ms: Milliseconds
-    source: Name
-    usage: Annotated[dict[Name, WireUsage], LargeMap]
-
-
 class WireEcho(NamedTuple):
     """Echo for one receiver: its last timestamp, the time since, what is included."""
 
@@ -167,6 +133,8 @@
     ]
     leader: WireNamedAge | None
     relays: Annotated[dict[Name, Name], SmallMap]
+    accounts: Count = 0
+    indexed: Annotated[dict[Name, WireIndexedUsage], SmallMap] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -188,8 +156,10 @@
     def __init__(self, member: Member):
         self._member = member
         self._received_by_incarnation: dict[str, _ReceivedStamp] = {}
+        self._accounts_by_incarnation: dict[str, int] = {}
         self._last_stamp = 0
         self.keys: ExchangeKeys | None = None
+        self.accounts = AccountLists()
 
     def next_stamp(self, now: timedelta) -> int:
         """Return a new number for a report, the time in microseconds or more."""
@@ -202,8 +172,13 @@
         receivers: Iterable[Member],
         included_by_incarnation: Mapping[str, int],
         now: timedelta,
+        is_compact: bool = False,
     ) -> bytes | Missing:
-        """Return the datagram for ``receivers``, which is the same for all of them."""
+        """Return the datagram for ``receivers``, which is the same for all of them.
+
+        ``is_compact`` makes it smaller, for receivers outside the domain, whose traffic
+        is billed. If all of them know the same accounts, the totals lack the names.
+        """
         if self.keys is None:
             return Missing("the keys of the exchange are not known yet")
         echo = {}
@@ -215,11 +190,27 @@
                     (now - received.received_at) // _MICROSECOND,
                     included_by_incarnation.get(receiver.incarnation, 0),
                 )
-        body = _encoder.encode(_to_wire(report, echo, now))
+        wire = _to_wire(report, echo, now)
+        wire = msgspec.structs.replace(wire, accounts=self.accounts.latest.digest)
+        if is_compact and self._know_accounts(receivers):
+            accounts = self.accounts.latest
+            indexed = {d: to_indexed(t, accounts) for d, t in wire.domains.items()}
+            wire = msgspec.structs.replace(wire, domains={}, indexed=indexed)
+        body = _encoder.encode(wire)
+        if is_compact:
+            body = min(body, zlib.compress(body), key=len)
         if len(body) > MAX_DATAGRAM_BYTES:
             return Missing(f"a report of {len(body)} bytes does not fit a datagram")
         return self.keys.sign(body)
 
+    def _know_accounts(self, receivers: Iterable[Member]) -> bool:
+        """Return whether the last report of each receiver names the same accounts."""
+        digest = self.accounts.latest.digest
+        return bool(digest) and all(
+            self._accounts_by_incarnation.get(receiver.incarnation) == digest
+            for receiver in receivers
+        )
+
     def decode(self, data: bytes, now: timedelta) -> Report | Missing:
         """Return the report in a datagram, or why it is rejected."""
         if self.keys is None:
@@ -228,11 +219,11 @@
         if isinstance(body, Missing):
             return body
         try:
-            wire = _decoder.decode(body)
+            wire = _decoder.decode(_decompress(body))
             member = Member(*wire.member)
             split_address(member.address)
             split_address(member.document_address)
-        except ValueError as error:
+        except (ValueError, zlib.error) as error:
             return Missing(f"malformed: {error}")
         if member.name == self._member.name:
             return Missing("sent under this instance's own name")
@@ -242,6 +233,7 @@
         self._received_by_incarnation[member.incarnation] = _ReceivedStamp(
             wire.stamp, now
         )
+        self._accounts_by_incarnation[member.incarnation] = wire.accounts
         return self._to_report(wire, member, now)
 
     def _to_report(self, wire: WireReport, member: Member, now: timedelta) -> Report:
@@ -269,11 +261,11 @@
             is_domain_relay=bool(wire.flags & _FLAG_RELAY),
             is_leader=bool(wire.flags & _FLAG_LEADER),
             has_left=bool(wire.flags & _FLAG_LEFT),
-            subtree=_to_group_usage(wire.subtree, now) if wire.subtree else None,
+            subtree=to_group_usage(wire.subtree, now) if wire.subtree else None,
             own_usage=ReceivedUsage(wire.own),
             usage_by_domain={
-                domain: _to_group_usage(usage, now)
-                for domain, usage in wire.domains.items()
+                domain: to_group_usage(usage, now)
+                for domain, usage in self._totals(wire).items()
             },
             position_by_service={
                 service: PositionSample(
@@ -303,6 +295,21 @@
             relay_by_domain=wire.relays,
         )
 
+    def _totals(self, wire: WireReport) -> Mapping[str, WireGroupUsage]:
+        """Return the totals of a report by domain.
+
+        Totals by an unknown list of accounts are left out, like those of a lost report.
+        """
+        accounts = self.accounts.find(wire.accounts)
+        if not wire.indexed or isinstance(accounts, Missing):
+            return wire.domains
+        totals = dict(wire.domains)
+        for domain, usage in wire.indexed.items():
+            total = from_indexed(usage, accounts)
+            if not isinstance(total, Missing):
+                totals[domain] = total
+        return totals
+
     def drop_expired(self, now: timedelta) -> None:
         """Drop the timestamps of instances that no longer send datagrams."""
         horizon = now - TIMESTAMP_LIFETIME
@@ -311,6 +318,22 @@
             for incarnation, received in self._received_by_incarnation.items()
             if received.received_at > horizon
         }
+        self._accounts_by_incarnation = {
+            incarnation: digest
+            for incarnation, digest in self._accounts_by_incarnation.items()
+            if incarnation in self._received_by_incarnation
+        }
+
+
+def _decompress(body: bytes) -> bytes:
+    """Return the encoded report; raise ``ValueError`` if it is too large."""
+    if not body.startswith(_COMPRESSED):
+        return body
+    decompressor = zlib.decompressobj()
+    encoded = decompressor.decompress(body, MAX_DATAGRAM_BYTES)
+    if not decompressor.eof:
+        raise ValueError("truncated, or larger than a datagram")
+    return encoded
 
 
 def _earliest_sent_at(echo: WireEcho | None, now: timedelta) -> timedelta | None:
@@ -326,43 +349,6 @@
     return sent_at
 
 
-def _age_ms(now: timedelta, at: timedelta) -> int:
-    """Return an age, rounded up: content must never seem newer than it is."""
-    return max(0, (now - at) // _MILLISECOND + 1)
-
-
-def _to_wire_usage(usage_by_account: Mapping[str, Usage]) -> dict[str, WireUsage]:
-    if isinstance(usage_by_account, ReceivedUsage):
-        return usage_by_account.wire_by_account
-    return {
-        # Rounded up: an operation must never be missing in a total.
-        account: WireUsage(
-            math.ceil(round(usage.admitted / ADMITTED_UNIT, 3)),
-            round(usage.demand_per_s / RATE_UNIT_PER_S),
-            round(usage.leaving_per_s / RATE_UNIT_PER_S),
-        )
-        for account, usage in usage_by_account.items()
-    }
-
-
-def _to_wire_total(total: GroupUsage, now: timedelta) -> WireGroupUsage:
-    return WireGroupUsage(
-        total.instance_count,
-        _age_ms(now, total.reported_at),
-        total.source,
-        _to_wire_usage(total.usage_by_account),
-    )
-
-
-def _to_group_usage(wire: WireGroupUsage, now: timedelta) -> GroupUsage:
-    return GroupUsage(
-        wire.instance_count,
-        now - wire.age_ms * _MILLISECOND,
-        wire.source,
-        ReceivedUsage(wire.usage),
-    )
-
-
 def _to_wire(report: Report, echo: dict[str, WireEcho], now: timedelta) -> WireReport:
     flags = _FLAG_RELAY if report.is_domain_relay else 0
     flags |= _FLAG_LEADER if report.is_leader else 0
@@ -375,14 +361,14 @@
         member=WireMember(*report.member),
         stamp=report.stamp,
         echo=echo,
-        subtree=report.subtree and _to_wire_total(report.subtree, now),
-        own=_to_wire_usage(report.own_usage),
+        subtree=report.subtree and to_wire_total(report.subtree, now),
+        own=to_wire_usage(report.own_usage),
         domains={
-            domain: _to_wire_total(usage, now)
+            domain: to_wire_total(usage, now)
             for domain, usage in report.usage_by_domain.items()
         },
         positions={
-            service: WirePosition(*sample.position, _age_ms(now, sample.taken_at))
+            service: WirePosition(*sample.position, age_ms(now, sample.taken_at))
             for service, sample in report.position_by_service.items()
         },
         acknowledged={
@@ -391,11 +377,11 @@
         },
         suspected=list(report.suspected),
         view=view
-        and WireView(_age_ms(now, view.last_read_at), view.configuration_revision),
+        and WireView(age_ms(now, view.last_read_at), view.configuration_revision),
         directory=directory
-        and WireNamedAge(directory.version, _age_ms(now, directory.listed_at)),
+        and WireNamedAge(directory.version, age_ms(now, directory.listed_at)),
         followed=dict(report.followed_revision_by_service),
         groups=dict(report.group_by_service),
-        leader=leader and WireNamedAge(leader.name, _age_ms(now, leader.seen_at)),
+        leader=leader and WireNamedAge(leader.name, age_ms(now, leader.seen_at)),
         relays=dict(report.relay_by_domain),
     )
--- a/bulrushloom/proxy/exchange/rounds.py
+++ b/bulrushloom/proxy/exchange/rounds.py
@@ -124,10 +124,19 @@
             return
         self._record_own_domain_total()
         if self._round % ROUNDS_PER_CROSS_DOMAIN_REPORT == 0:
-            receivers = self._sightings.relay_receivers(
-                self.peers_by_name, self._heard_relays(), self._round
-            )
-            self._send(receivers, self._build_relay_report())
+            self._send_to_relays()
+
+    def _send_to_relays(self) -> None:
+        """Report to the relays of the other domains.
+
+        Each gets a datagram of its own, which lacks the echoes of the others.
+        """
+        receivers = self._sightings.relay_receivers(
+            self.peers_by_name, self._heard_relays(), self._round
+        )
+        report = self._build_relay_report()
+        for receiver in receivers:
+            self._send([receiver], report)
 
     def _send_up(self, parent: str) -> None:
         member = self.peers_by_name.get(parent)
@@ -211,10 +220,7 @@
         """
         self._send_down(())
         if self.is_leader:
-            receivers = self._sightings.relay_receivers(
-                self.peers_by_name, self._heard_relays(), self._round
-            )
-            self._send(receivers, self._build_relay_report())
+            self._send_to_relays()
 
     def _send(
         self,
@@ -225,11 +231,21 @@
         receivers = list(members)
         if not receivers or not self.has_keys:
             return
+        leaves_domain = any(r.domain != self._member.domain for r in receivers)
+        if leaves_domain:
+            names = self._services.configuration.account_by_name
+            self._codec.accounts.update(names)
         data = self._codec.encode(
-            report, receivers, included_by_incarnation or {}, self._loop.now()
+            report,
+            receivers,
+            included_by_incarnation or {},
+            self._loop.now(),
+            is_compact=leaves_domain,
         )
         if isinstance(data, Missing):
             self._services.log.write("report_not_sent", reason=data.reason)
             return
         for receiver in receivers:
             self._endpoint.send(receiver.address, data)
+            distance = self._services.regions.distance_to(receiver.domain)
+            self._services.metrics.count("gossip_bytes_sent", distance.value, len(data))
--- a/bulrushloom/proxy/routing.py
+++ b/bulrushloom/proxy/routing.py
@@ -3,17 +3,18 @@
 Each target has an expected latency, an average of its own answers. A read goes to the
 target with the lowest cost: the expected latency, multiplied by the number of
 statements of this instance that it would then run, plus the costs of a new connection,
-of another domain and of using the primary. Targets that were recently busy or failed
+of the distance and of using the primary. Targets that were recently busy or failed
 come last. Only targets that have applied enough of the log are considered.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.messages import LogPosition
+from bulrushloom.proxy.regions import Distance
 
 # Assumed for a target without answers; the latency of a typical statement.
 INITIAL_LATENCY = timedelta(milliseconds=20)
@@ -23,7 +24,14 @@
 LATENCY_HALF_LIFE = timedelta(seconds=2)
 # A new connection occupies a slot of the server for 12 ms and takes two round trips.
 NEW_CONNECTION_COST = timedelta(milliseconds=14)
-OTHER_DOMAIN_COST = timedelta(milliseconds=3)
+# Round trips of a statement: 1.4 ms one way between domains, 8 ms between regions.
+COST_BY_DISTANCE = {
+    Distance.OWN_DOMAIN: timedelta(),
+    Distance.OWN_REGION: timedelta(milliseconds=3),
+    Distance.OTHER_REGION: timedelta(milliseconds=17),
+}
+# The two further round trips that a new connection to another region takes.
+OTHER_REGION_CONNECTION_COST = timedelta(milliseconds=32)
 # Writes and reads with primary consistency can only run on the primary. Other reads go
 # there only if every replica is slower by more than a typical statement.
 PRIMARY_COST = timedelta(milliseconds=25)
@@ -109,10 +117,14 @@
 
 
 class ReadRouter:
-    """Router that chooses the targets of reads by their recorded health."""
+    """Router that chooses the targets of reads by their recorded health.
 
-    def __init__(self, domain: str):
-        self._domain = domain
+    ``distance_to`` returns the distance to a domain. Answers a fleet in two regions
+    whose reads wait 16 ms for an answer from the other one, and take its bandwidth.
+    """
+
+    def __init__(self, distance_to: Callable[[str], Distance]):
+        self._distance_to = distance_to
         self._health_by_id: dict[str, TargetHealth] = {}
 
     def health(self, target_id: str) -> TargetHealth:
@@ -173,10 +185,12 @@
         """Return whether the target is avoided, and its cost, to sort by."""
         health = self.health(candidate.target.target_id)
         cost = health.expected_latency(now) * (1 + candidate.in_flight)
+        distance = self._distance_to(candidate.target.domain)
+        cost += COST_BY_DISTANCE[distance]
         if not candidate.has_idle_connection:
             cost += NEW_CONNECTION_COST
-        if candidate.target.domain != self._domain:
-            cost += OTHER_DOMAIN_COST
+            if distance is Distance.OTHER_REGION:
+                cost += OTHER_REGION_CONNECTION_COST
         if candidate.is_primary:
             cost += PRIMARY_COST
         return now < health.avoided_until, cost
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -16,6 +16,7 @@
 from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
+from bulrushloom.proxy.regions import Regions
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.stopping import StopPlan
@@ -92,7 +93,8 @@
         # Seeded by name: instances that fail together must not retry at the same time.
         self.random = Random(settings.name)
         self.limiter = AccountLimiter(window, loop.now(), self.random)
-        self.router = ReadRouter(settings.domain)
+        self.regions = Regions(settings)
+        self.router = ReadRouter(lambda domain: self.regions.distance_to(domain))
         self.pool = ConnectionPool(loop, network, self.connection_quota)
         self.member_count = 1
         self.stop_plan: StopPlan | None = None
@@ -335,6 +337,7 @@
         """Apply the time bounds and rate tolerances of changed settings."""
         self.settings = settings
         self.store_freshness.settings = settings
+        self.regions = Regions(settings)
         self.table.drain_bound = settings.target_drain_bound
         self.table.evacuations.bound = settings.evacuation_bound
         self.limiter.window = RateWindow(
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -1,5 +1,6 @@
 """In-memory datagrams between instances that share one simulated clock."""
 
+from collections.abc import Callable
 from contextlib import ExitStack
 from datetime import timedelta
 
@@ -10,13 +11,17 @@
 
 
 class MemoryDatagrams:
-    """An in-memory datagram network; ``cut`` has the pairs that lose datagrams."""
+    """An in-memory datagram network; ``cut`` has the pairs that lose datagrams.
+
+    ``one_way`` returns the delay from a sender to a receiver, by their names.
+    """
 
     def __init__(self, loop: Loop):
         self.loop = loop
         self.end_by_name: dict[str, MemoryEndpoint] = {}
         self.frozen: dict[str, list[tuple[MemoryEndpoint, bytes]]] = {}
         self.cut: set[frozenset[str]] = set()
+        self.one_way: Callable[[str, str], timedelta] = lambda *_: ONE_WAY
 
     def freeze(self, name: str) -> None:
         """Suspend an instance: it sends nothing and its datagrams are queued."""
@@ -31,7 +36,8 @@
         """Deliver a datagram after the network delay, unless it is lost."""
         if frozenset((sender, receiver)) in self.cut or sender in self.frozen:
             return
-        self.loop.call_later(ONE_WAY, lambda: self._arrive(sender, receiver, data))
+        delay = self.one_way(sender, receiver)
+        self.loop.call_later(delay, lambda: self._arrive(sender, receiver, data))
 
     def _arrive(self, sender: str, receiver: str, data: bytes) -> None:
         end = self.end_by_name.get(receiver)
--- a/tests/proxy/exchange/builders.py
+++ b/tests/proxy/exchange/builders.py
@@ -54,10 +54,11 @@
         self.now_a += duration
         self.now_b += duration
 
-    def from_a(self, **changes):
+    def from_a(self, is_compact=False, **changes):
         stamp = self.a.next_stamp(self.now_a)
         report = build_report("north-1", stamp, now=self.now_a, **changes)
-        return self.a.encode(report, [build_member("north-2")], {}, self.now_a)
+        receivers = [build_member("north-2")]
+        return self.a.encode(report, receivers, {}, self.now_a, is_compact)
 
     def from_b(self, **changes):
         stamp = self.b.next_stamp(self.now_b)
--- a/tests/proxy/exchange/test_codec.py
+++ b/tests/proxy/exchange/test_codec.py
@@ -1,5 +1,6 @@
 """Datagrams: age of their content, authenticity, and malformed ones."""
 
+import zlib
 from datetime import timedelta
 
 import msgspec
@@ -16,6 +17,7 @@
     ReportKind,
     StoreView,
 )
+from bulrushloom.proxy.exchange.usage_codec import WireIndexedUsage, from_indexed
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.positions import PositionSample
 from tests.proxy.builders import ms
@@ -207,6 +209,80 @@
     assert "malformed" in rejection.reason
 
 
+ACCOUNTS = tuple(f"account-{number}" for number in range(40))
+
+
+def send_total(pair, **admitted_by_account):
+    """Return the totals of a compact report from ``a`` as ``b`` decodes them."""
+    usage = build_usage(reported_at=pair.now_a, **admitted_by_account)
+    data = pair.from_a(is_compact=True, usage_by_domain={"north": usage})
+    pair.advance(ms(1))
+    return len(data), pair.b.decode(data, pair.now_b).usage_by_domain
+
+
+def test_compact_totals_are_the_same_by_name_and_by_list(pair):
+    # Guards against figures that count for another account.
+    pair.introduce()
+    admitted = {name: float(n) for n, name in enumerate(ACCOUNTS, 1)}
+    size_by_name, by_name = send_total(pair, unlisted=3.0, **admitted)
+    for codec in (pair.a, pair.b):
+        codec.accounts.update(ACCOUNTS)
+    pair.introduce()
+    size_by_list, by_list = send_total(pair, unlisted=3.0, **admitted)
+    assert dict(by_list["north"].usage_by_account) == dict(
+        by_name["north"].usage_by_account
+    )
+    assert by_list["north"].usage_by_account["account-7"].admitted == 8
+    assert by_list["north"].usage_by_account["unlisted"].admitted == 3
+    assert size_by_list < size_by_name
+
+
+@pytest.mark.parametrize("is_newer_known", [False, True])
+def test_totals_by_another_list_of_accounts(pair, is_newer_known):
+    # Guards against figures in the order of a list that the receiver does not have:
+    # instances apply a configuration at different moments.
+    for codec in (pair.a, pair.b):
+        codec.accounts.update(ACCOUNTS)
+    pair.introduce()
+    pair.b.accounts.update((*ACCOUNTS, "account-10a"))
+    if not is_newer_known:
+        for number in range(4):
+            pair.b.accounts.update((*ACCOUNTS, f"account-{number}a"))
+    _, totals = send_total(pair, **{"account-12": 5.0})
+    if is_newer_known:
+        assert totals["north"].usage_by_account["account-12"].admitted == 5
+    else:
+        assert totals == {}
+    # Once the sender knows of the other list, it sends the names.
+    pair.introduce()
+    _, totals = send_total(pair, **{"account-12": 6.0})
+    assert totals["north"].usage_by_account["account-12"].admitted == 6
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        zlib.compress(b"\x00" * 10_000_000),
+        zlib.compress(b"\x00" * 1000)[:-3],
+        zlib.compress(b"\x00")[:2],
+        b"\x78" + b"\x00" * 40,
+    ],
+)
+def test_compressed_body_that_is_too_large_or_malformed_is_rejected(body):
+    # Guards against a small datagram that takes the memory of a process.
+    rejection = decode_signed(body)
+    assert isinstance(rejection, Missing)
+    assert "malformed" in rejection.reason
+
+
+@pytest.mark.parametrize("length", [0, 39, 41])
+def test_total_of_another_number_of_accounts_is_left_out(pair, length):
+    pair.b.accounts.update(ACCOUNTS)
+    wire = WireIndexedUsage(1, 1, "run", [1] * length, [0] * length, [0] * length, {})
+    rejection = from_indexed(wire, pair.b.accounts.latest)
+    assert isinstance(rejection, Missing)
+
+
 def test_fields_of_a_newer_version_are_rejected():
     body = [*valid_body(), "new"]
     assert isinstance(decode_signed(msgspec.msgpack.encode(body)), Missing)
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -20,6 +20,7 @@
 )
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
+from bulrushloom.proxy.regions import Regions
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE, StoreFreshness
 from tests.proxy.builders import SERVICE, SETTINGS, build_group, build_target, ms
@@ -37,6 +38,11 @@
     return build_group(**(fields | changes))
 
 
+def build_router(domain, **region_by_domain):
+    settings = SETTINGS._replace(domain=domain, region_by_domain=region_by_domain)
+    return ReadRouter(Regions(settings).distance_to)
+
+
 class TestPositionHistory:
     def test_position_covers_every_commit_of_the_given_age(self):
         # Guards against choosing a sample that was taken before the bound.
@@ -87,7 +93,7 @@
         ]
 
     def test_replica_in_the_same_domain_is_preferred(self):
-        router = ReadRouter("north")
+        router = build_router("north")
         candidate = router.choose(
             self.candidates(a="north", b="south", c="north"),
             LogPosition(1, 1),
@@ -95,9 +101,46 @@
         )
         assert candidate.target.target_id == "c"
 
+    @pytest.mark.parametrize(
+        ("in_flight", "expected"),
+        # A local replica and one in the region take two waiting statements each before
+        # a read crosses the region.
+        [(0, "b"), (1, "c"), (2, "d")],
+    )
+    def test_reads_prefer_their_domain_then_their_region(self, in_flight, expected):
+        # Guards against reads that wait 16 ms for an answer of the other region,
+        # because every other domain costs the same.
+        router = build_router("north", north="coast", south="coast", west="hills")
+        _, b, c, d = self.candidates(a="north", b="north", c="south", d="west")
+        waiting = [b._replace(in_flight=in_flight), c, d]
+        if in_flight > 1:
+            waiting[1] = c._replace(in_flight=in_flight)
+        chosen = router.choose(waiting, LogPosition(1, 1), timedelta())
+        assert chosen.target.target_id == expected
+
+    def test_new_connection_to_another_region_costs_its_round_trips(self):
+        router = build_router("north", north="coast", west="hills")
+        _, b, d = self.candidates(a="north", b="north", d="west")
+        near = b._replace(in_flight=2)
+        chosen = router.choose([near, d], LogPosition(1, 1), timedelta())
+        assert chosen.target.target_id == "d"
+        far = d._replace(has_idle_connection=False)
+        chosen = router.choose([near, far], LogPosition(1, 1), timedelta())
+        assert chosen.target.target_id == "b"
+
+    @pytest.mark.parametrize("regions", [{}, {"north": "coast", "south": "coast"}])
+    def test_one_region_costs_the_same_as_none(self, regions):
+        # Guards against a deployment with one region that behaves differently.
+        router = build_router("north", **regions)
+        _, b, c = self.candidates(a="north", b="north", c="south")
+        for in_flight, expected in ((0, "b"), (1, "c")):
+            near = b._replace(in_flight=in_flight)
+            chosen = router.choose([near, c], LogPosition(1, 1), timedelta())
+            assert chosen.target.target_id == expected
+
     def test_lagging_replica_is_skipped(self):
         # Guards against one failed attempt per read at a lagging replica.
-        router = ReadRouter("north")
+        router = build_router("north")
         router.health("c").record_lag(timedelta())
         candidate = router.choose(
             self.candidates(a="north", b="south", c="north"),
@@ -107,7 +150,7 @@
         assert candidate.target.target_id == "b"
 
     def test_lagging_replica_serves_positions_that_it_has_applied(self):
-        router = ReadRouter("north")
+        router = build_router("north")
         router.health("c").record_applied_position(LogPosition(1, 7))
         router.health("c").record_lag(timedelta())
         candidates = self.candidates(a="north", c="north")
@@ -116,7 +159,7 @@
 
     def test_failing_target_is_avoided_with_growing_delays(self):
         # Guards against a partly failing server that keeps receiving reads.
-        router = ReadRouter("north")
+        router = build_router("north")
         health = router.health("c")
         candidates = self.candidates(a="north", b="south", c="north")
         avoided = timedelta()
@@ -131,7 +174,7 @@
         assert router.choose(candidates, LogPosition(1, 1), now).target.target_id == "c"
 
     def test_without_a_position_only_the_primary_is_chosen(self):
-        router = ReadRouter("north")
+        router = build_router("north")
         candidates = self.candidates(a="south", b="north", c="north")
         candidate = router.choose(candidates, Missing("none"), timedelta())
         assert candidate.target.target_id == "a"
