Spread the return of callers whose service is evacuated

All callers were told to return after 2 s, so those that were refused together returned together. They now return after 2 to 3 s. A test also checks that the template of the deployment gives valid settings with and without the optional values.

--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -439,7 +439,8 @@
         """Return the expected time until a statement can run at the primary."""
         now = self.loop.now()
         if self.table.is_evacuated(service):
-            return EVACUATION_RETRY_DELAY
+            # Callers that were refused together must not return together.
+            return EVACUATION_RETRY_DELAY * self.random.uniform(1.0, 1.5)
         if not self.store_freshness.allows_primary(now):
             return EXPECTED_STORE_RECOVERY_TIME
         started_at = self.commits.replacing_since(service)
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -180,6 +180,7 @@
     clients = open_clients(fleet) + [m.client("bounded") for m in fleet.members]
     requested_at = evacuate(fleet, "north", "south", "west")
     fleet.run(TARGET_TIME)
+    return_times = set()
     for client in clients:
         for text in ("WRITE 1 data", "READ 1"):
             asked_at = fleet.loop.now()
@@ -187,6 +188,9 @@
             assert fleet.loop.now() - asked_at <= ms(20)
             assert "evacuated" in " ".join(details)
             assert code == "BUSY"
+            # Guards against callers that all return at the same moment.
+            return_times.add(details[details.index("after") + 1])
+    assert len(return_times) > len(clients)
     fleet.run(BOUND * 2)
     assert (
         statements_at(fleet, {"north", "south", "west"}, requested_at + TARGET_TIME)
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -1,5 +1,8 @@
 """Settings of the session proxy: validation at startup, unknown keys ignored."""
 
+import json
+from pathlib import Path
+
 import pytest
 import yaml
 
@@ -103,6 +106,19 @@
     assert parse().memory_limit_mb is None
 
 
+@pytest.mark.parametrize("has_optional", [False, True])
+def test_template_of_the_deployment_is_valid(has_optional):
+    # Guards against a placeholder that leaves no valid settings when it is not filled.
+    values = VALID | (OPTIONAL if has_optional else {})
+    lines = []
+    for line in Path("deploy/settings.yaml").read_text().splitlines():
+        key = line.partition(":")[0]
+        lines.append(f"{key}: {json.dumps(values[key]) if key in values else ''}")
+    data = "\n".join(lines).encode()
+    expected = parse(**values)
+    assert parse_proxy_settings(data, "s.yaml") == expected
+
+
 @pytest.mark.parametrize(
     "changes",
     [
