--- a/bulrushloom/proxy/exchange/rounds.py
+++ b/bulrushloom/proxy/exchange/rounds.py
@@ -163,11 +163,15 @@
             return
         self._record_own_domain_total()
         if self._round % ROUNDS_PER_CROSS_DOMAIN_REPORT == 0:
-            receivers = self._sightings.relay_receivers(
-                self.peers_by_name, self._heard_relays(), self._round
-            )
-            report = self._build_relay_report()
-            self._send(receivers, report._replace(is_urgent=self._is_spreading))
+            self._send_to_relays()
+
+    def _send_to_relays(self) -> None:
+        """Report to the relays of the other domains."""
+        receivers = self._sightings.relay_receivers(
+            self.peers_by_name, self._heard_relays(), self._round
+        )
+        report = self._build_relay_report()
+        self._send(receivers, report._replace(is_urgent=self._is_spreading))
 
     def _send_up(self, parent: str) -> None:
         member = self.peers_by_name.get(parent)
@@ -247,20 +251,55 @@
         report = self._build_report(ReportKind.DIRECT)
         self._send(members, report._replace(group_by_service=group_by_service))
 
+    def announce_directory(self) -> None:
+        """Send the version of the directory to the children, as the leader to relays.
+
+        In rounds, a new version needs up to a round for each level of the tree.
+        """
+        self._send_down(())
+        if self.is_leader:
+            self._send_to_relays()
+
     def _send(
         self,
         members: Iterable[Member],
         report: Report,
         included_by_incarnation: Mapping[str, int] | None = None,
     ) -> None:
-        receivers = list(members)
-        if not receivers or not self.has_keys:
+        """Send a report, in one datagram for each domain.
+
+        A datagram has an echo for each receiver, so one for all instances of a large
+        fleet would consist of echoes.
+        """
+        if not self.has_keys:
             return
+        receivers_by_domain: dict[str, list[Member]] = {}
+        for member in members:
+            receivers_by_domain.setdefault(member.domain, []).append(member)
+        for receivers in receivers_by_domain.values():
+            self._send_to_domain(receivers, report, included_by_incarnation or {})
+
+    def _send_to_domain(
+        self,
+        receivers: list[Member],
+        report: Report,
+        included_by_incarnation: Mapping[str, int],
+    ) -> None:
+        leaves_domain = receivers[0].domain != self._member.domain
+        if leaves_domain:
+            names = self._services.configuration.account_by_name
+            self._codec.accounts.update(names)
         data = self._codec.encode(
-            report, receivers, included_by_incarnation or {}, self._loop.now()
+            report,
+            receivers,
+            included_by_incarnation,
+            self._loop.now(),
+            is_compact=leaves_domain,
         )
         if isinstance(data, Missing):
             self._services.log.write("report_not_sent", reason=data.reason)
             return
         for receiver in receivers:
             self._endpoint.send(receiver.address, data)
+            distance = self._services.regions.distance_to(receiver.domain)
+            self._services.metrics.count("gossip_bytes_sent", distance.value, len(data))
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -16,6 +16,7 @@
 from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
+from bulrushloom.proxy.regions import Regions
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.stopping import StopPlan
@@ -38,6 +39,13 @@
 # Suspicion of a target ends if no further failure follows within this time: a failure
 # says nothing about a target that received no requests since.
 SUSPICION_LIFETIME = timedelta(seconds=2)
+# Callers return after this time while no target of a service may get statements. The
+# operators end an evacuation, so nothing here tells how long it takes.
+EVACUATION_RETRY_DELAY = timedelta(seconds=2)
+# Age of the list of targets, as a fraction of the bound of evacuations, up to which it
+# is used. The rest is for a statement that is on its way.
+MAX_LIST_AGE_FRACTION = 0.9
+OUTDATED_LIST = "the list of targets is too old"
 # An instance that cannot reach the store retries twice in this time.
 EXPECTED_STORE_RECOVERY_TIME = timedelta(seconds=2)
 _ZERO = timedelta()
@@ -78,14 +86,15 @@
         self.store_freshness = StoreFreshness(settings)
         self.commits = CommitAcknowledgements(loop, self.store_freshness)
         self.orders = PromotionOrders(loop)
-        self.table = GroupTable(settings.target_drain_bound)
+        self.table = GroupTable(settings.target_drain_bound, settings.evacuation_bound)
         window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
         )
         # Seeded by name: instances that fail together must not retry at the same time.
         self.random = Random(settings.name)
         self.limiter = AccountLimiter(window, loop.now(), self.random)
-        self.router = ReadRouter(settings.domain)
+        self.regions = Regions(settings)
+        self.router = ReadRouter(lambda domain: self.regions.distance_to(domain))
         self.pool = ConnectionPool(loop, network, self.connection_quota)
         self.member_count = 1
         self.stop_plan: StopPlan | None = None
@@ -148,8 +157,7 @@
         if isinstance(position, Missing):
             return
         self.router.health(target.target_id).record_applied_position(position)
-        primary = self.primary(target.service)
-        if not isinstance(primary, Missing) and primary.target_id == target.target_id:
+        if self.is_recorded_primary(target):
             sample = PositionSample(sent_at, position)
             self.history(target.service).record(sample)
 
@@ -162,8 +170,9 @@
         Records its position if so. Otherwise a successor that lacks the commit may have
         been chosen, and its outcome is in doubt.
         """
+        # A commit that was sent before an evacuation is acknowledged like any other.
         is_allowed = not cutoff.done() and (
-            self.is_current_primary(target) or self.commits.allows_replaced(target)
+            self.is_recorded_primary(target) or self.commits.allows_replaced(target)
         )
         if is_allowed:
             self.commits.record_position(target.service, position)
@@ -194,8 +203,36 @@
         """Return the primary that may be used now, or why there is none."""
         if not self.store_freshness.allows_primary(self.loop.now()):
             return Missing("the last read of the store is too old")
+        if self.has_outdated_list():
+            return Missing(OUTDATED_LIST)
         return self.table.primary_of(service)
 
+    def evacuation_reason(self, target: Target) -> str:
+        """Return why ``target`` may not get new statements, or an empty string."""
+        if self.has_outdated_list():
+            return OUTDATED_LIST
+        return self.table.evacuations.reason(target)
+
+    def has_outdated_list(self) -> bool:
+        """Return whether a domain may be evacuated that the list does not name yet.
+
+        An instance that was paused or cut off hears of the store again before it has
+        copied the list. While nobody reads the store, the last known list holds.
+        """
+        max_age = self.settings.evacuation_bound * MAX_LIST_AGE_FRACTION
+        oldest = self.loop.now() - max_age
+        is_store_read = self.store_freshness.last_read_at >= oldest
+        return is_store_read and not self.table.is_read_since(oldest)
+
+    def is_recorded_primary(self, target: Target) -> bool:
+        """Return whether ``target`` is the primary, be its domain evacuated or not."""
+        if not self.store_freshness.allows_primary(self.loop.now()):
+            return False
+        primary = self.table.recorded_primary(target.service)
+        return (
+            not isinstance(primary, Missing) and primary.target_id == target.target_id
+        )
+
     def is_current_primary(self, target: Target) -> bool:
         """Return whether ``target`` is the primary that may be used now.
 
@@ -210,12 +247,18 @@
     def candidates(self, service: str, account: str) -> list[Candidate]:
         """Return the targets that may run a read.
 
-        Draining replicas are left out. While there is no primary, so are the one being
-        replaced and targets that claim to be the primary.
+        Draining replicas and evacuated domains are left out. While there is no primary,
+        so are the one being replaced and targets that claim to be the primary.
         """
         now = self.loop.now()
+        if self.has_outdated_list():
+            return []
         primary = self.primary(service)
         primary_id = None if isinstance(primary, Missing) else primary.target_id
+        if primary_id is None and self.store_freshness.allows_primary(now):
+            # The replicas of a primary in an evacuated domain serve reads.
+            primary = self.table.recorded_primary(service)
+            primary_id = None if isinstance(primary, Missing) else primary.target_id
         group = self.table.group_by_service.get(service)
         old_primary_id = group.old_id if group and primary_id is None else None
         found = []
@@ -294,11 +337,33 @@
         """Apply the time bounds and rate tolerances of changed settings."""
         self.settings = settings
         self.store_freshness.settings = settings
+        self.regions = Regions(settings)
         self.table.drain_bound = settings.target_drain_bound
+        self.table.evacuations.bound = settings.evacuation_bound
         self.limiter.window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
         )
 
+    def update_evacuated_domains(
+        self, domains: frozenset[str], listed_at: timedelta
+    ) -> bool:
+        """Apply the evacuated domains of a store read; return whether they changed."""
+        has_changed = self.table.evacuations.update(domains, listed_at)
+        self.metrics.gauges["evacuated_domains"] = len(domains)
+        if not has_changed:
+            return False
+        self.log.write(
+            "evacuation_changed",
+            domains=sorted(domains),
+            evidence_age=self.loop.now() - listed_at,
+        )
+        for known in self.table.listed_target_by_id.values():
+            if self.table.evacuations.covers(known.target):
+                self.pool.close_idle_connections(
+                    known.target.target_id, "the domain of the target is evacuated"
+                )
+        return True
+
     def update_targets(
         self, target_by_id: Mapping[str, Target], listed_at: timedelta
     ) -> None:
@@ -373,6 +438,9 @@
     def expected_primary_wait(self, service: str) -> timedelta:
         """Return the expected time until a statement can run at the primary."""
         now = self.loop.now()
+        if self.table.is_evacuated(service):
+            # Callers that were refused together must not return together.
+            return EVACUATION_RETRY_DELAY * self.random.uniform(1.0, 1.5)
         if not self.store_freshness.allows_primary(now):
             return EXPECTED_STORE_RECOVERY_TIME
         started_at = self.commits.replacing_since(service)
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -46,6 +46,8 @@
         self.loop = fleet.loop
         self.name = name
         self.is_stopped = False
+        # Time that copying the directory of another instance takes.
+        self.copy_delay = ms(4)
         self.errors = fleet.errors
         settings = SETTINGS._replace(name=name, domain=domain)
         incarnation = incarnation or f"run-{name}"
@@ -108,7 +110,7 @@
                 self.fleet.update_directory(directory._replace(listed_at=listed_at))
 
         if frozenset((self.name, source.name)) not in simulation.datagrams.cut:
-            self.loop.call_later(ms(4), copy)
+            self.loop.call_later(self.copy_delay, copy)
 
     def run(self, duration):
         self.simulation.run(duration)
@@ -147,6 +149,7 @@
         self.group = SimulatedGroup(self.loop, SERVICE)
         self.draining: set[str] = set()
         self.deregistered: set[str] = set()
+        self.domain_by_server_id: dict[str, str] = {}
         for number, target_id in enumerate(("a", "b", "c")):
             server = self.group.add(target_id, f"{target_id}:1", number == 0)
             self.network.accept_by_address[server.address] = server.accept
@@ -166,6 +169,7 @@
         return {
             server.server_id: build_target(
                 server.server_id,
+                self.domain_by_server_id.get(server.server_id, "north"),
                 claims_primary=server.is_primary,
                 is_draining=server.server_id in self.draining,
                 born_ms=server.born_ms,
