Let the stand-in stores return from a copy

Cause: the platform's store may return from a copy that is some seconds old, and no stand-in can do that. Change: both stand-ins take a copy and return from it, give revisions and lease numbers out again and raise their era; the store over HTTP names the era in its answers.

--- a/standins/platform/kv_server.py
+++ b/standins/platform/kv_server.py
@@ -1,10 +1,9 @@
 """HTTP server for the platform's key-value store and its promotion call."""
 
 import base64
-import itertools
 from collections.abc import Mapping
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 import orjson
@@ -20,11 +19,21 @@
 Reply = tuple[int, Mapping[str, str], bytes]
 
 
+class StoreCopy(NamedTuple):
+    """State of the store at one moment, from which it can return."""
+
+    item_by_key: dict[str, dict[str, Any]]
+    lease_expiry_by_id: dict[int, tuple[timedelta, timedelta]]
+    revision: int
+    last_lease: int
+
+
 class KeyValueServer:
     """An in-memory key-value store with leases, and the promotion of servers.
 
     If ``status`` is not 200, every call is refused with it. ``calls`` records the
-    method and the path of each call.
+    method and the path of each call. ``era`` rises with each return from a copy; the
+    answers of a store that never returned name no era.
     """
 
     def __init__(self, loop: Loop, address: str, group: SimulatedGroup | None = None):
@@ -37,7 +46,8 @@
         self.item_by_key: dict[str, dict[str, Any]] = {}
         self.lease_expiry_by_id: dict[int, tuple[timedelta, timedelta]] = {}
         self.revision = 1
-        self._lease_ids = itertools.count(77)
+        self.last_lease = 76
+        self.era = 0
         self.calls: list[tuple[str, str]] = []
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
@@ -55,6 +65,31 @@
         """Write an item whose value is a JSON document."""
         self.put(key, orjson.dumps(value))
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        self._expire()
+        return StoreCopy(
+            dict(self.item_by_key),
+            dict(self.lease_expiry_by_id),
+            self.revision,
+            self.last_lease,
+        )
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose what was written since ``copy``, and begin the next era.
+
+        Leases of the copy last for their full time to live. Revisions and lease numbers
+        are given out again.
+        """
+        self.era += 1
+        self.item_by_key = dict(copy.item_by_key)
+        now = self._loop.now()
+        self.lease_expiry_by_id = {
+            lease: (now + ttl, ttl)
+            for lease, (_, ttl) in copy.lease_expiry_by_id.items()
+        }
+        self.revision, self.last_lease = copy.revision, copy.last_lease
+
     def _expire(self) -> None:
         now = self._loop.now()
         ended = {i for i, (end, _) in self.lease_expiry_by_id.items() if end <= now}
@@ -75,6 +110,12 @@
 
     def handle(self, method: str, target: str, body: bytes) -> Reply:
         """Handle a call and return its status, headers and body."""
+        status, headers, content = self._handle(method, target, body)
+        if self.era:
+            headers = {**headers, "Store-Era": str(self.era)}
+        return status, headers, content
+
+    def _handle(self, method: str, target: str, body: bytes) -> Reply:
         self.calls.append((method, target))
         if self.status != 200:
             return self.status, {}, b""
@@ -88,7 +129,8 @@
             return self._transaction(content)
         if url.path == "/v1/kv-lease":
             ttl = timedelta(milliseconds=content["TtlMs"])
-            lease = next(self._lease_ids)
+            self.last_lease += 1
+            lease = self.last_lease
             self.lease_expiry_by_id[lease] = (self._loop.now() + ttl, ttl)
             return _reply(200, {"Lease": lease, "TtlMs": content["TtlMs"]})
         if url.path.startswith("/v1/kv-keep/"):
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -1,6 +1,5 @@
 """An in-memory implementation of the proxy's store interface, with faults."""
 
-import itertools
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
 from datetime import timedelta
@@ -33,12 +32,24 @@
     expires_at: timedelta
 
 
+class StoreCopy(NamedTuple):
+    """State of the store at one moment, from which it can return."""
+
+    configuration: Configuration
+    record_by_key: dict[str, Record]
+    lease_by_key: dict[str, int]
+    leases: dict[int, _Lease]
+    revision: int
+    last_lease_id: int
+
+
 class SimulatedStore:
     """The records and leases of the store.
 
     ``is_down`` makes all calls fail, ``refused`` those of the named instances.
     ``answers_to_lose`` is the number of next calls that take effect but are not
-    answered; their writes take effect only after ``write_delay``.
+    answered; their writes take effect only after ``write_delay``. ``era`` rises with
+    each return from a copy.
     """
 
     def __init__(
@@ -53,9 +64,9 @@
         self.record_by_key: dict[str, Record] = {}
         self.lease_by_key: dict[str, int] = {}
         self.leases: dict[int, _Lease] = {}
-        self.revisions = itertools.count(1)
-        self.lease_ids = itertools.count(100)
         self.revision = 0
+        self.last_lease_id = 99
+        self.era = 0
         self.calls = 0
         self.is_down = False
         self.refused: set[str] = set()
@@ -66,6 +77,35 @@
         """Return the store client of an instance."""
         return SimulatedStoreClient(self, name)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        self.expire()
+        return StoreCopy(
+            self.configuration,
+            dict(self.record_by_key),
+            dict(self.lease_by_key),
+            dict(self.leases),
+            self.revision,
+            self.last_lease_id,
+        )
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose what was written since ``copy``, and begin the next era.
+
+        Leases of the copy last for their full time to live. Revisions and lease numbers
+        are given out again. Targets are written again at once by the servers.
+        """
+        self.era += 1
+        self.configuration = copy.configuration
+        self.record_by_key = dict(copy.record_by_key)
+        self.lease_by_key = dict(copy.lease_by_key)
+        now = self.loop.now()
+        self.leases = {
+            lease_id: lease._replace(expires_at=now + lease.ttl)
+            for lease_id, lease in copy.leases.items()
+        }
+        self.revision, self.last_lease_id = copy.revision, copy.last_lease_id
+
     def expire(self) -> None:
         """End the leases that have expired."""
         now = self.loop.now()
@@ -80,7 +120,7 @@
             if owner == lease_id:
                 del self.lease_by_key[key]
                 del self.record_by_key[key]
-                self.revision = next(self.revisions)
+                self.revision += 1
 
     def commit(
         self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
@@ -95,7 +135,7 @@
         for put in puts:
             if put.lease_id and put.lease_id not in self.leases:
                 return StoreFailure(StoreFailureKind.NO_LEASE, "no such lease")
-        self.revision = next(self.revisions)
+        self.revision += 1
         for put in puts:
             self.record_by_key[put.key] = Record(
                 put.key, put.value, self.revision, put.lease_id
@@ -193,7 +233,8 @@
         return self._call(lambda: self._create(ttl), writes=True)
 
     def _create(self, ttl: timedelta) -> Lease:
-        lease_id = next(self._store.lease_ids)
+        self._store.last_lease_id += 1
+        lease_id = self._store.last_lease_id
         self._store.leases[lease_id] = _Lease(ttl, self._loop.now() + ttl)
         return Lease(lease_id, ttl)
 
