--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -26,9 +26,11 @@
     StoreFailureKind,
     StoreSnapshot,
 )
+from bulrushloom.proxy.store_eras import MAX_ERA, era_key
 from bulrushloom.runtime.http import HttpClient, HttpError, Response
 from bulrushloom.runtime.loop import Loop, Steps
 
+ERA_HEADER = "store-era"
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
 # The keys of members sort before the configuration key, so that a read can start after
@@ -40,6 +42,7 @@
 # A promotion is answered within milliseconds; a slow platform must not block the
 # leader, which is the instance that requests promotions.
 PROMOTION_TIMEOUT = timedelta(seconds=1)
+_ZERO = timedelta()
 _MILLISECOND = timedelta(milliseconds=1)
 
 LogEvent = Callable[..., None]
@@ -50,6 +53,7 @@
 class KeyValueStore(ProxyStore):
     """Client of the platform's store over HTTP.
 
+    Everything that is cached by revision is dropped when the store names a new era.
     Leases last at least ``lease_minimum``, because the store rejects shorter ones.
     Invalid target entries are logged once and left out; an invalid configuration is
     logged, and the last valid one stays.
@@ -69,6 +73,11 @@
         self._read_client = HttpClient(loop, address)
         self._write_client = HttpClient(loop, address)
         self._lease_client = HttpClient(loop, address)
+        # The era of the last snapshot, and the latest one that an answer named.
+        self._era = 0
+        self._seen_era = 0
+        # The configuration in the store, and the latest one that is known.
+        self._stored: Configuration | None = None
         self._configuration: Configuration | None = None
         self._document: ConfigurationDocument | None = None
         self._target_by_key: dict[str, tuple[int, Target | Missing]] = {}
@@ -78,18 +87,24 @@
         """Read all keys, or all but the members, linearizably.
 
         The pages are read one after the other, so later ones may have newer changes.
+        The read fails if they are of different eras.
         """
         return self._loop.spawn(self._snapshot("" if with_members else AFTER_MEMBERS))
 
     def _snapshot(self, start_after: str) -> Steps:
         sent_at = self._loop.now()
         items: list[dict[str, Any]] = []
-        after, revision = start_after, None
+        after, revision, first_era = start_after, None, None
         while True:
             path = f"/v1/kv-range?Prefix=&after={quote(after, safe='')}"
-            page = yield from self._call(self._read_client, "GET", path)
-            if isinstance(page, StoreFailure):
-                return page
+            answer = yield from self._call(self._read_client, "GET", path)
+            if isinstance(answer, StoreFailure):
+                return answer
+            page, era = answer
+            first_era = era if first_era is None else first_era
+            if first_era != era or era < self._era:
+                reason = "the store returned from a copy during the read"
+                return StoreFailure(StoreFailureKind.UNKNOWN, reason)
             try:
                 items += page["items"]
                 # Each page includes all changes up to the revision of the first one.
@@ -97,16 +112,21 @@
                 has_more = page.get("HasMore") and page["items"]
                 after = page["items"][-1]["Key"] if has_more else ""
             except _MALFORMED as error:
-                reason = f"malformed answer: {error!r}"
-                return StoreFailure(StoreFailureKind.UNKNOWN, reason)
+                return _malformed(error)
             if not has_more:
                 break
+        self._enter_era(era)
         try:
             return self._read_items(sent_at, revision, items, start_after == "")
         except _MALFORMED as error:
-            return StoreFailure(
-                StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}"
-            )
+            return _malformed(error)
+
+    def _enter_era(self, era: int) -> None:
+        """Drop what is cached by revision if the store has returned from a copy."""
+        if era > self._era:
+            self._era = era
+            self._stored = None
+            self._target_by_key = {}
 
     def _read_items(
         self,
@@ -133,23 +153,29 @@
         return StoreSnapshot(
             sent_at,
             revision,
-            self._configuration,
+            self._stored,
             {t.target_id: t for t in targets if not isinstance(t, Missing)},
             records,
             members if with_members else None,
+            self._era,
         )
 
     def _read_configuration(self, item: dict[str, Any]) -> None:
-        if self._configuration and item["Rev"] <= self._configuration.revision:
+        if self._stored and item["Rev"] == self._stored.revision:
             return
         try:
             value = base64.b64decode(item["Value"])
-            self.apply_document(ConfigurationDocument(item["Rev"], value))
+            stored = decode_configuration(value, item["Rev"])
         except (DocumentError, binascii.Error) as error:
             self._log("configuration_unreadable", reason=str(error))
+            return
+        self._stored = stored
+        if self._configuration is None or self._configuration.version < stored.version:
+            self._configuration = stored
+            self._document = ConfigurationDocument(stored.version, value)
 
     def document(self) -> ConfigurationDocument | None:
-        """Return the current configuration in its stored form."""
+        """Return the latest known configuration in its stored form."""
         return self._document
 
     def apply_document(self, document: ConfigurationDocument) -> Configuration:
@@ -158,8 +184,11 @@
         Raise ``DocumentError`` if it is newer and invalid.
         """
         known = self._configuration
-        if known is None or known.revision < document.revision:
-            known = decode_configuration(document.value, document.revision)
+        if known is None or known.version < document.version:
+            known = decode_configuration(document.value, 0)
+            if known.version != document.version:
+                reason = f"version {known.version} instead of {document.version}"
+                raise DocumentError(reason)
             self._configuration, self._document = known, document
         return known
 
@@ -184,39 +213,52 @@
         body = orjson.dumps({"TtlMs": max(ttl, self._lease_minimum) // _MILLISECOND})
         return self._loop.spawn(self._lease("/v1/kv-lease", body, None))
 
-    def renew_lease(self, lease_id: int) -> "Future[Lease | StoreFailure]":
-        """Renew a lease for its full time to live."""
-        return self._loop.spawn(self._lease(f"/v1/kv-keep/{lease_id}", b"", lease_id))
+    def renew_lease(
+        self, lease_id: int, era: int = 0
+    ) -> "Future[Lease | StoreFailure]":
+        """Renew a lease of an era for its full time to live."""
+        path = f"/v1/kv-keep/{lease_id}"
+        return self._loop.spawn(self._lease(path, b"", Lease(lease_id, _ZERO, era)))
 
-    def _lease(self, path: str, body: bytes, lease_id: int | None) -> Steps:
+    def _lease(self, path: str, body: bytes, renewed: Lease | None) -> Steps:
         answer = yield from self._call(self._lease_client, "POST", path, body)
         if isinstance(answer, StoreFailure):
             return answer
+        content, era = answer
+        if renewed is not None and renewed.era != era:
+            # The number may belong to another lease in this era.
+            reason = "the store returned from a copy"
+            return StoreFailure(StoreFailureKind.NO_LEASE, reason)
         try:
-            ttl = timedelta(milliseconds=answer["TtlMs"])
-            return Lease(lease_id if lease_id else int(answer["Lease"]), ttl)
+            ttl = timedelta(milliseconds=content["TtlMs"])
+            lease_id = renewed.lease_id if renewed else int(content["Lease"])
+            return Lease(lease_id, ttl, era)
         except _MALFORMED as error:
-            return StoreFailure(
-                StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}"
-            )
-
-    def revoke_lease(self, lease_id: int) -> "Future[StoreFailure | None]":
-        """Revoke a lease, which deletes its records."""
-        return self._loop.spawn(self._revoke_lease(lease_id))
-
-    def _revoke_lease(self, lease_id: int) -> Steps:
+            return _malformed(error)
+
+    def revoke_lease(
+        self, lease_id: int, era: int = 0
+    ) -> "Future[StoreFailure | None]":
+        """Revoke a lease of an era, which deletes its records."""
+        return self._loop.spawn(self._revoke_lease(lease_id, era))
+
+    def _revoke_lease(self, lease_id: int, era: int) -> Steps:
+        if era < self._seen_era:
+            reason = "the lease is of an earlier era"
+            return StoreFailure(StoreFailureKind.NO_LEASE, reason)
         path = f"/v1/kv-lease-end/{lease_id}"
         answer = yield from self._call(self._lease_client, "DELETE", path)
         return answer if isinstance(answer, StoreFailure) else None
 
     def commit(
-        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put], era: int = 0
     ) -> "Future[int | StoreFailure]":
         """Write all ``puts`` if all expectations hold; return the new revision."""
-        return self._loop.spawn(self._commit(expected, puts))
+        conditions = [*expected, ExpectedRevision(era_key(era + 1), 0)]
+        return self._loop.spawn(self._commit(conditions, puts, era))
 
     def _commit(
-        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put], era: int
     ) -> Steps:
         body = orjson.dumps(
             {
@@ -235,22 +277,30 @@
         answer = yield from self._call(self._write_client, "POST", "/v1/kv-txn", body)
         if isinstance(answer, StoreFailure):
             return answer
+        content, answered_era = answer
+        if answered_era != era:
+            reason = "the store returned from a copy"
+            return StoreFailure(StoreFailureKind.UNKNOWN, reason)
         try:
-            return int(answer.get("Rev", 0))
+            return int(content.get("Rev", 0))
         except _MALFORMED as error:
-            return StoreFailure(
-                StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}"
-            )
+            return _malformed(error)
 
     def _call(
         self, client: HttpClient, method: str, path: str, body: bytes = b""
     ) -> Steps:
+        """Return the content and the era of the answer, or a ``StoreFailure``."""
         self.calls += 1
         try:
             response = yield client.request(method, path, body, CALL_TIMEOUT)
         except HttpError as error:
             return StoreFailure(StoreFailureKind.UNKNOWN, str(error))
-        return _decode_response(method, path, response)
+        content = _decode_response(method, path, response)
+        era = _decode_era(response)
+        if isinstance(content, StoreFailure) or isinstance(era, StoreFailure):
+            return content if isinstance(content, StoreFailure) else era
+        self._seen_era = max(self._seen_era, era)
+        return content, era
 
     def close(self) -> None:
         """Close the connections."""
@@ -258,6 +308,19 @@
             client.close()
 
 
+def _malformed(error: Exception) -> StoreFailure:
+    return StoreFailure(StoreFailureKind.UNKNOWN, f"malformed answer: {error!r}")
+
+
+def _decode_era(response: Response) -> int | StoreFailure:
+    """Return the era that an answer names; older stores name none, which is era 0."""
+    text = response.headers.get(ERA_HEADER, "0")
+    is_number = text.isascii() and text.isdecimal() and len(text) < 10
+    if not is_number or int(text) > MAX_ERA:
+        return StoreFailure(StoreFailureKind.UNKNOWN, f"malformed era: {text!r}")
+    return int(text)
+
+
 def _record(item: dict[str, Any]) -> Record:
     value = base64.b64decode(item["Value"])
     return Record(item["Key"], value, item["Rev"], item.get("Lease") or 0)
--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -29,7 +29,7 @@
     """Permission of one operation: its route and account, from one configuration.
 
     An operation uses its permit from the admission to the answer, so that all its parts
-    follow the same configuration, the one with ``revision``. ``account`` is ``None`` if
+    follow the same configuration, the one with ``version``. ``account`` is ``None`` if
     the caller has none, which only public routes allow. ``arrival_version`` is the
     version of the configuration at which the operation arrived; since then it waited
     ``wait`` for rate tokens, and took one of each account in ``charged_accounts``.
@@ -37,7 +37,7 @@
 
     route: Route
     account: Account | None
-    revision: int
+    version: int
     arrival_version: int
     wait: timedelta = _ZERO
     charged_accounts: frozenset[str] = frozenset()
@@ -102,7 +102,7 @@
         account = configuration.account_by_key.get(self._key)
         if account is None and not route.is_public:
             return KEY_NOT_KNOWN
-        return Permit(route, account, configuration.revision, configuration.version)
+        return Permit(route, account, configuration.version, configuration.version)
 
     def refusal_to_send(self, permit: Permit) -> Failure | None:
         """Return why a statement of an admitted operation may not be sent, or ``None``.
@@ -112,7 +112,7 @@
         ends a permit. The age of the last read of the store does not: the bound for
         withdrawn keys counts from the arrival of a statement.
         """
-        if permit.revision == self._services.configuration.revision:
+        if permit.version == self._services.configuration.version:
             return None
         if permit.in_transaction:
             return self._refusal_to_continue(permit)
--- a/bulrushloom/proxy/configuration.py
+++ b/bulrushloom/proxy/configuration.py
@@ -73,8 +73,9 @@
 class Configuration(NamedTuple):
     """An accepted configuration.
 
-    ``version`` is the number that the operators gave it. ``revision`` is the
-    store's number of its write, which orders the configurations. A transaction that
+    ``version`` is the number that the operators gave it, which orders the
+    configurations. ``revision`` is the store's number of its write, which means nothing
+    in another era of the store; 0 if an instance sent it. A transaction that
     waits longer than ``transaction_idle_limit`` for its next statement is aborted.
     """
 
--- a/bulrushloom/proxy/exchange/codec.py
+++ b/bulrushloom/proxy/exchange/codec.py
@@ -31,9 +31,10 @@
 from bulrushloom.proxy.limits import Usage
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.positions import PositionSample
+from bulrushloom.proxy.store_eras import Knowledge
 from bulrushloom.runtime.streams import split_address
 
-WIRE_VERSION = 1
+WIRE_VERSION = 2
 MAX_DATAGRAM_BYTES = 60_000
 # Timestamps of instances without a datagram for this long are dropped, and an echo that
 # is older proves nothing.
@@ -49,6 +50,8 @@
 _FLAG_RELAY = 1
 _FLAG_LEADER = 2
 _FLAG_LEFT = 4
+# Added to the number of ``Knowledge`` in ``WireView.state``.
+_SETTLED = 4
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 Count = Annotated[int, Meta(ge=0, le=2**53)]
@@ -132,7 +135,9 @@
     """Encoded ``StoreView``."""
 
     age_ms: Milliseconds
-    configuration_revision: Count
+    configuration_version: Count
+    era: Annotated[int, Meta(ge=0, le=2**20)]
+    state: Annotated[int, Meta(ge=0, le=_SETTLED + int(max(Knowledge)))]
 
 
 class WireNamedAge(NamedTuple):
@@ -287,16 +292,12 @@
                 for service, position in wire.acknowledged.items()
             },
             suspected=frozenset(wire.suspected),
-            view=wire.view
-            and StoreView(
-                sent_at - wire.view.age_ms * _MILLISECOND,
-                wire.view.configuration_revision,
-            ),
+            view=wire.view and _to_view(wire.view, sent_at),
             directory=wire.directory
             and DirectoryVersion(
                 sent_at - wire.directory.age_ms * _MILLISECOND, wire.directory.name
             ),
-            followed_revision_by_service=wire.followed,
+            followed_version_by_service=wire.followed,
             group_by_service=groups,
             leader=leader
             and LeaderSighting(leader.name, now - leader.age_ms * _MILLISECOND),
@@ -363,6 +364,25 @@
     )
 
 
+def _to_view(wire: WireView, sent_at: timedelta) -> StoreView:
+    return StoreView(
+        sent_at - wire.age_ms * _MILLISECOND,
+        wire.configuration_version,
+        wire.era,
+        Knowledge(min(wire.state % _SETTLED, max(Knowledge))),
+        wire.state >= _SETTLED,
+    )
+
+
+def _to_wire_view(view: StoreView, now: timedelta) -> WireView:
+    return WireView(
+        _age_ms(now, view.last_read_at),
+        view.configuration_version,
+        view.era,
+        view.knowledge + _SETTLED * view.is_settled,
+    )
+
+
 def _to_wire(report: Report, echo: dict[str, WireEcho], now: timedelta) -> WireReport:
     flags = _FLAG_RELAY if report.is_domain_relay else 0
     flags |= _FLAG_LEADER if report.is_leader else 0
@@ -390,11 +410,10 @@
             for service, position in report.acknowledged_by_service.items()
         },
         suspected=list(report.suspected),
-        view=view
-        and WireView(_age_ms(now, view.last_read_at), view.configuration_revision),
+        view=view and _to_wire_view(view, now),
         directory=directory
         and WireNamedAge(directory.version, _age_ms(now, directory.listed_at)),
-        followed=dict(report.followed_revision_by_service),
+        followed=dict(report.followed_version_by_service),
         groups=dict(report.group_by_service),
         leader=leader and WireNamedAge(leader.name, _age_ms(now, leader.seen_at)),
         relays=dict(report.relay_by_domain),
--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -26,7 +26,12 @@
 from bulrushloom.proxy.exchange.totals import DomainTotals
 from bulrushloom.proxy.exchange.tree import ParentChooser
 from bulrushloom.proxy.failover.groups import decode_group
+from bulrushloom.proxy.failover.member_records import (
+    GROUP_MEMBERS_PREFIX,
+    decode_group_members,
+)
 from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.store_eras import Knowledge
 from bulrushloom.runtime.loop import Steps
 
 # Interval of the rounds within a domain, where traffic is free and fast.
@@ -72,7 +77,7 @@
     """Functions that bring the state up to date with what a report announces.
 
     ``read_store`` reads the store. ``fetch_configuration`` and ``fetch_directory`` copy
-    a revision of the configuration or a version of the directory from an instance.
+    a version of the configuration or a version of the directory from an instance.
     """
 
     read_store: Callable[[], object]
@@ -140,6 +145,11 @@
         """Return whether datagrams can be signed and verified."""
         return self._codec.keys is not None
 
+    @property
+    def keys(self) -> ExchangeKeys | None:
+        """Return the keys in use."""
+        return self._codec.keys
+
     def set_keys(self, keys: ExchangeKeys) -> None:
         """Use the keys that were read from the store."""
         self._codec.keys = keys
@@ -151,6 +161,13 @@
         """Return the latest known directory."""
         return self._directory
 
+    def keep_members(self) -> None:
+        """Keep all members although the store may not list them.
+
+        After a return of the store from a copy, they have to register again.
+        """
+        self._kept_members_until = self._loop.now() + REPORTING_MEMBER_LIFETIME
+
     def update_directory(self, directory: Directory) -> None:
         """Apply the targets and members of a store read unless they are outdated."""
         previous, now = self._directory, self._loop.now()
@@ -401,7 +418,7 @@
             service: (group.revision, group.encode().decode())
             for service, group in self._services.table.group_by_service.items()
             if any(
-                report.followed_revision_by_service.get(service, 0) < group.revision
+                report.followed_version_by_service.get(service, 0) < group.version
                 for report in reports
             )
         }
@@ -518,6 +535,9 @@
                 answer = self._build_down_report(self._totals.usage_by_domain)
             else:
                 answer = self._build_report(ReportKind.DIRECT)
+            if report.is_leader and not self._services.eras.is_settled:
+                records = self._services.records_newer_than(report)
+                answer = answer._replace(group_by_service=records)
             self._send([report.member], answer)
 
     def _may_answer(self, member: Member) -> bool:
@@ -581,6 +601,11 @@
     def _apply_group_records(self, report: Report) -> None:
         groups = {}
         for service, (revision, value) in report.group_by_service.items():
+            if service.startswith(GROUP_MEMBERS_PREFIX):
+                members = decode_group_members(value.encode(), revision)
+                if not isinstance(members, Missing):
+                    self._services.table.record_members(members)
+                continue
             group = decode_group(value.encode(), revision)
             if not isinstance(group, Missing):
                 groups[service] = group
@@ -594,24 +619,59 @@
         """
         services, view = self._services, report.view
         assert view is not None
-        announced = report.followed_revision_by_service
-        has_configuration = (
-            services.configuration.revision >= view.configuration_revision
-        )
-        if _contains(services.followed_revisions(), announced) and has_configuration:
+        if view.era != services.eras.era and not self._enter_era(view.era):
+            # What the sender knows of an earlier era may have been lost.
+            return
+        announced = report.followed_version_by_service
+        has_configuration = services.configuration.version >= view.configuration_version
+        if has_configuration:
+            self._apply_knowledge(report)
+        elif services.eras.era > 0:
+            # This instance's later read may be one of an older copy.
+            version = view.configuration_version
+            self._copier.fetch_configuration(report.member, version)
+            return
+        if _contains(services.followed_versions(), announced) and has_configuration:
             services.store_freshness.record_read(view.last_read_at)
             services.record_sealed_positions(view.last_read_at)
         elif view.last_read_at <= services.store_freshness.last_read_at:
             return
-        elif not _contains(services.known_revisions(), announced):
+        elif not _contains(services.known_versions(), announced):
             self._copier.read_store()
         elif not has_configuration and report.member.domain == self._member.domain:
             # Copies within a domain are free, and the relay has read the store.
-            self._copier.fetch_configuration(report.member, view.configuration_revision)
+            self._copier.fetch_configuration(report.member, view.configuration_version)
         elif not has_configuration:
             self._copier.read_store()
         # Otherwise a commit at an old primary is pending; reading would not help.
 
+    def _enter_era(self, era: int) -> bool:
+        """Return whether a report showed first that the store has returned."""
+        if era <= self._services.eras.era:
+            return False
+        self._services.enter_era(era, is_settled=False)
+        self.keep_members()
+        return True
+
+    def _apply_knowledge(self, report: Report) -> None:
+        """Apply what the sender knows of the era; its configuration is not newer."""
+        eras, view = self._services.eras, report.view
+        assert view is not None
+        is_elsewhere = report.member.domain != self._member.domain
+        if view.knowledge is Knowledge.CURRENT or (
+            view.knowledge is Knowledge.EARLIER and (report.is_leader or is_elsewhere)
+        ):
+            eras.confirm_configuration()
+        has_records = _contains(
+            self._services.known_versions(), report.followed_version_by_service
+        )
+        if view.is_settled and not eras.is_settled and has_records:
+            eras.settle()
+
+    def probe_all(self) -> None:
+        """Ask all members for a report, as the leader for records that it lacks."""
+        self._send(self.peers_by_name.values(), self._build_report(ReportKind.PROBE))
+
     def _apply_directory_version(self, report: Report) -> None:
         announced, known = report.directory, self._directory
         assert announced is not None
@@ -690,10 +750,10 @@
 
 
 def _contains(
-    revision_by_service: Mapping[str, int], announced_by_service: Mapping[str, int]
+    version_by_service: Mapping[str, int], announced_by_service: Mapping[str, int]
 ) -> bool:
-    """Return whether no announced revision is newer."""
+    """Return whether no announced version is newer."""
     return all(
-        revision_by_service.get(service, 0) >= revision
-        for service, revision in announced_by_service.items()
+        version_by_service.get(service, 0) >= version
+        for service, version in announced_by_service.items()
     )
--- a/bulrushloom/proxy/exchange/keys.py
+++ b/bulrushloom/proxy/exchange/keys.py
@@ -9,12 +9,14 @@
 import hmac
 import os
 from datetime import timedelta
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 import orjson
+from msgspec import Meta
 
 from bulrushloom.core.sentinels import Missing
+from bulrushloom.proxy.store_eras import MAX_ERA
 
 EXCHANGE_KEYS_KEY = "proxy/exchange-keys"
 KEY_BYTES = 32
@@ -30,12 +32,25 @@
 class ExchangeKeys(NamedTuple):
     """Accepted secrets by key id, and the id of the one that signs.
 
-    ``changed_at_s`` is the Unix time of the last step of a rotation.
+    ``changed_at_s`` is the Unix time of the last step of a rotation. ``era`` is the
+    one of the store in which the record was written, and ``generation`` is one more
+    than that of the record that it replaced; 0 if an earlier release wrote it.
     """
 
     signing_id: str
     secret_by_id: dict[str, bytes]
     changed_at_s: float
+    era: int = 0
+    generation: int = 0
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return what orders the records."""
+        return self.era, self.generation
+
+    def in_era(self, era: int) -> "ExchangeKeys":
+        """Return the record that replaces this one in an era."""
+        return self._replace(era=era, generation=self.generation + 1)
 
     def sign(self, body: bytes) -> bytes:
         """Return ``body`` with the key id and the tag before it."""
@@ -62,6 +77,8 @@
                 "signing_id": self.signing_id,
                 "secret_by_id": {k: v.hex() for k, v in self.secret_by_id.items()},
                 "changed_at_s": self.changed_at_s,
+                "era": self.era,
+                "generation": self.generation,
             }
         )
 
@@ -74,6 +91,8 @@
     signing_id: str
     secret_by_id: dict[str, str]
     changed_at_s: float
+    era: Annotated[int, Meta(ge=0, le=MAX_ERA)] = 0
+    generation: Annotated[int, Meta(ge=0)] = 0
 
 
 def decode_keys(value: bytes) -> ExchangeKeys | Missing:
@@ -89,7 +108,13 @@
         return Missing("malformed exchange keys: a key has the wrong length")
     if stored.signing_id not in secret_by_id:
         return Missing("malformed exchange keys: the signing key is missing")
-    return ExchangeKeys(stored.signing_id, secret_by_id, stored.changed_at_s)
+    return ExchangeKeys(
+        stored.signing_id,
+        secret_by_id,
+        stored.changed_at_s,
+        stored.era,
+        stored.generation,
+    )
 
 
 def new_keys(now_s: float) -> ExchangeKeys:
@@ -109,12 +134,12 @@
         if age < ROTATION_INTERVAL:
             return None
         added = new_keys(now_s)
-        return ExchangeKeys(
-            keys.signing_id, keys.secret_by_id | added.secret_by_id, now_s
+        return keys._replace(
+            secret_by_id=keys.secret_by_id | added.secret_by_id, changed_at_s=now_s
         )
     if age < DISTRIBUTION_TIME:
         return None
     *_, newest_id = keys.secret_by_id
-    if keys.signing_id != newest_id:
-        return ExchangeKeys(newest_id, keys.secret_by_id, now_s)
-    return ExchangeKeys(newest_id, {newest_id: keys.secret_by_id[newest_id]}, now_s)
+    if keys.signing_id == newest_id:
+        keys = keys._replace(secret_by_id={newest_id: keys.secret_by_id[newest_id]})
+    return keys._replace(signing_id=newest_id, changed_at_s=now_s)
--- a/bulrushloom/proxy/exchange/messages.py
+++ b/bulrushloom/proxy/exchange/messages.py
@@ -9,6 +9,7 @@
 from bulrushloom.proxy.limits import Usage
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.positions import PositionSample
+from bulrushloom.proxy.store_eras import Knowledge
 
 
 class Member(NamedTuple):
@@ -56,11 +57,17 @@
     """How recent the sender's knowledge of the store is.
 
     The sender knows every change of the configuration and of the group records that
-    the store acknowledged before ``last_read_at``.
+    the store acknowledged before ``last_read_at``, and has not lost since.
+    ``configuration_version`` is the one in force at the sender. ``knowledge`` is
+    whether that is the newest one, ``is_settled`` whether a leader of ``era`` has
+    written back what the copy lacked.
     """
 
     last_read_at: timedelta
-    configuration_revision: int
+    configuration_version: int
+    era: int = 0
+    knowledge: Knowledge = Knowledge.CURRENT
+    is_settled: bool = True
 
 
 class Directory(NamedTuple):
@@ -102,9 +109,10 @@
     the receiver's own report that ``usage_by_domain`` includes, or 0. ``subtree`` is
     the usage of the sender and of the instances below it, ``own_usage`` the part of the
     sender alone.
-    ``followed_revision_by_service`` holds the revision of each group record that the
+    ``followed_version_by_service`` holds the version of each group record that the
     sender acts on.
-    ``group_by_service`` announces group records as pairs of revision and value.
+    ``group_by_service`` announces group records as pairs of revision and value. Under
+    the key of a record of group members, it announces that record.
     ``acknowledged_by_service`` holds the highest log positions of commits that were
     acknowledged to clients, ``suspected`` the ids of targets that did not answer.
     ``relay_by_domain`` holds the names of the domain relays that the sender knows.
@@ -128,7 +136,7 @@
     suspected: frozenset[str] = frozenset()
     view: StoreView | None = None
     directory: DirectoryVersion | None = None
-    followed_revision_by_service: Mapping[str, int] = {}
+    followed_version_by_service: Mapping[str, int] = {}
     group_by_service: Mapping[str, tuple[int, str]] = {}
     leader: LeaderSighting | None = None
     relay_by_domain: Mapping[str, str] = {}
--- a/bulrushloom/proxy/exchange/reporting.py
+++ b/bulrushloom/proxy/exchange/reporting.py
@@ -30,7 +30,7 @@
         position_by_service=_recent_positions(services, now),
         acknowledged_by_service=services.commits.position_by_service,
         view=_store_view(services, now),
-        followed_revision_by_service=services.followed_revisions(),
+        followed_version_by_service=services.followed_versions(),
     )
 
 
@@ -48,13 +48,18 @@
 
     A receiver adopts the view only if it follows these records or newer ones.
     """
-    followed = services.followed_revisions()
+    followed = services.followed_versions()
     if followed.keys() != services.table.group_by_service.keys():
         return None
-    if not services.store_freshness.allows_keys(now):
+    if not services.store_freshness.is_recent(now):
         return None
+    eras = services.eras
     return StoreView(
-        services.store_freshness.last_read_at, services.configuration.revision
+        services.store_freshness.last_read_at,
+        services.configuration.version,
+        eras.era,
+        eras.knowledge(now),
+        eras.is_settled,
     )
 
 
--- a/bulrushloom/proxy/failover/commits.py
+++ b/bulrushloom/proxy/failover/commits.py
@@ -98,7 +98,9 @@
             return
         now = self._loop.now()
         timeout = timedelta() if is_suspected else PENDING_COMMIT_TIMEOUT
-        deadline = min(now + timeout, self._freshness.last_read_at + MAX_PRIMARY_AGE)
+        deadline = min(
+            now + timeout, self._freshness.primaries_read_at + MAX_PRIMARY_AGE
+        )
         replacement = _Replacement(group.old_id, group.term, now, deadline)
         self._replacement_by_service[service] = replacement
         self._give_up(service, except_for=group.old_id)
--- a/bulrushloom/proxy/failover/confirmations.py
+++ b/bulrushloom/proxy/failover/confirmations.py
@@ -84,12 +84,15 @@
 
         That is so until a list of members has been read since the announcement, because
         an instance may have started in the meantime.
+        After a return of the store from a copy, it has not registered again at once.
         If the store rejects the calls of an instance, the member entry of the instance
         expires, but the instance keeps working with the reports of its domain. Only the
         total of its domain still includes it.
         """
         if not self._fleet.directory_listed_since(self.announcement.announced_at):
             return True
+        if self._services.eras.may_lack_members(self._services.loop.now()):
+            return True
         return self._services.member_count > len(self._fleet.peers_by_name) + 1
 
     def missing(self) -> list[str]:
@@ -98,20 +101,20 @@
         Those that were known at the announcement count even if they are no longer
         listed. This instance counts while commits of its own are pending.
         """
-        service, revision = self.group.service, self.group.revision
+        service, version = self.group.service, self.group.version
         unconfirmed = []
-        if self._services.followed_revisions().get(service, 0) < revision:
+        if self._services.followed_versions().get(service, 0) < version:
             unconfirmed.append(self._services.settings.name)
         for name in self._fleet.peers_by_name.keys() | self.announcement.instances:
             report = self._fleet.report_by_name.get(name)
             member = self._fleet.peers_by_name.get(name)
-            followed = report.followed_revision_by_service if report else {}
+            followed = report.followed_version_by_service if report else {}
             has_restarted = (
                 report is not None
                 and member is not None
                 and report.member.incarnation != member.incarnation
             )
-            if has_restarted or followed.get(service, 0) < revision:
+            if has_restarted or followed.get(service, 0) < version:
                 unconfirmed.append(name)
         return unconfirmed
 
--- a/bulrushloom/proxy/failover/group_members.py
+++ b/bulrushloom/proxy/failover/group_members.py
@@ -32,7 +32,7 @@
         while True:
             yield self._services.loop.sleep(CHECK_INTERVAL)
             for service in self._services.configuration.service_by_name:
-                if self._leadership.is_leader():
+                if self._leadership.may_decide():
                     yield from self._record(service)
 
     def _record(self, service: str) -> Steps:
@@ -60,20 +60,36 @@
                 )
                 for target in table.commit_holders(service)
             },
-            known.revision if known is not None else 0,
+            0,
         )
-        if members == known:
+        yield from self._write(members, known)
+
+    def _write(self, members: GroupMembers, known: GroupMembers | None) -> Steps:
+        """Replace the known record unless it has the same content."""
+        service, era = members.service, self._leadership.era
+        if known is not None:
+            members = members._replace(
+                revision=known.revision,
+                era=known.era,
+                generation=known.generation,
+                revision_era=known.revision_era,
+            )
+        if members == known or (known is not None and known.revision_era != era):
             return
+        generation = 1 + (members.generation or members.revision)
+        members = members._replace(era=era, generation=generation, revision_era=era)
         key = GROUP_MEMBERS_PREFIX + service
         written = yield self._store.commit(
             (ExpectedRevision(key, members.revision),),
             (Put(key, encode_group_members(members)),),
+            era,
         )
         if isinstance(written, StoreFailure):
             self._services.log.write(
                 "group_members_not_recorded", service=service, reason=written.reason
             )
             return
+        table = self._services.table
         table.record_members(members._replace(revision=written))
         self._services.log.write(
             "group_members_recorded",
--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -13,6 +13,7 @@
 from bulrushloom.proxy.failover.member_records import GroupMembers
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store import Record
+from bulrushloom.proxy.store_eras import decode_order, record_version
 
 GROUP_PREFIX = "proxy/groups/"
 LEADER_KEY = "proxy/leader"
@@ -66,6 +67,10 @@
     ``stopped_by_id`` holds the draining replicas that stopped replicating since the
     last promotion. ``unanswered_by_id`` holds the number of orders to promote a server
     that got no answer, and may still be executed.
+
+    ``era`` is the one of the store in which the record was written, and ``generation``
+    is one more than that of the record that it replaced; 0 if an earlier release wrote
+    it. ``revision`` is the store's, in ``revision_era``; it serves for conditions only.
     """
 
     service: str
@@ -78,6 +83,24 @@
     sealed: LogPosition | None = None
     stopped_by_id: Mapping[str, StoppedReplica] = MappingProxyType({})
     unanswered_by_id: Mapping[str, int] = MappingProxyType({})
+    era: int = 0
+    generation: int = 0
+    revision_era: int = 0
+
+    @property
+    def version(self) -> int:
+        """Return the number that orders the records of a service."""
+        return record_version(self.era, self.generation, self.revision)
+
+    def next_record(self, era: int, fence: int) -> "GroupRecord":
+        """Return the record that replaces this one, as the leader of an era writes it.
+
+        Its revision is still the one of this record.
+        """
+        generation = 1 + (self.generation or self.revision)
+        return self._replace(
+            fence=fence, era=era, generation=generation, revision_era=era
+        )
 
     def encode(self) -> bytes:
         """Return the value to store."""
@@ -99,14 +122,22 @@
                     for target_id, stopped in self.stopped_by_id.items()
                 },
                 "unanswered": dict(self.unanswered_by_id),
+                "era": self.era,
+                "generation": self.generation,
             }
         )
 
 
-def decode_group(value: bytes, revision: int) -> GroupRecord | Missing:
-    """Return the record in ``value``, or the reason why it is invalid."""
+def decode_group(
+    value: bytes, revision: int, revision_era: int | None = None
+) -> GroupRecord | Missing:
+    """Return the record in ``value``, or the reason why it is invalid.
+
+    Without ``revision_era``, the revision is that of the write of the record.
+    """
     try:
         fields = orjson.loads(value)
+        era, generation = decode_order(fields)
         sealed = fields.get("sealed")
         stopped = fields.get("stopped", {})
         # Records of earlier versions lack it; such a replica is stopped again.
@@ -135,6 +166,9 @@
                 target_id: _decode_count(count)
                 for target_id, count in fields.get("unanswered", {}).items()
             },
+            era=era,
+            generation=generation,
+            revision_era=era if revision_era is None else revision_era,
         )
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         return Missing(f"malformed group record: {error!r}")
@@ -151,12 +185,14 @@
     return value
 
 
-def decode_group_records(records: Iterable[Record]) -> dict[str, GroupRecord]:
-    """Return the valid group records by service."""
+def decode_group_records(
+    records: Iterable[Record], revision_era: int
+) -> dict[str, GroupRecord]:
+    """Return the valid group records of a snapshot of an era by service."""
     groups = {}
     for record in records:
         if record.key.startswith(GROUP_PREFIX):
-            group = decode_group(record.value, record.revision)
+            group = decode_group(record.value, record.revision, revision_era)
             if not isinstance(group, Missing):
                 groups[group.service] = group
     return groups
@@ -212,6 +248,10 @@
             return False
         return self._listed_at - self._uninterrupted_since >= VANISHED_TARGET_LIFETIME
 
+    def note_return_of_store(self) -> None:
+        """Record that the list may lack entries that were written since the copy."""
+        self._uninterrupted_since = None
+
     def update_targets(
         self, target_by_id: Mapping[str, Target], read_at: timedelta
     ) -> None:
@@ -221,7 +261,10 @@
         ``VANISHED_TARGET_LIFETIME`` without an outage have not listed it.
         """
         previous_at, self._listed_at = self._listed_at, read_at
+        is_interrupted = self._uninterrupted_since is None
         if previous_at is None or read_at - previous_at > MAX_LIST_INTERVAL:
+            is_interrupted = True
+        if is_interrupted:
             self._uninterrupted_since = read_at
         listed_target_by_id = {}
         for target_id, target in target_by_id.items():
@@ -282,7 +325,7 @@
     def record_members(self, members: GroupMembers) -> bool:
         """Record what the store has; return whether it was new."""
         known = self.recorded_members_by_service.get(members.service)
-        if known is not None and known.revision >= members.revision:
+        if known is not None and not members.replaces(known):
             return False
         self.recorded_members_by_service[members.service] = members
         return True
@@ -294,9 +337,14 @@
         changed = []
         for service, group in groups.items():
             known = self.group_by_service.get(service)
-            if known is None or known.revision < group.revision:
+            if known is None or known.version < group.version:
                 self.group_by_service[service] = group
                 changed.append(group)
+            elif known.version == group.version and (
+                known.revision_era < group.revision_era
+            ):
+                # The same record, with its revision in a later era.
+                self.group_by_service[service] = group
         return changed
 
     def targets_of(self, service: str) -> list[KnownTarget]:
--- a/bulrushloom/proxy/failover/member_records.py
+++ b/bulrushloom/proxy/failover/member_records.py
@@ -13,6 +13,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.store import Record
+from bulrushloom.proxy.store_eras import decode_order, record_version
 from bulrushloom.runtime.streams import split_address
 
 GROUP_MEMBERS_PREFIX = "proxy/servers/"
@@ -21,13 +22,26 @@
 class GroupMembers(NamedTuple):
     """Stored record of the servers of a service that may have acknowledged commits.
 
-    ``primary_id`` is the primary at that time.
+    ``primary_id`` is the primary at that time. ``era``, ``generation``, ``revision``
+    and ``revision_era`` are as in a ``GroupRecord``.
     """
 
     service: str
     primary_id: str
     target_by_id: Mapping[str, Target]
     revision: int
+    era: int = 0
+    generation: int = 0
+    revision_era: int = 0
+
+    @property
+    def version(self) -> int:
+        """Return the number that orders the records of a service."""
+        return record_version(self.era, self.generation, self.revision)
+
+    def replaces(self, known: "GroupMembers") -> bool:
+        """Return whether this is a newer record, or has a revision of a later era."""
+        return (known.version, known.revision_era) < (self.version, self.revision_era)
 
 
 def build_member(
@@ -58,12 +72,19 @@
                 [target.target_id, target.address, target.domain, target.born_ms]
                 for _, target in sorted(members.target_by_id.items())
             ],
+            "era": members.era,
+            "generation": members.generation,
         }
     )
 
 
-def decode_group_members(value: bytes, revision: int) -> GroupMembers | Missing:
-    """Return the record in ``value``, or the reason why it is invalid."""
+def decode_group_members(
+    value: bytes, revision: int, revision_era: int | None = None
+) -> GroupMembers | Missing:
+    """Return the record in ``value``, or the reason why it is invalid.
+
+    Without ``revision_era``, the revision is that of the write of the record.
+    """
     try:
         fields = orjson.loads(value)
         service = str(fields["service"])
@@ -74,17 +95,24 @@
                 str(target_id), service, address, str(domain), int(born_ms)
             )
         primary_id = str(fields["primary_id"])
+        era, generation = decode_order(fields)
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         return Missing(f"malformed record of group members: {error!r}")
-    return GroupMembers(service, primary_id, target_by_id, revision)
+    if revision_era is None:
+        revision_era = era
+    return GroupMembers(
+        service, primary_id, target_by_id, revision, era, generation, revision_era
+    )
 
 
-def decode_all_group_members(records: Iterable[Record]) -> dict[str, GroupMembers]:
-    """Return the valid records by service."""
+def decode_all_group_members(
+    records: Iterable[Record], revision_era: int
+) -> dict[str, GroupMembers]:
+    """Return the valid records of a snapshot of an era by service."""
     members_by_service = {}
     for record in records:
         if record.key.startswith(GROUP_MEMBERS_PREFIX):
-            members = decode_group_members(record.value, record.revision)
+            members = decode_group_members(record.value, record.revision, revision_era)
             if not isinstance(members, Missing):
                 members_by_service[members.service] = members
     return members_by_service
--- a/bulrushloom/proxy/failover/primary_monitor.py
+++ b/bulrushloom/proxy/failover/primary_monitor.py
@@ -80,7 +80,7 @@
         """Check all services at fixed intervals while the process runs."""
         while True:
             yield self._loop.sleep(WATCH_INTERVAL)
-            if not self._leadership.is_leader():
+            if not self._leadership.may_decide():
                 self._probe_by_service.clear()
                 self._unclaimed_since.clear()
                 self._check_suspected_primaries()
--- a/bulrushloom/proxy/failover/replacement.py
+++ b/bulrushloom/proxy/failover/replacement.py
@@ -197,6 +197,7 @@
             old_id="",
             fence=self._leadership.fence,
             revision=0,
+            revision_era=self._leadership.era,
         )
         if group.phase is not GroupPhase.STEADY:
             raise Abandoned("the primary is being replaced")
@@ -280,6 +281,9 @@
             revision=known.revision if known else 0,
             stopped_by_id=known.stopped_by_id if known else {},
             unanswered_by_id=self._orders.pending(service),
+            era=known.era if known else self._leadership.era,
+            generation=known.generation if known else 0,
+            revision_era=known.revision_era if known else self._leadership.era,
         )
         if known is not None and known.phase is GroupPhase.REPLACING:
             # An order of an earlier attempt may still be executed.
@@ -287,17 +291,24 @@
         return (yield from self._write(group))
 
     def _write(self, group: GroupRecord) -> Steps:
-        """Store and announce the record, provided that nobody else has changed it."""
-        if not self._leadership.is_leader():
+        """Store and announce the record, provided that nobody else has changed it.
+
+        ``group`` has the version and the revision of the record that it replaces.
+        """
+        era = self._leadership.era
+        if not self._leadership.may_decide():
             raise Abandoned("this instance no longer holds the leader lease")
+        if group.revision_era != era:
+            raise Abandoned("the group record was read before the store returned")
         key = GROUP_PREFIX + group.service
-        value = group._replace(fence=self._leadership.fence).encode()
+        group = group.next_record(era, self._leadership.fence)
+        value = group.encode()
         written = yield self._store.commit(
-            (ExpectedRevision(key, group.revision),), (Put(key, value),)
+            (ExpectedRevision(key, group.revision),), (Put(key, value),), era
         )
         if isinstance(written, StoreFailure):
             raise Abandoned(f"the group record was not written: {written.reason}")
-        group = group._replace(revision=written, fence=self._leadership.fence)
+        group = group._replace(revision=written)
         self._services.apply_group_records({group.service: group})
         self._fleet.announce(
             self._fleet.peers_by_name.values(),
--- a/bulrushloom/proxy/hot_accounts.py
+++ b/bulrushloom/proxy/hot_accounts.py
@@ -81,7 +81,7 @@
 
     def _write_record(self, hot_usage: dict[str, float]) -> Steps:
         put = Put(HOT_ACCOUNTS_KEY, orjson.dumps(hot_usage))
-        written = yield self._store.commit((), (put,))
+        written = yield self._store.commit((), (put,), self._leadership.era)
         if isinstance(written, StoreFailure):
             self._services.log.write("hot_accounts_not_noted", reason=written.reason)
         else:
--- a/bulrushloom/proxy/leadership.py
+++ b/bulrushloom/proxy/leadership.py
@@ -12,18 +12,28 @@
 import orjson
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.proxy.exchange.keys import EXCHANGE_KEYS_KEY, new_keys
+from bulrushloom.proxy.exchange.keys import (
+    EXCHANGE_KEYS_KEY,
+    ExchangeKeys,
+    new_keys,
+)
 from bulrushloom.proxy.failover.groups import FENCE_KEY, LEADER_KEY
 from bulrushloom.proxy.store import (
     ExpectedRevision,
     Lease,
     ProxyStore,
     Put,
-    Record,
     StoreFailure,
     StoreFailureKind,
     StoreSnapshot,
 )
+from bulrushloom.proxy.store_eras import (
+    UNSETTLED_VALUE,
+    era_key,
+    era_of,
+    is_settled,
+    next_fence,
+)
 from bulrushloom.proxy.telemetry import EventLog
 from bulrushloom.runtime.loop import Loop, Steps
 
@@ -38,6 +48,7 @@
 # Candidates wait in order of their rank, so that only few of them write to the store.
 RANK_DELAY = timedelta(milliseconds=120)
 MAX_CANDIDACY_DELAY = RANK_DELAY * 8
+MAX_SKIPPED_ERAS = 16
 _EXPIRED = timedelta(days=-1)
 
 
@@ -62,19 +73,33 @@
     """The instance as a candidate for the leader lease.
 
     ``read_store`` returns a new snapshot of the store. ``has_live_leader`` returns
-    whether another instance has become the leader in the meantime.
+    whether another instance has become the leader in the meantime. ``known_keys``
+    returns the keys of the exchange that the instance uses, if any.
     """
 
     name: str
     incarnation: str
     read_store: Callable[[], "Future[Any]"]
     has_live_leader: Callable[[], bool] = lambda: False
+    known_keys: Callable[[], ExchangeKeys | None] = lambda: None
+
+
+def _era_puts(previous: int, era: int) -> list[Put]:
+    """Return the writes of the keys of the eras after ``previous``, up to ``era``.
+
+    A write that was decided in one of them must fail. Only the latest are written: a
+    write is decided at most seconds before it arrives.
+    """
+    first = max(previous + 1, era - MAX_SKIPPED_ERAS)
+    return [Put(era_key(number), UNSETTLED_VALUE) for number in range(first, era + 1)]
 
 
 class Leadership:
     """Acquisition and renewal of the leader lease by this instance.
 
-    ``fence`` is the fencing token of the latest acquisition.
+    ``fence`` is the fencing token of the latest acquisition, ``era`` the one of the
+    store in which it took place. ``is_settled`` is false until the records that the
+    copy of this era lacks are written back.
     """
 
     def __init__(
@@ -94,6 +119,8 @@
         self._is_revoking = False
         self._is_stopped = False
         self.fence = 0
+        self.era = 0
+        self.is_settled = True
 
     def is_leader(self) -> bool:
         """Return whether this instance is the leader.
@@ -102,6 +129,13 @@
         """
         return self._lease is not None and self._loop.now() < self._valid_until
 
+    def may_decide(self) -> bool:
+        """Return whether this instance is the leader and may change groups.
+
+        The leader of a new era must first learn what the copy of the store lacks.
+        """
+        return self.is_settled and self.is_leader()
+
     def try_acquire(self, snapshot: StoreSnapshot, delay: timedelta) -> None:
         """Try to acquire the lease if it is free; ``delay`` orders the candidates."""
         if LEADER_KEY in snapshot.record_by_key or self._is_stopped:
@@ -126,10 +160,11 @@
             return
         if holder.incarnation != candidacy.incarnation:
             self._is_revoking = True
-            self._loop.spawn(self._revoke_predecessor_lease(record.lease_id, holder))
+            lease = Lease(record.lease_id, LEASE_TTL, snapshot.era)
+            self._loop.spawn(self._revoke_predecessor_lease(lease, holder))
 
-    def _revoke_predecessor_lease(self, lease_id: int, holder: Holder) -> Steps:
-        failure = yield self._store.revoke_lease(lease_id)
+    def _revoke_predecessor_lease(self, lease: Lease, holder: Holder) -> Steps:
+        failure = yield self._store.revoke_lease(lease.lease_id, lease.era)
         self._is_revoking = False
         self._log.write(
             "predecessor_lease_ended",
@@ -152,7 +187,6 @@
                 return
             if LEADER_KEY in snapshot.record_by_key:
                 return
-            fence_record = snapshot.record_by_key.get(FENCE_KEY)
             requested_at = self._loop.now()
             lease = yield self._store.create_lease(LEASE_TTL)
             if self._is_stopped:
@@ -160,8 +194,11 @@
             if isinstance(lease, StoreFailure):
                 self._log.write("leader_not_acquired", reason=lease.reason)
                 return
-            has_keys = EXCHANGE_KEYS_KEY in snapshot.record_by_key
-            acquired = yield from self._write_record(fence_record, lease, has_keys)
+            if lease.era != snapshot.era:
+                reason = "the store returned from a copy"
+                self._log.write("leader_not_acquired", reason=reason)
+                return
+            acquired = yield from self._write_record(snapshot, lease)
             if acquired:
                 self._lease = lease
                 self._valid_until = requested_at + lease.ttl - LEASE_MARGIN
@@ -170,14 +207,15 @@
         finally:
             self._is_acquiring = False
 
-    def _write_record(
-        self, fence_record: Record | None, lease: Lease, has_keys: bool
-    ) -> Steps:
+    def _write_record(self, snapshot: StoreSnapshot, lease: Lease) -> Steps:
         """Write the leader record; return whether this instance is the leader now.
 
-        The first leader also creates the keys of the exchange between instances.
+        The first leader also creates the keys of the exchange between instances, and
+        the first one of an era the key of the era, which ends the earlier eras.
         """
-        fence = 1 + (int(fence_record.value) if fence_record is not None else 0)
+        fence_record = snapshot.record_by_key.get(FENCE_KEY)
+        previous = int(fence_record.value) if fence_record is not None else 0
+        fence = next_fence(previous, lease.era)
         candidacy = self._candidacy
         holder = Holder(candidacy.name, candidacy.incarnation, fence)
         expected = [
@@ -188,24 +226,28 @@
             Put(LEADER_KEY, orjson.dumps(holder._asdict()), lease.lease_id),
             Put(FENCE_KEY, str(fence).encode()),
         ]
-        if not has_keys:
-            keys = new_keys(self._loop.clock.utcnow().timestamp())
+        puts += _era_puts(era_of(previous), lease.era)
+        if EXCHANGE_KEYS_KEY not in snapshot.record_by_key:
+            known = candidacy.known_keys()
+            keys = known or new_keys(self._loop.clock.utcnow().timestamp())
+            keys = keys.in_era(lease.era)
             expected.append(ExpectedRevision(EXCHANGE_KEYS_KEY, 0))
             puts.append(Put(EXCHANGE_KEYS_KEY, keys.encode()))
-        written = yield self._store.commit(expected, puts)
+        written = yield self._store.commit(expected, puts, lease.era)
         if isinstance(written, StoreFailure):
             # The record may have been written and only the answer lost; revoking the
             # lease removes the record in that case.
             self._log.write("leader_not_acquired", reason=written.reason)
-            yield self._store.revoke_lease(lease.lease_id)
+            yield self._store.revoke_lease(lease.lease_id, lease.era)
             return False
-        self.fence = fence
+        self.fence, self.era = fence, lease.era
+        self.is_settled = is_settled(snapshot.record_by_key, lease.era)
         return True
 
     def _renew_lease(self) -> Steps:
         while self._lease is not None and not self._is_stopped:
             lease, requested_at = self._lease, self._loop.now()
-            renewed = yield self._store.renew_lease(lease.lease_id)
+            renewed = yield self._store.renew_lease(lease.lease_id, lease.era)
             if not isinstance(renewed, StoreFailure):
                 self._valid_until = requested_at + renewed.ttl - LEASE_MARGIN
                 yield self._loop.sleep(RENEW_INTERVAL)
@@ -225,5 +267,5 @@
         lease, self._lease = self._lease, None
         self._valid_until = _EXPIRED
         if lease is not None:
-            yield self._store.revoke_lease(lease.lease_id)
+            yield self._store.revoke_lease(lease.lease_id, lease.era)
             self._log.write("leader_resigned", fence=self.fence)
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -82,7 +82,8 @@
         member = self._member
         key = f"{MEMBER_PREFIX}{member.name}/{member.incarnation}"
         value = orjson.dumps(member._asdict())
-        written = yield self._store.commit((), (Put(key, value, lease.lease_id),))
+        put = Put(key, value, lease.lease_id)
+        written = yield self._store.commit((), (put,), lease.era)
         if isinstance(written, StoreFailure):
             self._log.write("registration_failed", reason=written.reason)
             return
@@ -90,7 +91,7 @@
         self._log.write("registered", lease=lease.lease_id, revision=written)
 
     def _renew(self, lease: Lease) -> Steps:
-        renewed = yield self._store.renew_lease(lease.lease_id)
+        renewed = yield self._store.renew_lease(lease.lease_id, lease.era)
         if not isinstance(renewed, StoreFailure):
             return
         if renewed.kind is StoreFailureKind.NO_LEASE:
@@ -103,4 +104,4 @@
         """Remove the entry because the instance is about to stop."""
         self._is_stopped = True
         if self._lease is not None:
-            yield self._store.revoke_lease(self._lease.lease_id)
+            yield self._store.revoke_lease(self._lease.lease_id, self._lease.era)
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -13,6 +13,7 @@
 from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.era_recovery import EraRecovery
 from bulrushloom.proxy.exchange.directory import encode_directory
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
@@ -99,6 +100,7 @@
                 self.incarnation,
                 self.reader.request_read,
                 lambda: self.fleet.has_live_leader(),
+                lambda: self.fleet.keys,
             ),
         )
         self._sessions: set[Session] = set()
@@ -159,6 +161,15 @@
             self.services, self._store, self.leadership
         )
         loop.supervise(group_members_recorder.run)
+        recovery = EraRecovery(
+            self.services,
+            self._store,
+            self.leadership,
+            self.fleet,
+            status,
+            self.reader.request_read,
+        )
+        loop.supervise(recovery.run)
         loop.supervise(self._watch_settings)
         loop.supervise(self._watch_partition)
         loop.supervise(self._watch_connections)
@@ -306,9 +317,9 @@
         gauges["unexpected_errors"] = self._loop.error_count
         return 200, {"Content-Type": "text/plain"}, self.metrics.text()
 
-    def _answer_document(self, revision: str) -> tuple[int, Mapping[str, str], bytes]:
+    def _answer_document(self, version: str) -> tuple[int, Mapping[str, str], bytes]:
         document = self._store.document()
-        if document is None or str(document.revision) != revision:
+        if document is None or str(document.version) != version:
             return 404, {}, b""
         return 200, {"Content-Type": "application/json"}, document.value
 
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -10,8 +10,13 @@
 from bulrushloom.proxy import connection_allowance
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
 from bulrushloom.proxy.connections import ConnectionPool
+from bulrushloom.proxy.exchange.messages import Report
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
 from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord, GroupTable
+from bulrushloom.proxy.failover.member_records import (
+    GROUP_MEMBERS_PREFIX,
+    encode_group_members,
+)
 from bulrushloom.proxy.failover.promotion_orders import PromotionOrders
 from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
@@ -19,6 +24,7 @@
 from bulrushloom.proxy.routing import Candidate, ReadRouter
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.stopping import StopPlan
+from bulrushloom.proxy.store_eras import EraKnowledge
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE, StoreFreshness
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.loop import Loop
@@ -76,6 +82,7 @@
         self.metrics = metrics
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.store_freshness = StoreFreshness(settings)
+        self.eras = EraKnowledge(self.store_freshness)
         self.commits = CommitAcknowledgements(loop, self.store_freshness)
         self.orders = PromotionOrders(loop)
         self.table = GroupTable(settings.target_drain_bound)
@@ -334,38 +341,76 @@
                 primary=group.primary_id,
                 term=group.term,
                 fence=group.fence,
+                era=group.era,
+                generation=group.generation,
                 revision=group.revision,
             )
             if group.phase is GroupPhase.STEADY:
                 self._resolve_primary_change(group.service)
         return bool(changed)
 
+    def enter_era(self, era: int, is_settled: bool) -> bool:
+        """Apply the era that the store is in; return whether it is a later one.
+
+        Must be called before what a read in this era showed is applied.
+        """
+        if not self.eras.enter(era, self.loop.now(), is_settled):
+            return False
+        self.table.note_return_of_store()
+        self.metrics.count("store_returns", "seen")
+        self.log.write(
+            "store_returned",
+            era=era,
+            evidence_age=self.store_freshness.age(self.loop.now()),
+            configuration=self.configuration.version,
+        )
+        return True
+
+    def records_newer_than(self, report: Report) -> dict[str, tuple[int, str]]:
+        """Return the records of groups and of their members that a leader may lack.
+
+        Used after a return of the store only, so all members' records are included.
+        """
+        followed = report.followed_version_by_service
+        records = {
+            service: (group.revision, group.encode().decode())
+            for service, group in self.table.group_by_service.items()
+            if followed.get(service, 0) < group.version
+        }
+        for service, members in self.table.recorded_members_by_service.items():
+            value = encode_group_members(members).decode()
+            records[GROUP_MEMBERS_PREFIX + service] = (members.revision, value)
+        return records
+
     def record_sealed_positions(self, sent_at: timedelta) -> None:
         """Record the sealed positions of unfinished failovers as position samples.
 
         A sealed position covers every commit acknowledged before the store read that
         was sent at ``sent_at``, because no later commit was acknowledged so far.
         """
+        if not self.eras.is_settled:
+            # The copy may lack the end of the failover, and commits acknowledged since.
+            return
         for group in self.table.group_by_service.values():
             if group.phase is GroupPhase.REPLACING and group.sealed is not None:
                 sample = PositionSample(sent_at, group.sealed)
                 self.history(group.service).record(sample)
 
-    def known_revisions(self) -> dict[str, int]:
-        """Return the revision of each group record that this instance has received."""
+    def known_versions(self) -> dict[str, int]:
+        """Return the version of each group record that this instance has received."""
         return {
-            service: group.revision
+            service: group.version
             for service, group in self.table.group_by_service.items()
         }
 
-    def followed_revisions(self) -> dict[str, int]:
-        """Return the revision of each group record that is fully in effect here.
+    def followed_versions(self) -> dict[str, int]:
+        """Return the version of each group record that is fully in effect here.
 
         The record of a failover is left out while a commit of the old primary may still
         be acknowledged to its client.
         """
         return {
-            service: group.revision
+            service: group.version
             for service, group in self.table.group_by_service.items()
             if group.phase is GroupPhase.STEADY or self.commits.has_ended(service)
         }
--- a/bulrushloom/proxy/store.py
+++ b/bulrushloom/proxy/store.py
@@ -45,7 +45,9 @@
 
     ``requested_at`` is the monotonic time just before the request was sent; all changes
     acknowledged before it are included. ``member_by_key`` is ``None`` if the members
-    were not requested.
+    were not requested. ``configuration`` is the one in the store, which may be older
+    than the one in force if the store has returned from a copy. ``era`` rises with each
+    such return. Revisions can only be compared with others of the same era.
     """
 
     requested_at: timedelta
@@ -54,13 +56,18 @@
     target_by_id: Mapping[str, Target]
     record_by_key: Mapping[str, Record]
     member_by_key: Mapping[str, Record] | None
+    era: int = 0
 
 
 class Lease(NamedTuple):
-    """Lease with the time to live that the store granted."""
+    """Lease with the time to live that the store granted in an era.
+
+    In a later era, the same number may be that of another lease.
+    """
 
     lease_id: int
     ttl: timedelta
+    era: int = 0
 
 
 class ExpectedRevision(NamedTuple):
@@ -85,7 +92,7 @@
 class ConfigurationDocument(NamedTuple):
     """Version of the configuration in the form that the operators wrote."""
 
-    revision: int
+    version: int
     value: bytes
 
 
@@ -115,18 +122,33 @@
         """Create a lease."""
 
     @abstractmethod
-    def renew_lease(self, lease_id: int) -> "Future[Lease | StoreFailure]":
-        """Renew a lease for its full time to live."""
+    def renew_lease(
+        self, lease_id: int, era: int = 0
+    ) -> "Future[Lease | StoreFailure]":
+        """Renew a lease of an era for its full time to live.
+
+        It is lost (NO_LEASE) if the store answers in another era.
+        """
 
     @abstractmethod
-    def revoke_lease(self, lease_id: int) -> "Future[StoreFailure | None]":
-        """Revoke a lease, which deletes its records."""
+    def revoke_lease(
+        self, lease_id: int, era: int = 0
+    ) -> "Future[StoreFailure | None]":
+        """Revoke a lease, which deletes its records.
+
+        Nothing is sent if the lease is known to be of an earlier era.
+        """
 
     @abstractmethod
     def commit(
-        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put], era: int = 0
     ) -> "Future[int | StoreFailure]":
-        """Write all ``puts`` if all expectations hold; return the new revision."""
+        """Write all ``puts`` if all expectations hold; return the new revision.
+
+        ``era`` is the one in which the write was decided. Nothing is written once a
+        later era has a leader. The outcome is unknown if the store answers in another
+        era.
+        """
 
 
 class Promotion(ABC):
--- a/bulrushloom/proxy/store_freshness.py
+++ b/bulrushloom/proxy/store_freshness.py
@@ -25,11 +25,18 @@
 
 
 class StoreFreshness:
-    """Age of the last linearizable store read and what it permits."""
+    """Age of the last linearizable store read and what it permits.
+
+    While keys or primaries are held, reads do not count for them; see
+    ``store_eras.EraKnowledge``.
+    """
 
     def __init__(self, settings: ProxySettings):
         self.settings = settings
         self.last_read_at = NEVER
+        self._keys_held_at: timedelta | None = None
+        self._keys_held_until = NEVER
+        self._primaries_held_at: timedelta | None = None
 
     def record_read(self, sent_at: timedelta) -> None:
         """Record a successful read that was sent at ``sent_at``.
@@ -42,16 +49,59 @@
         """Return the time since the last successful read was sent."""
         return now - self.last_read_at
 
+    def hold_keys(self, until: timedelta) -> None:
+        """Let later reads not count for keys before ``until``."""
+        if self._keys_held_at is None:
+            self._keys_held_at = self.last_read_at
+        self._keys_held_until = until
+
+    def release_keys(self) -> None:
+        """Let all reads count for keys."""
+        self._keys_held_at = None
+
+    def holds_keys(self, now: timedelta) -> bool:
+        """Return whether reads do not count for keys."""
+        return self._keys_held_at is not None and now < self._keys_held_until
+
+    def hold_primaries(self) -> None:
+        """Let later reads not count for primaries."""
+        if self._primaries_held_at is None:
+            self._primaries_held_at = self.last_read_at
+
+    def release_primaries(self) -> None:
+        """Let all reads count for primaries."""
+        self._primaries_held_at = None
+
+    @property
+    def primaries_read_at(self) -> timedelta:
+        """Return when the last read that counts for primaries was sent."""
+        held_at = self._primaries_held_at
+        return self.last_read_at if held_at is None else held_at
+
+    def primaries_age(self, now: timedelta) -> timedelta:
+        """Return the time since the last read that counts for primaries was sent."""
+        return now - self.primaries_read_at
+
+    def is_recent(self, now: timedelta) -> bool:
+        """Return whether the last read is within the bound for keys, held or not."""
+        return self.age(now) <= self.settings.withdrawn_key_bound - KEY_CHECK_MARGIN
+
     def allows_keys(self, now: timedelta) -> bool:
         """Return whether API keys may still be accepted.
 
         Otherwise a key may have been withdrawn longer ago than the bound permits.
         """
-        return self.age(now) <= self.settings.withdrawn_key_bound - KEY_CHECK_MARGIN
+        if not self.is_recent(now):
+            return False
+        if not self.holds_keys(now):
+            return True
+        assert self._keys_held_at is not None
+        bound = self.settings.withdrawn_key_bound - KEY_CHECK_MARGIN
+        return now - self._keys_held_at <= bound
 
     def allows_primary(self, now: timedelta) -> bool:
         """Return whether a known primary cannot have been replaced yet."""
-        return self.age(now) <= MAX_PRIMARY_AGE
+        return self.primaries_age(now) <= MAX_PRIMARY_AGE
 
     def allows_readiness(self, now: timedelta) -> bool:
         """Return whether this process should receive new sessions."""
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -17,6 +17,7 @@
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.keys import (
     EXCHANGE_KEYS_KEY,
+    ExchangeKeys,
     decode_keys,
     next_rotation_step,
 )
@@ -33,9 +34,11 @@
     ExpectedRevision,
     ProxyStore,
     Put,
+    Record,
     StoreFailure,
     StoreSnapshot,
 )
+from bulrushloom.proxy.store_eras import is_settled, was_written_in_era
 from bulrushloom.runtime.http import HttpClient, HttpError
 from bulrushloom.runtime.loop import Steps
 
@@ -202,20 +205,32 @@
         relays_ahead = 0 if self._fleet.is_domain_relay() else len(ordered)
         return RANK_DELAY * (ordered.index(self._member.domain) + relays_ahead)
 
-    def fetch_configuration(self, member: Member, revision: int) -> None:
-        """Copy a newer configuration from an instance of the same domain."""
+    def fetch_configuration(self, member: Member, version: int) -> None:
+        """Copy a newer configuration from an instance.
+
+        The store is read first if the instance is in another domain, because copies
+        within a domain are free. The store may have an older one since its return.
+        """
         if self._fetching is None or self._fetching.done():
-            self._fetching = self._loop.spawn(self._fetch(member, revision))
+            self._fetching = self._loop.spawn(self._fetch(member, version))
 
-    def _fetch(self, member: Member, revision: int) -> Steps:
+    def _fetch(self, member: Member, version: int) -> Steps:
+        if member.domain != self._member.domain:
+            yield self.request_read()
+            if self._services.configuration.version >= version:
+                return
+        yield from self.copy_configuration(member, version)
+
+    def copy_configuration(self, member: Member, version: int) -> Steps:
+        """Copy a configuration over HTTP; read the store if that fails."""
         client = HttpClient(self._loop, member.document_address)
-        path = f"{DOCUMENT_PATH}{revision}"
+        path = f"{DOCUMENT_PATH}{version}"
         try:
             response = yield client.request("GET", path, b"", FETCH_TIMEOUT)
             if response.status != 200:
                 raise HttpError(f"status {response.status}")
-            document = ConfigurationDocument(revision, response.body)
-            self._apply_configuration(self._store.apply_document(document), member.name)
+            document = ConfigurationDocument(version, response.body)
+            self.apply_configuration(self._store.apply_document(document), member.name)
         except (HttpError, DocumentError) as error:
             self._log.write(
                 "configuration_not_fetched", source=member.name, reason=str(error)
@@ -254,9 +269,10 @@
         finally:
             client.close()
 
-    def _apply_configuration(self, configuration: Configuration, source: str) -> None:
+    def apply_configuration(self, configuration: Configuration, source: str) -> None:
+        """Let a configuration from ``source`` be in force unless it is older."""
         services = self._services
-        if configuration.revision <= services.configuration.revision:
+        if configuration.version <= services.configuration.version:
             return
         previous, services.configuration = services.configuration, configuration
         self._log.write(
@@ -281,15 +297,21 @@
             self._log.write("store_regained")
 
     def _apply_snapshot(self, snapshot: StoreSnapshot) -> None:
-        services = self._services
+        services, records = self._services, snapshot.record_by_key
+        if snapshot.era < services.eras.era:
+            return
+        if services.enter_era(snapshot.era, is_settled(records, snapshot.era)):
+            self._fleet.keep_members()
         if not services.configuration.version:
             hot_accounts = decode_hot_accounts(snapshot.record_by_key)
             services.limiter.load_recorded_usage(hot_accounts)
             self._log.write("limits_started", noted=hot_accounts)
         if snapshot.configuration is not None:
-            self._apply_configuration(snapshot.configuration, "store")
+            self.apply_configuration(snapshot.configuration, "store")
+            if was_written_in_era(snapshot):
+                services.eras.confirm_configuration()
         services.apply_group_records(
-            decode_group_records(snapshot.record_by_key.values())
+            decode_group_records(records.values(), snapshot.era)
         )
         services.store_freshness.record_read(snapshot.requested_at)
         services.record_sealed_positions(snapshot.requested_at)
@@ -300,7 +322,7 @@
             make_directory(snapshot.requested_at, snapshot.target_by_id, members)
         )
         services.table.apply_group_members(
-            decode_all_group_members(snapshot.record_by_key.values()),
+            decode_all_group_members(records.values(), snapshot.era),
             snapshot.requested_at,
         )
         if self._fleet.is_domain_relay() and not self._fleet.is_leader:
@@ -320,19 +342,41 @@
     def _apply_keys(self, snapshot: StoreSnapshot) -> None:
         """Use the keys of the exchange; as the leader, rotate them."""
         record = snapshot.record_by_key.get(EXCHANGE_KEYS_KEY)
-        if record is None:
-            return
-        keys = decode_keys(record.value)
+        keys = decode_keys(record.value) if record is not None else None
         if isinstance(keys, Missing):
             self._log.write("exchange_keys_unreadable", reason=keys.reason)
             return
+        known = self._fleet.keys
+        if known is not None and (keys is None or keys.version < known.version):
+            self._restore_keys(known, record, snapshot.era)
+            return
+        if record is None or keys is None:
+            return
         self._fleet.set_keys(keys)
         now_s = self._loop.clock.utcnow().timestamp()
         rotated = next_rotation_step(keys, now_s)
         is_writing = self._writing_keys is not None and not self._writing_keys.done()
         if rotated is not None and self._leadership.is_leader() and not is_writing:
             self._log.write("exchange_keys_rotated", signing=rotated.signing_id)
-            self._writing_keys = self._store.commit(
-                (ExpectedRevision(EXCHANGE_KEYS_KEY, record.revision),),
-                (Put(EXCHANGE_KEYS_KEY, rotated.encode()),),
-            )
+            self._write_keys(rotated, record, snapshot.era)
+
+    def _restore_keys(
+        self, known: ExchangeKeys, record: Record | None, era: int
+    ) -> None:
+        """Write back keys that the copy lacks, so that new instances use them too.
+
+        Any instance that reads the store may do that before there is a leader; only
+        relays do, so that few write.
+        """
+        is_writing = self._writing_keys is not None and not self._writing_keys.done()
+        if era > 0 and self._fleet.is_domain_relay() and not is_writing:
+            self._log.write("exchange_keys_restored", signing=known.signing_id, era=era)
+            self._write_keys(known, record, era)
+
+    def _write_keys(self, keys: ExchangeKeys, record: Record | None, era: int) -> None:
+        revision = record.revision if record is not None else 0
+        self._writing_keys = self._store.commit(
+            (ExpectedRevision(EXCHANGE_KEYS_KEY, revision),),
+            (Put(EXCHANGE_KEYS_KEY, keys.in_era(era).encode()),),
+            era,
+        )
--- a/bulrushloom/runtime/http.py
+++ b/bulrushloom/runtime/http.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from datetime import timedelta
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import h11
@@ -28,10 +29,11 @@
 
 
 class Response(NamedTuple):
-    """Complete HTTP response."""
+    """Complete HTTP response; the names of ``headers`` are in lower case."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
 
 class HttpClient:
@@ -48,6 +50,7 @@
         self._pending_response: Future[Response] | None = None
         self._active_request: Future[None] | None = None
         self._status = 0
+        self._headers: Mapping[str, str] = {}
         self._body = bytearray()
 
     def request(
@@ -153,6 +156,10 @@
             event = http.next_event()
             if isinstance(event, h11.Response):
                 self._status = event.status_code
+                self._headers = {
+                    name.decode("latin-1"): value.decode("latin-1")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 self._body += event.data
             elif isinstance(event, h11.EndOfMessage):
@@ -161,7 +168,8 @@
                     http.start_next_cycle()
                 if pending_response is not None:
                     set_result_if_pending(
-                        pending_response, Response(self._status, bytes(self._body))
+                        pending_response,
+                        Response(self._status, bytes(self._body), self._headers),
                     )
                 if http.their_state is h11.MUST_CLOSE:
                     self.close()
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -19,6 +19,7 @@
     StoreFailureKind,
     StoreSnapshot,
 )
+from bulrushloom.proxy.store_eras import era_key
 from bulrushloom.runtime.loop import Loop, set_result_if_pending
 from standins.platform.group import SimulatedGroup
 
@@ -218,6 +219,7 @@
             store.targets(),
             records,
             members,
+            store.era,
         )
 
     def document(self) -> ConfigurationDocument | None:
@@ -236,30 +238,45 @@
         self._store.last_lease_id += 1
         lease_id = self._store.last_lease_id
         self._store.leases[lease_id] = _Lease(ttl, self._loop.now() + ttl)
-        return Lease(lease_id, ttl)
+        return Lease(lease_id, ttl, self._store.era)
 
-    def renew_lease(self, lease_id: int) -> "Future[Lease | StoreFailure]":
-        """Renew a lease."""
-        return self._call(lambda: self._renew(lease_id), writes=True)
+    def renew_lease(
+        self, lease_id: int, era: int = 0
+    ) -> "Future[Lease | StoreFailure]":
+        """Renew a lease; it is lost in a later era."""
+        return self._call(lambda: self._renew(lease_id, era), writes=True)
 
-    def _renew(self, lease_id: int) -> Lease | StoreFailure:
+    def _renew(self, lease_id: int, era: int) -> Lease | StoreFailure:
         self._store.expire()
         lease = self._store.leases.get(lease_id)
         if lease is None:
             return StoreFailure(StoreFailureKind.NO_LEASE, "it has ended")
         renewed = _Lease(lease.ttl, self._loop.now() + lease.ttl)
         self._store.leases[lease_id] = renewed
-        return Lease(lease_id, lease.ttl)
+        if self._store.era != era:
+            return StoreFailure(StoreFailureKind.NO_LEASE, "it is of an earlier era")
+        return Lease(lease_id, lease.ttl, era)
 
-    def revoke_lease(self, lease_id: int) -> "Future[StoreFailure | None]":
+    def revoke_lease(
+        self, lease_id: int, era: int = 0
+    ) -> "Future[StoreFailure | None]":
         """End a lease before it expires."""
         return self._call(lambda: self._store.end_lease(lease_id), writes=True)
 
     def commit(
-        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put]
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put], era: int = 0
     ) -> "Future[int | StoreFailure]":
         """Write all of ``puts`` if all expectations hold, or nothing."""
-        return self._call(lambda: self._store.commit(expected, puts), writes=True)
+        conditions = [*expected, ExpectedRevision(era_key(era + 1), 0)]
+        return self._call(lambda: self._commit(conditions, puts, era), writes=True)
+
+    def _commit(
+        self, expected: Sequence[ExpectedRevision], puts: Sequence[Put], era: int
+    ) -> int | StoreFailure:
+        written = self._store.commit(expected, puts)
+        if self._store.era != era and not isinstance(written, StoreFailure):
+            return StoreFailure(StoreFailureKind.UNKNOWN, "it is another era")
+        return written
 
 
 class PromotionOrder(NamedTuple):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -93,12 +93,13 @@
     server.put_json("op/config", build_document(7))
     wait_for(loop, client.snapshot(True))
     known = client.document()
-    newer = ConfigurationDocument(known.revision + 5, orjson.dumps(build_document(9)))
+    newer = ConfigurationDocument(9, orjson.dumps(build_document(9)))
     assert client.apply_document(newer).version == 9
     assert client.apply_document(known).version == 9
     assert client.document() == newer
-    with pytest.raises(DocumentError):
-        client.apply_document(ConfigurationDocument(known.revision + 9, b"{"))
+    for malformed in (b"{", orjson.dumps(build_document(9))):
+        with pytest.raises(DocumentError):
+            client.apply_document(ConfigurationDocument(11, malformed))
     assert client.document() == newer
 
 
--- a/tests/proxy/exchange/test_codec.py
+++ b/tests/proxy/exchange/test_codec.py
@@ -73,7 +73,7 @@
         usage_by_domain={"north": usage},
         suspected=frozenset({"a"}),
         acknowledged_by_service={"orders": LogPosition(2, 7)},
-        followed_revision_by_service={"orders": 8},
+        followed_version_by_service={"orders": 8},
         leader=leader,
         relay_by_domain={"south": "south-1"},
     )
@@ -88,7 +88,7 @@
     )
     assert report.suspected == {"a"}
     assert report.acknowledged_by_service == {"orders": LogPosition(2, 7)}
-    assert report.followed_revision_by_service == {"orders": 8}
+    assert report.followed_version_by_service == {"orders": 8}
     assert report.leader.name == "south-1"
     assert report.relay_by_domain == {"south": "south-1"}
 
@@ -175,7 +175,8 @@
 @pytest.mark.parametrize(
     "field, value",
     [
-        (0, 2),
+        (0, 1),
+        (0, 3),
         (1, 4),
         (1, True),
         (2, 8),
@@ -194,6 +195,10 @@
         (11, [1, "3"]),
         (14, {"orders": [5, b"value"]}),
         (14, {7: [5, "value"]}),
+        (12, [5, 7]),
+        (12, [5, 7, -1, 0]),
+        (12, [5, 7, 2**21, 0]),
+        (12, [5, 7, 1, 7]),
         (16, ["south"]),
     ],
 )
--- a/tests/proxy/exchange/test_exchange.py
+++ b/tests/proxy/exchange/test_exchange.py
@@ -241,7 +241,7 @@
     domain = exchange.leader_name.partition("-")[0]
     for name, services in exchange.services_by_name.items():
         if name.startswith(domain):
-            assert services.known_revisions() == {SERVICE: 50}
+            assert services.known_versions() == {SERVICE: 50}
     assert not [name for name in exchange.store_readers if name.startswith(domain)]
     # Each relay of another domain reads, since it did not get the announcement.
     assert len(set(exchange.store_readers)) == 5
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -7,6 +7,7 @@
 from itertools import count, cycle
 
 from bulrushloom.core.clock import ManualClock
+from bulrushloom.proxy.era_recovery import EraRecovery
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
 from bulrushloom.proxy.exchange.messages import Member
 from bulrushloom.proxy.failover.group_members import GroupMembersRecorder
@@ -63,6 +64,7 @@
             incarnation,
             self.reader.request_read,
             lambda: self.fleet.has_live_leader(),
+            lambda: self.fleet.keys,
         )
         self.leadership = Leadership(fleet.loop, self.store, fleet.log, candidacy)
         self.fleet = Fleet(
@@ -73,7 +75,7 @@
             ),
             Copier(
                 self.reader.request_read,
-                lambda *_: self.reader.request_read(),
+                self.copy_configuration,
                 self.copy_directory,
             ),
         )
@@ -97,6 +99,30 @@
         fleet.loop.supervise(self.reader.run)
         recorder = GroupMembersRecorder(self.services, self.store, self.leadership)
         fleet.loop.supervise(recorder.run)
+        recovery = EraRecovery(
+            self.services,
+            self.store,
+            self.leadership,
+            self.fleet,
+            status,
+            self.reader.request_read,
+        )
+        fleet.loop.supervise(recovery.run)
+
+    def copy_configuration(self, source, version):
+        """Copy the configuration of another instance after a read of the store."""
+        simulation = self.simulation
+
+        def copy():
+            configuration = simulation.member_by_name[
+                source.name
+            ].services.configuration
+            if frozenset((self.name, source.name)) not in simulation.datagrams.cut:
+                self.reader.apply_configuration(configuration, source.name)
+
+        self.reader.request_read()
+        if self.services.eras.era > 0:
+            self.loop.call_later(ms(12), copy)
 
     def copy_directory(self, source, version, listed_at):
         """Copy the directory of another instance, as the daemons do over HTTP."""
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -330,7 +330,7 @@
         fleet = SimulatedFleet(stack, size=12)
         configured_services = {SERVICE: Service(SERVICE, 453, 1)}
         fleet.store.configuration = fleet.store.configuration._replace(
-            service_by_name=configured_services, revision=2
+            service_by_name=configured_services, version=2
         )
         primary = fleet.group.primary()
         primary.max_connections = 453
@@ -353,7 +353,7 @@
     client.send("QUERY slow-1 WRITE 1 data")
     fleet.run(ms(50))
     member.services.apply_group_records({SERVICE: build_group(revision=50)})
-    assert member.services.followed_revisions().get(SERVICE, 0) < 50
+    assert member.services.followed_versions().get(SERVICE, 0) < 50
     fleet.run(ms(600))
     assert client.received()[-2].startswith("DONE")
-    assert member.services.followed_revisions()[SERVICE] == 50
+    assert member.services.followed_versions()[SERVICE] == 50
--- a/tests/proxy/test_failover_evidence.py
+++ b/tests/proxy/test_failover_evidence.py
@@ -383,7 +383,7 @@
         b'{"service":"s","primary_id":"a","servers":{"a":1}}',
     ]
     for value in members:
-        decode_all_group_members([record(GROUP_MEMBERS_PREFIX + "s", value)])
+        decode_all_group_members([record(GROUP_MEMBERS_PREFIX + "s", value)], 0)
     good = orjson.loads(build_group().encode())
     failures = []
     for change in (
@@ -396,10 +396,14 @@
         {"term": 1e300},
         {"stopped": {"a": [1, None]}, "stopped_born_ms": {"a": 1}},
         {"stopped": [], "stopped_born_ms": []},
+        {"era": 2**40},
+        {"era": -1},
+        {"generation": 2**40},
+        {"generation": "1"},
     ):
         value = orjson.dumps(good | change)
         try:
-            groups = decode_group_records([record(GROUP_PREFIX + "s", value)])
+            groups = decode_group_records([record(GROUP_PREFIX + "s", value)], 0)
         except Exception as error:
             failures.append((change, repr(error)))
         else:
--- a/tests/proxy/test_hot_accounts.py
+++ b/tests/proxy/test_hot_accounts.py
@@ -21,7 +21,7 @@
     """Return a fleet in which one account asks for more than its limit."""
     account = build_account(rate_per_s=10.0, burst=10.0)
     fleet.store.configuration = fleet.store.configuration._replace(
-        account_by_name={account.name: account}, revision=2
+        account_by_name={account.name: account}, version=2
     )
     for member in fleet.members:
         recorder = HotAccountRecorder(member.services, member.store, member.leadership)
@@ -58,7 +58,7 @@
     # were killed 0.2 to 1 s after an account had become hot, before the next record.
     account = build_account(rate_per_s=20.0, burst=10.0)
     fleet.store.configuration = fleet.store.configuration._replace(
-        account_by_name={account.name: account}, revision=2
+        account_by_name={account.name: account}, version=2
     )
     for member in fleet.members:
         recorder = HotAccountRecorder(member.services, member.store, member.leadership)
--- a/tests/proxy/test_partitions.py
+++ b/tests/proxy/test_partitions.py
@@ -287,7 +287,7 @@
         fleet = SimulatedFleet(stack, size=6)
         account = build_account(rate_per_s=20.0, burst=10.0)
         fleet.store.configuration = fleet.store.configuration._replace(
-            account_by_name={account.name: account}, revision=2
+            account_by_name={account.name: account}, version=2
         )
         fleet.run(SECOND * 5)
         admission_times = []
@@ -390,7 +390,7 @@
         copier = writer.fleet._copier._replace(read_store=writer.reader.request_read)
         writer.fleet._copier = copier
         fleet.run(PENDING_COMMIT_TIMEOUT - ms(10))
-        assert SERVICE not in writer.services.followed_revisions()
+        assert SERVICE not in writer.services.followed_versions()
         fleet.run(ms(800) - PENDING_COMMIT_TIMEOUT)
         assert not reads
-        assert writer.services.known_revisions()[SERVICE] == 50
+        assert writer.services.known_versions()[SERVICE] == 50
--- a/tests/proxy/test_replaced_primary.py
+++ b/tests/proxy/test_replaced_primary.py
@@ -54,7 +54,7 @@
         instance.run(ms(2100))
     else:
         announce(instance)
-    assert instance.services.followed_revisions() or with_stale_evidence
+    assert instance.services.followed_versions() or with_stale_evidence
     lines = client.query("COMMIT")
     assert lines[0].startswith("ERR ABORTED")
     assert lines[1].startswith("READY I")
