Ask the servers in each era, and keep draining targets and keys over a return

Cause: a leader asked the servers for a lost promotion only if it believed that no instance ran before the return; a member that had waited out the bound of the configuration looked like one. An entry of the copy made a draining target take new work again. A new leader could replace keys of the exchange that the others knew.

--- a/bulrushloom/proxy/era_recovery.py
+++ b/bulrushloom/proxy/era_recovery.py
@@ -32,7 +32,7 @@
     StoreFailure,
     StoreSnapshot,
 )
-from bulrushloom.proxy.store_eras import SETTLED_VALUE, Knowledge, era_key
+from bulrushloom.proxy.store_eras import SETTLED_VALUE, era_key
 from bulrushloom.runtime.loop import Steps
 
 CHECK_INTERVAL = timedelta(milliseconds=100)
@@ -87,16 +87,6 @@
     def _followed(self, name: str) -> dict[str, int]:
         return dict(self._fleet.report_by_name[name].followed_version_by_service)
 
-    def is_anything_known(self) -> bool:
-        """Return whether an instance in reach ran before the store returned.
-
-        Otherwise all were lost, and only the servers know of lost promotions.
-        """
-        views = [report.view for report in self._fleet.report_by_name.values()]
-        return self._services.eras.has_seen_return or any(
-            view is not None and view.knowledge is not Knowledge.NONE for view in views
-        )
-
 
 class EraRecovery:
     """Writer of the lost records, active while this instance leads an unsettled era."""
@@ -140,10 +130,10 @@
         snapshot = yield self._read_store()
         if isinstance(snapshot, StoreFailure) or snapshot.era != self._leadership.era:
             return
-        if not found.is_anything_known():
-            yield from self._follow_servers()
         restored = yield from self._restore(snapshot)
-        if restored is not None and (yield from self._write_settled(snapshot)):
+        if restored is None or not (yield from self._follow_servers()):
+            return
+        if (yield from self._write_settled(snapshot)):
             self._leadership.is_settled = True
             self._services.eras.settle()
             self._log.write(
@@ -151,7 +141,6 @@
                 era=snapshot.era,
                 restored=restored,
                 unheard=found.unheard(),
-                is_anything_known=found.is_anything_known(),
             )
 
     def _restore(self, snapshot: StoreSnapshot) -> Steps:
@@ -227,41 +216,45 @@
     def _follow_servers(self) -> Steps:
         """Use the primaries of higher terms than the recorded ones, if there are any.
 
-        All instances were lost together with the record of a promotion.
+        All instances that knew of a promotion may have been lost together with its
+        record. Returns whether no write failed.
         """
         for service, group in list(self._services.table.group_by_service.items()):
             if group.phase is not GroupPhase.STEADY:
+                # The failover goes on and asks all servers.
                 continue
-            targets = [
-                known.target for known in self._services.table.targets_of(service)
-            ]
-            statuses = yield from self._status.read_all(targets, None)
-            term_by_id = {
-                target_id: status.term
-                for target_id, status in statuses.items()
-                if status.role is ServerRole.PRIMARY and status.term > group.term
-            }
-            if not term_by_id:
-                continue
-            primary_id = max(term_by_id, key=lambda name: (term_by_id[name], name))
-            self._log.write(
-                "lost_promotion_found",
-                service=service,
-                recorded=group.primary_id,
-                primary=primary_id,
-                term=term_by_id[primary_id],
-            )
-            found = group._replace(
-                primary_id=primary_id,
-                old_id=group.primary_id,
-                term=term_by_id[primary_id],
-                sealed=None,
-                stopped_by_id={},
-                unanswered_by_id={},
-            )
-            yield from self._write_found(found)
+            found = yield from self._find_later_primary(group)
+            if found != group:
+                self._log.write(
+                    "lost_promotion_found",
+                    service=service,
+                    recorded=group.primary_id,
+                    primary=found.primary_id,
+                    term=found.term,
+                )
+                if not (yield from self._write_group(found, group)):
+                    return False
+        return True
 
-    def _write_found(self, group: GroupRecord) -> Steps:
-        """Write a record with a primary that the servers name."""
-        if group.revision_era == self._leadership.era:
-            yield from self._write_group(group, group)
+    def _find_later_primary(self, group: GroupRecord) -> Steps:
+        """Return the record with the primary of the highest term of the servers."""
+        targets = [
+            known.target for known in self._services.table.targets_of(group.service)
+        ]
+        statuses = yield from self._status.read_all(targets, None)
+        term_by_id = {
+            target_id: status.term
+            for target_id, status in statuses.items()
+            if status.role is ServerRole.PRIMARY and status.term > group.term
+        }
+        if not term_by_id:
+            return group
+        primary_id = max(term_by_id, key=lambda name: (term_by_id[name], name))
+        return group._replace(
+            primary_id=primary_id,
+            old_id=group.primary_id,
+            term=term_by_id[primary_id],
+            sealed=None,
+            stopped_by_id={},
+            unanswered_by_id={},
+        )
--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -232,6 +232,7 @@
         self.recorded_members_by_service: dict[str, GroupMembers] = {}
         self._listed_at: timedelta | None = None
         self._uninterrupted_since: timedelta | None = None
+        self._has_returned = False
 
     def is_read_since(self, at: timedelta) -> bool:
         """Return whether the last list of targets was read at ``at`` or later."""
@@ -249,8 +250,9 @@
         return self._listed_at - self._uninterrupted_since >= VANISHED_TARGET_LIFETIME
 
     def note_return_of_store(self) -> None:
-        """Record that the list may lack entries that were written since the copy."""
+        """Record that the next lists may have the entries of an older copy."""
         self._uninterrupted_since = None
+        self._has_returned = True
 
     def update_targets(
         self, target_by_id: Mapping[str, Target], read_at: timedelta
@@ -267,8 +269,9 @@
         if is_interrupted:
             self._uninterrupted_since = read_at
         listed_target_by_id = {}
-        for target_id, target in target_by_id.items():
+        for target_id, entry in target_by_id.items():
             known = self.listed_target_by_id.get(target_id)
+            target = self._newer_entry(entry, known)
             draining_since = known.draining_since if known else None
             if target.is_draining and draining_since is None:
                 draining_since = known.listed_at if known else read_at
@@ -298,6 +301,21 @@
             if target.claims_primary:
                 self._last_claimant_by_service[target.service] = target_id
 
+    def _newer_entry(self, entry: Target, known: KnownTarget | None) -> Target:
+        """Return the known target instead of an entry of the copy that is older.
+
+        Answers a draining server that would get new work for another drain bound after
+        a return of the store, until the server has written its entry again.
+        """
+        if known is None or not self._has_returned or self.is_complete:
+            return entry
+        is_older = entry.born_ms < known.target.born_ms or (
+            entry.born_ms == known.target.born_ms
+            and known.target.is_draining
+            and not entry.is_draining
+        )
+        return known.target if is_older else entry
+
     def _unlisted_since(self, known: KnownTarget, read_at: timedelta) -> timedelta:
         """Return when a target that the read at ``read_at`` lacks became unlisted."""
         assert self._uninterrupted_since is not None
--- a/bulrushloom/proxy/failover/replacement.py
+++ b/bulrushloom/proxy/failover/replacement.py
@@ -152,7 +152,7 @@
         """Search until a server is safe to promote; return the ``Successor``."""
         deadline = self._loop.now() + FAILOVER_TIMEOUT
         while self._loop.now() < deadline:
-            if not self._leadership.is_leader():
+            if not self._leadership.may_decide():
                 raise Abandoned("this instance no longer holds the leader lease")
             found = yield from search.run()
             if not isinstance(found, Missing):
@@ -217,7 +217,7 @@
             group = self._services.table.group_by_service.get(service)
             if group is None or group.phase is not GroupPhase.STEADY:
                 return
-            if group.primary_id != primary_id or not self._leadership.is_leader():
+            if group.primary_id != primary_id or not self._leadership.may_decide():
                 return
             targets = {
                 known.target.target_id: known.target
@@ -341,7 +341,7 @@
             known = self._services.table.listed_target_by_id.get(target_id)
             if known is None:
                 raise Abandoned("the successor is no longer listed")
-            if not self._leadership.is_leader():
+            if not self._leadership.may_decide():
                 raise Abandoned("this instance no longer holds the leader lease")
             status = yield from self._status.read(known.target)
             if not isinstance(status, Missing):
@@ -387,7 +387,7 @@
                 target_id,
                 self._name,
                 self._leadership.fence,
-                self._leadership.is_leader,
+                self._leadership.may_decide,
             )
         finally:
             self.orders_in_flight -= 1
@@ -418,7 +418,7 @@
                 ordered=sorted(ordered_ids),
             )
         while ordered_ids:
-            if not self._leadership.is_leader():
+            if not self._leadership.may_decide():
                 raise Abandoned("this instance no longer holds the leader lease")
             pending_ids = self._orders.pending(service).keys() - {target_id}
             found = map(self._services.table.find_target, {target_id, *ordered_ids})
--- a/bulrushloom/proxy/store_eras.py
+++ b/bulrushloom/proxy/store_eras.py
@@ -112,8 +112,7 @@
       promotion is ordered only after that read is too old, or once the instance has
       confirmed the replacement.
 
-    ``entered_at`` is when this instance learned of the era, ``has_seen_return`` whether
-    it ran in an earlier one.
+    ``entered_at`` is when this instance learned of the era.
     """
 
     def __init__(self, freshness: StoreFreshness):
@@ -123,7 +122,6 @@
         self.era = 0
         self.entered_at = timedelta()
         self.is_settled = True
-        self.has_seen_return = False
 
     def enter(self, era: int, now: timedelta, is_settled: bool) -> bool:
         """Record that the store is in an era; return whether it returned from a copy.
@@ -138,7 +136,6 @@
         previous = Knowledge.NONE if is_first else self.knowledge(now)
         self._has_read = True
         self.era, self.entered_at, self.is_settled = era, now, is_settled
-        self.has_seen_return = not is_first
         if era == 0:
             self._knowledge = Knowledge.CURRENT
             return False
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -55,6 +55,10 @@
 # Instances that are not domain relays become candidates for the leader lease only after
 # this time without a leader.
 FOLLOWER_CANDIDACY_DELAY = timedelta(seconds=3)
+# If the copy from which the store returned lacks the keys of the exchange, instances
+# that know them write them back within this time. With new keys, a leader could not
+# hear what else the copy lacks.
+KEYS_RETURN_TIME = timedelta(seconds=2)
 # Maximum age of the last read before a domain relay reads the store itself. A relayed
 # read takes the interval of the leader and two datagrams.
 MAX_RELAYED_READ_AGE = timedelta(milliseconds=1300)
@@ -191,6 +195,9 @@
         if self._leaderless_since is None:
             self._leaderless_since = snapshot.requested_at
         waited = snapshot.requested_at - self._leaderless_since
+        has_keys = EXCHANGE_KEYS_KEY in snapshot.record_by_key or self._fleet.has_keys
+        if snapshot.era > 0 and not has_keys and waited < KEYS_RETURN_TIME:
+            return False
         return self._fleet.is_domain_relay() or waited >= FOLLOWER_CANDIDACY_DELAY
 
     def _candidacy_delay(self) -> timedelta:
--- a/tests/proxy/test_store_returns.py
+++ b/tests/proxy/test_store_returns.py
@@ -1,10 +1,16 @@
 """Return of the platform's store from a copy, on a simulated fleet."""
 
+from datetime import timedelta
+
+import orjson
 import pytest
 
+from bulrushloom.proxy.exchange.keys import EXCHANGE_KEYS_KEY, new_keys
+from bulrushloom.proxy.failover.confirmations import Announcement, InstanceConfirmations
 from bulrushloom.proxy.failover.groups import GROUP_PREFIX, LEADER_KEY, GroupPhase
+from bulrushloom.proxy.membership import decode_members
 from bulrushloom.proxy.store import ExpectedRevision, Put
-from tests.proxy.builders import SERVICE, ms
+from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.era_builders import (
     KEY,
     OTHER_KEY,
@@ -278,3 +284,97 @@
         for member in fleet.members
     }
     assert records == {fleet.store.record_by_key[f"{GROUP_PREFIX}{SERVICE}"].value}
+
+
+def test_new_leader_learns_what_its_copy_lacks(fleet):
+    # Guards against a leader that has just started and acts on the copy, while the
+    # other instances follow a later promotion and do not reach the store.
+    fail_over(fleet)
+    recover(fleet, "a")
+    run_checked(fleet, SECOND * 3)
+    copy = fleet.store.copy()
+    first = fleet.group.primary().server_id
+    second = fail_over(fleet)
+    recover(fleet, first)
+    run_checked(fleet, SECOND * 3)
+    member = fleet.members[0]
+    fleet.kill(member)
+    return_store(fleet, copy)
+    fleet.store.refused |= {other.name for other in fleet.members}
+    restarted = fleet.restart(member)
+    ordered = len(fleet.promotion.orders)
+    run_checked(fleet, SECOND * 8)
+    assert fleet.leader() is restarted
+    assert primaries(fleet) == {second}
+    assert len(fleet.promotion.orders) == ordered
+    record = fleet.store.record_by_key[f"{GROUP_PREFIX}{SERVICE}"]
+    assert orjson.loads(record.value)["primary_id"] == second
+
+
+def test_failover_waits_for_instances_that_have_not_registered_again(fleet):
+    # Guards against a commit that an instance acknowledges although the failover is
+    # closed: the copy lacks the entry of the instance, so nobody asked it.
+    copy = fleet.store.copy()
+    run_checked(fleet, SECOND)
+    return_store(fleet, copy)
+    # The leader of the earlier era believes in its lease for up to this time.
+    run_checked(fleet, SECOND * 2)
+    fleet.run_until(lambda: fleet.leader() is not None)
+    services = fleet.leader().services
+    announcement = Announcement(timedelta(), timedelta(), frozenset())
+    confirmations = InstanceConfirmations(
+        services, fleet.leader().fleet, build_group(), announcement
+    )
+    while fleet.loop.now() < services.eras.entered_at + ms(3400):
+        assert confirmations.has_unlisted_instance()
+        run_checked(fleet, ms(100))
+    run_checked(fleet, ms(200))
+    assert not confirmations.has_unlisted_instance()
+    assert len(decode_members(fleet.store.record_by_key)) == len(fleet.members)
+
+
+def test_keys_of_the_exchange_that_the_copy_lacks(fleet):
+    # Guards against an instance that starts after the return and is in contact with
+    # nobody, because its copy has keys that the others have dropped.
+    leader = fleet.leader()
+    copy = fleet.store.copy()
+    keys = fleet.store.record_by_key[EXCHANGE_KEYS_KEY]
+    rotated = new_keys(1.0)._replace(generation=7)
+    fleet.store.commit((), (Put(EXCHANGE_KEYS_KEY, rotated.encode()),))
+    for member in fleet.members:
+        member.reader.request_read()
+    run_checked(fleet, SECOND)
+    return_store(fleet, copy)
+    fleet.kill(leader)
+    restarted = fleet.restart(leader)
+    run_checked(fleet, SECOND * 6)
+    assert fleet.store.record_by_key[EXCHANGE_KEYS_KEY].value != keys.value
+    assert {m.fleet.keys.signing_id for m in fleet.members} == {rotated.signing_id}
+    assert len(restarted.fleet.recent_reports(SECOND)) >= 1
+
+
+def test_draining_target_after_the_return(fleet):
+    # Guards against new work for a draining target: the copy says that it is ready.
+    fleet.draining.add("c")
+    run_checked(fleet, SECOND * 8)
+    return_store(fleet, fleet.store.copy())
+    fleet.draining.clear()
+    run_checked(fleet, SECOND)
+    fleet.draining.add("c")
+    now, tables = fleet.loop.now(), [m.services.table for m in fleet.members]
+    assert not any(table.accepts_new_work("c", now) for table in tables)
+    run_checked(fleet, SECOND)
+    assert not any(table.accepts_new_work("c", now) for table in tables)
+
+
+def test_return_costs_no_store_calls_beyond_a_new_election(fleet):
+    # Guards against a fleet that reads and writes the store at a higher rate for long.
+    run_checked(fleet, SECOND * 5)
+    before = fleet.store.calls
+    run_checked(fleet, SECOND * 20)
+    usual = fleet.store.calls - before
+    fleet.store.return_from(fleet.store.copy())
+    run_checked(fleet, SECOND * 10)
+    before = fleet.store.calls
+    run_checked(fleet, SECOND * 20)
+    assert fleet.store.calls - before <= usual * 1.05
