Test the decisions about eras and the client of the store in a return

Guards against records, leases, conditions, cached entries and fencing tokens that are taken over from an earlier era; each decision has a case of its own.

--- /dev/null
+++ b/tests/proxy/test_store_eras.py
@@ -0,0 +1,162 @@
+"""Decisions about the eras of the store."""
+
+from datetime import timedelta
+from types import SimpleNamespace
+
+import pytest
+
+from bulrushloom.proxy.era_recovery import LostRecordsFound
+from bulrushloom.proxy.failover.groups import GroupTable, decode_group
+from bulrushloom.proxy.failover.member_records import GroupMembers
+from bulrushloom.proxy.leadership import _era_puts
+from bulrushloom.proxy.store_eras import (
+    ERA_STRIDE,
+    EraKnowledge,
+    Knowledge,
+    era_of,
+    next_fence,
+)
+from bulrushloom.proxy.store_freshness import StoreFreshness
+from tests.proxy.builders import SERVICE, SETTINGS, build_group, ms
+from tests.proxy.exchange.builders import build_member, build_report
+
+SECOND = timedelta(seconds=1)
+
+
+def build_knowledge(last_read_at=None):
+    """Return the knowledge of an instance that has read era 0, or nothing yet."""
+    freshness = StoreFreshness(SETTINGS)
+    knowledge = EraKnowledge(freshness)
+    if last_read_at is not None:
+        knowledge.enter(0, last_read_at, True)
+        freshness.record_read(last_read_at)
+    return knowledge, freshness
+
+
+def test_era_0_changes_nothing():
+    knowledge, freshness = build_knowledge(SECOND)
+    assert knowledge.knowledge(SECOND) is Knowledge.CURRENT and knowledge.is_settled
+    assert freshness.allows_keys(SECOND * 5) and freshness.allows_primary(SECOND * 3)
+    assert not knowledge.may_lack_members(SECOND)
+
+
+def test_read_of_a_new_era_does_not_extend_the_use_of_keys():
+    # Guards against a key that is served longer than its bound after its withdrawal,
+    # because the copy has it.
+    knowledge, freshness = build_knowledge(SECOND)
+    assert knowledge.enter(1, SECOND * 2.5, False)
+    freshness.record_read(SECOND * 2.5)
+    assert knowledge.knowledge(SECOND * 3) is Knowledge.EARLIER
+    assert freshness.allows_keys(SECOND * 5.4)
+    freshness.record_read(SECOND * 5.4)
+    assert knowledge.knowledge(SECOND * 5.4) is Knowledge.EARLIER
+    knowledge.enter(2, SECOND * 5.4, False)
+    assert not freshness.allows_keys(SECOND * 5.8)
+    knowledge.confirm_configuration()
+    assert freshness.allows_keys(SECOND * 5.8)
+
+
+def test_new_instance_waits_for_the_bound_if_nobody_names_a_configuration():
+    knowledge, freshness = build_knowledge()
+    assert not knowledge.enter(1, SECOND, False)
+    freshness.record_read(SECOND * 4)
+    assert knowledge.knowledge(SECOND * 3.9) is Knowledge.NONE
+    assert not freshness.allows_keys(SECOND * 3.9)
+    assert freshness.allows_keys(SECOND * 4)
+    assert knowledge.knowledge(SECOND * 4) is Knowledge.CURRENT
+
+
+@pytest.mark.parametrize("age, is_allowed", [(1.9, True), (2.1, False)])
+def test_only_a_recent_read_of_the_earlier_era_vouches_for_primaries(age, is_allowed):
+    # Guards against the use of a primary whose replacement the instance has not heard
+    # of, and which the copy lacks.
+    knowledge, freshness = build_knowledge(SECOND)
+    entered_at = SECOND * (1 + age)
+    knowledge.enter(1, entered_at, False)
+    freshness.record_read(entered_at)
+    assert freshness.allows_primary(entered_at) is is_allowed
+    knowledge.enter(1, entered_at, True)
+    assert freshness.allows_primary(entered_at)
+
+
+def test_earlier_side_that_is_seen_late_is_ignored():
+    knowledge, _ = build_knowledge(SECOND)
+    assert knowledge.enter(2, SECOND * 2, False)
+    assert not knowledge.enter(1, SECOND * 3, True)
+    assert knowledge.era == 2 and not knowledge.is_settled
+
+
+def test_fencing_tokens_grow_over_eras():
+    tokens = [0]
+    for era in (0, 0, 1, 1, 4, 4):
+        tokens.append(next_fence(tokens[-1], era))
+    assert tokens == sorted(set(tokens)) and era_of(tokens[-1]) == 4
+    # The copy may lack all tokens of era 1.
+    assert next_fence(tokens[2], 2) > tokens[4]
+    assert tokens[1:3] == [1, 2]
+
+
+def test_leader_that_skipped_eras_writes_the_keys_between():
+    # Guards against a write that was decided in an era without a leader.
+    assert [put.key for put in _era_puts(1, 4)] == [
+        "proxy/eras/2",
+        "proxy/eras/3",
+        "proxy/eras/4",
+    ]
+    assert _era_puts(2, 2) == []
+    assert len(_era_puts(0, 10_000)) < 20
+
+
+def test_records_are_ordered_by_era_and_generation():
+    table = GroupTable(SECOND)
+    written_by_earlier_release = build_group(revision=900)
+    lost = build_group(revision=20, era=1, generation=902, primary_id="b")
+    later = build_group(revision=5, era=2, generation=7, primary_id="c")
+    for group in (written_by_earlier_release, lost, later, lost):
+        table.apply_group_records({SERVICE: group})
+    assert table.group_by_service[SERVICE].primary_id == "c"
+    assert decode_group(later.encode(), 5) == later._replace(revision_era=2)
+    # The same record gets the revision that it has in a later era.
+    table.apply_group_records({SERVICE: later._replace(revision=3, revision_era=3)})
+    assert table.group_by_service[SERVICE].revision == 3
+
+
+def test_members_of_a_group_are_ordered_in_the_same_way():
+    table = GroupTable(SECOND)
+    assert table.record_members(GroupMembers(SERVICE, "a", {}, 50))
+    assert table.record_members(GroupMembers(SERVICE, "b", {}, 9, 1, 51, 1))
+    assert not table.record_members(GroupMembers(SERVICE, "a", {}, 70))
+
+
+def test_leader_waits_for_the_records_of_the_members():
+    # Guards against a leader that acts on the copy although a member could have told
+    # it of a promotion.
+    now, version = SECOND * 10, ERA_STRIDE
+    services = SimpleNamespace(
+        loop=SimpleNamespace(now=lambda: now),
+        eras=SimpleNamespace(entered_at=SECOND * 9),
+        known_versions=lambda: {SERVICE: version},
+    )
+    names = ("north-1", "north-2")
+    fleet = SimpleNamespace(
+        peers_by_name={name: build_member(name) for name in names}, report_by_name={}
+    )
+    found = LostRecordsFound(services, fleet)
+
+    def report(name, followed):
+        fleet.report_by_name[name] = build_report(
+            name, 1, now=now, followed_version_by_service={SERVICE: followed}
+        )
+
+    report("north-1", version)
+    assert found.unheard() == list(names), "a report from before the question"
+    now += ms(950)
+    report("north-1", version)
+    report("north-2", version)
+    assert not found.unheard() and not found.is_complete(), "a lease may be valid"
+    now += ms(100)
+    assert found.is_complete()
+    report("north-2", version + 1)
+    assert found.unheard() == ["north-2"] and not found.is_complete()
+    now += SECOND
+    assert found.is_complete(), "it is out of reach"
