Let the soak test return the store from a copy

Change: a fault takes a copy, refuses calls after its duration and returns the store from the copy; another one kills all daemons at that moment. They are in version 4 of the plan, also beside a failover; the plans of version 3 now have a digest as those of 1 and 2.

--- a/soak/operators.py
+++ b/soak/operators.py
@@ -75,6 +75,7 @@
         self._rng = rng
         self._has_moving_keys = has_moving_keys
         self._version = 1
+        self._changes: dict[str, Any] = {}
         self._account_by_key = {
             STEADY_KEY: "hotel",
             ROTATED_KEY: "hotel",
@@ -149,9 +150,14 @@
                 self._account(OTHER_ACCOUNT, 60, 10),
             ]
         routes = list(self._routes.values())
-        self._platform.configure(self._version, Routes=routes, Tenants=accounts)
+        self._changes = {"Routes": routes, "Tenants": accounts}
+        self.repeat()
         self.configurations.record(self._platform.loop.now(), routes, accounts)
 
+    def repeat(self) -> None:
+        """Write the latest configuration again, which the store may have lost."""
+        self._platform.configure(self._version, **self._changes)
+
     def _account(self, name: str, rate_per_s: int, burst: int) -> dict[str, Any]:
         keys = [key for key, account in self._account_by_key.items() if account == name]
         return {"Name": name, "ApiKeys": keys, "RatePerS": rate_per_s, "Burst": burst}
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -40,8 +40,9 @@
     Terminate,
     WithdrawKey,
 )
+from soak.store_faults import ReturnFromCopy, ReturnWithoutInstances
 
-CURRENT_VERSION = 3
+CURRENT_VERSION = 4
 FIRST_VERSION_WITH_MOVING_KEYS = 3
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
 FIRST_KINDS: tuple[type[Fault], ...] = (
@@ -85,12 +86,18 @@
     ChangeRoute,
     MoveKeysDuringOutage,
 )
-KINDS = tuple(dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS + CHANGE_KINDS))
+RETURN_KINDS: tuple[type[Fault], ...] = (ReturnFromCopy, ReturnWithoutInstances)
+KINDS = tuple(
+    dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS + CHANGE_KINDS + RETURN_KINDS)
+)
 # Probabilities of a fault from ``GROUP_KINDS`` or, from version 3 on, ``CHANGE_KINDS``,
-# and of each companion of a cause.
+# and of each companion of a cause. From version 4 on, the same of a return of the store
+# from a copy, and of one beside a cause.
 GROUP_SHARE = 0.5
 CHANGE_SHARE = 0.3
 COMPANION_SHARE = 0.5
+RETURN_SHARE = 0.15
+RETURN_COMPANION_SHARE = 0.3
 
 
 class PlannedFault(NamedTuple):
@@ -120,6 +127,11 @@
             ]
         if version > 2 and kind in CAUSES:
             plan.append(PlannedFault(at, ChangeKeys, timedelta(seconds=MAX_DURATION_S)))
+        is_return_due = version > 3 and kind in CAUSES
+        if is_return_due and rng.random() < RETURN_COMPANION_SHARE:
+            age = timedelta(seconds=rng.uniform(MIN_DURATION_S, MAX_DURATION_S))
+            started_at = max(at - age + duration * rng.random(), timedelta())
+            plan.append(PlannedFault(started_at, ReturnFromCopy, age))
     return sorted(plan, key=lambda entry: entry.at)
 
 
@@ -139,8 +151,15 @@
     return _choose_kind(rng)
 
 
+def _choose_kind_or_return(rng: random.Random) -> type[Fault]:
+    if rng.random() < RETURN_SHARE:
+        return rng.choice(RETURN_KINDS)
+    return _choose_kind_or_change(rng)
+
+
 _CHOICE_BY_VERSION = {
     1: _choose_first_kind,
     2: _choose_kind,
     3: _choose_kind_or_change,
+    4: _choose_kind_or_return,
 }
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -17,7 +17,7 @@
 from bulrushloom.runtime.streams import Listener, split_address
 from standins.platform.documents import build_document, build_entry
 from standins.platform.group import SimulatedGroup, SimulatedServer
-from standins.platform.kv_server import KeyValueServer
+from standins.platform.kv_server import KeyValueServer, StoreCopy
 from standins.ports import free_ports
 
 SERVICE = "orders"
@@ -142,6 +142,22 @@
         """Write a configuration document to the store, as operators do."""
         self.store.put_json("op/config", build_document(version, **changes))
 
+    def return_store(self, copy: StoreCopy) -> None:
+        """Let the store return from a copy; servers that run write their entries again.
+
+        Entries of servers that no longer run expire.
+        """
+        self.store.return_from(copy)
+        self.write_server_entries()
+        self.loop.call_later(ENTRY_LIFETIME, self._expire_entries_of_absent_servers)
+
+    def _expire_entries_of_absent_servers(self) -> None:
+        present = self.group.server_by_id.keys() - self.crashed_ids
+        for key in list(self.store.item_by_key):
+            prefix, _, server_id = key.partition("/")
+            if prefix == "servers" and server_id not in present:
+                del self.store.item_by_key[key]
+
     def send_heartbeats(self) -> None:
         """Write the entries of all servers now and at each heartbeat interval."""
         self.write_server_entries()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -31,6 +31,7 @@
     [
         (1, "6a8004697851ea01cdc99e0090b66970668aa553fc2c9a933538b3dc5c89c0a3"),
         (2, "fa2d3e3b315d7c47e8af4b608534829d3f048d653e70ad606e3b0a7a986603b8"),
+        (3, "3d4e09bc5241a8d0a6f773602005bf36a6746d1f9c68dcf086c1788a3622d6f6"),
     ],
 )
 def test_plans_of_recorded_seeds_do_not_change(version, expected):
