--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -25,7 +25,12 @@
 from bulrushloom.proxy.failover.groups import LEADER_KEY, decode_group_records
 from bulrushloom.proxy.failover.member_records import decode_all_group_members
 from bulrushloom.proxy.hot_accounts import decode_hot_accounts
-from bulrushloom.proxy.leadership import RANK_DELAY, Leadership, decode_holder
+from bulrushloom.proxy.leadership import (
+    LEASE_TTL,
+    RANK_DELAY,
+    Leadership,
+    decode_holder,
+)
 from bulrushloom.proxy.membership import decode_members
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
@@ -55,10 +60,6 @@
 # Instances that are not domain relays become candidates for the leader lease only after
 # this time without a leader.
 FOLLOWER_CANDIDACY_DELAY = timedelta(seconds=3)
-# If the copy from which the store returned lacks the keys of the exchange, instances
-# that know them write them back within this time. With new keys, a leader could not
-# hear what else the copy lacks.
-KEYS_RETURN_TIME = timedelta(seconds=2)
 # Maximum age of the last read before a domain relay reads the store itself. A relayed
 # read takes the interval of the leader and two datagrams.
 MAX_RELAYED_READ_AGE = timedelta(milliseconds=1300)
@@ -195,8 +196,10 @@
         if self._leaderless_since is None:
             self._leaderless_since = snapshot.requested_at
         waited = snapshot.requested_at - self._leaderless_since
-        has_keys = EXCHANGE_KEYS_KEY in snapshot.record_by_key or self._fleet.has_keys
-        if snapshot.era > 0 and not has_keys and waited < KEYS_RETURN_TIME:
+        eras = self._services.eras
+        if not eras.is_settled and self._loop.now() < eras.entered_at + LEASE_TTL:
+            # The leader of the earlier era may still believe in its lease. Meanwhile,
+            # instances write back keys of the exchange that the copy lacks.
             return False
         return self._fleet.is_domain_relay() or waited >= FOLLOWER_CANDIDACY_DELAY
 
--- a/tests/proxy/test_store_returns.py
+++ b/tests/proxy/test_store_returns.py
@@ -378,3 +378,24 @@
     before = fleet.store.calls
     run_checked(fleet, SECOND * 20)
     assert fleet.store.calls - before <= usual * 1.05
+
+
+def test_leader_of_the_earlier_era_that_does_not_hear_of_the_return(fleet):
+    # Guards against two leaders: the copy lacks the lease of one that is cut off from
+    # the store, and believes in its lease until that has expired.
+    fleet.store.end_lease(fleet.store.record_by_key[LEADER_KEY].lease_id)
+    copy = fleet.store.copy()
+    fleet.run_until(lambda: LEADER_KEY in fleet.store.record_by_key, SECOND * 8)
+    run_checked(fleet, SECOND)
+    leader = fleet.leader()
+    fleet.store.refused.add(leader.name)
+    for member in fleet.members:
+        fleet.datagrams.cut.add(frozenset((leader.name, member.name)))
+    others = [member for member in fleet.members if member is not leader]
+    for member in others:
+        fleet.kill(member)
+    return_store(fleet, copy, outage=ms(20))
+    for member in others:
+        fleet.restart(member)
+    run_checked(fleet, SECOND * 6)
+    assert fleet.leader() not in (None, leader)
