--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -311,6 +311,7 @@
         gauges["server_connections"] = self.services.pool.size()
         gauges["server_connections_opened"] = self.services.pool.opened
         gauges["store_calls"] = self._store.calls
+        gauges["store_era"] = self.services.eras.era
         gauges["members"] = self.services.member_count
         gauges["gossip_bytes"] = self.fleet.sent_bytes
         gauges["gossip_datagrams"] = self.fleet.sent_count
