Give up a candidacy of an earlier era; assume that hot accounts are not recorded

After a loss of all instances together with a return, a record of hot accounts is some seconds old, so an account could use its limit twice. Change: the lease is acquired only in the era of the decision; instances that start in an unsettled era assume that every account has used its limit.

--- a/bulrushloom/proxy/leadership.py
+++ b/bulrushloom/proxy/leadership.py
@@ -143,7 +143,7 @@
         if self._is_acquiring or self._lease is not None:
             return
         self._is_acquiring = True
-        self._loop.spawn(self._acquire(delay))
+        self._loop.spawn(self._acquire(delay, snapshot.era))
 
     def revoke_predecessor_lease(self, snapshot: StoreSnapshot) -> None:
         """Revoke the lease of the previous incarnation of this instance.
@@ -175,7 +175,11 @@
         if failure is None:
             yield self._candidacy.read_store()
 
-    def _acquire(self, delay: timedelta) -> Steps:
+    def _acquire(self, delay: timedelta, era: int) -> Steps:
+        """Acquire the lease, unless ``era`` ends meanwhile.
+
+        In the next era, a candidate has to wait for the lease of the earlier leader.
+        """
         try:
             yield self._loop.sleep(min(delay, MAX_CANDIDACY_DELAY))
             if self._candidacy.has_live_leader():
@@ -185,7 +189,7 @@
             if isinstance(snapshot, StoreFailure):
                 self._log.write("leader_not_acquired", reason=snapshot.reason)
                 return
-            if LEADER_KEY in snapshot.record_by_key:
+            if LEADER_KEY in snapshot.record_by_key or snapshot.era != era:
                 return
             requested_at = self._loop.now()
             lease = yield self._store.create_lease(LEASE_TTL)
@@ -194,7 +198,7 @@
             if isinstance(lease, StoreFailure):
                 self._log.write("leader_not_acquired", reason=lease.reason)
                 return
-            if lease.era != snapshot.era:
+            if lease.era != era:
                 reason = "the store returned from a copy"
                 self._log.write("leader_not_acquired", reason=reason)
                 return
--- a/bulrushloom/proxy/limits.py
+++ b/bulrushloom/proxy/limits.py
@@ -215,12 +215,18 @@
         self._next_reference = UsageSnapshot(started_at, {})
         self.member_count = 1
         self._recorded_usage_by_account: dict[str, float] = {}
+        self._is_record_outdated = False
 
     def load_recorded_usage(
-        self, recorded_usage_by_account: Mapping[str, float]
+        self, recorded_usage_by_account: Mapping[str, float], is_outdated: bool = False
     ) -> None:
-        """Load the usage that was recorded in the store before this process started."""
+        """Load the usage that was recorded in the store before this process started.
+
+        The record ``is_outdated`` if the store returned from a copy. Each account may
+        then have used its whole limit.
+        """
         self._recorded_usage_by_account = dict(recorded_usage_by_account)
+        self._is_record_outdated = is_outdated
 
     def hot_usage(
         self, accounts: Iterable[Account], horizon: timedelta, now: timedelta
@@ -482,7 +488,7 @@
         is_starting = self._observed_fraction(now) < 1.0
         if not is_starting or reachable_count >= self.member_count:
             return 0.0
-        if account.name in self._recorded_usage_by_account:
+        if account.name in self._recorded_usage_by_account or self._is_record_outdated:
             return 0.0
         own_part = self._window_limit(account, now) / self.member_count
         used = self._state(account, now).reserved
@@ -520,9 +526,10 @@
         usage that the store recorded before the start, or by an assumed usage.
         """
         limit = self._full_limit(account)
-        recorded = self._recorded_usage_by_account.get(
-            account.name, limit * HOT_ACCOUNT_SHARE
-        )
+        assumed = limit if self._is_record_outdated else limit * HOT_ACCOUNT_SHARE
+        recorded = self._recorded_usage_by_account.get(account.name, assumed)
+        if self._is_record_outdated:
+            recorded = max(recorded, assumed)
         start = max(limit - recorded, limit * MIN_START_FRACTION)
         return start + (limit - start) * self._observed_fraction(now)
 
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -314,7 +314,9 @@
             self._fleet.keep_members()
         if not services.configuration.version:
             hot_accounts = decode_hot_accounts(snapshot.record_by_key)
-            services.limiter.load_recorded_usage(hot_accounts)
+            services.limiter.load_recorded_usage(
+                hot_accounts, is_outdated=not services.eras.is_settled
+            )
             self._log.write("limits_started", noted=hot_accounts)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, "store")
--- a/tests/proxy/test_hot_accounts.py
+++ b/tests/proxy/test_hot_accounts.py
@@ -100,3 +100,21 @@
 def test_malformed_record_counts_as_empty(value):
     record = Record(HOT_ACCOUNTS_KEY, value, 1)
     assert decode_hot_accounts({HOT_ACCOUNTS_KEY: record}) == {}
+
+
+def test_record_of_a_copy_does_not_show_the_accounts_that_are_hot():
+    # Guards against an account that uses its limit twice in a window: all instances
+    # were lost together with the record that it is hot.
+    account = build_account(rate_per_s=20.0, burst=10.0)
+    window = RateWindow(SECOND * 5, 0.1, 20.0)
+    admitted = {False: 0, True: 0}
+    for is_outdated in admitted:
+        limiter, now = AccountLimiter(window, timedelta()), timedelta()
+        limiter.member_count = 3
+        limiter.load_recorded_usage({}, is_outdated)
+        while now < SECOND * 0.25:
+            limiter.record_demand(account, now)
+            admitted[is_outdated] += limiter.try_admit(account, now) <= timedelta()
+            now += timedelta(milliseconds=5)
+    left_the_window = 141 * 0.25 / 5
+    assert admitted[True] * 3 <= left_the_window < admitted[False] * 3
--- a/tests/proxy/test_store_returns.py
+++ b/tests/proxy/test_store_returns.py
@@ -399,3 +399,26 @@
         fleet.restart(member)
     run_checked(fleet, SECOND * 6)
     assert fleet.leader() not in (None, leader)
+
+
+def test_candidate_of_an_earlier_era_does_not_acquire_the_lease(fleet):
+    # Guards against two leaders: a candidate decided before the return that the lease
+    # is free, and reads the store again just before it acquires the lease.
+    leader, candidate = fleet.leader(), fleet.members[0]
+    if candidate is leader:
+        candidate = fleet.members[1]
+    fleet.store.end_lease(fleet.store.record_by_key[LEADER_KEY].lease_id)
+    snapshot = candidate.store.snapshot(True)
+    fleet.run(ms(10))
+    candidate.leadership.try_acquire(snapshot.result(), ms(100))
+    for member in list(fleet.members):
+        if member is not candidate:
+            fleet.kill(member)
+    candidate.fleet.report_by_name.clear()
+    candidate.fleet._sightings.leader = None
+    fleet.store.return_from(fleet.store.copy())
+    for _ in range(95):
+        run_checked(fleet, ms(20))
+        assert not candidate.leadership.is_leader()
+    run_checked(fleet, SECOND * 3)
+    assert fleet.leader() is candidate
