Report an instance as not ready while it may know an older configuration

Cause: an instance that starts after a return refuses keys until it has heard which configuration is the newest; the balancer sent it callers meanwhile.

--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -34,6 +34,7 @@
     STOP_REASON,
     StopPlan,
 )
+from bulrushloom.proxy.store_eras import Knowledge
 from bulrushloom.proxy.store_reader import DIRECTORY_PATH, DOCUMENT_PATH, StoreReader
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.http import HttpServer
@@ -293,6 +294,8 @@
             return "no configuration yet"
         if not services.store_freshness.allows_readiness(self._loop.now()):
             return "the store has not answered lately"
+        if services.eras.knowledge(self._loop.now()) is Knowledge.NONE:
+            return "the newest configuration is not known yet"
         if self._cut_off_since is not None:
             return "neither the store nor another domain is heard"
         return ""
--- a/tests/proxy/test_node.py
+++ b/tests/proxy/test_node.py
@@ -1,4 +1,4 @@
-"""Reload of the settings of an instance."""
+"""Reload of the settings of an instance, and its readiness."""
 
 from contextlib import ExitStack
 
@@ -9,6 +9,7 @@
 from bulrushloom.proxy import node as node_module
 from bulrushloom.proxy.node import Node
 from bulrushloom.runtime.loop import Loop
+from tests.proxy.builders import build_configuration
 from tests.proxy.test_settings import VALID
 
 
@@ -53,3 +54,16 @@
     last = node.log.last
     assert (last["changed"], last["needs_restart"]) == (changed, needs_restart)
     assert node.settings.domain == "north"
+
+
+def test_instance_that_may_know_an_older_configuration_is_not_ready(node_and_path):
+    # Guards against callers that are sent to an instance which refuses their keys,
+    # because it started after the store had returned from a copy.
+    node, _ = node_and_path
+    now, services = node._loop.now(), node.services
+    services.configuration = build_configuration()
+    services.enter_era(1, is_settled=True)
+    services.store_freshness.record_read(now)
+    assert "configuration" in node._not_ready_reason()
+    services.eras.confirm_configuration()
+    assert node._not_ready_reason() == ""
