Hold keys from the last read of the era before

Cause: after the bound of one era had passed without a confirmation, the next return counted keys from the read before the first one, so all keys were refused for up to the bound. Result: the extended test fails without it.

--- a/bulrushloom/proxy/store_eras.py
+++ b/bulrushloom/proxy/store_eras.py
@@ -140,7 +140,8 @@
             self._knowledge = Knowledge.CURRENT
             return False
         self._knowledge = min(previous, Knowledge.EARLIER)
-        self._freshness.hold_keys(now + self._freshness.settings.configuration_bound)
+        bound = self._freshness.settings.configuration_bound
+        self._freshness.hold_keys(now, now + bound)
         if is_settled:
             self._freshness.release_primaries()
         elif self._freshness.primaries_age(now) > MAX_PRIMARY_AGE:
--- a/bulrushloom/proxy/store_freshness.py
+++ b/bulrushloom/proxy/store_freshness.py
@@ -49,9 +49,9 @@
         """Return the time since the last successful read was sent."""
         return now - self.last_read_at
 
-    def hold_keys(self, until: timedelta) -> None:
+    def hold_keys(self, now: timedelta, until: timedelta) -> None:
         """Let later reads not count for keys before ``until``."""
-        if self._keys_held_at is None:
+        if not self.holds_keys(now):
             self._keys_held_at = self.last_read_at
         self._keys_held_until = until
 
--- a/tests/proxy/test_store_eras.py
+++ b/tests/proxy/test_store_eras.py
@@ -64,6 +64,10 @@
     assert not freshness.allows_keys(SECOND * 3.9)
     assert freshness.allows_keys(SECOND * 4)
     assert knowledge.knowledge(SECOND * 4) is Knowledge.CURRENT
+    # The bound of one era says nothing about reads before the next one.
+    freshness.record_read(SECOND * 60)
+    knowledge.enter(2, SECOND * 60, False)
+    assert freshness.allows_keys(SECOND * 60)
 
 
 @pytest.mark.parametrize("age, is_allowed", [(1.9, True), (2.1, False)])
