Find a lost promotion also if the promoted server is away

Cause: after a loss of all instances together with the record of a promotion, the leader asked the servers while the promoted one was down. Change: a recorded primary that is a replica, or a server that follows a higher term, leads to a failover with every server as a candidate.

--- a/bulrushloom/proxy/era_recovery.py
+++ b/bulrushloom/proxy/era_recovery.py
@@ -3,7 +3,7 @@
 Until that is done, the leader starts no failover and writes no group record.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from datetime import timedelta
 from typing import Any
@@ -22,7 +22,7 @@
     encode_group_members,
 )
 from bulrushloom.proxy.leadership import LEASE_TTL, Leadership
-from bulrushloom.proxy.messages import ServerRole
+from bulrushloom.proxy.messages import ServerRole, ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
@@ -88,6 +88,50 @@
         return dict(self._fleet.report_by_name[name].followed_version_by_service)
 
 
+def later_record(
+    group: GroupRecord, status_by_id: Mapping[str, ServerStatus]
+) -> GroupRecord:
+    """Return what the servers know of the primary, if the record is outdated.
+
+    Answers the loss of a promotion together with all instances that knew of it. If the
+    latest primary does not answer, the record says that it is being replaced; who it
+    was is not known, so every server is a candidate.
+    """
+    recorded = status_by_id.get(group.primary_id)
+    terms = [status.term for status in status_by_id.values()]
+    latest_term = max(terms, default=group.term)
+    if recorded is None and latest_term <= group.term:
+        return group
+    if leads(recorded, latest_term):
+        return group
+    paused_terms = [status.paused_term for status in status_by_id.values()]
+    found = group._replace(
+        phase=GroupPhase.REPLACING,
+        primary_id="",
+        old_id="",
+        term=max(latest_term, group.term, *paused_terms) + 1,
+        sealed=None,
+        stopped_by_id={},
+        unanswered_by_id={},
+    )
+    for target_id, status in sorted(status_by_id.items()):
+        if status.term > group.term and leads(status, latest_term):
+            found = found._replace(
+                phase=GroupPhase.STEADY,
+                primary_id=target_id,
+                old_id=group.primary_id,
+                term=latest_term,
+            )
+    return found
+
+
+def leads(status: ServerStatus | None, term: int) -> bool:
+    """Return whether a server is a primary of at least a term."""
+    return (
+        status is not None and status.role is ServerRole.PRIMARY and status.term >= term
+    )
+
+
 class EraRecovery:
     """Writer of the lost records, active while this instance leads an unsettled era."""
 
@@ -214,7 +258,7 @@
         return written
 
     def _follow_servers(self) -> Steps:
-        """Use the primaries of higher terms than the recorded ones, if there are any.
+        """Correct the recorded primaries that the servers have replaced since.
 
         All instances that knew of a promotion may have been lost together with its
         record. Returns whether no write failed.
@@ -223,7 +267,11 @@
             if group.phase is not GroupPhase.STEADY:
                 # The failover goes on and asks all servers.
                 continue
-            found = yield from self._find_later_primary(group)
+            targets = self._services.table.targets_of(service)
+            statuses = yield from self._status.read_all(
+                [known.target for known in targets], None
+            )
+            found = later_record(group, statuses)
             if found != group:
                 self._log.write(
                     "lost_promotion_found",
@@ -235,26 +283,3 @@
                 if not (yield from self._write_group(found, group)):
                     return False
         return True
-
-    def _find_later_primary(self, group: GroupRecord) -> Steps:
-        """Return the record with the primary of the highest term of the servers."""
-        targets = [
-            known.target for known in self._services.table.targets_of(group.service)
-        ]
-        statuses = yield from self._status.read_all(targets, None)
-        term_by_id = {
-            target_id: status.term
-            for target_id, status in statuses.items()
-            if status.role is ServerRole.PRIMARY and status.term > group.term
-        }
-        if not term_by_id:
-            return group
-        primary_id = max(term_by_id, key=lambda name: (term_by_id[name], name))
-        return group._replace(
-            primary_id=primary_id,
-            old_id=group.primary_id,
-            term=term_by_id[primary_id],
-            sealed=None,
-            stopped_by_id={},
-            unanswered_by_id={},
-        )
--- a/tests/proxy/test_store_eras.py
+++ b/tests/proxy/test_store_eras.py
@@ -5,10 +5,11 @@
 
 import pytest
 
-from bulrushloom.proxy.era_recovery import LostRecordsFound
-from bulrushloom.proxy.failover.groups import GroupTable, decode_group
+from bulrushloom.proxy.era_recovery import LostRecordsFound, later_record
+from bulrushloom.proxy.failover.groups import GroupPhase, GroupTable, decode_group
 from bulrushloom.proxy.failover.member_records import GroupMembers
 from bulrushloom.proxy.leadership import _era_puts
+from bulrushloom.proxy.messages import ServerRole
 from bulrushloom.proxy.store_eras import (
     ERA_STRIDE,
     EraKnowledge,
@@ -19,8 +20,10 @@
 from bulrushloom.proxy.store_freshness import StoreFreshness
 from tests.proxy.builders import SERVICE, SETTINGS, build_group, ms
 from tests.proxy.exchange.builders import build_member, build_report
+from tests.proxy.test_decisions import build_status
 
 SECOND = timedelta(seconds=1)
+REPLACED = GroupPhase.REPLACING, ""
 
 
 def build_knowledge(last_read_at=None):
@@ -164,3 +167,36 @@
     assert found.unheard() == ["north-2"] and not found.is_complete()
     now += SECOND
     assert found.is_complete(), "it is out of reach"
+
+
+def primary(term):
+    return build_status(5, term, ServerRole.PRIMARY)
+
+
+@pytest.mark.parametrize(
+    "status_by_id, phase, primary_id, term",
+    [
+        ({}, GroupPhase.STEADY, "a", 2),
+        ({"a": primary(2), "b": build_status(5, 2)}, GroupPhase.STEADY, "a", 2),
+        # An order to promote that was executed twice raises the term once more.
+        ({"a": primary(3), "b": build_status(5, 3)}, GroupPhase.STEADY, "a", 2),
+        ({"b": build_status(5, 2)}, GroupPhase.STEADY, "a", 2),
+        ({"a": build_status(5, 3), "b": primary(3)}, GroupPhase.STEADY, "b", 3),
+        ({"a": primary(2), "b": primary(3)}, GroupPhase.STEADY, "b", 3),
+        # The latest primary does not answer.
+        ({"a": build_status(5, 3), "c": build_status(5, 3)}, *REPLACED, 4),
+        ({"a": primary(2), "c": build_status(5, 3)}, *REPLACED, 4),
+        ({"c": build_status(5, 3, held_term=6)}, *REPLACED, 7),
+        # The recorded primary was told to step down.
+        ({"a": build_status(5, 2), "b": build_status(5, 2)}, *REPLACED, 3),
+    ],
+)
+def test_servers_show_that_the_record_is_outdated(
+    status_by_id, phase, primary_id, term
+):
+    # Guards against a service whose recorded primary is a replica, for good: the one
+    # that replaced it was away when the servers were asked.
+    steady = build_group(phase=GroupPhase.STEADY, primary_id="a", old_id="", term=2)
+    found = later_record(steady, status_by_id)
+    assert (found.phase, found.primary_id, found.term) == (phase, primary_id, term)
+    assert (found == steady) is (term == 2)
