--- a/bulrushloom/proxy/exchange/codec.py
+++ b/bulrushloom/proxy/exchange/codec.py
@@ -46,9 +46,10 @@
 )
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.positions import PositionSample
+from bulrushloom.proxy.store_eras import Knowledge
 from bulrushloom.runtime.streams import split_address
 
-WIRE_VERSION = 1
+WIRE_VERSION = 2
 MAX_DATAGRAM_BYTES = 60_000
 # First byte of a body that zlib compressed; the others start with an array of msgpack.
 _COMPRESSED = b"\x78"
@@ -65,6 +66,8 @@
 _FLAG_LEFT = 4
 _FLAG_URGENT = 8
 _ALL_FLAGS = 15
+# Added to the number of ``Knowledge`` in ``WireView.state``.
+_SETTLED = 4
 
 Microseconds = Annotated[int, Meta(ge=0, le=2**53)]
 SmallMap = Meta(max_length=2_000)
@@ -100,7 +103,9 @@
     """Encoded ``StoreView``."""
 
     age_ms: Milliseconds
-    configuration_revision: Count
+    configuration_version: Count
+    era: Annotated[int, Meta(ge=0, le=2**20)]
+    state: Annotated[int, Meta(ge=0, le=_SETTLED + int(max(Knowledge)))]
 
 
 class WireNamedAge(NamedTuple):
@@ -282,16 +287,12 @@
                 for service, position in wire.acknowledged.items()
             },
             suspected=frozenset(wire.suspected),
-            view=wire.view
-            and StoreView(
-                sent_at - wire.view.age_ms * _MILLISECOND,
-                wire.view.configuration_revision,
-            ),
+            view=wire.view and _to_view(wire.view, sent_at),
             directory=wire.directory
             and DirectoryVersion(
                 sent_at - wire.directory.age_ms * _MILLISECOND, wire.directory.name
             ),
-            followed_revision_by_service=wire.followed,
+            followed_version_by_service=wire.followed,
             group_by_service=groups,
             leader=leader
             and LeaderSighting(leader.name, now - leader.age_ms * _MILLISECOND),
@@ -352,6 +353,25 @@
     return sent_at
 
 
+def _to_view(wire: WireView, sent_at: timedelta) -> StoreView:
+    return StoreView(
+        sent_at - wire.age_ms * _MILLISECOND,
+        wire.configuration_version,
+        wire.era,
+        Knowledge(min(wire.state % _SETTLED, max(Knowledge))),
+        wire.state >= _SETTLED,
+    )
+
+
+def _to_wire_view(view: StoreView, now: timedelta) -> WireView:
+    return WireView(
+        age_ms(now, view.last_read_at),
+        view.configuration_version,
+        view.era,
+        view.knowledge + _SETTLED * view.is_settled,
+    )
+
+
 def _to_wire(report: Report, echo: dict[str, WireEcho], now: timedelta) -> WireReport:
     flags = _FLAG_RELAY if report.is_domain_relay else 0
     flags |= _FLAG_LEADER if report.is_leader else 0
@@ -380,11 +400,10 @@
             for service, position in report.acknowledged_by_service.items()
         },
         suspected=list(report.suspected),
-        view=view
-        and WireView(age_ms(now, view.last_read_at), view.configuration_revision),
+        view=view and _to_wire_view(view, now),
         directory=directory
         and WireNamedAge(directory.version, age_ms(now, directory.listed_at)),
-        followed=dict(report.followed_revision_by_service),
+        followed=dict(report.followed_version_by_service),
         groups=dict(report.group_by_service),
         leader=leader and WireNamedAge(leader.name, age_ms(now, leader.seen_at)),
         relays=dict(report.relay_by_domain),
--- a/bulrushloom/proxy/exchange/fleet_members.py
+++ b/bulrushloom/proxy/exchange/fleet_members.py
@@ -95,6 +95,11 @@
         """Return whether datagrams can be signed and verified."""
         return self._codec.keys is not None
 
+    @property
+    def keys(self) -> ExchangeKeys | None:
+        """Return the keys, ``None`` until they were read from the store."""
+        return self._codec.keys
+
     def set_keys(self, keys: ExchangeKeys) -> None:
         """Use the keys that were read from the store."""
         self._codec.keys = keys
@@ -104,6 +109,13 @@
         """Return the latest known directory."""
         return self._directory
 
+    def keep_members(self) -> None:
+        """Keep all members although the store may not list them.
+
+        After a return of the store from a copy, they have to register again.
+        """
+        self._kept_members_until = self._loop.now() + REPORTING_MEMBER_LIFETIME
+
     def update_directory(self, directory: Directory) -> None:
         """Apply the targets and members of a store read unless they are outdated."""
         previous, now = self._directory, self._loop.now()
--- a/bulrushloom/proxy/exchange/report_content.py
+++ b/bulrushloom/proxy/exchange/report_content.py
@@ -38,7 +38,7 @@
             service: (group.revision, group.encode().decode())
             for service, group in self._services.table.group_by_service.items()
             if any(
-                report.followed_revision_by_service.get(service, 0) < group.revision
+                report.followed_version_by_service.get(service, 0) < group.version
                 for report in reports
             )
         }
--- a/bulrushloom/proxy/limits/limiter.py
+++ b/bulrushloom/proxy/limits/limiter.py
@@ -91,10 +91,13 @@
     # State of the fleet
 
     def load_recorded_usage(
-        self, recorded_usage_by_account: Mapping[str, float]
+        self, recorded_usage_by_account: Mapping[str, float], is_outdated: bool = False
     ) -> None:
-        """Load the usage that was recorded in the store before this process started."""
-        self._start.load(recorded_usage_by_account)
+        """Load the usage that was recorded in the store before this process started.
+
+        See ``StartingLimits.load``.
+        """
+        self._start.load(recorded_usage_by_account, is_outdated)
 
     def update_member_count(self, count: int, now: timedelta) -> None:
         """Record the present number of members; a lower one applies a window later."""
--- a/bulrushloom/proxy/limits/starting.py
+++ b/bulrushloom/proxy/limits/starting.py
@@ -27,10 +27,18 @@
     def __init__(self, started_at: timedelta):
         self._started_at = started_at
         self._recorded_by_account: dict[str, float] = {}
+        self._is_record_outdated = False
 
-    def load(self, recorded_by_account: Mapping[str, float]) -> None:
-        """Use the operations that the store recorded for each hot account."""
+    def load(
+        self, recorded_by_account: Mapping[str, float], is_outdated: bool = False
+    ) -> None:
+        """Use the operations that the store recorded for each hot account.
+
+        The record ``is_outdated`` if the store returned from a copy. Each account may
+        then have used its whole limit.
+        """
         self._recorded_by_account = dict(recorded_by_account)
+        self._is_record_outdated = is_outdated
 
     def is_over(self, now: timedelta, window: timedelta) -> bool:
         """Return whether this process has observed a whole window."""
@@ -38,7 +46,7 @@
 
     def is_recorded(self, account: str) -> bool:
         """Return whether the account was near its limit before the start."""
-        return account in self._recorded_by_account
+        return self._is_record_outdated or account in self._recorded_by_account
 
     def recorded(self, account: str, now: timedelta, window: timedelta) -> float:
         """Return the recorded operations that still count."""
@@ -52,5 +60,7 @@
         """Return what is left of ``limit`` after the usage before the start."""
         if self.is_over(now, window):
             return limit
+        if self._is_record_outdated:
+            return limit * MIN_START_FRACTION
         used = self._recorded_by_account.get(account, limit * HOT_ACCOUNT_SHARE)
         return max(limit - used, limit * MIN_START_FRACTION)
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -13,6 +13,7 @@
 from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.era_recovery import EraRecovery
 from bulrushloom.proxy.exchange.directory import encode_directory
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
@@ -33,6 +34,7 @@
     STOP_REASON,
     StopPlan,
 )
+from bulrushloom.proxy.store_eras import Knowledge
 from bulrushloom.proxy.store_reader import DIRECTORY_PATH, DOCUMENT_PATH, StoreReader
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.http import HttpServer
@@ -99,6 +101,7 @@
                 self.incarnation,
                 self.reader.request_read,
                 lambda: self.fleet.has_live_leader(),
+                lambda: self.fleet.keys,
             ),
         )
         self._sessions: set[Session] = set()
@@ -159,6 +162,15 @@
             self.services, self._store, self.leadership
         )
         loop.supervise(group_members_recorder.run)
+        recovery = EraRecovery(
+            self.services,
+            self._store,
+            self.leadership,
+            self.fleet,
+            status,
+            self.reader.request_read,
+        )
+        loop.supervise(recovery.run)
         loop.supervise(self._watch_settings)
         loop.supervise(self._watch_partition)
         loop.supervise(self._watch_connections)
@@ -282,6 +294,8 @@
             return "no configuration yet"
         if not services.store_freshness.allows_readiness(self._loop.now()):
             return "the store has not answered lately"
+        if services.eras.knowledge(self._loop.now()) is Knowledge.NONE:
+            return "the newest configuration is not known yet"
         if self._cut_off_since is not None:
             return "neither the store nor another domain is heard"
         return ""
@@ -300,15 +314,16 @@
         gauges["server_connections"] = self.services.pool.size()
         gauges["server_connections_opened"] = self.services.pool.opened
         gauges["store_calls"] = self._store.calls
+        gauges["store_era"] = self.services.eras.era
         gauges["members"] = self.services.member_count
         gauges["gossip_bytes"] = self.fleet.sent_bytes
         gauges["gossip_datagrams"] = self.fleet.sent_count
         gauges["unexpected_errors"] = self._loop.error_count
         return 200, {"Content-Type": "text/plain"}, self.metrics.text()
 
-    def _answer_document(self, revision: str) -> tuple[int, Mapping[str, str], bytes]:
+    def _answer_document(self, version: str) -> tuple[int, Mapping[str, str], bytes]:
         document = self._store.document()
-        if document is None or str(document.revision) != revision:
+        if document is None or str(document.version) != version:
             return 404, {}, b""
         return 200, {"Content-Type": "application/json"}, document.value
 
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -41,8 +41,9 @@
     Terminate,
     WithdrawKey,
 )
+from soak.store_faults import ReturnFromCopy, ReturnWithoutInstances
 
-CURRENT_VERSION = 4
+CURRENT_VERSION = 5
 FIRST_VERSION_WITH_MOVING_KEYS = 3
 FIRST_VERSION_WITH_SERVER_DOMAINS = 4
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
@@ -87,15 +88,26 @@
     ChangeRoute,
     MoveKeysDuringOutage,
 )
+RETURN_KINDS: tuple[type[Fault], ...] = (ReturnFromCopy, ReturnWithoutInstances)
 KINDS = tuple(
-    dict.fromkeys(FIRST_KINDS + GROUP_KINDS + COMPANIONS + CHANGE_KINDS + (Evacuate,))
+    dict.fromkeys(
+        FIRST_KINDS
+        + GROUP_KINDS
+        + COMPANIONS
+        + CHANGE_KINDS
+        + (Evacuate,)
+        + RETURN_KINDS
+    )
 )
 # Probabilities of a fault from ``GROUP_KINDS`` or, from version 3 on, ``CHANGE_KINDS``,
-# of an evacuation from version 4 on, and of each companion of a cause.
+# of an evacuation from version 4 on, and of each companion of a cause. From version 5
+# on, the same of a return of the store from a copy, and of one beside a cause.
 GROUP_SHARE = 0.5
 CHANGE_SHARE = 0.3
 EVACUATION_SHARE = 0.15
 COMPANION_SHARE = 0.5
+RETURN_SHARE = 0.15
+RETURN_COMPANION_SHARE = 0.3
 
 
 class PlannedFault(NamedTuple):
@@ -125,6 +137,11 @@
             ]
         if version > 2 and kind in CAUSES:
             plan.append(PlannedFault(at, ChangeKeys, timedelta(seconds=MAX_DURATION_S)))
+        is_return_due = version > 4 and kind in CAUSES
+        if is_return_due and rng.random() < RETURN_COMPANION_SHARE:
+            age = timedelta(seconds=rng.uniform(MIN_DURATION_S, MAX_DURATION_S))
+            started_at = max(at - age + duration * rng.random(), timedelta())
+            plan.append(PlannedFault(started_at, ReturnFromCopy, age))
     return sorted(plan, key=lambda entry: entry.at)
 
 
@@ -150,9 +167,16 @@
     return _choose_kind_or_change(rng)
 
 
+def _choose_kind_or_return(rng: random.Random) -> type[Fault]:
+    if rng.random() < RETURN_SHARE:
+        return rng.choice(RETURN_KINDS)
+    return _choose_kind_or_evacuation(rng)
+
+
 _CHOICE_BY_VERSION = {
     1: _choose_first_kind,
     2: _choose_kind,
     3: _choose_kind_or_change,
     4: _choose_kind_or_evacuation,
+    5: _choose_kind_or_return,
 }
