Add tests of a daemon with crowds of misbehaving clients

Clients can grow the process beyond the memory of its machine and use up its descriptors. The tests start a real daemon with memory_limit_mb 72 and descriptor_limit 320 (both ignored so far) and one crowd each, and check that it lives, its peak resident memory, its sockets and one ordinary request.

They run serially in a make step of their own.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 EXAMPLES ?= 300
 SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
 
-.PHONY: all env lint types unit processes model build test run bench explore soak soak-again clean
+.PHONY: all env lint types unit processes model client-limits build test run bench explore soak soak-again clean
 
 all: test
 
@@ -36,7 +36,12 @@
 # Each worker runs a fleet of 14 processes.
 processes: $(STAMP)
 	@test ! -s KNOWN-RED.txt || cat KNOWN-RED.txt
-	$(BIN)/python -m pytest -n 3 $(KNOWN_RED:%=--deselect %) tests/processes tests/soak
+	$(BIN)/python -m pytest -n 3 $(KNOWN_RED:%=--deselect %) \
+		--ignore tests/processes/client_limits tests/processes tests/soak
+
+# One daemon and one crowd at a time: the tests measure memory and descriptors.
+client-limits: $(STAMP)
+	$(BIN)/python -m pytest -n 0 $(KNOWN_RED:%=--deselect %) tests/processes/client_limits
 
 model: $(STAMP)
 	command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc)
@@ -45,7 +50,7 @@
 build: $(STAMP)
 	$(BIN)/python -m bundling.build
 
-test: lint types model build unit processes
+test: lint types model build unit processes client-limits
 
 run: $(STAMP)
 	$(BIN)/python -m benchmarks.run --keep=$(KEEP)
--- a/standins/platform/group.py
+++ b/standins/platform/group.py
@@ -143,6 +143,7 @@
     - ``answers_to_lose``: number of next statements that run without an answer
     - ``answers_to_cut``: number of next statements that run and whose answer is
       truncated by a close of the connection
+    - ``row_bytes``: size of the padding in the row of a read
     - ``statements_to_refuse``: number of next statements that are refused as busy
     - ``drops_replication``: whether commits of the primary are lost
 
@@ -174,6 +175,7 @@
         self.connections: set[ServerSession] = set()
         self.answers_to_lose = 0
         self.answers_to_cut = 0
+        self.row_bytes = 0
         self.statements_to_refuse = 0
         self.refusals = 0
         self.drops_replication = False
--- a/standins/platform/server_session.py
+++ b/standins/platform/server_session.py
@@ -205,7 +205,8 @@
         else:
             if writes:
                 self.writes.append(request_id)
-            self.send_answer(request_id, f"ROW {request_id}")
+            padding = " " + "x" * self.server.row_bytes if self.server.row_bytes else ""
+            self.send_answer(request_id, f"ROW {request_id}{padding}")
 
     def finish_commit(self, ids: tuple[str, ...], request_id: str) -> None:
         """Commit the writes, if any, and send the answer."""
