Bound the memory and the connections that clients may use

Each client was within its own limits, but received lines, unread answers and session values of all connections together had no bound, nor had the number of connections.

A budget derived from memory_limit_mb counts what all connections use. A large statement is refused as not run when there is no memory. Statements that were sent ahead are read once the answers before them are read. Session values and prepared statements, start messages, HTTP connections and bodies, the time of a message and the number of sessions (descriptor_limit) are bounded, and long texts are cut in the log. A statement whose client was refused in the same turn of the loop does not run any more.

--- a/bulrushloom/platform/wire.py
+++ b/bulrushloom/platform/wire.py
@@ -144,13 +144,15 @@
     return b"ERR " + _WORD_BY_CODE[failure.code] + b" " + text.encode() + LINE_END
 
 
-def encode_rows_and_signature(rows: tuple[bytes, ...], signature: bytes) -> bytes:
-    """Encode a successful answer, except for its final READY message.
+def encode_rows_and_signature(
+    rows: tuple[bytes, ...], signature: bytes, ready: bytes = b""
+) -> bytes:
+    """Encode a successful answer; ``ready`` is its final READY message.
 
     ``rows`` are raw ROW lines; ``signature`` is the server's proof that it ran the
     statement.
     """
-    return b"".join([*rows, b"DONE ", signature, LINE_END])
+    return b"".join([*rows, b"DONE ", signature, LINE_END, ready])
 
 
 def encode_start(service: str, account: str, target_id: str) -> bytes:
--- /dev/null
+++ b/bulrushloom/proxy/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what the clients of one process may use."""
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -119,6 +119,9 @@
         if not texts:
             return
         answers = [connection.query(wire.PROXY_REQUEST_ID, text) for text in texts]
+        # The texts may be large, and the answers can take a while.
+        texts.clear()
+        connection.count_memory()
         deadline = self._loop.now() + SESSION_STATE_TIMEOUT
         for answer in answers:
             try:
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -13,6 +13,7 @@
 from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.clients.watch import ClientWatch
 from bulrushloom.proxy.exchange.directory import encode_directory
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
@@ -102,6 +103,7 @@
             ),
         )
         self._sessions: set[Session] = set()
+        self.client_watch = ClientWatch(self.services, self._sessions)
         self._is_ready = False
         self._cut_off_since: timedelta | None = None
 
@@ -135,9 +137,12 @@
         self.primary_monitor = PrimaryMonitor(
             self.services, self.leadership, self.fleet, status, self._replacement
         )
-        probe = HttpServer(loop, settings.probe_address, self._answer_probe)
+        limits = self.client_watch.http_limits()
+        probe = HttpServer(loop, settings.probe_address, self._answer_probe, limits)
         stack.callback(probe.close)
-        metrics = HttpServer(loop, settings.metrics_address, self._answer_metrics)
+        metrics = HttpServer(
+            loop, settings.metrics_address, self._answer_metrics, limits
+        )
         stack.callback(metrics.close)
         self._listener = Listener(
             loop,
@@ -162,6 +167,8 @@
         loop.supervise(self._watch_settings)
         loop.supervise(self._watch_partition)
         loop.supervise(self._watch_connections)
+        loop.supervise(self.client_watch.watch_memory)
+        loop.supervise(self.client_watch.watch_times)
         self.log.write("started", incarnation=self.incarnation, domain=settings.domain)
 
     def _install_signal_handlers(self) -> None:
@@ -261,6 +268,8 @@
                 session.close(reason)
 
     def _accept(self, stream: Stream) -> None:
+        if not self.client_watch.make_room_for_session(stream):
+            return
         self._sessions.add(Session(self.services, stream, self._sessions.discard))
 
     def _answer_probe(
@@ -297,6 +306,7 @@
             return 404, {}, b""
         gauges = self.metrics.gauges
         gauges["sessions"] = len(self._sessions)
+        self.client_watch.set_gauges()
         gauges["server_connections"] = self.services.pool.size()
         gauges["server_connections_opened"] = self.services.pool.opened
         gauges["store_calls"] = self._store.calls
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -8,6 +8,8 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.clients.limits import client_limits
+from bulrushloom.proxy.clients.memory_budget import MemoryBudget
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
 from bulrushloom.proxy.connections import ConnectionPool
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
@@ -87,6 +89,9 @@
         self.limiter = AccountLimiter(window, loop.now(), self.random)
         self.router = ReadRouter(settings.domain)
         self.pool = ConnectionPool(loop, network, self.connection_quota)
+        self.limits = client_limits(settings)
+        self.memory = MemoryBudget(self.limits.memory, loop.call_soon)
+        self.pool.memory = self.memory
         self.member_count = 1
         self.stop_plan: StopPlan | None = None
         self.session_close_reason = ""
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -10,6 +10,11 @@
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
 from bulrushloom.proxy.attempts import Attempt, Outcome, PermitEnded
+from bulrushloom.proxy.clients.session_guard import (
+    MAX_UNSENT_BEFORE_NEXT,
+    NO_MEMORY,
+    SessionGuard,
+)
 from bulrushloom.proxy.execution import StatementRunner
 from bulrushloom.proxy.messages import (
     NO_POSITION,
@@ -32,6 +37,8 @@
 
 # Time in which a client must send its start message; clients give up after it as well.
 SESSION_START_TIMEOUT = timedelta(seconds=5)
+# A database name and a key; a client that has not started gets no more memory.
+MAX_START_BYTES = 16 * 1024
 _ZERO = timedelta()
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -49,13 +56,17 @@
         self._pending_line: Future[bytes | None] | None = None
         self._database = ""
         self._admission = Admission(services, "", "")
-        self._values: dict[bytes, bytes] = {}
-        self._prepared_by_name: dict[bytes, PreparedStatement] = {}
+        self._guard = SessionGuard(services.memory, stream)
+        self._guard.account.is_closable = lambda: self.is_closable
+        self._guard.account.close_connection = self.refuse
+        self._state = self._guard.state
         # Latest commit of the session at each service that its route has led to.
         self._position_by_service: dict[str, LogPosition] = {}
         self._position: LogPosition | Missing = NO_POSITION
         self._transaction: Transaction | None = None
-        self._runner = StatementRunner(services, self._admission, self._values)
+        self._runner = StatementRunner(services, self._admission, self._state.values)
+        self.client = ("", "")
+        self.is_started = False
         self.is_awaiting_statement = True
         self.awaiting_since = services.loop.now()
         self._message: Any = None
@@ -67,11 +78,38 @@
     def is_idle(self) -> bool:
         """Return whether closing the session interrupts no statement or transaction."""
         return (
-            self.is_awaiting_statement
+            self.is_closable
             and self._transaction is None
             and not self._stream.unread_bytes
+            and not self._stream.unsent_bytes
         )
 
+    @property
+    def is_closable(self) -> bool:
+        """Return whether closing the session interrupts no running statement."""
+        return self.is_awaiting_statement and not self._has_line
+
+    @property
+    def _has_line(self) -> bool:
+        """Return whether a received message is about to be handled."""
+        return self._pending_line is not None and self._pending_line.done()
+
+    def overdue_reason(self) -> str:
+        """Return why the client is too slow for a session, empty if it is not."""
+        if not self.is_awaiting_statement:
+            return ""
+        return self._guard.progress.overdue_reason(self._loop.now())
+
+    def refuse(self, reason: str) -> None:
+        """Close a session that is closable; tell the client that nothing has run.
+
+        Answers that the client has not read come first, so nothing is sent then.
+        """
+        if not self._stream.unsent_bytes:
+            failure = Failure(AnswerCode.NOT_RUN, reason, NO_MEMORY.retry_after)
+            self._send_failure(failure)
+        self._stream.close(reason)
+
     @property
     def has_transaction(self) -> bool:
         """Return whether a transaction is open."""
@@ -103,11 +141,8 @@
         self._stream.close(STOP_REASON)
 
     def _writes(self, statement: Statement) -> bool:
-        prepared = self._prepared_by_name.get(statement.name)
         return statement.kind is StatementKind.WRITE or (
-            statement.kind is StatementKind.EXECUTE
-            and prepared is not None
-            and prepared.is_write
+            statement.kind is StatementKind.EXECUTE and self._state.writes(statement)
         )
 
     # Receiving messages
@@ -117,14 +152,19 @@
         if line is None or line.done():
             return
         try:
-            text = self._stream.read_line(wire.MAX_LINE_BYTES)
+            text = self._stream.read_line(
+                wire.MAX_LINE_BYTES if self.is_started else MAX_START_BYTES
+            )
         except LineTooLong as error:
             self._stream.close(str(error))
             text = None
         if text is not None:
+            self._guard.progress.complete()
             line.set_result(text)
         elif self._stream.at_eof:
             line.set_result(None)
+        elif self._stream.unread_bytes:
+            self._guard.progress.receive(self._loop.now())
 
     def _next_line(self) -> "Future[bytes | None]":
         self._pending_line = Future()
@@ -139,6 +179,7 @@
                 self._transaction.abandon("the client disconnected")
                 self._transaction = None
             self._stream.close("the session ended")
+            self._guard.close()
             self._on_end(self)
 
     def _serve(self) -> Steps:
@@ -146,26 +187,61 @@
             line = yield self._loop.wait_for(self._next_line(), SESSION_START_TIMEOUT)
         except TimeoutError:
             return
-        if line is None:
+        self._pending_line = None
+        if line is None or not self._stream.is_open:
             return
         started = yield from self._start(wire.decode_client_line(line))
         if not started:
             return
+        self.is_started = True
         while True:
             self.is_awaiting_statement = True
             self.awaiting_since = self._loop.now()
+            yield from self._await_reader()
             line = yield from self._await_line()
             self.is_awaiting_statement = False
-            if line is None:
-                return
-            self._message = message = wire.decode_client_line(line)
-            if isinstance(message, DisconnectRequest):
+            if line is None or not self._stream.is_open:
                 return
             self._was_refused = False
-            yield from self._handle(message)
+            if not self._guard.admits(line):
+                self._refuse_for_memory(len(line))
+                continue
+            self._message = wire.decode_client_line(line)
+            # A message has up to 1 MiB and may wait for a target.
+            del line
+            if isinstance(self._message, DisconnectRequest):
+                return
+            yield from self._handle(self._message)
+            self._message = None
+            self._guard.finish_statement()
             if self._closes_after_answer():
                 return
 
+    def _await_reader(self) -> Steps:
+        """Wait until the client has read most of the answers; let others run."""
+        if self._stream.unsent_bytes > MAX_UNSENT_BEFORE_NEXT:
+            self._guard.progress.start_draining(self._loop.now())
+            drained = self._stream.drained(MAX_UNSENT_BEFORE_NEXT)
+            yield from self._await_client(drained)
+            self._guard.progress.end_draining()
+        if self._stream.unread_bytes:
+            # A client that sends statements ahead must not keep the loop busy.
+            yield self._loop.sleep(_ZERO)
+
+    def _refuse_for_memory(self, size: int) -> None:
+        """Refuse a large statement that was not decoded; its transaction fails."""
+        transaction = self._transaction
+        failure: Failure = NO_MEMORY
+        if transaction is not None:
+            transaction.fail(NO_MEMORY.reason)
+            failure = transaction.failure or NO_MEMORY
+        self._services.metrics.count("statements_failed", failure.code.value)
+        self._services.metrics.count("memory_refusals")
+        self._services.log.write(
+            "statement_refused_for_memory", database=self._database, size=size
+        )
+        self._answer_failure(failure)
+
     def _closes_after_answer(self) -> bool:
         """Return whether the client has to continue at another instance.
 
@@ -178,11 +254,16 @@
         return self._transaction is None and not self._stream.unread_bytes
 
     def _await_line(self) -> Steps:
-        """Return the next line; abort the transaction at its idle timeout."""
-        line = self._next_line()
+        """Return the next line, or ``None`` at the end of the connection."""
+        line = yield from self._await_client(self._next_line())
+        self._pending_line = None
+        return line
+
+    def _await_client(self, event: "Future[Any]") -> Steps:
+        """Wait for an event; abort the transaction at its idle timeout."""
         transaction = self._transaction
         since = self._loop.now()
-        while transaction is not None and not line.done():
+        while transaction is not None and not event.done():
             # The limit may change during the wait.
             limit = self._services.configuration.transaction_idle_limit
             remaining = since + limit - self._loop.now()
@@ -193,8 +274,8 @@
                 )
                 break
             with suppress(TimeoutError):
-                yield self._loop.wait_for(line, remaining)
-        return (yield line)
+                yield self._loop.wait_for(event, remaining)
+        return (yield event)
 
     # Session start
 
@@ -203,8 +284,11 @@
             self._send_failure(Failure(AnswerCode.BAD_REQUEST, "no session started"))
             return False
         self._database = message.database
+        self.client = (message.database, message.key)
         self._admission = Admission(self._services, message.database, message.key)
-        self._runner = StatementRunner(self._services, self._admission, self._values)
+        self._runner = StatementRunner(
+            self._services, self._admission, self._state.values
+        )
         failure = self._admission.refusal()
         if failure is not None and failure.code is not AnswerCode.NOT_RUN:
             yield from self._admission.refresh_configuration()
@@ -243,17 +327,17 @@
             return
         match message.kind:
             case StatementKind.SET_VALUE:
-                self._values[message.name] = message.arguments
-                self._answer_locally()
+                self._answer_change(
+                    self._state.set_value(message.name, message.arguments)
+                )
             case StatementKind.PREPARE:
                 assert message.prepared is not None
-                self._prepared_by_name[message.name] = message.prepared
-                self._answer_locally()
+                self._answer_change(self._state.prepare(message.name, message.prepared))
             case StatementKind.DEALLOCATE:
-                if self._prepared_by_name.pop(message.name, None) is None:
-                    self._answer_unknown_prepared(message)
-                else:
+                if self._state.deallocate(message.name):
                     self._answer_locally()
+                else:
+                    self._answer_unknown_prepared(message)
             case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
                 yield from self._begin(message)
             case StatementKind.COMMIT | StatementKind.ROLLBACK:
@@ -316,7 +400,7 @@
     def _run_statement(self, message: Statement) -> Steps:
         prepared = None
         if message.kind is StatementKind.EXECUTE:
-            prepared = self._prepared_by_name.get(message.name)
+            prepared = self._state.prepared_by_name.get(message.name)
             if prepared is None:
                 self._answer_unknown_prepared(message)
                 return
@@ -382,7 +466,7 @@
 
     # Responses
 
-    def _state(self) -> TransactionState:
+    def _transaction_state(self) -> TransactionState:
         if self._transaction is None:
             return TransactionState.IDLE
         if self._transaction.failure is not None:
@@ -396,10 +480,8 @@
             self._answer_failure(failure)
             return
         answer = outcome.answer
-        self._send(
-            wire.encode_rows_and_signature(answer.rows, answer.signature)
-            + wire.encode_ready(self._state(), answer.position)
-        )
+        ready = wire.encode_ready(self._transaction_state(), answer.position)
+        self._send(wire.encode_rows_and_signature(answer.rows, answer.signature, ready))
 
     def _log_failure(self, message: Statement, failure: Failure) -> None:
         services = self._services
@@ -417,7 +499,18 @@
         )
 
     def _answer_locally(self) -> None:
-        self._send(wire.LOCAL_DONE + wire.encode_ready(self._state(), self._position))
+        self._send(
+            wire.LOCAL_DONE
+            + wire.encode_ready(self._transaction_state(), self._position)
+        )
+
+    def _answer_change(self, failure: Failure | None) -> None:
+        """Answer a change of the session's values or prepared statements."""
+        if failure is None:
+            self._answer_locally()
+            return
+        self._services.metrics.count("session_state_refused")
+        self._answer_failure(failure)
 
     def _answer_unknown_prepared(self, message: Statement) -> None:
         failure = Failure(AnswerCode.UNKNOWN_STATEMENT, "no such prepared statement")
@@ -430,7 +523,7 @@
         self._was_refused = failure.code is AnswerCode.NOT_RUN
         self._send(
             wire.encode_failure(failure)
-            + wire.encode_ready(self._state(), self._position)
+            + wire.encode_ready(self._transaction_state(), self._position)
         )
 
     def _send_failure(self, failure: Failure) -> None:
--- a/bulrushloom/proxy/settings.py
+++ b/bulrushloom/proxy/settings.py
@@ -1,5 +1,6 @@
 """Settings of the session proxy: a YAML file that is validated at startup."""
 
+import math
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -22,7 +23,8 @@
     ``rate_excess`` (a fraction) and ``rate_slack`` (operations) are added to the limit.
     ``target_drain_bound`` is how long a draining target may receive new statements.
     ``stop_grace`` is the time from SIGTERM to SIGKILL. ``lease_minimum`` is the
-    shortest time to live of a lease that the store accepts.
+    shortest time to live of a lease that the store accepts. ``memory_limit_mb`` (in
+    MB) and ``descriptor_limit`` are what the process may use; ``None`` if unknown.
     """
 
     name: str
@@ -41,6 +43,8 @@
     rate_excess: float
     rate_slack: float
     lease_minimum: timedelta
+    memory_limit_mb: float | None = None
+    descriptor_limit: int | None = None
 
 
 def _address(value: Any) -> str:
@@ -62,6 +66,17 @@
     return float(value)
 
 
+def _positive_number(value: Any) -> float:
+    number = _non_negative_number(value)
+    if not number or not math.isfinite(number):
+        raise ValueError("must be above 0 and finite")
+    return number
+
+
+def _positive_count(value: Any) -> int:
+    return max(1, int(_positive_number(value)))
+
+
 def _milliseconds(value: Any) -> timedelta:
     return timedelta(milliseconds=_non_negative_number(value))
 
@@ -88,6 +103,11 @@
     "rate_slack": ("rate_slack", _non_negative_number),
     "lease_minimum_ms": ("lease_minimum", _milliseconds),
 }
+# A key that is absent or null leaves the default.
+_OPTIONAL_FIELD_AND_PARSER_BY_KEY: dict[str, tuple[str, Callable[[Any], Any]]] = {
+    "memory_limit_mb": ("memory_limit_mb", _positive_number),
+    "descriptor_limit": ("descriptor_limit", _positive_count),
+}
 
 
 def load_proxy_settings(path: str) -> ProxySettings:
@@ -115,7 +135,10 @@
         raise SettingsError([f"{path}: must contain a mapping"])
     problems: list[str] = []
     values: dict[str, Any] = {}
-    for key, (field, parse) in _FIELD_AND_PARSER_BY_KEY.items():
+    parsers = _FIELD_AND_PARSER_BY_KEY | _OPTIONAL_FIELD_AND_PARSER_BY_KEY
+    for key, (field, parse) in parsers.items():
+        if key in _OPTIONAL_FIELD_AND_PARSER_BY_KEY and content.get(key) is None:
+            continue
         if key not in content:
             problems.append(f"{path}: {key}: the key is missing")
             continue
--- a/bulrushloom/proxy/telemetry.py
+++ b/bulrushloom/proxy/telemetry.py
@@ -21,6 +21,8 @@
 # instance.
 MAX_LINES_PER_S = 400
 MAX_BUFFERED_LINES = 4_000
+# Texts of clients, such as ids of requests, may have up to 1 MiB; longer texts are cut.
+MAX_VALUE_LENGTH = 1_000
 FLUSH_INTERVAL = timedelta(milliseconds=200)
 # Latencies from 1 us to one minute need 900 bins at this accuracy.
 MAX_LATENCY_US = 60_000_000
@@ -118,11 +120,11 @@
 def _to_json_value(value: Any) -> Any:
     if isinstance(value, timedelta):
         return round(value / _MILLISECOND, 1)
-    if value is None or isinstance(value, str | int | float | bool | dict | list):
+    if value is None or isinstance(value, int | float | bool | dict | list):
         return value
     if isinstance(value, bytes):
-        return value.decode("utf-8", "replace")
-    return str(value)
+        return value[:MAX_VALUE_LENGTH].decode("utf-8", "replace")
+    return str(value)[:MAX_VALUE_LENGTH]
 
 
 class Metrics:
--- a/bulrushloom/runtime/http.py
+++ b/bulrushloom/runtime/http.py
@@ -7,9 +7,11 @@
 
 import h11
 
+from bulrushloom.runtime.buffers import BufferAccount
 from bulrushloom.runtime.loop import (
     Loop,
     Steps,
+    Timer,
     set_exception_if_pending,
     set_result_if_pending,
 )
@@ -20,6 +22,10 @@
 MAX_REQUEST_BYTES = 64 * 1024
 
 
+# Requests that were sent ahead are answered while fewer bytes than this are unsent.
+MAX_UNSENT_WHILE_ANSWERING = 64 * 1024
+
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -187,6 +193,43 @@
 Handler = Callable[[str, str, bytes], tuple[int, Mapping[str, str], bytes]]
 
 
+class HttpServerLimits(NamedTuple):
+    """Bounds on the clients of an HTTP server; ``None`` means no limit.
+
+    When a connection exceeds ``max_connections``, the one that has sent no complete
+    request for the longest time is closed. A connection with a request that is
+    incomplete for ``request_timeout`` is closed. ``open_account`` opens an account for
+    the buffers of a connection and returns it with the function that closes it.
+    """
+
+    max_connections: int | None = None
+    max_body_bytes: int | None = None
+    request_timeout: timedelta | None = None
+    open_account: (
+        Callable[[Callable[[str], None]], tuple[BufferAccount, Callable[[], None]]]
+        | None
+    ) = None
+
+
+class _Exchange:
+    """State of one connection to an HTTP server.
+
+    ``request`` is being received: its head, then the parts of its body. ``waits_since``
+    is when the connection was accepted or its last request was answered.
+    """
+
+    def __init__(self, stream: Stream, now: timedelta):
+        self.stream = stream
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
+        )
+        self.request: list[Any] = []
+        self.body_bytes = 0
+        self.waits_since = now
+        self.timer: Timer | None = None
+        self.close_account: Callable[[], None] = lambda: None
+
+
 class HttpServer:
     """HTTP server that answers requests with ``handler``.
 
@@ -194,42 +237,104 @@
     block, because it runs on the event loop.
     """
 
-    def __init__(self, loop: Loop, address: str, handler: Handler):
+    def __init__(
+        self,
+        loop: Loop,
+        address: str,
+        handler: Handler,
+        limits: HttpServerLimits = HttpServerLimits(),  # noqa: B008
+    ):
         self._loop = loop
         self._handler = handler
+        self._limits = limits
+        self._exchanges: dict[_Exchange, None] = {}
         self._listener = Listener(loop, address, self._accept)
         self.port = self._listener.port
 
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._exchanges)
+
     def _accept(self, stream: Stream) -> None:
-        http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES)
-        # The request that is being received: its head, then the parts of its body.
-        request: list[Any] = []
-        stream.on_data(lambda: self._on_data(stream, http, request))
+        limits = self._limits
+        max_count = limits.max_connections
+        if max_count is not None and len(self._exchanges) >= max_count:
+            silent = min(self._exchanges, key=lambda e: e.waits_since)
+            self._close(silent, "too many connections")
+        exchange = _Exchange(stream, self._loop.now())
+        self._exchanges[exchange] = None
+        stream.max_unsent_while_reading = MAX_UNSENT_WHILE_ANSWERING
+        if limits.open_account is not None:
+            account, exchange.close_account = limits.open_account(
+                lambda reason: self._close(exchange, reason)
+            )
+            stream.limit_memory(account)
+        stream.on_data(lambda: self._on_data(exchange))
+        self._start_timer(exchange)
+
+    def _start_timer(self, exchange: _Exchange) -> None:
+        """Close the connection if no complete request arrives in time."""
+        timeout = self._limits.request_timeout
+        if timeout is not None and exchange.timer is None:
+            exchange.timer = self._loop.call_later(
+                timeout, lambda: self._close(exchange, "no complete request in time")
+            )
 
-    def _on_data(
-        self, stream: Stream, http: h11.Connection, request: list[Any]
-    ) -> None:
+    def _stop_timer(self, exchange: _Exchange) -> None:
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+            exchange.timer = None
+
+    def _close(self, exchange: _Exchange, reason: str) -> None:
+        self._stop_timer(exchange)
+        self._exchanges.pop(exchange, None)
+        exchange.request.clear()
+        exchange.stream.close(reason)
+        exchange.close_account()
+
+    def _on_data(self, exchange: _Exchange) -> None:
+        stream, http = exchange.stream, exchange.http
         if not stream.is_open:
+            self._close(exchange, "closed")
             return
         try:
-            http.receive_data(stream.read_all())
-            self._answer(stream, http, request)
+            data = stream.read_all()
+            if data or stream.at_eof:
+                http.receive_data(data)
+                self._start_timer(exchange)
+            self._answer(exchange)
         except h11.ProtocolError as error:
-            stream.close(f"bad request: {error}")
+            self._close(exchange, f"bad request: {error}")
             return
         if stream.at_eof or http.our_state is h11.MUST_CLOSE:
-            stream.close("closed")
-
-    def _answer(self, stream: Stream, http: h11.Connection, request: list[Any]) -> None:
-        while True:
+            self._close(exchange, "closed")
+
+    def _answer(self, exchange: _Exchange) -> None:
+        stream, http, request = exchange.stream, exchange.http, exchange.request
+        while stream.is_open:
+            if stream.unsent_bytes > MAX_UNSENT_WHILE_ANSWERING:
+                drained = stream.drained(MAX_UNSENT_WHILE_ANSWERING)
+                drained.add_done_callback(
+                    lambda _: self._loop.call_soon(lambda: self._on_data(exchange))
+                )
+                return
             event = http.next_event()
             if isinstance(event, h11.Request):
                 request.clear()
                 request.append(event)
             elif isinstance(event, h11.Data):
                 request.append(bytes(event.data))
+                exchange.body_bytes += len(event.data)
+                limit = self._limits.max_body_bytes
+                if limit is not None and exchange.body_bytes > limit:
+                    self._close(exchange, "the body is too large")
             elif isinstance(event, h11.EndOfMessage) and request:
                 self._respond(stream, http, request[0], b"".join(request[1:]))
+                request.clear()
+                exchange.body_bytes = 0
+                exchange.waits_since = self._loop.now()
+                self._stop_timer(exchange)
                 if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -10,20 +10,25 @@
 from datetime import timedelta
 from typing import Any
 
+from bulrushloom.runtime.buffers import BufferAccount
 from bulrushloom.runtime.loop import (
     Loop,
     set_exception_if_pending,
     set_result_if_pending,
 )
+from bulrushloom.runtime.stream_base import LineTooLong as LineTooLong
+from bulrushloom.runtime.stream_base import Stream as Stream
 
 RECEIVE_BYTES = 65_536
-# A connection with more unsent bytes than this is closed, because its peer does not
-# read; the limit is the size of two of the largest messages.
+# A connection that has more unsent bytes than this at a write is closed, because its
+# peer does not read; the limit is the size of two of the largest messages.
 MAX_UNSENT_BYTES = 2 * 1024 * 1024
-# Reading is paused while more received bytes than this are not consumed.
-MAX_UNREAD_BYTES = 2 * 1024 * 1024
+# Reading is paused while more received bytes than this are not consumed; the limit is
+# one of the largest messages, and what one receive adds to it.
+MAX_UNREAD_BYTES = 1024 * 1024 + RECEIVE_BYTES
 LISTEN_BACKLOG = 512
-LINE_END = b"\r\n"
+# Without a free descriptor, accepting fails at once while connections wait.
+ACCEPT_RETRY_DELAY = timedelta(milliseconds=100)
 # TCP closes a connection on which a segment stays unacknowledged for this long, since
 # the path is then dead. The time allows three minimal retransmissions.
 UNACKNOWLEDGED_TIMEOUT = timedelta(milliseconds=900)
@@ -32,97 +37,6 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
-class LineTooLong(Exception):
-    """The peer sent a line that exceeds the limit."""
-
-
-class Stream(ABC):
-    """Connection with a buffer of received bytes.
-
-    ``closed_reason`` is empty while the stream is open.
-    """
-
-    def __init__(self, loop: Loop):
-        self._loop = loop
-        self._received = bytearray()
-        self._scanned_bytes = 0
-        self._reader: Callable[[], None] | None = None
-        self._eof_received = False
-        self.closed_reason = ""
-
-    @abstractmethod
-    def write(self, data: bytes) -> None:
-        """Send ``data``; bytes that cannot be sent now are buffered."""
-
-    @abstractmethod
-    def close(self, reason: str = "closed") -> None:
-        """Close the connection; further calls do nothing."""
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether the stream is not closed, so that data can be sent."""
-        return not self.closed_reason
-
-    @property
-    def at_eof(self) -> bool:
-        """Return whether the peer has closed its side or the stream is closed."""
-        return self._eof_received or not self.is_open
-
-    @property
-    def unread_bytes(self) -> int:
-        """Return the number of received bytes that are not consumed yet."""
-        return len(self._received)
-
-    def on_data(self, reader: Callable[[], None]) -> None:
-        """Call ``reader`` whenever data or the end of the stream arrives."""
-        self._reader = reader
-
-    def read_line(self, max_bytes: int) -> bytes | None:
-        """Consume and return one line without its line end; ``None`` if incomplete.
-
-        Only CR LF ends a line. Any other line break is a part of it, so that no reader
-        finds more lines in the stream than its writer sent.
-
-        Raise ``LineTooLong`` if the line has more than ``max_bytes`` bytes.
-        """
-        end = self._received.find(LINE_END, self._scanned_bytes)
-        if end < 0:
-            # The last byte may be the first one of a line end.
-            self._scanned_bytes = max(0, len(self._received) - 1)
-            if self._scanned_bytes > max_bytes:
-                raise LineTooLong(f"more than {max_bytes} bytes without a line end")
-            return None
-        if end > max_bytes:
-            raise LineTooLong(f"a line of {end} bytes; the limit is {max_bytes}")
-        line = bytes(self._received[:end])
-        del self._received[: end + len(LINE_END)]
-        self._scanned_bytes = 0
-        self._on_consumed()
-        return line
-
-    def read_all(self) -> bytes:
-        """Consume and return all received bytes."""
-        data = bytes(self._received)
-        self._received.clear()
-        self._scanned_bytes = 0
-        self._on_consumed()
-        return data
-
-    def _on_consumed(self) -> None:
-        """Hook for subclasses: bytes were consumed, so more can be received."""
-        return
-
-    def _notify_reader(self) -> None:
-        """Call the reader; its unexpected exception ends only this connection."""
-        if self._reader is None:
-            return
-        try:
-            self._reader()
-        except Exception as error:
-            self.close("internal error")
-            self._loop.report_error(error)
-
-
 class TcpStream(Stream):
     """Stream on a connected TCP socket."""
 
@@ -130,7 +44,9 @@
         super().__init__(loop)
         self._sock = sock
         self._unsent = bytearray()
-        self._reading_paused = False
+        self._is_paused_by_account = False
+        self._drain_waiters: list[tuple[int, Future[None]]] = []
+        self._watched_events = selectors.EVENT_READ
         loop.watch(sock, selectors.EVENT_READ, self._on_event)
 
     @property
@@ -141,10 +57,33 @@
         except OSError:
             return ""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that are buffered until they can be sent."""
+        return len(self._unsent)
+
+    def limit_memory(self, account: BufferAccount) -> None:
+        """Report the size of the buffers to ``account``, which may pause reading."""
+        super().limit_memory(account)
+        account.on_room = self._resume
+
+    def drained(self, max_bytes: int) -> "Future[None]":
+        """Return a future that is done once at most ``max_bytes`` are unsent."""
+        if not self.is_open or len(self._unsent) <= max_bytes:
+            return super().drained(max_bytes)
+        future: Future[None] = Future()
+        self._drain_waiters.append((max_bytes, future))
+        return future
+
     def write(self, data: bytes) -> None:
-        """Send ``data``; bytes that the socket does not accept are buffered."""
+        """Send ``data``; bytes that the socket does not accept are buffered.
+
+        A stream on which the peer left too many bytes unread is closed. A single
+        message of any size is buffered.
+        """
         if not self.is_open:
             return
+        sent = 0
         if not self._unsent:
             try:
                 sent = self._sock.send(data)
@@ -155,12 +94,12 @@
                 return
             if sent == len(data):
                 return
-            data = data[sent:]
-        self._unsent += data
-        if len(self._unsent) > MAX_UNSENT_BYTES:
+        elif len(self._unsent) > MAX_UNSENT_BYTES:
             self.close("the peer does not read")
             return
-        self._update_watched_events()
+        with memoryview(data) as view:
+            self._unsent += view[sent:]
+        self._on_buffers_changed()
 
     def close(self, reason: str = "closed") -> None:
         """Close the socket; further calls do nothing."""
@@ -170,22 +109,46 @@
         self._loop.unwatch(self._sock)
         self._sock.close()
         self._unsent.clear()
+        self._received.clear()
+        self._scanned_bytes = 0
+        if self._account is not None:
+            self._account.set_buffered(0)
+        self._wake_drain_waiters()
         if self._reader is not None:
             self._loop.call_soon(self._notify_reader)
 
     def _on_consumed(self) -> None:
-        if self._reading_paused and len(self._received) < MAX_UNREAD_BYTES // 2:
-            self._reading_paused = False
-            self._update_watched_events()
+        self._on_buffers_changed()
+
+    def _resume(self) -> None:
+        """Receive again after the account has paused the reading."""
+        self._is_paused_by_account = False
+        self._update_watched_events()
+
+    def _on_buffers_changed(self) -> None:
+        if self._account is not None:
+            self._account.set_buffered(len(self._received) + len(self._unsent))
+        self._update_watched_events()
+
+    def _wants_data(self) -> bool:
+        """Return whether data may be received now."""
+        limit = self.max_unsent_while_reading
+        return (
+            not self._is_paused_by_account
+            and not self._eof_received
+            and len(self._received) < MAX_UNREAD_BYTES
+            and (limit is None or len(self._unsent) <= limit)
+        )
 
     def _update_watched_events(self) -> None:
         if not self.is_open:
             return
-        events = (
-            0 if self._reading_paused or self._eof_received else selectors.EVENT_READ
-        )
+        events = selectors.EVENT_READ if self._wants_data() else 0
         if self._unsent:
             events |= selectors.EVENT_WRITE
+        if events == self._watched_events:
+            return
+        self._watched_events = events
         if events:
             self._loop.watch(self._sock, events, self._on_event)
         else:
@@ -206,12 +169,25 @@
             self.close(f"send failed: {error.strerror}")
             return
         del self._unsent[:sent]
-        if not self._unsent:
-            self._update_watched_events()
+        self._on_buffers_changed()
+        self._wake_drain_waiters()
+
+    def _wake_drain_waiters(self) -> None:
+        waiters, self._drain_waiters = self._drain_waiters, []
+        for max_bytes, future in waiters:
+            if not self.is_open or len(self._unsent) <= max_bytes:
+                set_result_if_pending(future, None)
+            else:
+                self._drain_waiters.append((max_bytes, future))
 
     def _receive(self) -> None:
+        size = RECEIVE_BYTES if self._account is None else self._account.receivable()
+        if not size:
+            self._is_paused_by_account = True
+            self._update_watched_events()
+            return
         try:
-            data = self._sock.recv(RECEIVE_BYTES)
+            data = self._sock.recv(size)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -219,12 +195,9 @@
             return
         if data:
             self._received += data
-            if len(self._received) > MAX_UNREAD_BYTES:
-                self._reading_paused = True
-                self._update_watched_events()
         else:
             self._eof_received = True
-            self._update_watched_events()
+        self._on_buffers_changed()
         self._notify_reader()
 
 
@@ -315,7 +288,8 @@
         self._sock.listen(LISTEN_BACKLOG)
         self._sock.setblocking(False)
         self.port: int = self._sock.getsockname()[1]
-        loop.watch(self._sock, selectors.EVENT_READ, self._on_event)
+        self._is_closed = False
+        self._watch()
 
     def _on_event(self, _: int) -> None:
         for _attempt in range(LISTEN_BACKLOG):
@@ -324,8 +298,10 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
-                # No free descriptor, or reset before accept; the next event retries.
                 self._on_error(f"accept failed: {error.strerror}")
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
+                    self._pause()
+                # Otherwise it was reset before accept; the next event retries.
                 return
             sock.setblocking(False)
             _set_options(sock)
@@ -336,8 +312,18 @@
                 stream.close("internal error")
                 self._loop.report_error(error)
 
+    def _pause(self) -> None:
+        """Stop accepting until ``ACCEPT_RETRY_DELAY`` has passed."""
+        self._loop.unwatch(self._sock)
+        self._loop.call_later(ACCEPT_RETRY_DELAY, self._watch)
+
+    def _watch(self) -> None:
+        if not self._is_closed:
+            self._loop.watch(self._sock, selectors.EVENT_READ, self._on_event)
+
     def close(self) -> None:
         """Stop accepting connections and close the socket."""
+        self._is_closed = True
         self._loop.unwatch(self._sock)
         self._sock.close()
 
