--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -71,3 +71,18 @@
 def test_missing_file_is_an_error():
     with pytest.raises(SettingsError):
         load_proxy_settings("missing.yaml")
+
+
+def test_limits_of_the_machine_are_optional():
+    # Guards against a deployment whose platform does not name them (YAML null).
+    settings = parse(memory_limit_mb=None)
+    assert (settings.memory_limit_mb, settings.descriptor_limit) == (None, None)
+    settings = parse(memory_limit_mb=152, descriptor_limit=1605)
+    assert (settings.memory_limit_mb, settings.descriptor_limit) == (152, 1605)
+
+
+@pytest.mark.parametrize("value", [0, -1, "many", float("inf"), float("nan")])
+@pytest.mark.parametrize("key", ["memory_limit_mb", "descriptor_limit"])
+def test_error_for_an_impossible_limit_of_the_machine(key, value):
+    with pytest.raises(SettingsError, match=key):
+        parse(**{key: value})
