Drop the state of sessions and target connections that end

The objects of a session refer to each other, so its values were freed only by a later garbage collection, while the budget no longer counted them.

--- a/bulrushloom/proxy/clients/session_guard.py
+++ b/bulrushloom/proxy/clients/session_guard.py
@@ -61,5 +61,10 @@
         self.account.set_held(SESSION_BYTES + self.state.size + statement_bytes)
 
     def close(self) -> None:
-        """Remove the session from the budget."""
+        """Remove the session from the budget and drop its state.
+
+        The objects of a session refer to each other, so they are freed only by a later
+        garbage collection.
+        """
         self.account.close()
+        self.state.clear()
--- a/bulrushloom/proxy/clients/session_state.py
+++ b/bulrushloom/proxy/clients/session_state.py
@@ -52,6 +52,12 @@
         self.size -= _size(name, prepared.shape)
         return True
 
+    def clear(self) -> None:
+        """Drop all values and prepared statements."""
+        self.values.clear()
+        self.prepared_by_name.clear()
+        self.size = 0
+
     def writes(self, statement: Statement) -> bool:
         """Return whether ``statement`` executes a prepared statement that writes."""
         prepared = self.prepared_by_name.get(statement.name)
--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -195,6 +195,9 @@
         """Close the connection; the server rolls back an open transaction."""
         self._stream.close(reason)
         self._rows.clear()
+        self._row_bytes = 0
+        self.values.clear()
+        self.prepared_by_name.clear()
         if self._account is not None:
             self._account.close()
         failure, self._failure = self._failure, None
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -180,6 +180,7 @@
                 self._transaction = None
             self._stream.close("the session ended")
             self._guard.close()
+            self._message = None
             self._on_end(self)
 
     def _serve(self) -> Steps:
--- a/tests/proxy/clients/test_sessions.py
+++ b/tests/proxy/clients/test_sessions.py
@@ -69,6 +69,8 @@
     client.stream.close()
     instance.run(SECOND)
     assert memory.used < before
+    # Guards against values that stay in memory until a garbage collection.
+    assert not client.session._state.values
 
 
 def test_message_that_has_arrived_is_not_refused_by_a_close(instance):
