--- a/tests/proxy/clients/test_sessions.py
+++ b/tests/proxy/clients/test_sessions.py
@@ -8,7 +8,7 @@
 from bulrushloom.proxy.clients.session_state import MAX_NAMES
 from bulrushloom.proxy.clients.watch import ClientWatch
 from standins.platform.network import MemoryStream
-from tests.proxy.builders import ms
+from tests.proxy.builders import SimulatedClient, ms
 
 SECOND = timedelta(seconds=1)
 KILOBYTE = 1024
@@ -119,7 +119,8 @@
     assert idle.query("READ 1")[-2].startswith("DONE")
 
 
-def test_client_that_does_not_start_is_closed(instance):
+def test_client_with_a_long_start_message_is_closed(instance):
+    # Guards against clients without a key that use memory before they are refused.
     client = instance.client("strict")
     client.session.is_started = False
     client.stream.write(b"x" * 40_000)
@@ -127,6 +128,14 @@
     assert client.is_ended
 
 
+def test_client_that_sends_no_start_message_is_closed(instance):
+    client = SimulatedClient(instance)
+    instance.run(SECOND * 4)
+    assert not client.is_ended
+    instance.run(SECOND * 2)
+    assert client.is_ended
+
+
 def test_names_beyond_the_limit_are_refused_and_the_session_goes_on(instance):
     client = instance.client("strict")
     state = client.session._state
