Add a check of configuration documents to the command line

An entry that contradicts another one is accepted by the instances and has no effect, or refuses callers. proxy-configuration check finds these before the document is written, and prints what differs from the version in force; keys are never printed.

--- a/bulrushloom/management/__init__.py
+++ b/bulrushloom/management/__init__.py
@@ -8,6 +8,9 @@
 
 from bulrushloom.management.base import PreparedCommand, run_prepared
 from bulrushloom.management.commands.keys import KeysCommands
+from bulrushloom.management.commands.proxy_configuration import (
+    ProxyConfigurationCommands,
+)
 from bulrushloom.management.commands.report import ReportCommands
 from bulrushloom.management.commands.rules import RulesCommands
 from bulrushloom.management.commands.serve import serve
@@ -22,6 +25,7 @@
         self.serve = serve
         self.rules = RulesCommands()
         self.keys = KeysCommands()
+        self.proxy_configuration = ProxyConfigurationCommands()
         self.status = status
         self.report = ReportCommands()
 
