Limit log lines that clients cause, and accepts in one turn of the loop

A refusal for memory wrote a line for each statement, and a crowd could be accepted 512 connections at a time, each with a search for a session to replace. Both are bounded now (one line a second, 64 accepts), and the memory of connections to targets has a module of its own.

--- a/bulrushloom/proxy/clients/watch.py
+++ b/bulrushloom/proxy/clients/watch.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from bulrushloom.platform import wire
+from bulrushloom.proxy.clients.limited_log import LimitedLog
 from bulrushloom.proxy.clients.memory_budget import AccountKind, MemoryAccount
 from bulrushloom.proxy.clients.session_bounds import (
     TOO_MANY_SESSIONS,
@@ -20,7 +21,6 @@
 TIME_CHECK_INTERVAL = timedelta(seconds=1)
 # Requests of probes and peers are one segment; a peer in another region needs 16 ms.
 HTTP_REQUEST_TIMEOUT = timedelta(seconds=10)
-LOG_INTERVAL = timedelta(seconds=1)
 NO_MEMORY_REASON = "the instance has no memory for this client"
 
 
@@ -34,8 +34,7 @@
         self._services = services
         self._loop = services.loop
         self._sessions = sessions
-        self._logged_at: timedelta | None = None
-        self._unlogged = 0
+        self._log = LimitedLog(services.loop, services.log, "client_closed")
 
     def http_limits(self) -> HttpServerLimits:
         """Return the limits of an HTTP server of this process."""
@@ -105,19 +104,12 @@
     def _record(self, reason: str, size: int = 0) -> None:
         """Count a closed connection, and log at most one line per interval."""
         self._services.metrics.count("clients_closed", reason)
-        now = self._loop.now()
-        if self._logged_at is not None and now - self._logged_at < LOG_INTERVAL:
-            self._unlogged += 1
-            return
         services = self._services
-        services.log.write(
-            "client_closed",
+        self._log.write(
             reason=reason,
             size=size,
             memory=services.memory.used,
             memory_limit=services.limits.memory.budget_bytes,
             sessions=len(self._sessions),
             sessions_limit=services.limits.max_sessions,
-            others_since_last_line=self._unlogged,
         )
-        self._logged_at, self._unlogged = now, 0
--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -8,6 +8,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.clients.connection_memory import ConnectionMemory
 from bulrushloom.proxy.clients.memory_budget import (
     AccountKind,
     MemoryAccount,
@@ -81,8 +82,7 @@
         self.released_at = loop.now()
         self.in_use = True
         self._session_started = False
-        self._row_bytes = 0
-        self._account: MemoryAccount | None = None
+        self._memory = ConnectionMemory()
         self.on_close: Callable[[ServerConnection], None] | None = None
         stream.on_data(self._on_data)
 
@@ -98,25 +98,13 @@
         return idle and self._stream.is_open and not self._stream.at_eof
 
     def limit_memory(self, account: MemoryAccount) -> None:
-        """Count the connection's buffers, rows and session state in ``account``.
-
-        Only an idle connection may be closed to free memory.
-        """
-        self._account = account
-        account.is_closable = lambda: not self.in_use
-        account.close_connection = self.close
+        """Count the connection's buffers, rows and session state in ``account``."""
         self._stream.limit_memory(account)
+        self._memory.start(account, lambda: not self.in_use, self.close)
 
-    def count_memory(self) -> None:
-        """Update the account with the rows and the session state."""
-        if self._account is None:
-            return
-        size = self._row_bytes
-        for name, value in self.values.items():
-            size += len(name) + len(value)
-        for prepared in self.prepared_by_name.values():
-            size += len(prepared.shape)
-        self._account.set_held(size)
+    def count_state(self) -> None:
+        """Count the session values and prepared statements anew."""
+        self._memory.set_state(self.values, self.prepared_by_name)
 
     def start(self) -> "Future[ServerAnswer]":
         """Open the session at the server."""
@@ -147,27 +135,19 @@
                 if line is None:
                     break
                 self._handle_line(line)
-            self._check_answer_size()
         except (LineTooLong, wire.ProtocolError) as error:
             self._stream.close(f"protocol error: {error}")
         if self._stream.at_eof:
             self.close(self._stream.closed_reason or "closed by the target")
 
-    def _check_answer_size(self) -> None:
-        account = self._account
-        if account is None or not self._row_bytes:
-            return
-        if self._row_bytes > account.answer_bytes:
-            raise wire.ProtocolError("the answer is too large for this instance")
-        self.count_memory()
-
     def _handle_line(self, line: bytes) -> None:
         if not self._pending_answers:
             raise wire.ProtocolError("an answer to no statement")
         word, _, rest = line.partition(b" ")
         if word == b"ROW":
             self._rows.append(line + wire.LINE_END)
-            self._row_bytes += len(line)
+            if not self._memory.add_row(len(line)):
+                raise wire.ProtocolError("the answer is too large for this instance")
         elif word == b"DONE":
             self._signature = rest
         elif word == b"ERR":
@@ -184,9 +164,7 @@
             tuple(self._rows), self._signature, self._failure, self.state, self.position
         )
         self._rows.clear()
-        if self._row_bytes:
-            self._row_bytes = 0
-            self.count_memory()
+        self._memory.end_answer()
         self._signature = b""
         self._failure = None
         set_result_if_pending(self._pending_answers.popleft(), answer)
@@ -195,11 +173,9 @@
         """Close the connection; the server rolls back an open transaction."""
         self._stream.close(reason)
         self._rows.clear()
-        self._row_bytes = 0
         self.values.clear()
         self.prepared_by_name.clear()
-        if self._account is not None:
-            self._account.close()
+        self._memory.close()
         failure, self._failure = self._failure, None
         while self._pending_answers:
             answer_future = self._pending_answers.popleft()
@@ -372,7 +348,7 @@
             return
         connection.in_use = False
         connection.released_at = self._loop.now()
-        connection.count_memory()
+        connection.count_state()
         self._wake_waiter(connection.target.target_id)
 
     def _remove(self, connection: ServerConnection) -> None:
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -121,7 +121,7 @@
         answers = [connection.query(wire.PROXY_REQUEST_ID, text) for text in texts]
         # The texts may be large, and the answers can take a while.
         texts.clear()
-        connection.count_memory()
+        connection.count_state()
         deadline = self._loop.now() + SESSION_STATE_TIMEOUT
         for answer in answers:
             try:
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -8,6 +8,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.clients.limited_log import LimitedLog
 from bulrushloom.proxy.clients.limits import client_limits
 from bulrushloom.proxy.clients.memory_budget import MemoryBudget
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
@@ -92,6 +93,7 @@
         self.limits = client_limits(settings)
         self.memory = MemoryBudget(self.limits.memory, loop.call_soon)
         self.pool.memory = self.memory
+        self.memory_refusal_log = LimitedLog(loop, log, "statement_refused_for_memory")
         self.member_count = 1
         self.stop_plan: StopPlan | None = None
         self.session_close_reason = ""
--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -238,9 +238,7 @@
             failure = transaction.failure or NO_MEMORY
         self._services.metrics.count("statements_failed", failure.code.value)
         self._services.metrics.count("memory_refusals")
-        self._services.log.write(
-            "statement_refused_for_memory", database=self._database, size=size
-        )
+        self._services.memory_refusal_log.write(database=self._database, size=size)
         self._answer_failure(failure)
 
     def _closes_after_answer(self) -> bool:
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -27,6 +27,8 @@
 # one of the largest messages, and what one receive adds to it.
 MAX_UNREAD_BYTES = 1024 * 1024 + RECEIVE_BYTES
 LISTEN_BACKLOG = 512
+# Connections that are accepted before other events get their turn.
+MAX_ACCEPTS_PER_EVENT = 64
 # Without a free descriptor, accepting fails at once while connections wait.
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=100)
 # TCP closes a connection on which a segment stays unacknowledged for this long, since
@@ -292,7 +294,7 @@
         self._watch()
 
     def _on_event(self, _: int) -> None:
-        for _attempt in range(LISTEN_BACKLOG):
+        for _attempt in range(MAX_ACCEPTS_PER_EVENT):
             try:
                 sock, _address = self._sock.accept()
             except (BlockingIOError, InterruptedError):
