--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -8,6 +8,12 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.clients.connection_memory import ConnectionMemory
+from bulrushloom.proxy.clients.memory_budget import (
+    AccountKind,
+    MemoryAccount,
+    MemoryBudget,
+)
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.messages import (
     NO_POSITION,
@@ -76,6 +82,7 @@
         self.released_at = loop.now()
         self.in_use = True
         self._session_started = False
+        self._memory = ConnectionMemory()
         self.on_close: Callable[[ServerConnection], None] | None = None
         stream.on_data(self._on_data)
 
@@ -90,6 +97,15 @@
         idle = self.state is TransactionState.IDLE and not self._pending_answers
         return idle and self._stream.is_open and not self._stream.at_eof
 
+    def limit_memory(self, account: MemoryAccount) -> None:
+        """Count the connection's buffers, rows and session state in ``account``."""
+        self._stream.limit_memory(account)
+        self._memory.start(account, lambda: not self.in_use, self.close)
+
+    def count_state(self) -> None:
+        """Count the session values and prepared statements anew."""
+        self._memory.set_state(self.values, self.prepared_by_name)
+
     def start(self) -> "Future[ServerAnswer]":
         """Open the session at the server."""
         target = self.target
@@ -130,6 +146,8 @@
         word, _, rest = line.partition(b" ")
         if word == b"ROW":
             self._rows.append(line + wire.LINE_END)
+            if not self._memory.add_row(len(line)):
+                raise wire.ProtocolError("the answer is too large for this instance")
         elif word == b"DONE":
             self._signature = rest
         elif word == b"ERR":
@@ -146,6 +164,7 @@
             tuple(self._rows), self._signature, self._failure, self.state, self.position
         )
         self._rows.clear()
+        self._memory.end_answer()
         self._signature = b""
         self._failure = None
         set_result_if_pending(self._pending_answers.popleft(), answer)
@@ -153,6 +172,10 @@
     def close(self, reason: str = "closed") -> None:
         """Close the connection; the server rolls back an open transaction."""
         self._stream.close(reason)
+        self._rows.clear()
+        self.values.clear()
+        self.prepared_by_name.clear()
+        self._memory.close()
         failure, self._failure = self._failure, None
         while self._pending_answers:
             answer_future = self._pending_answers.popleft()
@@ -204,6 +227,7 @@
         self._waiters_by_target: dict[str, list[tuple[int, int, Future[None]]]] = {}
         self._order = itertools.count()
         self.opened = 0
+        self.memory: MemoryBudget | None = None
 
     def in_flight(self, target_id: str) -> int:
         """Return the number of connections to a target in use or being opened."""
@@ -293,6 +317,8 @@
             opening[target_id] -= 1
             self._wake_waiter(target_id)
         connection.on_close = self._remove
+        if self.memory is not None:
+            connection.limit_memory(self.memory.open_account(AccountKind.TARGET))
         self._connections_by_target.setdefault(target_id, []).append(connection)
         return connection
 
@@ -322,6 +348,7 @@
             return
         connection.in_use = False
         connection.released_at = self._loop.now()
+        connection.count_state()
         self._wake_waiter(connection.target.target_id)
 
     def _remove(self, connection: ServerConnection) -> None:
--- a/bulrushloom/proxy/settings.py
+++ b/bulrushloom/proxy/settings.py
@@ -1,5 +1,6 @@
 """Settings of the session proxy: a YAML file that is validated at startup."""
 
+import math
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from pathlib import Path
@@ -80,8 +81,8 @@
 
 def _positive_number(value: Any) -> float:
     number = _non_negative_number(value)
-    if not number:
-        raise ValueError("must be a positive number")
+    if not number or not math.isfinite(number):
+        raise ValueError("must be above 0 and finite")
     return number
 
 
