Let evacuated domains be held across a return of the store

A store that returns from an older copy may lack the key of an evacuation until the operators have written it again. A read cannot tell that from a removed key, so Evacuations.hold keeps the known domains for a time. Unit tests cover it, and the start of the grace of transactions.

--- a/bulrushloom/proxy/failover/evacuation.py
+++ b/bulrushloom/proxy/failover/evacuation.py
@@ -24,6 +24,8 @@
         self.bound = bound
         self._since_by_domain: dict[str, timedelta] = {}
         self._read_at: timedelta | None = None
+        self._held_until: timedelta | None = None
+        self._held_domains: frozenset[str] = frozenset()
 
     @property
     def domains(self) -> frozenset[str]:
@@ -38,9 +40,19 @@
         """
         earliest = self._read_at if self._read_at is not None else read_at - self.bound
         self._read_at, known = read_at, self._since_by_domain
+        if self._held_until is not None and read_at < self._held_until:
+            domains = self._held_domains | set(domains)
         self._since_by_domain = {d: known.get(d, earliest) for d in domains}
         return self._since_by_domain.keys() != known.keys()
 
+    def hold(self, until: timedelta) -> None:
+        """Keep the present domains although reads before ``until`` do not list them.
+
+        For a store that may have returned from a copy without the requests: operators
+        write them again, but not at once.
+        """
+        self._held_until, self._held_domains = until, self.domains
+
     def covers(self, target: Target) -> bool:
         """Return whether ``target`` is in an evacuated domain."""
         return target.domain in self._since_by_domain
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -349,12 +349,13 @@
     ) -> bool:
         """Apply the evacuated domains of a store read; return whether they changed."""
         has_changed = self.table.evacuations.update(domains, listed_at)
-        self.metrics.gauges["evacuated_domains"] = len(domains)
+        evacuated = self.table.evacuated_domains
+        self.metrics.gauges["evacuated_domains"] = len(evacuated)
         if not has_changed:
             return False
         self.log.write(
             "evacuation_changed",
-            domains=sorted(domains),
+            domains=sorted(evacuated),
             evidence_age=self.loop.now() - listed_at,
         )
         for known in self.table.listed_target_by_id.values():
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -12,6 +12,7 @@
     is_majority,
     reason_to_replace,
 )
+from bulrushloom.proxy.failover.evacuation import Evacuations
 from bulrushloom.proxy.failover.groups import (
     GroupPhase,
     GroupTable,
@@ -85,6 +86,30 @@
         assert not freshness.allows_primary(timedelta())
 
 
+class TestEvacuations:
+    def test_held_domains_outlast_a_store_that_lacks_them(self):
+        # Guards against an evacuation that ends because the store has returned from a
+        # copy without the request.
+        evacuations = Evacuations(SECOND * 5)
+        evacuations.update({"north"}, SECOND)
+        evacuations.hold(SECOND * 6)
+        evacuations.update({"south"}, SECOND * 2)
+        assert evacuations.domains == {"north", "south"}
+        evacuations.update({"north"}, SECOND * 5)
+        assert evacuations.domains == {"north"}
+        evacuations.update((), SECOND * 6)
+        assert evacuations.domains == frozenset()
+
+    def test_grace_counts_from_the_last_read_without_the_request(self):
+        # Guards against a grace from the read that listed it: the request may be older.
+        evacuations, target = Evacuations(SECOND * 5), build_target("a", "north")
+        evacuations.update((), SECOND)
+        evacuations.update({"north"}, SECOND * 2)
+        assert evacuations.covers(target)
+        assert not evacuations.has_ended_grace(target, ms(2990))
+        assert evacuations.has_ended_grace(target, SECOND * 3)
+
+
 class TestReadRouter:
     def candidates(self, **domains):
         return [
