--- a/tests/proxy/test_store_eras.py
+++ b/tests/proxy/test_store_eras.py
@@ -37,6 +37,7 @@
 
 
 def test_era_0_changes_nothing():
+    # Guards against a store without eras whose reads do not count.
     knowledge, freshness = build_knowledge(SECOND)
     assert knowledge.knowledge(SECOND) is Knowledge.CURRENT and knowledge.is_settled
     assert freshness.allows_keys(SECOND * 5) and freshness.allows_primary(SECOND * 3)
@@ -60,6 +61,8 @@
 
 
 def test_new_instance_waits_for_the_bound_if_nobody_names_a_configuration():
+    # Guards against the use of a withdrawn key of the copy, and against an instance
+    # that waits for good.
     knowledge, freshness = build_knowledge()
     assert not knowledge.enter(1, SECOND, False)
     freshness.record_read(SECOND * 4)
@@ -87,6 +90,7 @@
 
 
 def test_earlier_side_that_is_seen_late_is_ignored():
+    # Guards against a report or read in flight that brings an instance back.
     knowledge, _ = build_knowledge(SECOND)
     assert knowledge.enter(2, SECOND * 2, False)
     assert not knowledge.enter(1, SECOND * 3, True)
@@ -94,6 +98,7 @@
 
 
 def test_fencing_tokens_grow_over_eras():
+    # Guards against a token that a leader of an earlier era has used.
     tokens = [0]
     for era in (0, 0, 1, 1, 4, 4):
         tokens.append(next_fence(tokens[-1], era))
@@ -115,6 +120,8 @@
 
 
 def test_records_are_ordered_by_era_and_generation():
+    # Guards against a lost record that replaces one written since, and against a
+    # condition with a revision of another era.
     table = GroupTable(SECOND)
     written_by_earlier_release = build_group(revision=900)
     lost = build_group(revision=20, era=1, generation=902, primary_id="b")
@@ -129,6 +136,7 @@
 
 
 def test_members_of_a_group_are_ordered_in_the_same_way():
+    # Guards against a list of servers of the copy that replaces a later one.
     table = GroupTable(SECOND)
     assert table.record_members(GroupMembers(SERVICE, "a", {}, 50))
     assert table.record_members(GroupMembers(SERVICE, "b", {}, 9, 1, 51, 1))
