Hold evacuations across a return of the store

A copy may lack a request to evacuate a domain, which then looked like its end until the operators had written it again.

--- a/bulrushloom/proxy/limits/limiter.py
+++ b/bulrushloom/proxy/limits/limiter.py
@@ -146,9 +146,10 @@
         used_fraction = 1.0 - exp(-(horizon / HEADROOM_SPREAD_TIME))
         hot = {}
         for account in accounts:
-            recorded = self._start.recorded(account.name, now, self.window.length)
-            used = self.admitted(account.name, now) + recorded
             limit = max(self._full_limit(account), 1.0)
+            used = self.admitted(account.name, now) + self._start.recorded(
+                account.name, limit, now, self.window.length
+            )
             if used > limit * HOT_ACCOUNT_SHARE:
                 hot[account.name] = used + max(limit - used, 0.0) * used_fraction
         return hot
--- a/bulrushloom/proxy/limits/starting.py
+++ b/bulrushloom/proxy/limits/starting.py
@@ -48,11 +48,13 @@
         """Return whether the account was near its limit before the start."""
         return self._is_record_outdated or account in self._recorded_by_account
 
-    def recorded(self, account: str, now: timedelta, window: timedelta) -> float:
-        """Return the recorded operations that still count."""
+    def recorded(
+        self, account: str, limit: float, now: timedelta, window: timedelta
+    ) -> float:
+        """Return the recorded operations that still count, out of ``limit``."""
         if self.is_over(now, window):
             return 0.0
-        return self._recorded_by_account.get(account, 0.0)
+        return self._used_before(account, limit, 0.0)
 
     def reduced(
         self, account: str, limit: float, now: timedelta, window: timedelta
@@ -60,7 +62,10 @@
         """Return what is left of ``limit`` after the usage before the start."""
         if self.is_over(now, window):
             return limit
-        if self._is_record_outdated:
-            return limit * MIN_START_FRACTION
-        used = self._recorded_by_account.get(account, limit * HOT_ACCOUNT_SHARE)
+        used = self._used_before(account, limit, limit * HOT_ACCOUNT_SHARE)
         return max(limit - used, limit * MIN_START_FRACTION)
+
+    def _used_before(self, account: str, limit: float, assumed: float) -> float:
+        if self._is_record_outdated:
+            return limit
+        return self._recorded_by_account.get(account, assumed)
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -15,7 +15,12 @@
 from bulrushloom.proxy.connections import ConnectionPool
 from bulrushloom.proxy.exchange.messages import Report
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
-from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord, GroupTable
+from bulrushloom.proxy.failover.groups import (
+    VANISHED_TARGET_LIFETIME,
+    GroupPhase,
+    GroupRecord,
+    GroupTable,
+)
 from bulrushloom.proxy.failover.member_records import (
     GROUP_MEMBERS_PREFIX,
     encode_group_members,
@@ -430,6 +435,7 @@
         if not self.eras.enter(era, self.loop.now(), is_settled):
             return False
         self.table.note_return_of_store()
+        self.table.evacuations.hold(self.loop.now() + VANISHED_TARGET_LIFETIME)
         self.metrics.count("store_returns", "seen")
         self.log.write(
             "store_returned",
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -6,6 +6,7 @@
 
 from bulrushloom.proxy.configuration import Consistency
 from tests.proxy.builders import SERVICE, SETTINGS, build_route, ms
+from tests.proxy.era_builders import return_store
 from tests.proxy.evacuation_builders import (
     ContinuousReader,
     Load,
@@ -344,3 +345,17 @@
     assert max(reader.served_at) > fleet.loop.now() - SECOND
     reader.is_stopped = True
     fleet.run(SECOND)
+
+
+def test_copy_of_the_store_without_the_request(fleet):
+    # Guards against instances that use an evacuated domain again because the store has
+    # returned from a copy, until the operators have written the request again.
+    copy = fleet.store.copy()
+    evacuate(fleet, "north")
+    fleet.run(BOUND)
+    returned_at = fleet.loop.now()
+    return_store(fleet, copy)
+    readers = [ContinuousReader(member.client("bounded")) for member in fleet.members]
+    fleet.run(SECOND * 2)
+    assert statements_at(fleet, {"north"}, returned_at) == []
+    assert readers
