--- /dev/null
+++ b/tests/proxy/scheduling/test_scheduler.py
@@ -0,0 +1,40 @@
+"""Interface of the scheduler of one target."""
+
+from bulrushloom.proxy.scheduling.base import WorkOutcome, WorkRequest
+from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
+from tests.proxy.builders import ms
+
+
+def submit(scheduler, request_id, priority=1, deadline=200, account="hotel", now=ms(0)):
+    request = WorkRequest(request_id, account, priority, now, ms(deadline))
+    return scheduler.submit(request, now)
+
+
+class TestDomainTargetScheduler:
+    def test_urgent_request_starts_first(self):
+        scheduler = DomainTargetScheduler(slots=1, domain_count=1, now=ms(0))
+        submit(scheduler, 1, priority=2)
+        running = scheduler.admit(ms(0))
+        for request_id, priority in ((2, 2), (3, 0), (4, 1)):
+            submit(scheduler, request_id, priority=priority)
+        order = []
+        while running:
+            order += running
+            for request_id in running:
+                scheduler.finish(request_id, WorkOutcome.SERVED, ms(1), ms(1))
+            running = scheduler.admit(ms(1))
+        assert order == [1, 3, 4, 2]
+
+    def test_late_request_is_refused_and_not_started(self):
+        scheduler = DomainTargetScheduler(slots=1, domain_count=1, now=ms(0))
+        submit(scheduler, 1, deadline=50)
+        assert scheduler.next_event_at(ms(0)) == ms(50)
+        assert scheduler.admit(ms(51)) == []
+        assert [refusal.request_id for refusal in scheduler.expire(ms(51))] == [1]
+        assert scheduler.next_event_at(ms(51)) is None
+
+    def test_cancelled_request_does_not_start(self):
+        scheduler = DomainTargetScheduler(slots=1, domain_count=1, now=ms(0))
+        submit(scheduler, 1)
+        scheduler.cancel(1)
+        assert scheduler.admit(ms(0)) == []
