Lease connections from one owner of each domain

With fewer connections per target than instances, every instance replaced the connections of the others with almost every statement. One instance of each domain now holds the domain's share and leases connections to the others over an authenticated TCP connection. Direct connections are used if no owner answers. Services with enough connections are not affected.

Simulated fleet of 12 instances in two domains with 17 connections to each target: fewer than a tenth of 120 writes open a connection, none of them directly.

--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -84,12 +84,22 @@
 
 
 class NotOffered(Exception):
-    """The statement was not sent to ``target``; wait ``retry_delay`` for a retry."""
+    """The statement was not sent to ``target``; wait ``retry_delay`` for a retry.
 
-    def __init__(self, target: Target, reason: str, retry_delay: timedelta = _ZERO):
+    With ``is_too_late``, the target cannot run it in time, so the client has to retry.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        reason: str,
+        retry_delay: timedelta = _ZERO,
+        is_too_late: bool = False,
+    ):
         super().__init__(reason)
         self.target = target
         self.retry_delay = retry_delay
+        self.is_too_late = is_too_late
 
 
 class PermitEnded(Exception):
--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -6,14 +6,12 @@
 from concurrent.futures import Future
 from datetime import timedelta
 
-from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
+from bulrushloom.proxy.base import TargetConnection
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.messages import (
-    NO_POSITION,
     Failure,
     LogPosition,
-    PreparedStatement,
     ServerAnswer,
     TransactionState,
 )
@@ -37,12 +35,14 @@
     """A connection to a target ended or could not be opened.
 
     ``refused`` is true if the host of the target actively refused the connection,
-    because no process listens at the address.
+    because no process listens at the address. ``was_sent`` is false if the statement
+    certainly did not reach the target.
     """
 
-    def __init__(self, reason: str, refused: bool = False):
+    def __init__(self, reason: str, refused: bool = False, was_sent: bool = True):
         super().__init__(reason)
         self.refused = refused
+        self.was_sent = was_sent
 
 
 class ConnectionRejected(Exception):
@@ -53,26 +53,17 @@
         self.failure = failure
 
 
-class ServerConnection:
-    """Connection to a target, opened for one account.
-
-    ``values`` and ``prepared_by_name`` mirror the session values and the prepared
-    statements that the server holds for the connection.
-    """
+class ServerConnection(TargetConnection):
+    """Connection of this instance to a target."""
 
     def __init__(self, loop: Loop, stream: Stream, target: Target, account: str):
+        super().__init__(target, account)
         self._loop = loop
         self._stream = stream
         self._rows: list[bytes] = []
         self._signature = b""
         self._failure: Failure | None = None
         self._pending_answers: deque[Future[ServerAnswer]] = deque()
-        self.target = target
-        self.account = account
-        self.values: dict[bytes, bytes] = {}
-        self.prepared_by_name: dict[bytes, PreparedStatement] = {}
-        self.state = TransactionState.IDLE
-        self.position: LogPosition | Missing = NO_POSITION
         self.released_at = loop.now()
         self.in_use = True
         self._session_started = False
@@ -221,6 +212,10 @@
             for c in self._connections_by_target.get(target_id, ())
         )
 
+    def size_of(self, target_id: str) -> int:
+        """Return the number of open connections to a target."""
+        return len(self._connections_by_target.get(target_id, ()))
+
     def size(self) -> int:
         """Return the number of open connections."""
         return sum(
@@ -244,16 +239,17 @@
         """
         deadline = self._loop.now() + timeout
         while True:
-            connection = self._acquire_idle(target.target_id, account, values)
+            connection = self.acquire_idle(target.target_id, account, values)
             if connection is not None:
                 return connection
             if self._ensure_capacity(target):
                 return (yield from self._open(target, account))
             yield from self._wait_for_release(target.target_id, priority, deadline)
 
-    def _acquire_idle(
+    def acquire_idle(
         self, target_id: str, account: str, values: Mapping[bytes, bytes]
     ) -> ServerConnection | None:
+        """Return an idle connection for the account, if there is one."""
         idle = [
             connection
             for connection in self._connections_by_target.get(target_id, ())
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -12,12 +12,15 @@
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, PermitEnded
-from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.connections import (
-    ConnectionLost,
-    ConnectionRejected,
-    ServerConnection,
+from bulrushloom.proxy.base import (
+    LeaseRefused,
+    NoOwnerAnswers,
+    RefusalKind,
+    SharedConnections,
+    TargetConnection,
 )
+from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.connections import ConnectionLost, ConnectionRejected
 from bulrushloom.proxy.messages import (
     AnswerCode,
     LogPosition,
@@ -65,6 +68,14 @@
         Prefers one that has the session values already. Raise ``NotOffered``.
         """
         services = self._services
+        sharing = services.shared(target)
+        if sharing is not None:
+            started_at = self._loop.now()
+            leasing = self._lease(sharing, target, account, priority, timeout)
+            leased = yield from leasing
+            if leased is not None:
+                return leased
+            timeout = max(timeout - (self._loop.now() - started_at), _ZERO)
         health = services.router.health(target.target_id)
         full_for = health.full_until - self._loop.now()
         if full_for > _ZERO and not services.pool.has_idle(target.target_id, account):
@@ -92,8 +103,47 @@
             raise NotOffered(target, str(error)) from error
         return connection
 
+    def _lease(
+        self,
+        sharing: SharedConnections,
+        target: Target,
+        account: str,
+        priority: int,
+        timeout: timedelta,
+    ) -> Steps:
+        """Lease a connection; return ``None`` if no owner answers.
+
+        Raise ``NotOffered``.
+        """
+        try:
+            return (
+                yield from sharing.acquire(
+                    target, account, self._values, priority, timeout
+                )
+            )
+        except NoOwnerAnswers:
+            return None
+        except TimeoutError as error:
+            raise NotOffered(target, "no connection was leased in time") from error
+        except LeaseRefused as error:
+            self._record_refusal(target, error)
+            raise NotOffered(
+                target,
+                str(error),
+                error.retry_after,
+                error.kind is RefusalKind.NOT_IN_TIME,
+            ) from error
+
+    def _record_refusal(self, target: Target, refusal: LeaseRefused) -> None:
+        health = self._services.router.health(target.target_id)
+        if refusal.kind is RefusalKind.UNREACHABLE:
+            health.record_failure(self._loop.now())
+            self._services.report_failure(target, str(refusal))
+        elif refusal.kind in (RefusalKind.BUSY, RefusalKind.NOT_IN_TIME):
+            health.record_busy(self._loop.now())
+
     def apply_session_state(
-        self, connection: ServerConnection, prepared: PreparedStatement | None
+        self, connection: TargetConnection, prepared: PreparedStatement | None
     ) -> Steps:
         """Set the session values and the prepared statement on the connection.
 
@@ -151,7 +201,7 @@
 
     def send(
         self,
-        connection: ServerConnection,
+        connection: TargetConnection,
         attempt: Attempt,
         after: LogPosition | None,
         cutoff: "Future[None] | None" = None,
--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -140,6 +140,11 @@
         """Return whether datagrams can be signed and verified."""
         return self._codec.keys is not None
 
+    @property
+    def keys(self) -> ExchangeKeys | None:
+        """Return the keys, ``None`` until they were read from the store."""
+        return self._codec.keys
+
     def set_keys(self, keys: ExchangeKeys) -> None:
         """Use the keys that were read from the store."""
         self._codec.keys = keys
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -88,9 +88,12 @@
         hedge_after = attempt.route.latency_objective * HEDGE_DELAY_FRACTION
         sent_count = 0
         refusals = 0
+        too_late: NotOffered | None = None
         while sent_count < MAX_READ_ATTEMPTS and self._loop.now() < attempt.deadline:
             choice = self.choose_read(attempt, tried)
             if isinstance(choice, Missing):
+                if not running and too_late is not None:
+                    return _too_late(too_late)
                 if not running:
                     refusals += 1
                     should_retry = yield from self.wait_to_retry(
@@ -122,6 +125,8 @@
                     ended = error
                     continue
                 sent_count -= isinstance(error, NotOffered)
+                if isinstance(error, NotOffered) and error.is_too_late:
+                    too_late = _first_to_retry(too_late, error)
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
@@ -179,7 +184,7 @@
                 )
             answer = yield from self.send(connection, attempt, after)
         finally:
-            self._services.pool.release(connection)
+            self._services.release(connection)
         return answer
 
     def choose_read(self, attempt: Attempt, tried: list[str]) -> Candidate | Missing:
@@ -277,6 +282,8 @@
             except NotOffered as error:
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
+                if error.is_too_late:
+                    return _too_late(error)
                 yield self._loop.sleep(error.retry_delay)
             except AnswerLost as error:
                 self.log_attempt(attempt, primary, str(error))
@@ -318,7 +325,7 @@
             self.require_primary(primary)
             answer = yield from self.send(connection, attempt, None, cutoff)
         finally:
-            self._services.pool.release(connection)
+            self._services.release(connection)
         return answer
 
     def _refused(self, reason: str, service: str) -> Outcome:
@@ -326,3 +333,15 @@
             PRIMARY_CHECK_INTERVAL, self._services.expected_primary_wait(service)
         )
         return Outcome(Failure(AnswerCode.NOT_RUN, reason, retry_after), None)
+
+
+def _first_to_retry(known: NotOffered | None, refusal: NotOffered) -> NotOffered:
+    """Return the refusal with the earlier time to return."""
+    if known is None or refusal.retry_delay < known.retry_delay:
+        return refusal
+    return known
+
+
+def _too_late(refusal: NotOffered) -> Outcome:
+    """Return the refusal of a statement that no target can run in time."""
+    return Outcome(Failure(AnswerCode.NOT_RUN, str(refusal), refusal.retry_delay), None)
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -27,6 +27,7 @@
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
+from bulrushloom.proxy.sharing.domain import DomainConnections
 from bulrushloom.proxy.stopping import (
     BALANCER_REMOVAL_TIME,
     SHUTDOWN_MARGIN,
@@ -122,6 +123,16 @@
         )
         self.reader.connect(self.fleet, self.leadership)
         stack.callback(self.fleet.close)
+        self.sharing = DomainConnections(self.services, self.member, self.fleet)
+        self.services.sharing = self.sharing
+        stack.callback(self.sharing.close)
+        peer_listener = Listener(
+            loop,
+            settings.peer_address,
+            self.sharing.accept,
+            lambda reason: self.log.write("peer_not_accepted", reason=reason),
+        )
+        stack.callback(peer_listener.close)
         status = StatusReader(self.services, settings.name)
         self._replacement = FailoverRunner(
             self.services,
@@ -150,6 +161,7 @@
         loop.supervise(self.reader.run)
         loop.supervise(self._registration.run)
         loop.supervise(self.fleet.run)
+        loop.supervise(self.sharing.run)
         loop.supervise(self.primary_monitor.run)
         hot_account_recorder = HotAccountRecorder(
             self.services, self._store, self.leadership
@@ -297,8 +309,13 @@
             return 404, {}, b""
         gauges = self.metrics.gauges
         gauges["sessions"] = len(self._sessions)
-        gauges["server_connections"] = self.services.pool.size()
-        gauges["server_connections_opened"] = self.services.pool.opened
+        pool, owner = self.services.pool, self.sharing.owner
+        gauges["server_connections"] = pool.size() + owner.pool.size()
+        gauges["server_connections_opened"] = pool.opened + owner.pool.opened
+        gauges["owned_connections"] = owner.pool.size()
+        gauges["owned_connections_opened"] = owner.pool.opened
+        gauges["leases"] = owner.lease_count()
+        gauges["peers"] = self.sharing.peers.peer_count
         gauges["store_calls"] = self._store.calls
         gauges["members"] = self.services.member_count
         gauges["gossip_bytes"] = self.fleet.sent_bytes
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -8,8 +8,13 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.base import (
+    LeasedConnection,
+    SharedConnections,
+    TargetConnection,
+)
 from bulrushloom.proxy.configuration import EMPTY_CONFIGURATION, Configuration, Target
-from bulrushloom.proxy.connections import ConnectionPool
+from bulrushloom.proxy.connections import ConnectionPool, ServerConnection
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
 from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord, GroupTable
 from bulrushloom.proxy.failover.promotion_orders import PromotionOrders
@@ -58,7 +63,8 @@
     ``request_client_read`` a read of the store on behalf of a client; ``None`` if not
     available.
     ``stop_plan`` is set once the instance stops. While ``session_close_reason`` is not
-    empty, a refusal closes the session.
+    empty, a refusal closes the session. ``sharing`` leases connections to targets that
+    have fewer of them than there are instances.
     """
 
     def __init__(
@@ -87,6 +93,7 @@
         self.limiter = AccountLimiter(window, loop.now(), self.random)
         self.router = ReadRouter(settings.domain)
         self.pool = ConnectionPool(loop, network, self.connection_quota)
+        self.sharing: SharedConnections | None = None
         self.member_count = 1
         self.stop_plan: StopPlan | None = None
         self.session_close_reason = ""
@@ -106,15 +113,29 @@
     def connection_quota(self, target: Target) -> int:
         """Return how many connections this instance may have to ``target``."""
         return connection_allowance.quota(
-            self._max_connections(target.service),
+            self.max_connections(target.service),
             self.member_count,
             self.loop.now() - self._started_at,
         )
 
-    def _max_connections(self, service_name: str) -> int:
+    def max_connections(self, service_name: str) -> int:
+        """Return the limit of each target of a service for all connections."""
         service = self.configuration.service_by_name.get(service_name)
         return service.max_connections if service else 0
 
+    def shared(self, target: Target) -> SharedConnections | None:
+        """Return what leases connections to a target, if they are shared."""
+        sharing = self.sharing
+        return sharing if sharing is not None and sharing.covers(target) else None
+
+    def release(self, connection: TargetConnection) -> None:
+        """Return a connection to where it came from, or close it."""
+        if isinstance(connection, LeasedConnection):
+            connection.release()
+        else:
+            assert isinstance(connection, ServerConnection)
+            self.pool.release(connection)
+
     def close_unused_connections(self) -> None:
         """Close idle connections to targets that have few for each instance."""
         for target_id in self.pool.target_ids():
@@ -122,7 +143,7 @@
             if known is None:
                 continue
             lifetime = connection_allowance.idle_lifetime(
-                self._max_connections(known.target.service), self.member_count
+                self.max_connections(known.target.service), self.member_count
             )
             if lifetime is not None:
                 self.pool.close_idle_connections(
@@ -230,16 +251,18 @@
                 continue
             if target.is_draining and not is_primary:
                 continue
-            found.append(
-                Candidate(
-                    target,
-                    is_primary,
-                    self.pool.in_flight(target.target_id),
-                    self.pool.has_idle(target.target_id, account),
-                )
-            )
+            found.append(self._candidate(target, is_primary, account))
         return found
 
+    def _candidate(self, target: Target, is_primary: bool, account: str) -> Candidate:
+        in_flight = self.pool.in_flight(target.target_id)
+        has_idle = self.pool.has_idle(target.target_id, account)
+        sharing = self.shared(target)
+        if sharing is not None:
+            # Owners hold connections for most accounts.
+            in_flight, has_idle = in_flight + sharing.in_flight(target.target_id), True
+        return Candidate(target, is_primary, in_flight, has_idle)
+
     def report_failure(self, target: Target, reason: str) -> None:
         """Suspect a target that failed to answer."""
         target_id, now = target.target_id, self.loop.now()
@@ -316,6 +339,10 @@
             self.log.write("target_gone", target_id=target_id)
             self._suspicion_by_target.pop(target_id, None)
         self.router.retain_only(listed_target_by_id)
+        if self.sharing is not None:
+            self.sharing.update_targets(
+                {key: known.target for key, known in listed_target_by_id.items()}
+            )
         for target_id in self.pool.target_ids():
             if target_id not in listed_target_by_id:
                 self.pool.close_idle_connections(target_id, "the target is gone")
--- /dev/null
+++ b/bulrushloom/proxy/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets that the instances of a domain share."""
--- /dev/null
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -0,0 +1,158 @@
+"""The connections that the instances of a domain share, as one instance takes part."""
+
+from collections.abc import Mapping
+from contextlib import ExitStack
+from datetime import timedelta
+
+from bulrushloom.proxy.base import SharedConnections
+from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.exchange.fleet import Fleet
+from bulrushloom.proxy.exchange.messages import Member
+from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
+from bulrushloom.proxy.services import Services
+from bulrushloom.proxy.sharing.client import LeaseClient
+from bulrushloom.proxy.sharing.owner import Owner
+from bulrushloom.proxy.sharing.ownership import ShareLimiter, is_shared
+from bulrushloom.proxy.sharing.peers import PeerContext, PeerServer
+from bulrushloom.runtime.loop import Steps
+from bulrushloom.runtime.streams import Stream
+
+CHECK_INTERVAL = timedelta(milliseconds=50)
+# Sessions abort a transaction that pauses for too long. A lease that is unused for this
+# much longer belongs to an instance that is frozen.
+LEASE_IDLE_MARGIN = timedelta(seconds=1)
+
+
+class DomainConnections(SharedConnections):
+    """Owner and client of the shared connections of a domain in one instance."""
+
+    def __init__(self, services: Services, member: Member, fleet: Fleet):
+        self._services = services
+        self._loop = loop = services.loop
+        self._member = member
+        self._fleet = fleet
+        self._peers_by_name: Mapping[str, Member] | None = None
+        self._was_stopping = False
+        self._domain_count = 1
+        self._limiter = ShareLimiter()
+        self.owner = Owner(
+            loop,
+            services.network,
+            self._find_target,
+            self._make_scheduler,
+            self._connection_quota,
+        )
+        self.owner.on_rejected = self._record_too_many
+        self.client = LeaseClient(
+            loop,
+            services.network,
+            member,
+            self.owner,
+            lambda: fleet.keys,
+            services.log,
+            services.metrics,
+        )
+        context = PeerContext(
+            member.name, lambda: fleet.keys, lambda: services.is_stopping
+        )
+        self.peers = PeerServer(
+            loop, self.owner, context, services.log, services.metrics
+        )
+
+    # What the owner asks
+
+    def _find_target(self, target_id: str) -> Target | None:
+        known = self._services.table.listed_target_by_id.get(target_id)
+        return known.target if known is not None else None
+
+    def _make_scheduler(self, target: Target) -> DomainTargetScheduler:
+        return DomainTargetScheduler(target.slots, self._domain_count, self._loop.now())
+
+    def _connection_quota(self, target: Target) -> int:
+        return self._limiter.allowance(
+            target.target_id,
+            self._services.max_connections(target.service),
+            self._domain_count,
+            self._loop.now(),
+        )
+
+    def _record_too_many(self, target: Target) -> None:
+        services, pool = self._services, self.owner.pool
+        open_count = pool.size_of(target.target_id)
+        self._limiter.record_too_many(target.target_id, open_count, self._loop.now())
+        services.metrics.count("too_many_connections", target.target_id)
+        services.log.write(
+            "share_reduced",
+            target=target.target_id,
+            open=open_count,
+            allowed=self._connection_quota(target),
+        )
+        pool.close_excess_idle(target.target_id, self._connection_quota(target))
+
+    # What sessions ask
+
+    def covers(self, target: Target) -> bool:
+        """Return whether the connections to a target are shared."""
+        services = self._services
+        return is_shared(
+            services.max_connections(target.service), services.member_count
+        )
+
+    def acquire(
+        self,
+        target: Target,
+        account: str,
+        values: Mapping[bytes, bytes],
+        priority: int,
+        timeout: timedelta,
+    ) -> Steps:
+        """Lease a connection; see ``SharedConnections.acquire``."""
+        return self.client.acquire(target, account, values, priority, timeout)
+
+    def in_flight(self, target_id: str) -> int:
+        """Return the number of requests of the domain that run or wait at a target."""
+        return self.client.in_flight(target_id)
+
+    def update_targets(self, target_by_id: Mapping[str, Target]) -> None:
+        """Close what belongs to targets that are gone or have restarted."""
+        self.owner.update_targets(target_by_id)
+        self.client.retain_only(target_by_id)
+        self._limiter.retain_only(target_by_id)
+
+    # Peers and upkeep
+
+    def accept(self, stream: Stream) -> None:
+        """Accept the connection of another instance."""
+        self.peers.accept(stream)
+
+    def run(self) -> Steps:
+        """Check members, leases and owners at short intervals."""
+        while True:
+            self._update_members()
+            idle_limit = (
+                self._services.configuration.transaction_idle_limit + LEASE_IDLE_MARGIN
+            )
+            self.owner.check(idle_limit, self.client.is_owner)
+            self.peers.send_pulses()
+            self.client.check()
+            yield self._loop.sleep(CHECK_INTERVAL)
+
+    def _update_members(self) -> None:
+        peers, services = self._fleet.peers_by_name, self._services
+        is_stopping = services.is_stopping
+        if peers is not self._peers_by_name or is_stopping != self._was_stopping:
+            self._peers_by_name, self._was_stopping = peers, is_stopping
+            domain = self._member.domain
+            self._domain_count = len({m.domain for m in peers.values()} | {domain})
+            self.client.update_members(
+                [m for m in peers.values() if m.domain == domain], is_stopping
+            )
+        now = self._loop.now()
+        for target_id in self.owner.target_ids():
+            self._limiter.set_owned(target_id, self.client.is_owner(target_id), now)
+
+    def close(self) -> None:
+        """Close all connections."""
+        with ExitStack() as stack:
+            for part in (self.owner, self.peers, self.client):
+                stack.callback(part.close)
--- /dev/null
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -0,0 +1,319 @@
+"""The owner of the connections of a domain to targets."""
+
+import itertools
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from bulrushloom.proxy.base import RefusalKind
+from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.connections import (
+    ConnectionLost,
+    ConnectionPool,
+    ConnectionRejected,
+    ServerConnection,
+)
+from bulrushloom.proxy.messages import AnswerCode
+from bulrushloom.proxy.scheduling.base import (
+    TargetLoad,
+    TargetScheduler,
+    WorkOutcome,
+    WorkRequest,
+)
+from bulrushloom.proxy.sharing.leases import (
+    Lease,
+    LeaseHolder,
+    LeaseOrder,
+    LeaseRefusal,
+)
+from bulrushloom.runtime.loop import Loop, Steps, Timer
+from bulrushloom.runtime.streams import Network
+
+# Statements of open transactions come before new requests, because transactions occupy
+# connections and hold locks.
+TRANSACTION_PRIORITY = -1
+# Time that a statement of an open transaction may wait for a place.
+TRANSACTION_WAIT = timedelta(milliseconds=200)
+RETRY_DELAY = timedelta(milliseconds=15)
+STOPPING_RETRY_DELAY = timedelta(milliseconds=1)
+# Leases and requests for one at one target. Schedulers refuse much earlier.
+MAX_LEASES = 1000
+MIN_TIMER_DELAY = timedelta(milliseconds=1)
+# An instance that is not the owner of a target by its own view keeps unused connections
+# for this long, for instances that have another view.
+FORMER_OWNER_IDLE_TIME = timedelta(milliseconds=250)
+_ZERO = timedelta()
+_REFUSAL_KIND_BY_CODE = {
+    AnswerCode.TOO_MANY_CONNECTIONS: RefusalKind.TOO_MANY,
+    AnswerCode.NOT_RUN: RefusalKind.BUSY,
+}
+
+
+class OwnedTarget:
+    """The requests and leases of one target at its owner."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: ConnectionPool,
+        target: Target,
+        scheduler: TargetScheduler,
+        on_rejected: Callable[[Target], None],
+    ):
+        self._loop = loop
+        self._pool = pool
+        self._on_rejected = on_rejected
+        self._ids = itertools.count(1)
+        self._waiting_by_id: dict[int, Lease] = {}
+        self._is_pumping = False
+        self._timer: Timer | None = None
+        self._timer_at = timedelta.max
+        self.target = target
+        self.scheduler = scheduler
+        self.leases: set[Lease] = set()
+
+    def now(self) -> timedelta:
+        """Return the monotonic time."""
+        return self._loop.now()
+
+    def request(self, order: LeaseOrder, holder: LeaseHolder, number: int) -> Lease:
+        """Request a lease; ``holder`` may be called before this returns."""
+        lease = Lease(self, order, holder, number)
+        self.leases.add(lease)
+        self._submit(lease, order.priority, order.start_deadline)
+        return lease
+
+    def submit_statement(self, lease: Lease) -> None:
+        """Request a place for a further statement of an open transaction."""
+        deadline = self._loop.now() + TRANSACTION_WAIT
+        self._submit(lease, TRANSACTION_PRIORITY, deadline)
+
+    def _submit(self, lease: Lease, priority: int, deadline: timedelta) -> None:
+        now = self._loop.now()
+        lease.waiting = request_id = next(self._ids)
+        self._waiting_by_id[request_id] = lease
+        refusal = self.scheduler.submit(
+            WorkRequest(request_id, lease.order.account, priority, now, deadline), now
+        )
+        if refusal is not None:
+            self._refuse(request_id, refusal.reason, refusal.retry_after)
+        self._pump()
+
+    def _refuse(self, request_id: int, reason: str, retry_after: timedelta) -> None:
+        lease = self._waiting_by_id.pop(request_id, None)
+        if lease is not None:
+            lease.refuse(LeaseRefusal(RefusalKind.NOT_IN_TIME, reason, retry_after))
+
+    def _pump(self) -> None:
+        """Start what the scheduler admits, and refuse what it gives up."""
+        if self._is_pumping:
+            return
+        self._is_pumping = True
+        try:
+            while True:
+                now = self._loop.now()
+                refusals = self.scheduler.expire(now)
+                for refusal in refusals:
+                    self._refuse(
+                        refusal.request_id, refusal.reason, refusal.retry_after
+                    )
+                admitted = self.scheduler.admit(now)
+                for request_id in admitted:
+                    lease = self._waiting_by_id.pop(request_id, None)
+                    if lease is None:
+                        self.scheduler.finish(request_id, WorkOutcome.UNUSED, None, now)
+                    else:
+                        lease.take_place(request_id)
+                if not refusals and not admitted:
+                    break
+        finally:
+            self._is_pumping = False
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        now = self._loop.now()
+        at = self.scheduler.next_event_at(now)
+        if at is None or at >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = max(at, now + MIN_TIMER_DELAY)
+        self._timer = self._loop.call_later(self._timer_at - now, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer, self._timer_at = None, timedelta.max
+        self._pump()
+
+    def finish(
+        self, place: int, outcome: WorkOutcome, duration: timedelta | None
+    ) -> None:
+        """Give a place back to the scheduler."""
+        self.scheduler.finish(place, outcome, duration, self._loop.now())
+        self._pump()
+
+    def provide_connection(self, lease: Lease) -> None:
+        """Find or open a connection for a lease that has a place."""
+        order = lease.order
+        connection = self._pool.acquire_idle(
+            order.target_id, order.account, order.values
+        )
+        if connection is not None:
+            lease.grant(connection, self._loop.now())
+        else:
+            self._loop.spawn(self._open_for(lease))
+
+    def _open_for(self, lease: Lease) -> Steps:
+        """Open a connection for a lease.
+
+        If all are in use, the lease is refused: transactions may have them, which need
+        the place of the lease for their next statements.
+        """
+        order = lease.order
+        try:
+            connection = yield from self._pool.acquire(
+                self.target, order.account, order.values, order.priority, _ZERO
+            )
+        except TimeoutError:
+            reason = "all connections of the domain are in use"
+            refusal = LeaseRefusal(RefusalKind.NO_CONNECTION, reason, RETRY_DELAY)
+            lease.fail_to_open(refusal, WorkOutcome.UNUSED)
+        except ConnectionRejected as error:
+            self._fail_rejected(lease, error)
+        except ConnectionLost as error:
+            lease.fail_to_open(
+                LeaseRefusal(RefusalKind.UNREACHABLE, str(error), RETRY_DELAY)
+            )
+        else:
+            if not lease.has_ended:
+                lease.grant(connection, self._loop.now())
+                return
+            self._pool.release(connection)
+            lease.free_place(WorkOutcome.UNUSED)
+
+    def _fail_rejected(self, lease: Lease, error: ConnectionRejected) -> None:
+        code = error.failure.code
+        if code is AnswerCode.TOO_MANY_CONNECTIONS:
+            self._on_rejected(self.target)
+        kind = _REFUSAL_KIND_BY_CODE.get(code, RefusalKind.UNREACHABLE)
+        outcome = {
+            RefusalKind.BUSY: WorkOutcome.BUSY,
+            RefusalKind.TOO_MANY: WorkOutcome.UNUSED,
+        }.get(kind, WorkOutcome.FAILED)
+        lease.fail_to_open(LeaseRefusal(kind, str(error), RETRY_DELAY), outcome)
+
+    def release(self, connection: ServerConnection) -> None:
+        """Return a connection to the pool."""
+        self._pool.release(connection)
+
+    def forget(self, lease: Lease) -> None:
+        """Drop a lease that has ended."""
+        self.leases.discard(lease)
+        if lease.waiting is not None:
+            self.scheduler.cancel(lease.waiting)
+            self._waiting_by_id.pop(lease.waiting, None)
+            lease.waiting = None
+
+    def check(self, now: timedelta, idle_limit: timedelta) -> None:
+        """Check the leases; called at short intervals."""
+        for lease in list(self.leases):
+            lease.check(now, idle_limit)
+
+
+class Owner:
+    """Owner of connections to all targets that this instance is asked for.
+
+    ``find_target`` returns a listed target by its id. ``connection_quota`` returns how
+    many connections to a target the owner may have. ``on_rejected`` is called when a
+    target had too many.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        network: Network,
+        find_target: Callable[[str], Target | None],
+        make_scheduler: Callable[[Target], TargetScheduler],
+        connection_quota: Callable[[Target], int],
+    ):
+        self._loop = loop
+        self._find_target = find_target
+        self._make_scheduler = make_scheduler
+        self._owned_by_id: dict[str, OwnedTarget] = {}
+        self.pool = ConnectionPool(loop, network, connection_quota)
+        self.on_rejected: Callable[[Target], None] = lambda _: None
+
+    def request(
+        self, order: LeaseOrder, holder: LeaseHolder, number: int
+    ) -> Lease | LeaseRefusal:
+        """Request a lease; ``holder`` may be called before this returns."""
+        target = self._find_target(order.target_id)
+        if target is None:
+            return LeaseRefusal(
+                RefusalKind.UNKNOWN_TARGET, "the target is not listed here", RETRY_DELAY
+            )
+        owned = self._owned(target)
+        if len(owned.leases) >= MAX_LEASES:
+            return LeaseRefusal(
+                RefusalKind.OVERLOADED, "the owner has too many requests", RETRY_DELAY
+            )
+        return owned.request(order, holder, number)
+
+    def _owned(self, target: Target) -> OwnedTarget:
+        owned = self._owned_by_id.get(target.target_id)
+        if owned is None:
+            owned = OwnedTarget(
+                self._loop,
+                self.pool,
+                target,
+                self._make_scheduler(target),
+                lambda target: self.on_rejected(target),
+            )
+            self._owned_by_id[target.target_id] = owned
+        return owned
+
+    def load(self, target_id: str) -> TargetLoad | None:
+        """Return the load of a target, ``None`` if none was requested here."""
+        owned = self._owned_by_id.get(target_id)
+        return owned.scheduler.load if owned is not None else None
+
+    def target_ids(self) -> list[str]:
+        """Return the ids of the targets that were requested here."""
+        return list(self._owned_by_id)
+
+    def lease_count(self) -> int:
+        """Return the number of leases and of requests for one."""
+        return sum(len(owned.leases) for owned in self._owned_by_id.values())
+
+    def update_targets(self, target_by_id: Mapping[str, Target]) -> None:
+        """Use the listed targets; close connections to those that are gone."""
+        now = self._loop.now()
+        for target_id, owned in list(self._owned_by_id.items()):
+            target = target_by_id.get(target_id)
+            if target is not None:
+                if target.born_ms != owned.target.born_ms:
+                    owned.scheduler.record_restart(now)
+                owned.target = target
+            else:
+                self.pool.close_idle_connections(target_id, "the target is gone")
+                if not owned.leases:
+                    del self._owned_by_id[target_id]
+
+    def check(self, idle_limit: timedelta, is_owner: Callable[[str], bool]) -> None:
+        """Check leases and unused connections; called at short intervals.
+
+        Leases that their holder does not use for ``idle_limit`` end.
+        """
+        now = self._loop.now()
+        for owned in self._owned_by_id.values():
+            if owned.leases:
+                owned.check(now, idle_limit)
+        for target_id in self.pool.target_ids():
+            if not is_owner(target_id):
+                self.pool.close_idle_connections(
+                    target_id,
+                    "another instance owns the connections",
+                    now - FORMER_OWNER_IDLE_TIME,
+                )
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.pool.close()
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -7,12 +7,9 @@
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Permit
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
+from bulrushloom.proxy.base import TargetConnection
 from bulrushloom.proxy.configuration import Consistency, Target
-from bulrushloom.proxy.connections import (
-    ConnectionLost,
-    ConnectionRejected,
-    ServerConnection,
-)
+from bulrushloom.proxy.connections import ConnectionLost, ConnectionRejected
 from bulrushloom.proxy.dispatch import COMMIT_TOO_LATE, PRIMARY_REPLACED
 from bulrushloom.proxy.execution import BUSY_RETRY_DELAY, StatementRunner
 from bulrushloom.proxy.messages import (
@@ -59,7 +56,7 @@
         self._route = permit.route
         self._is_read_only = is_read_only
         self._session_position = session_position
-        self._connection: ServerConnection | None = None
+        self._connection: TargetConnection | None = None
         self.wrote = False
         self.failure: Failure | None = None
 
@@ -83,7 +80,7 @@
             return self._fail_with(PRIMARY_REPLACED)
         return (yield from self._send(attempt, connection))
 
-    def _may_commit(self, connection: ServerConnection) -> bool:
+    def _may_commit(self, connection: TargetConnection) -> bool:
         """Return whether the writes, if any, may be committed on the connection.
 
         Commits of a primary that is being replaced might be missing at its successor.
@@ -103,7 +100,7 @@
             self._session_position,
         )
 
-    def _send(self, attempt: Attempt, connection: ServerConnection) -> Steps:
+    def _send(self, attempt: Attempt, connection: TargetConnection) -> Steps:
         """Send a statement, again while the server is busy; return an ``Outcome``.
 
         Any other failure makes the transaction fail.
@@ -140,9 +137,12 @@
         tried: list[str] = []
         refusals = 0
         last_reason = "no target is in reach"
+        retry_after: timedelta | None = None
         while self._loop.now() < attempt.deadline:
             choice = self._choose(attempt, tried)
             if isinstance(choice, Missing):
+                if retry_after is not None:
+                    break
                 refusals += 1
                 should_retry = yield from self._runner.wait_to_retry(
                     attempt, tried, refusals
@@ -158,13 +158,16 @@
             except NotOffered as error:
                 last_reason = str(error)
                 self._runner.log_attempt(attempt, target, last_reason)
+                if error.is_too_late:
+                    delay = error.retry_delay
+                    retry_after = min(retry_after or delay, delay)
                 continue
             if answer.failure is None:
                 return True
             last_reason = f"{answer.failure.code.value}: {answer.failure.reason}"
         wait = self._services.expected_primary_wait(self._route.service)
         self.failure = Failure(
-            AnswerCode.NOT_RUN, last_reason, max(wait, BUSY_RETRY_DELAY)
+            AnswerCode.NOT_RUN, last_reason, retry_after or max(wait, BUSY_RETRY_DELAY)
         )
         return False
 
@@ -201,13 +204,13 @@
             answer = yield from self._send_begin(attempt, connection, is_primary)
         finally:
             if answer is None or answer.failure is not None:
-                self._services.pool.release(connection)
+                self._services.release(connection)
         if answer.failure is None:
             self._connection = connection
         return answer
 
     def _send_begin(
-        self, attempt: Attempt, connection: ServerConnection, is_primary: bool
+        self, attempt: Attempt, connection: TargetConnection, is_primary: bool
     ) -> Steps:
         target = connection.target
         after = None
@@ -264,13 +267,13 @@
             outcome = yield from self._commit_on(connection, attempt, cutoff)
         self._connection = None
         if connection.state is TransactionState.IDLE:
-            self._services.pool.release(connection)
+            self._services.release(connection)
         else:
             self._roll_back_in_background(connection)
         return outcome
 
     def _commit_on(
-        self, connection: ServerConnection, attempt: Attempt, cutoff: "Future[None]"
+        self, connection: TargetConnection, attempt: Attempt, cutoff: "Future[None]"
     ) -> Steps:
         """Send the commit, again while the server is busy; return an ``Outcome``."""
         for retries in range(1, MAX_BUSY_RETRIES + 1):
@@ -343,14 +346,14 @@
         self._services.log.write("transaction_abandoned", reason=reason)
         self.roll_back()
 
-    def _roll_back_in_background(self, connection: ServerConnection) -> None:
+    def _roll_back_in_background(self, connection: TargetConnection) -> None:
         self._loop.spawn(self._roll_back_on(connection))
 
-    def _roll_back_on(self, connection: ServerConnection) -> Steps:
+    def _roll_back_on(self, connection: TargetConnection) -> Steps:
         try:
             answer_future = connection.query(wire.PROXY_REQUEST_ID, wire.ROLLBACK)
             yield self._loop.wait_for(answer_future, ROLLBACK_TIMEOUT)
         except (ConnectionLost, ConnectionRejected, TimeoutError):
             # Closing the connection makes the server roll back.
             connection.close("no answer to the rollback")
-        self._services.pool.release(connection)
+        self._services.release(connection)
--- /dev/null
+++ b/tests/proxy/sharing/test_leases.py
@@ -0,0 +1,81 @@
+"""Leases of connections in normal operation, on a simulated fleet."""
+
+from contextlib import ExitStack
+
+import pytest
+
+from tests.proxy.builders import ms
+from tests.proxy.fleet_builders import check_commits_told_to_clients
+from tests.proxy.sharing.builders import (
+    MAX_CONNECTIONS,
+    SharingFleet,
+    check_no_statement_ran_twice,
+)
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with ExitStack() as stack:
+        yield SharingFleet(stack)
+
+
+def test_statements_of_all_instances_find_open_connections(fleet):
+    # Guards against instances that replace each other's connections. Without sharing,
+    # each instance opens one for almost every statement here.
+    clients = [
+        fleet.client_of(member, number=number)
+        for number, member in enumerate(fleet.members)
+    ]
+    for _ in range(2):
+        # An owner has few connections at first.
+        for client in clients:
+            client.query("WRITE 1 data")
+        fleet.run(ms(4000))
+    opened_before, runs_before = fleet.opened(), len(fleet.group.runs)
+    for _ in range(10):
+        for client in clients:
+            assert client.query("WRITE 1 data")[0].startswith("DONE")
+    statements = len(fleet.group.runs) - runs_before
+    assert statements == 10 * len(clients)
+    assert fleet.opened() - opened_before < statements * 0.1
+    assert fleet.direct_opened() == 0
+    for server in fleet.group.server_by_id.values():
+        assert len(server.connections) <= MAX_CONNECTIONS
+    check_no_statement_ran_twice(fleet)
+    check_commits_told_to_clients(fleet)
+
+
+def test_leased_connection_has_the_values_of_the_session_that_uses_it(fleet):
+    # Guards against session values and prepared statements of another session.
+    first, second = (fleet.client_of(member) for member in fleet.in_domain()[:2])
+    first.query("SET zone utc")
+    first.query("PREPARE p READ shape-1")
+    for _ in range(2):
+        first.query("EXEC p 1")
+        assert fleet.group.runs[-1].values == {"zone": "utc"}
+        second.query("READ 1")
+        assert fleet.group.runs[-1].values == {}
+    second.query("SET zone cet")
+    second.query("READ 2")
+    assert fleet.group.runs[-1].values == {"zone": "cet"}
+
+
+def test_transaction_keeps_its_connection_and_no_place(fleet):
+    # Guards against pausing transactions that block the slots of a target.
+    member = fleet.in_domain()[0]
+    clients = [fleet.client_of(member, number=number) for number in range(3)]
+    for client in clients:
+        assert client.query("BEGIN")[0].startswith("DONE")
+        assert client.query("WRITE 1 data")[-2].startswith("DONE")
+    fleet.run(ms(100))
+    owner = fleet.owner_of("a").sharing.owner
+    assert owner.lease_count() >= 3
+    assert owner.load("a").running == 0
+    other = fleet.client_of(fleet.in_domain()[1], number=4)
+    assert other.query("READ 1")[-2].startswith("DONE")
+    for client in clients:
+        assert client.query("COMMIT")[0].startswith("DONE")
+        runs = [r for r in fleet.group.runs if r.request_id.endswith(f"x{client.sent}")]
+        assert runs[-1].text == "COMMIT"
+    fleet.run(ms(100))
+    assert owner.lease_count() == 0
