Count an owner as silent only while requests wait

The clock of silence restarted with each message even when it was the last one awaited, so an owner that had refused a lease was skipped 150 ms later.

--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -143,8 +143,8 @@
         try:
             self._frames.feed(stream.read_all())
             for frame in self._frames.frames():
-                self._record_heard()
                 self._handle(frame)
+                self._record_heard()
         except (PeerProtocolError, msgspec.DecodeError) as error:
             self.close(f"protocol error: {error}")
         if stream.at_eof:
