Keep callers served and told the truth when an owner is lost

A lost owner was taken for a failed target, statements that were surely not sent counted as in doubt, and an owner that was frozen would have run statements whose checks were long over. Losses now say where they happened and whether the statement was sent; a frozen owner ends its connections. Leases that find all connections in use wait without a place. Large statements use direct connections, and no message makes a stream overflow.

Tests on the simulated fleet: a killed, silent or stopping owner, two owners at once, and no owner in reach.

--- a/bulrushloom/proxy/base.py
+++ b/bulrushloom/proxy/base.py
@@ -38,6 +38,11 @@
     def is_open(self) -> bool:
         """Return whether statements can be sent."""
 
+    @property
+    def is_path_working(self) -> bool:
+        """Return whether an answer that is missing is missing at the target."""
+        return True
+
     @abstractmethod
     def query(
         self, request_id: bytes, text: bytes, after: LogPosition | None = None
--- a/bulrushloom/proxy/connections.py
+++ b/bulrushloom/proxy/connections.py
@@ -36,13 +36,21 @@
 
     ``refused`` is true if the host of the target actively refused the connection,
     because no process listens at the address. ``was_sent`` is false if the statement
-    certainly did not reach the target.
+    certainly did not reach the target. ``is_at_owner`` is true if the instance was lost
+    from which the connection was leased.
     """
 
-    def __init__(self, reason: str, refused: bool = False, was_sent: bool = True):
+    def __init__(
+        self,
+        reason: str,
+        refused: bool = False,
+        was_sent: bool = True,
+        is_at_owner: bool = False,
+    ):
         super().__init__(reason)
         self.refused = refused
         self.was_sent = was_sent
+        self.is_at_owner = is_at_owner
 
 
 class ConnectionRejected(Exception):
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -40,6 +40,9 @@
 SESSION_STATE_TIMEOUT = timedelta(milliseconds=500)
 # A connection with more prepared statements is reset, which drops them all.
 MAX_PREPARED_STATEMENTS = 200
+# Larger statements use direct connections. On a shared one, they would delay the
+# statements of all other sessions that lease from the same owner.
+MAX_SHARED_STATEMENT_BYTES = 64 * 1024
 PRIMARY_REPLACED = "the server is no longer the primary"
 COMMIT_TOO_LATE = "the primary was replaced before the commit was answered"
 _ZERO = timedelta()
@@ -61,15 +64,21 @@
         self._values = values
 
     def acquire_connection(
-        self, target: Target, account: str, priority: int, timeout: timedelta
+        self,
+        target: Target,
+        account: str,
+        priority: int,
+        timeout: timedelta,
+        size: int = 0,
     ) -> Steps:
         """Return a connection for ``account``; wait at most ``timeout`` for it.
 
-        Prefers one that has the session values already. Raise ``NotOffered``.
+        Prefers one that has the session values already. ``size`` is the number of bytes
+        of the statement, if it is a single one. Raise ``NotOffered``.
         """
         services = self._services
         sharing = services.shared(target)
-        if sharing is not None:
+        if sharing is not None and size <= MAX_SHARED_STATEMENT_BYTES:
             started_at = self._loop.now()
             leasing = self._lease(sharing, target, account, priority, timeout)
             leased = yield from leasing
@@ -137,8 +146,7 @@
     def _record_refusal(self, target: Target, refusal: LeaseRefused) -> None:
         health = self._services.router.health(target.target_id)
         if refusal.kind is RefusalKind.UNREACHABLE:
-            health.record_failure(self._loop.now())
-            self._services.report_failure(target, str(refusal))
+            self._record_failure(target, str(refusal))
         elif refusal.kind in (RefusalKind.BUSY, RefusalKind.NOT_IN_TIME):
             health.record_busy(self._loop.now())
 
@@ -210,7 +218,8 @@
 
         The wait for the answer ends at the latest when ``cutoff`` is done.
 
-        Raise ``PermitEnded`` before the statement is sent, or ``AnswerLost``.
+        Raise ``PermitEnded`` or ``NotOffered`` before the statement is sent, or
+        ``AnswerLost``.
         """
         self.require_permit(attempt, connection.target)
         text = statement_text(attempt.statement, attempt.prepared)
@@ -226,20 +235,17 @@
         try:
             answer = yield waiting
         except TimeoutError as error:
-            connection.close("no answer within the statement timeout")
-            self._services.router.health(target.target_id).record_failure(
-                self._loop.now()
-            )
-            self._services.report_failure(
-                target, "no answer within the statement timeout"
-            )
             reason = "no answer within the statement timeout"
+            is_at_target = connection.is_path_working
+            connection.close(reason)
+            if is_at_target:
+                self._record_failure(target, reason)
             raise AnswerLost(target, AnswerCode.TIMEOUT, reason) from error
         except (ConnectionLost, ConnectionRejected) as error:
-            self._services.router.health(target.target_id).record_failure(
-                self._loop.now()
-            )
-            self._services.report_failure(target, str(error))
+            if not (isinstance(error, ConnectionLost) and error.is_at_owner):
+                self._record_failure(target, str(error))
+            if isinstance(error, ConnectionLost) and not error.was_sent:
+                raise NotOffered(target, str(error)) from error
             raise AnswerLost(target, AnswerCode.IN_DOUBT, str(error)) from error
         self._record_answer(target, answer, sent_at)
         self.log_attempt(
@@ -247,6 +253,10 @@
         )
         return answer
 
+    def _record_failure(self, target: Target, reason: str) -> None:
+        self._services.router.health(target.target_id).record_failure(self._loop.now())
+        self._services.report_failure(target, reason)
+
     def log_attempt(
         self,
         attempt: Attempt,
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -167,7 +167,11 @@
         """
         timeout = attempt.dispatch_deadline - self._loop.now()
         connection = yield from self.acquire_connection(
-            choice.target, attempt.account, attempt.route.priority, max(timeout, _ZERO)
+            choice.target,
+            attempt.account,
+            attempt.route.priority,
+            max(timeout, _ZERO),
+            len(attempt.statement.text),
         )
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
@@ -318,7 +322,11 @@
     ) -> Steps:
         timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         connection = yield from self.acquire_connection(
-            primary, attempt.account, attempt.route.priority, timeout
+            primary,
+            attempt.account,
+            attempt.route.priority,
+            timeout,
+            len(attempt.statement.text),
         )
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -309,13 +309,10 @@
             return 404, {}, b""
         gauges = self.metrics.gauges
         gauges["sessions"] = len(self._sessions)
-        pool, owner = self.services.pool, self.sharing.owner
-        gauges["server_connections"] = pool.size() + owner.pool.size()
-        gauges["server_connections_opened"] = pool.opened + owner.pool.opened
-        gauges["owned_connections"] = owner.pool.size()
-        gauges["owned_connections_opened"] = owner.pool.opened
-        gauges["leases"] = owner.lease_count()
-        gauges["peers"] = self.sharing.peers.peer_count
+        pool, owned = self.services.pool, self.sharing.owner.pool
+        gauges["server_connections"] = pool.size() + owned.size()
+        gauges["server_connections_opened"] = pool.opened + owned.opened
+        gauges.update(self.sharing.gauges())
         gauges["store_calls"] = self._store.calls
         gauges["members"] = self.services.member_count
         gauges["gossip_bytes"] = self.fleet.sent_bytes
@@ -359,6 +356,8 @@
             self.log.write("registration_not_ended")
         # The last ones were accepted just before the listener was closed.
         yield from self._close_sessions(plan, plan.ends_at)
+        while self.sharing.peers.lease_count() and self._loop.now() < plan.ends_at:
+            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
         self.log.write("stopped", sessions=len(self._sessions))
         for session in list(self._sessions):
             session.end()
--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -241,9 +241,14 @@
             return None
         link = OwnerLink(self._loop, self._own.name, member, keys, self._record_load)
         self._link_by_name[name] = link
-        self._loop.spawn(link.connect(self._network))
+        self._loop.spawn(self._connect(link))
         return link
 
+    def _connect(self, link: OwnerLink) -> Steps:
+        yield from link.connect(self._network)
+        if link.closed_reason:
+            self.chooser.record_failure(link.member.name, self._loop.now())
+
     # Load
 
     def _record_load(self, target_id: str, load: WireLoad) -> None:
--- a/bulrushloom/proxy/sharing/connections.py
+++ b/bulrushloom/proxy/sharing/connections.py
@@ -1,7 +1,8 @@
 """Leased connections at the instance that uses them."""
 
+from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from concurrent.futures import Future
 
 import msgspec
@@ -30,6 +31,7 @@
         super().__init__(target, account)
         self._unanswered: deque[Future[ServerAnswer]] = deque()
         self._closed_reason = ""
+        self._is_at_owner = False
 
     @property
     def is_open(self) -> bool:
@@ -48,7 +50,10 @@
     def _expect_answer(self) -> "Future[ServerAnswer]":
         future: Future[ServerAnswer] = Future()
         if self._closed_reason:
-            future.set_exception(ConnectionLost(self._closed_reason, was_sent=False))
+            error = ConnectionLost(
+                self._closed_reason, was_sent=False, is_at_owner=self._is_at_owner
+            )
+            future.set_exception(error)
         else:
             self._unanswered.append(future)
         return future
@@ -59,35 +64,47 @@
             self.state, self.position = answer.state, answer.position
             set_result_if_pending(self._unanswered.popleft(), answer)
 
-    def lose(self, reason: str, was_sent: bool) -> None:
+    def lose(self, reason: str, was_sent: bool, is_at_owner: bool = False) -> None:
         """Record the loss of the connection, and fail the unanswered statements.
 
-        With ``was_sent``, they may have reached the target.
+        With ``was_sent``, they may have reached the target. With ``is_at_owner``, the
+        owner of the connection was lost.
         """
         self._closed_reason = self._closed_reason or reason or "lost"
+        self._is_at_owner = is_at_owner
         while self._unanswered:
-            error = ConnectionLost(reason, was_sent=was_sent)
+            error = ConnectionLost(reason, was_sent=was_sent, is_at_owner=is_at_owner)
             set_exception_if_pending(self._unanswered.popleft(), error)
 
 
+class LeaseLink(ABC):
+    """Connection to an owner, as the leases over it use it."""
+
+    @property
+    @abstractmethod
+    def is_working(self) -> bool:
+        """Return whether the owner has sent something recently."""
+
+    @abstractmethod
+    def send(self, message: msgspec.Struct) -> None:
+        """Send a short message."""
+
+    @abstractmethod
+    def send_if_room(self, message: msgspec.Struct) -> bool:
+        """Send a message unless too much is waiting; return whether it was sent."""
+
+    @abstractmethod
+    def forget(self, number: int) -> None:
+        """Drop a lease that has ended."""
+
+
 class RemoteConnection(_AnswerQueue):
-    """Connection that was leased from another instance.
-
-    ``send`` sends a message to the owner, and ``forget`` drops a lease that has ended.
-    """
-
-    def __init__(
-        self,
-        number: int,
-        target: Target,
-        account: str,
-        send: Callable[[msgspec.Struct], None],
-        forget: Callable[[int], None],
-    ):
+    """Connection that was leased from another instance over ``link``."""
+
+    def __init__(self, number: int, target: Target, account: str, link: LeaseLink):
         super().__init__(target, account)
         self._number = number
-        self._send = send
-        self._forget = forget
+        self._link = link
         self._granted_values: dict[bytes, bytes] = {}
         self._granted_prepared: list[bytes] = []
 
@@ -102,28 +119,39 @@
     ) -> "Future[ServerAnswer]":
         """Send one statement; the future may fail with ``ConnectionLost``."""
         future = self._expect_answer()
-        if not self._closed_reason:
-            self._send(Query(self._number, request_id, text, after))
+        if not self._closed_reason and not self._link.send_if_room(
+            Query(self._number, request_id, text, after)
+        ):
+            # Earlier statements without an answer may have run, but not this one.
+            unsent = self._unanswered.pop()
+            reason = "too much is waiting to be sent to the owner"
+            unsent.set_exception(ConnectionLost(reason, was_sent=False))
+            self.close(reason)
         return future
 
+    @property
+    def is_path_working(self) -> bool:
+        """Return whether the owner has sent something recently."""
+        return self._link.is_working
+
     def release(self) -> None:
         """Return the connection, or close it if it cannot be reused."""
         if not self.is_reusable:
             self.close("not reusable")
             return
         self._closed_reason = "released"
-        self._forget(self._number)
+        self._link.forget(self._number)
         values = None if self.values == self._granted_values else self.values
         prepared: list[bytes] | None = list(self.prepared_by_name)
         if prepared == self._granted_prepared:
             prepared = None
-        self._send(Release(self._number, values, prepared))
+        self._link.send(Release(self._number, values, prepared))
 
     def close(self, reason: str = "closed") -> None:
         """Close the connection; the server rolls back an open transaction."""
         if not self._closed_reason:
-            self._forget(self._number)
-            self._send(Close(self._number, reason[:MAX_REASON_LENGTH]))
+            self._link.forget(self._number)
+            self._link.send(Close(self._number, reason[:MAX_REASON_LENGTH]))
         self.lose(reason, was_sent=True)
 
 
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -133,7 +133,7 @@
                 self._services.configuration.transaction_idle_limit + LEASE_IDLE_MARGIN
             )
             self.owner.check(idle_limit, self.client.is_owner)
-            self.peers.send_pulses()
+            self.peers.check()
             self.client.check()
             yield self._loop.sleep(CHECK_INTERVAL)
 
@@ -151,6 +151,15 @@
         for target_id in self.owner.target_ids():
             self._limiter.set_owned(target_id, self.client.is_owner(target_id), now)
 
+    def gauges(self) -> dict[str, float]:
+        """Return the values for the metrics of this instance."""
+        return {
+            "owned_connections": self.owner.pool.size(),
+            "owned_connections_opened": self.owner.pool.opened,
+            "leases": self.owner.lease_count(),
+            "peers": self.peers.peer_count,
+        }
+
     def close(self) -> None:
         """Close all connections."""
         with ExitStack() as stack:
--- a/bulrushloom/proxy/sharing/leases.py
+++ b/bulrushloom/proxy/sharing/leases.py
@@ -25,6 +25,8 @@
 # A place without a running statement is given back after this time. The first statement
 # follows a grant within a round trip, and a few more if session values are set.
 PLACE_IDLE_LIMIT = timedelta(milliseconds=50)
+# Holders of leases with a longer statement are told that the owner still runs.
+LONG_STATEMENT = timedelta(milliseconds=100)
 # Statements of one lease that wait or run at the same time; setting session values is
 # pipelined.
 MAX_STATEMENTS = 20_000
@@ -149,6 +151,11 @@
         self.idle_since = now
         self.holder.on_granted(self, connection)
 
+    def leave_place(self) -> None:
+        """Give back the place, because there is no connection for it yet."""
+        self._is_opening = False
+        self.free_place(WorkOutcome.UNUSED)
+
     def fail_to_open(
         self, refusal: LeaseRefusal, outcome: WorkOutcome = WorkOutcome.FAILED
     ) -> None:
@@ -308,6 +315,12 @@
 
     # Limits
 
+    def needs_pulse(self, now: timedelta) -> bool:
+        """Return whether the holder has been waiting for long."""
+        if self.connection is None or self._unsent:
+            return True
+        return self._in_flight > 0 and now - self.idle_since > LONG_STATEMENT
+
     def check(self, now: timedelta, idle_limit: timedelta) -> None:
         """Give back an unused place, and end a lease that its holder does not use."""
         if self.connection is None or self._in_flight or self._unsent:
--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -12,11 +12,12 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
 from bulrushloom.proxy.exchange.messages import Member
-from bulrushloom.proxy.sharing.connections import RemoteConnection
+from bulrushloom.proxy.sharing.connections import LeaseLink, RemoteConnection
 from bulrushloom.proxy.sharing.leases import LeaseOrder
 from bulrushloom.proxy.sharing.ownership import SILENCE_LIMIT
 from bulrushloom.proxy.sharing.protocol import (
     MAX_FRAME_BYTES,
+    MAX_UNSENT_BYTES,
     PROTOCOL_VERSION,
     Answer,
     Challenge,
@@ -60,7 +61,7 @@
     granted: "Future[RemoteConnection]"
 
 
-class OwnerLink:
+class OwnerLink(LeaseLink):
     """Connection to one owner, over which any number of leases run.
 
     ``ready`` is done once the owner has proven itself, or fails with
@@ -87,6 +88,7 @@
         self._pending_by_number: dict[int, _PendingLease] = {}
         self._connection_by_number: dict[int, RemoteConnection] = {}
         self._unheard_since: timedelta | None = None
+        self._heard_at = loop.now()
         self.is_silent = False
         self.member = member
         self.closed_reason = ""
@@ -107,15 +109,35 @@
             stream = yield network.connect(self.member.address, SILENCE_LIMIT)
             self._stream = stream
             stream.on_data(self._on_data)
-            self._send(self._hello)
+            self.send(self._hello)
             yield self._loop.wait_for(self.ready, deadline - self._loop.now())
         except (OSError, TimeoutError, OwnerUnavailable) as error:
             self.close(str(error) or "no connection")
 
-    def _send(self, message: msgspec.Struct) -> None:
+    @property
+    def is_working(self) -> bool:
+        """Return whether the owner has sent something recently.
+
+        Owners send something every 50 ms while a statement takes long.
+        """
+        return self._loop.now() - self._heard_at < SILENCE_LIMIT
+
+    def send(self, message: msgspec.Struct) -> None:
+        """Send a short message."""
         if self._stream is not None:
             self._stream.write(encode_frame(message))
 
+    def send_if_room(self, message: msgspec.Struct) -> bool:
+        """Send a message unless too much is waiting; return whether it was sent."""
+        stream = self._stream
+        if stream is None:
+            return False
+        frame = encode_frame(message)
+        if stream.unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
+            return False
+        stream.write(frame)
+        return True
+
     def close(self, reason: str) -> None:
         """Close the connection; statements without an answer are in doubt."""
         if self.closed_reason:
@@ -128,7 +150,7 @@
         self._fail_pending(reason)
         connections, self._connection_by_number = self._connection_by_number, {}
         for connection in connections.values():
-            connection.lose(f"the connection to the owner was lost: {reason}", True)
+            connection.lose(f"the owner was lost: {reason}", True, is_at_owner=True)
 
     def _fail_pending(self, reason: str) -> None:
         pending, self._pending_by_number = self._pending_by_number, {}
@@ -152,7 +174,8 @@
 
     def _record_heard(self) -> None:
         self.is_silent = False
-        self._unheard_since = self._loop.now() if self._pending_by_number else None
+        self._heard_at = now = self._loop.now()
+        self._unheard_since = now if self._pending_by_number else None
 
     def _handle(self, frame: bytes) -> None:
         if not self.ready.done():
@@ -181,7 +204,7 @@
             raise PeerProtocolError("the owner does not have the exchange key")
         own_tag = handshake_tag(self._keys, b"peer", self._hello, message.nonce)
         assert isinstance(own_tag, bytes)
-        self._send(Proof(own_tag))
+        self.send(Proof(own_tag))
         self._frames.max_bytes = MAX_FRAME_BYTES
         set_result_if_pending(self.ready, None)
 
@@ -225,14 +248,12 @@
             raise OwnerUnavailable(self.closed_reason)
         now = self._loop.now()
         number = next(self._numbers)
-        connection = RemoteConnection(
-            number, target, order.account, self._send, self._forget
-        )
+        connection = RemoteConnection(number, target, order.account, self)
         pending = _PendingLease(connection, order, Future())
         self._pending_by_number[number] = pending
         if self._unheard_since is None:
             self._unheard_since = now
-        self._send(
+        self.send(
             LeaseRequest(
                 number,
                 order.target_id,
@@ -246,17 +267,18 @@
             return (yield self._loop.wait_for(pending.granted, wait))
         except TimeoutError:
             if self._pending_by_number.pop(number, None) is not None:
-                self._send(Close(number, "the request has timed out"))
+                self.send(Close(number, "the request has timed out"))
             elif pending.granted.exception() is None:
                 connection.close("granted too late")
             raise
 
-    def _forget(self, number: int) -> None:
+    def forget(self, number: int) -> None:
+        """Drop a lease that has ended."""
         self._connection_by_number.pop(number, None)
 
     def probe(self) -> None:
         """Ask for a sign that the owner runs."""
-        self._send(Close(0, "probe"))
+        self.send(Close(0, "probe"))
 
     def check_silence(self, now: timedelta) -> bool:
         """Return whether the owner has just become silent; fail waiting requests.
@@ -269,6 +291,6 @@
         self.is_silent = True
         for number in self._pending_by_number:
             # An owner that was frozen handles the requests later.
-            self._send(Close(number, "no answer"))
+            self.send(Close(number, "no answer"))
         self._fail_pending("the owner does not answer")
         return True
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -64,6 +64,7 @@
         self._on_rejected = on_rejected
         self._ids = itertools.count(1)
         self._waiting_by_id: dict[int, Lease] = {}
+        self._without_connection: list[Lease] = []
         self._is_pumping = False
         self._timer: Timer | None = None
         self._timer_at = timedelta.max
@@ -164,8 +165,8 @@
     def _open_for(self, lease: Lease) -> Steps:
         """Open a connection for a lease.
 
-        If all are in use, the lease is refused: transactions may have them, which need
-        the place of the lease for their next statements.
+        If all are in use, the lease waits without its place: transactions may have
+        them, which need places for their next statements.
         """
         order = lease.order
         try:
@@ -173,9 +174,9 @@
                 self.target, order.account, order.values, order.priority, _ZERO
             )
         except TimeoutError:
-            reason = "all connections of the domain are in use"
-            refusal = LeaseRefusal(RefusalKind.NO_CONNECTION, reason, RETRY_DELAY)
-            lease.fail_to_open(refusal, WorkOutcome.UNUSED)
+            lease.leave_place()
+            if not lease.has_ended:
+                self._without_connection.append(lease)
         except ConnectionRejected as error:
             self._fail_rejected(lease, error)
         except ConnectionLost as error:
@@ -207,6 +208,10 @@
     def forget(self, lease: Lease) -> None:
         """Drop a lease that has ended."""
         self.leases.discard(lease)
+        if lease in self._without_connection:
+            self._without_connection.remove(lease)
+        elif lease.connection is not None and self._without_connection:
+            self._loop.call_soon(self._resubmit_next)
         if lease.waiting is not None:
             self.scheduler.cancel(lease.waiting)
             self._waiting_by_id.pop(lease.waiting, None)
@@ -216,6 +221,22 @@
         """Check the leases; called at short intervals."""
         for lease in list(self.leases):
             lease.check(now, idle_limit)
+        late = [x for x in self._without_connection if now >= x.order.start_deadline]
+        for lease in late:
+            reason = "all connections of the domain are in use"
+            lease.refuse(LeaseRefusal(RefusalKind.NO_CONNECTION, reason, RETRY_DELAY))
+        self._resubmit_next()
+
+    def _resubmit_next(self) -> None:
+        """Request a place again for a lease that found no connection."""
+        if not self._without_connection:
+            return
+        lease = min(
+            self._without_connection,
+            key=lambda waiting: (waiting.order.priority, waiting.order.start_deadline),
+        )
+        self._without_connection.remove(lease)
+        self._submit(lease, lease.order.priority, lease.order.start_deadline)
 
 
 class Owner:
--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -20,6 +20,7 @@
 from bulrushloom.proxy.sharing.protocol import (
     MAX_FRAME_BYTES,
     MAX_REASON_LENGTH,
+    MAX_UNSENT_BYTES,
     PROTOCOL_VERSION,
     Challenge,
     Close,
@@ -52,6 +53,8 @@
 # A domain has at most 122 instances. Others cannot use up the descriptors.
 MAX_PEERS = 256
 MAX_LEASES_OF_PEER = 256
+# Statements that waited for this long in the buffers of a frozen process do not run.
+STALL_LIMIT = timedelta(seconds=1)
 REJECTION_LOG_INTERVAL = timedelta(seconds=1)
 _MILLISECOND = timedelta(milliseconds=1)
 _NO_LOAD = WireLoad(0, 0, 0)
@@ -81,6 +84,11 @@
         """Return the name of the instance, empty before its first message."""
         return self._hello.name if self._hello is not None else ""
 
+    @property
+    def lease_count(self) -> int:
+        """Return the number of leases and of requests for one."""
+        return len(self._lease_by_number)
+
     def close(self, reason: str) -> None:
         """Close the connection and end its leases."""
         self._stream.close(reason)
@@ -95,6 +103,8 @@
     # Receiving
 
     def _on_data(self) -> None:
+        if self._server.was_frozen():
+            self.close("the owner was frozen")
         try:
             self._frames.feed(self._stream.read_all())
             for frame in self._frames.frames():
@@ -217,7 +227,7 @@
     def on_answer(self, lease: Lease, answer: ServerAnswer) -> None:
         """Send the answer of the target."""
         frame = encode_answer(lease.number, answer)
-        if len(frame) > MAX_FRAME_BYTES:
+        if self._stream.unsent_bytes + len(frame) > MAX_UNSENT_BYTES:
             lease.close("the answer is too large")
             self.on_lost(lease, "the answer is too large", True)
         else:
@@ -236,8 +246,8 @@
 
     def send_pulse_if_waiting(self) -> None:
         """Show that this instance runs while requests of the peer wait."""
-        leases = self._lease_by_number.values()
-        if any(lease.connection is None for lease in leases):
+        now = self._server.loop.now()
+        if any(lease.needs_pulse(now) for lease in self._lease_by_number.values()):
             self._send(Pulse())
 
 
@@ -267,6 +277,7 @@
         self._log = log
         self._peers: set[PeerSession] = set()
         self._last_logged_at: timedelta | None = None
+        self._checked_at = loop.now()
 
     def accept(self, stream: Stream) -> None:
         """Accept a connection; close it if there are too many."""
@@ -292,8 +303,20 @@
         """Return the number of connections of other instances."""
         return len(self._peers)
 
-    def send_pulses(self) -> None:
-        """Show that this instance runs to the peers whose requests wait."""
+    def was_frozen(self) -> bool:
+        """Return whether this process did not run for a long time until just now.
+
+        Statements that arrived meanwhile must not run: what their senders checked, such
+        as the key and the primary, may no longer be true.
+        """
+        return self.loop.now() - self._checked_at > STALL_LIMIT
+
+    def check(self) -> None:
+        """Show that this instance runs to the peers that wait; call at intervals."""
+        if self.was_frozen():
+            self._log.write("owner_was_frozen", peers=len(self._peers))
+            self.close()
+        self._checked_at = self.loop.now()
         for peer in list(self._peers):
             peer.send_pulse_if_waiting()
 
@@ -305,7 +328,11 @@
             self._last_logged_at = now
             self._log.write("peer_rejected", peer=peer, reason=reason)
 
+    def lease_count(self) -> int:
+        """Return the number of leases of other instances."""
+        return sum(peer.lease_count for peer in self._peers)
+
     def close(self) -> None:
         """Close all connections."""
         for peer in list(self._peers):
-            peer.close("the instance stops")
+            peer.close("the owner ends the connection")
--- a/bulrushloom/proxy/sharing/protocol.py
+++ b/bulrushloom/proxy/sharing/protocol.py
@@ -28,6 +28,9 @@
 LENGTH_BYTES = 4
 # A statement has at most 1 MiB, and an answer at most what a client stream buffers.
 MAX_FRAME_BYTES = 2 * 1024 * 1024 - 64 * 1024
+# A message that would make a connection buffer more than this is not sent, because the
+# stream would be closed with all leases on it.
+MAX_UNSENT_BYTES = MAX_FRAME_BYTES
 # Frames of a peer that has not authenticated itself are small.
 MAX_HANDSHAKE_BYTES = 1024
 NONCE_BYTES = 16
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -108,7 +108,7 @@
         for retries in range(1, MAX_BUSY_RETRIES + 1):
             try:
                 answer = yield from self._runner.send(connection, attempt, None)
-            except AnswerLost as error:
+            except (AnswerLost, NotOffered) as error:
                 self._runner.log_attempt(attempt, connection.target, str(error))
                 return self._fail_with(f"a statement got no answer: {error}")
             if answer.failure is None:
@@ -229,9 +229,11 @@
                 answer_future, max(timeout, ROLLBACK_TIMEOUT)
             )
         except (ConnectionLost, ConnectionRejected, TimeoutError) as error:
+            is_at_owner = isinstance(error, ConnectionLost) and error.is_at_owner
+            if connection.is_path_working and not is_at_owner:
+                health.record_failure(self._loop.now())
+                self._services.report_failure(target, str(error))
             connection.close("no answer to the begin")
-            health.record_failure(self._loop.now())
-            self._services.report_failure(target, str(error))
             raise NotOffered(target, str(error)) from error
         self._services.record_answer_position(target, answer, sent_at)
         self._record_begin_failure(target, answer)
@@ -288,6 +290,11 @@
             except AnswerLost as error:
                 self._runner.log_attempt(attempt, connection.target, str(error))
                 return Outcome(self._unanswered_commit_failure(str(error)), None)
+            except NotOffered as error:
+                self._runner.log_attempt(attempt, connection.target, str(error))
+                reason = f"the commit was not sent: {error}"
+                failure = Failure(AnswerCode.ABORTED, reason, BUSY_RETRY_DELAY)
+                return Outcome(failure, None)
             if answer.failure is None:
                 if self.wrote and not self._services.acknowledge_commit(
                     connection.target, answer.position, cutoff
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -73,6 +73,11 @@
         """Return the number of received bytes that are not consumed yet."""
         return len(self._received)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that are buffered because the peer is slow."""
+        return 0
+
     def on_data(self, reader: Callable[[], None]) -> None:
         """Call ``reader`` whenever data or the end of the stream arrives."""
         self._reader = reader
@@ -133,6 +138,11 @@
         self._reading_paused = False
         loop.watch(sock, selectors.EVENT_READ, self._on_event)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the number of bytes that are buffered because the peer is slow."""
+        return len(self._unsent)
+
     @property
     def peer_host(self) -> str:
         """Return the IP address of the peer, empty if it is not connected any more."""
--- a/tests/proxy/sharing/builders.py
+++ b/tests/proxy/sharing/builders.py
@@ -2,6 +2,7 @@
 
 from bulrushloom.proxy.configuration import Service
 from bulrushloom.proxy.sharing.domain import DomainConnections
+from bulrushloom.proxy.stopping import StopPlan
 from tests.proxy.builders import (
     SERVICE,
     SimulatedClient,
@@ -9,7 +10,7 @@
     build_configuration,
     ms,
 )
-from tests.proxy.fleet_builders import SECOND, SimulatedFleet
+from tests.proxy.fleet_builders import SECOND, PartitionedNetwork, SimulatedFleet
 
 # Twelve instances in two domains. Each owner has four connections to a target.
 SIZE = 12
@@ -54,6 +55,28 @@
         self.loop.supervise(sharing.run)
         self.stack.callback(sharing.close)
 
+    def kill(self, member):
+        """Kill an instance; its streams are closed by its host."""
+        super().kill(member)
+        del self.network.accept_by_address[f"{member.name}:1"]
+        member.sharing.close()
+        member.sharing.client._network = PartitionedNetwork(self.network, frozenset())
+
+    def silence(self, member):
+        """Cut an instance off from its domain, or freeze it, without a notice."""
+        self.datagrams.freeze(member.name)
+        self.network.dark.add(f"{member.name}:1")
+        self.network.silence(f"{member.name}:1")
+
+    def stop(self, member):
+        """Begin a planned stop of an instance."""
+        member.services.stop_plan = StopPlan(self.loop.now(), SECOND * 6)
+
+    def others(self, owner):
+        """Return the other instances of the domain of ``owner``."""
+        domain = owner.name.partition("-")[0]
+        return [m for m in self.in_domain(domain) if m is not owner]
+
     def client_of(self, member, database="strict", number=0):
         """Start a session of one of the accounts."""
         client = SimulatedClient(member)
