--- a/tests/proxy/sharing/builders.py
+++ b/tests/proxy/sharing/builders.py
@@ -115,3 +115,8 @@
         run.request_id for run in fleet.group.runs if not run.text.startswith("READ")
     ]
     assert len(ids) == len(set(ids))
+
+
+def streams_to(fleet, owner):
+    """Return the ends at an owner of the connections of other instances."""
+    return list(fleet.network.streams_by_address.get(f"{owner.name}:1", ()))
