Test shares, the choice of owners and the messages of the hop

The time to return of a statement that an owner refuses in a transaction reaches the caller as well.

--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -33,6 +33,7 @@
     WireLoad,
     answer_decoder,
     decode_answer,
+    delay_ms,
     encode_frame,
     handshake_decoder,
     handshake_tag,
@@ -48,7 +49,6 @@
 from bulrushloom.runtime.streams import Network, Stream
 
 _MILLISECOND = timedelta(milliseconds=1)
-_ZERO = timedelta()
 
 
 class OwnerUnavailable(Exception):
@@ -260,7 +260,7 @@
                 order.account,
                 dict(order.values),
                 order.priority,
-                max(order.start_deadline - now, _ZERO) // _MILLISECOND,
+                delay_ms(order.start_deadline - now),
             )
         )
         try:
--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -36,6 +36,7 @@
     Refused,
     Release,
     WireLoad,
+    delay_ms,
     encode_answer,
     encode_frame,
     handshake_decoder,
@@ -219,7 +220,7 @@
                 number,
                 int(refusal.kind),
                 refusal.reason[:MAX_REASON_LENGTH],
-                min(600_000, max(1, refusal.retry_after // _MILLISECOND)),
+                max(1, delay_ms(refusal.retry_after)),
                 self._load(target_id),
             )
         )
--- a/bulrushloom/proxy/sharing/protocol.py
+++ b/bulrushloom/proxy/sharing/protocol.py
@@ -8,6 +8,7 @@
 import hmac
 import os
 from collections.abc import Iterator
+from datetime import timedelta
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -35,15 +36,18 @@
 MAX_HANDSHAKE_BYTES = 1024
 NONCE_BYTES = 16
 TAG_BYTES = 32
+MAX_DELAY_MS = 600_000
 
 Name = Annotated[str, Meta(max_length=200)]
 Reason = Annotated[str, Meta(max_length=4_000)]
 LeaseId = Annotated[int, Meta(ge=0, le=2**53)]
 Count = Annotated[int, Meta(ge=0, le=2**53)]
+Delay = Annotated[int, Meta(ge=0, le=MAX_DELAY_MS)]
 Nonce = Annotated[bytes, Meta(min_length=NONCE_BYTES, max_length=NONCE_BYTES)]
 Tag = Annotated[bytes, Meta(min_length=TAG_BYTES, max_length=TAG_BYTES)]
 Values = Annotated[dict[bytes, bytes], Meta(max_length=10_000)]
 MAX_REASON_LENGTH = 4_000
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 class WireLoad(NamedTuple):
@@ -89,7 +93,7 @@
     account: Name
     values: Values
     priority: Annotated[int, Meta(ge=-(2**31), le=2**31)]
-    time_left_ms: Annotated[int, Meta(ge=0, le=600_000)]
+    time_left_ms: Delay
 
 
 class Query(msgspec.Struct, array_like=True, frozen=True, tag=5):
@@ -137,7 +141,7 @@
     lease: LeaseId
     kind: Annotated[int, Meta(ge=0, le=100)]
     reason: Reason
-    retry_after_ms: Annotated[int, Meta(ge=0, le=600_000)]
+    retry_after_ms: Delay
     load: WireLoad
 
 
@@ -151,6 +155,7 @@
     reason: Reason
     state: TransactionState
     position: tuple[Count, Count] | None
+    retry_after_ms: Delay | None = None
 
 
 class Lost(msgspec.Struct, array_like=True, frozen=True, tag=11):
@@ -237,6 +242,11 @@
     return not isinstance(expected, Missing) and hmac.compare_digest(expected, received)
 
 
+def delay_ms(delay: timedelta) -> int:
+    """Return a delay as a number of milliseconds within the bounds of messages."""
+    return min(max(delay // _MILLISECOND, 0), MAX_DELAY_MS)
+
+
 def encode_answer(lease: int, answer: ServerAnswer) -> bytes:
     """Return the frame with the answer of a target."""
     failure, position = answer.failure, answer.position
@@ -249,6 +259,7 @@
             failure.reason[:MAX_REASON_LENGTH] if failure else "",
             answer.state,
             position if isinstance(position, LogPosition) else None,
+            delay_ms(failure.retry_after) if failure and failure.retry_after else None,
         )
     )
 
@@ -257,7 +268,9 @@
     """Return the answer of a target in a message."""
     failure = None
     if message.code is not None:
-        failure = Failure(message.code, message.reason)
+        delay = message.retry_after_ms
+        retry_after = _MILLISECOND * delay if delay is not None else None
+        failure = Failure(message.code, message.reason, retry_after)
     position = LogPosition(*message.position) if message.position else NO_POSITION
     return ServerAnswer(
         tuple(message.rows), message.signature, failure, message.state, position
--- a/tests/proxy/sharing/test_owner_failures.py
+++ b/tests/proxy/sharing/test_owner_failures.py
@@ -135,7 +135,10 @@
     line, duration = answer(other, fleet)
     assert line.startswith("DONE")
     assert duration < ms(60)
+    warm_up(fleet, [other])
     assert owner.sharing.owner.lease_count() == leases == 1
+    # It is asked once, and then not for some time.
+    assert b'leases_refused_total{case="stopping"} 1' in owner.services.metrics.text()
     assert writer.query("COMMIT")[0].startswith("DONE")
     fleet.run(ms(600))
     assert owner.sharing.owner.pool.size() == 0
