Let owners report targets that they cannot connect to

A caller waits for a lease for a part of its objective, which may be less than the time to connect, so nobody suspected a target that accepts no connections. Session state that does not fit in a message uses direct connections instead of ending the connection of all leases.

--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -22,6 +22,7 @@
     LeaseHolder,
     LeaseOrder,
     LeaseRefusal,
+    is_state_small,
 )
 from bulrushloom.proxy.sharing.links import OwnerLink, OwnerUnavailable
 from bulrushloom.proxy.sharing.owner import Owner
@@ -30,7 +31,7 @@
     SILENCE_LIMIT,
     OwnerChooser,
 )
-from bulrushloom.proxy.sharing.protocol import WireLoad
+from bulrushloom.proxy.sharing.protocol import MAX_NAME_LENGTH, WireLoad
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.loop import (
     Loop,
@@ -145,6 +146,8 @@
         timeout: timedelta,
     ) -> Steps:
         """Lease a connection; see ``SharedConnections.acquire``."""
+        if not is_state_small(values) or len(account) > MAX_NAME_LENGTH:
+            raise NoOwnerAnswers("the request does not fit in a message")
         deadline = self._loop.now() + timeout
         tried: list[str] = []
         while len(tried) < MAX_OWNERS_ASKED:
--- a/bulrushloom/proxy/sharing/connections.py
+++ b/bulrushloom/proxy/sharing/connections.py
@@ -16,7 +16,7 @@
     ServerAnswer,
     TransactionState,
 )
-from bulrushloom.proxy.sharing.leases import Lease
+from bulrushloom.proxy.sharing.leases import Lease, is_state_small
 from bulrushloom.proxy.sharing.protocol import (
     MAX_REASON_LENGTH,
     Close,
@@ -51,8 +51,12 @@
             self.state is TransactionState.IDLE
             and not self._unanswered
             and self.is_open
+            and self._is_state_small()
         )
 
+    def _is_state_small(self) -> bool:
+        return is_state_small(self.values, list(self.prepared_by_name))
+
     def _expect_answer(self) -> "Future[ServerAnswer]":
         future: Future[ServerAnswer] = Future()
         if self._closed_reason:
@@ -129,11 +133,12 @@
         future = self._expect_answer()
         if self._closed_reason:
             return future
-        release = self._changed_state() if self._ends_with_next else None
+        ends = self._ends_with_next and self._is_state_small()
+        release = self._changed_state() if ends else None
         if self._link.send_if_room(
             Query(self._number, request_id, text, after, release)
         ):
-            self._ends_with_answer = self._ends_with_next
+            self._ends_with_answer = ends
         else:
             # Earlier statements without an answer may have run, but not this one.
             unsent = self._unanswered.pop()
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -11,7 +11,7 @@
 from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.sharing.client import LeaseClient
-from bulrushloom.proxy.sharing.owner import Owner
+from bulrushloom.proxy.sharing.owner import Owner, TargetEvents
 from bulrushloom.proxy.sharing.ownership import ShareLimiter, is_shared
 from bulrushloom.proxy.sharing.peers import PeerContext, PeerServer
 from bulrushloom.runtime.loop import Steps
@@ -23,7 +23,7 @@
 LEASE_IDLE_MARGIN = timedelta(seconds=1)
 
 
-class DomainConnections(SharedConnections):
+class DomainConnections(SharedConnections, TargetEvents):
     """Owner and client of the shared connections of a domain in one instance."""
 
     def __init__(self, services: Services, member: Member, fleet: Fleet):
@@ -41,8 +41,8 @@
             self._find_target,
             self._make_scheduler,
             self._connection_quota,
+            self,
         )
-        self.owner.on_rejected = self._record_too_many
         self.client = LeaseClient(
             loop,
             services.network,
@@ -76,7 +76,12 @@
             self._loop.now(),
         )
 
-    def _record_too_many(self, target: Target) -> None:
+    def on_unreachable(self, target: Target, reason: str) -> None:
+        """Suspect a target to which no connection could be opened."""
+        self._services.report_failure(target, reason)
+
+    def on_too_many(self, target: Target) -> None:
+        """Reduce the share of this owner."""
         services, pool = self._services, self.owner.pool
         open_count = pool.size_of(target.target_id)
         self._limiter.record_too_many(target.target_id, open_count, self._loop.now())
--- a/bulrushloom/proxy/sharing/leases.py
+++ b/bulrushloom/proxy/sharing/leases.py
@@ -29,10 +29,23 @@
 LONG_STATEMENT = timedelta(milliseconds=100)
 # Statements of one lease that wait or run at the same time; setting session values is
 # pipelined.
-MAX_STATEMENTS = 20_000
+MAX_STATEMENTS = 4_000
+# Sessions with more values use direct connections.
+MAX_VALUES = 1_000
+MAX_STATE_BYTES = 64 * 1024
 UNKNOWN_NAME = b""
 
 
+def is_state_small(
+    values: Mapping[bytes, bytes], prepared: Sequence[bytes] = ()
+) -> bool:
+    """Return whether session values and prepared names fit in a message."""
+    if len(values) > MAX_VALUES or len(prepared) > MAX_VALUES:
+        return False
+    size = sum(map(len, values)) + sum(map(len, values.values()))
+    return size + sum(map(len, prepared)) <= MAX_STATE_BYTES
+
+
 class LeaseOrder(NamedTuple):
     """What a lease is needed for; it is useless after ``start_deadline``."""
 
@@ -284,6 +297,9 @@
         if self._in_flight or self._unsent:
             self.close("released with a statement without an answer")
             return
+        if not is_state_small(values or connection.values, prepared or ()):
+            self.close("the session has too many values to share the connection")
+            return
         if values is not None:
             connection.values = dict(values)
         if prepared is not None:
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -1,6 +1,7 @@
 """The owner of the connections of a domain to targets."""
 
 import itertools
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -48,6 +49,21 @@
 }
 
 
+class TargetEvents(ABC):
+    """Receiver of what an owner learns about targets when it opens connections.
+
+    An instance that asked may not wait any more when a target turns out to be lost.
+    """
+
+    @abstractmethod
+    def on_too_many(self, target: Target) -> None:
+        """Record that a target had too many connections."""
+
+    @abstractmethod
+    def on_unreachable(self, target: Target, reason: str) -> None:
+        """Record that a connection to a target could not be opened."""
+
+
 class OwnedTarget:
     """The requests and leases of one target at its owner."""
 
@@ -57,11 +73,11 @@
         pool: ConnectionPool,
         target: Target,
         scheduler: TargetScheduler,
-        on_rejected: Callable[[Target], None],
+        events: "TargetEvents",
     ):
         self._loop = loop
         self._pool = pool
-        self._on_rejected = on_rejected
+        self._events = events
         self._ids = itertools.count(1)
         self._waiting_by_id: dict[int, Lease] = {}
         self._without_connection: list[Lease] = []
@@ -180,6 +196,7 @@
         except ConnectionRejected as error:
             self._fail_rejected(lease, error)
         except ConnectionLost as error:
+            self._events.on_unreachable(self.target, str(error))
             lease.fail_to_open(
                 LeaseRefusal(RefusalKind.UNREACHABLE, str(error), RETRY_DELAY)
             )
@@ -193,7 +210,7 @@
     def _fail_rejected(self, lease: Lease, error: ConnectionRejected) -> None:
         code = error.failure.code
         if code is AnswerCode.TOO_MANY_CONNECTIONS:
-            self._on_rejected(self.target)
+            self._events.on_too_many(self.target)
         kind = _REFUSAL_KIND_BY_CODE.get(code, RefusalKind.UNREACHABLE)
         outcome = {
             RefusalKind.BUSY: WorkOutcome.BUSY,
@@ -243,8 +260,7 @@
     """Owner of connections to all targets that this instance is asked for.
 
     ``find_target`` returns a listed target by its id. ``connection_quota`` returns how
-    many connections to a target the owner may have. ``on_rejected`` is called when a
-    target had too many.
+    many connections to a target the owner may have.
     """
 
     def __init__(
@@ -254,13 +270,14 @@
         find_target: Callable[[str], Target | None],
         make_scheduler: Callable[[Target], TargetScheduler],
         connection_quota: Callable[[Target], int],
+        events: TargetEvents,
     ):
         self._loop = loop
         self._find_target = find_target
         self._make_scheduler = make_scheduler
         self._owned_by_id: dict[str, OwnedTarget] = {}
         self.pool = ConnectionPool(loop, network, connection_quota)
-        self.on_rejected: Callable[[Target], None] = lambda _: None
+        self._events = events
 
     def request(
         self, order: LeaseOrder, holder: LeaseHolder, number: int
@@ -286,7 +303,7 @@
                 self.pool,
                 target,
                 self._make_scheduler(target),
-                lambda target: self.on_rejected(target),
+                self._events,
             )
             self._owned_by_id[target.target_id] = owned
         return owned
--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -193,8 +193,11 @@
         after = LogPosition(*message.after) if message.after else None
         state = message.release
         final = FinalState(state.values, state.prepared) if state else None
+        if lease.connection is None:
+            raise PeerProtocolError("a statement before the grant")
         if not lease.query(message.request_id, message.text, after, final):
-            raise PeerProtocolError("too many statements, or no connection yet")
+            lease.close("too many statements")
+            self.on_lost(lease, "too many statements", True)
 
     # What happens to leases
 
--- a/bulrushloom/proxy/sharing/protocol.py
+++ b/bulrushloom/proxy/sharing/protocol.py
@@ -36,9 +36,10 @@
 MAX_HANDSHAKE_BYTES = 1024
 NONCE_BYTES = 16
 TAG_BYTES = 32
+MAX_NAME_LENGTH = 200
 MAX_DELAY_MS = 600_000
 
-Name = Annotated[str, Meta(max_length=200)]
+Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 Reason = Annotated[str, Meta(max_length=4_000)]
 LeaseId = Annotated[int, Meta(ge=0, le=2**53)]
 Count = Annotated[int, Meta(ge=0, le=2**53)]
