Wait longer for a shared connection than for an own one

Requests wait at the owner where they would have waited at the target, but had to start within a quarter of their objective. They may start until 0.6 of it now, and a statement that has waited for a new primary as long as one that busy targets refused. A request at its deadline starts if there is a place.

--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -18,6 +18,12 @@
 # A statement that was not sent to a target within this fraction of its latency
 # objective is refused, so that the client can succeed in time at another instance.
 DISPATCH_DEADLINE_FRACTION = 0.25
+# A statement that waits for a shared connection may start until this fraction of its
+# objective; the owner refuses earlier what cannot start by then. The rest is left for
+# the statement itself.
+LEASE_DEADLINE_FRACTION = 0.6
+# Time that a statement waits for a shared connection even if it is late.
+MIN_LEASE_WAIT = timedelta(milliseconds=50)
 # A statement whose targets are all busy is retried for this fraction of its timeout;
 # the rest is left to the client for a retry at another instance.
 BUSY_RETRY_FRACTION = 0.6
@@ -59,6 +65,19 @@
             self.started_at + self.route.latency_objective * DISPATCH_DEADLINE_FRACTION
         )
 
+    def lease_deadline(self, now: timedelta) -> timedelta:
+        """Return until when a statement may wait for a shared connection.
+
+        One that is past its objective, because it has waited for a new primary, may
+        wait as long as one that busy targets refused.
+        """
+        deadline = self.started_at + (
+            self.route.latency_objective * LEASE_DEADLINE_FRACTION
+        )
+        if now >= deadline:
+            deadline = self.busy_retry_deadline
+        return max(deadline, now + MIN_LEASE_WAIT)
+
     @property
     def busy_retry_deadline(self) -> timedelta:
         """Return when a statement that busy targets refused is no longer retried."""
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -63,28 +63,21 @@
         self._admission = admission
         self._values = values
 
-    def acquire_connection(
-        self,
-        target: Target,
-        account: str,
-        priority: int,
-        timeout: timedelta,
-        size: int = 0,
-    ) -> Steps:
-        """Return a connection for ``account``; wait at most ``timeout`` for it.
+    def acquire_connection(self, target: Target, attempt: Attempt) -> Steps:
+        """Return a connection for the account of an attempt.
 
-        Prefers one that has the session values already. ``size`` is the number of bytes
-        of the statement, if it is a single one. Raise ``NotOffered``.
+        Waits until the attempt's ``lease_deadline`` for a shared connection, and until
+        its ``dispatch_deadline`` for another one. Prefers one that has the session
+        values already. Raise ``NotOffered``.
         """
-        services = self._services
+        services, account = self._services, attempt.account
         sharing = services.shared(target)
-        if sharing is not None and size <= MAX_SHARED_STATEMENT_BYTES:
-            started_at = self._loop.now()
-            leasing = self._lease(sharing, target, account, priority, timeout)
-            leased = yield from leasing
+        is_small = len(attempt.statement.text) <= MAX_SHARED_STATEMENT_BYTES
+        if sharing is not None and is_small:
+            leased = yield from self._lease(sharing, target, attempt)
             if leased is not None:
                 return leased
-            timeout = max(timeout - (self._loop.now() - started_at), _ZERO)
+        timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         health = services.router.health(target.target_id)
         full_for = health.full_until - self._loop.now()
         if full_for > _ZERO and not services.pool.has_idle(target.target_id, account):
@@ -93,7 +86,7 @@
             raise NotOffered(target, "the target does not answer", REJECTED_RETRY_DELAY)
         try:
             connection = yield from services.pool.acquire(
-                target, account, self._values, priority, timeout
+                target, account, self._values, attempt.route.priority, timeout
             )
         except TimeoutError as error:
             raise NotOffered(target, "no connection became free") from error
@@ -113,21 +106,21 @@
         return connection
 
     def _lease(
-        self,
-        sharing: SharedConnections,
-        target: Target,
-        account: str,
-        priority: int,
-        timeout: timedelta,
+        self, sharing: SharedConnections, target: Target, attempt: Attempt
     ) -> Steps:
         """Lease a connection; return ``None`` if no owner answers.
 
         Raise ``NotOffered``.
         """
+        now = self._loop.now()
         try:
             return (
                 yield from sharing.acquire(
-                    target, account, self._values, priority, timeout
+                    target,
+                    attempt.account,
+                    self._values,
+                    attempt.route.priority,
+                    attempt.lease_deadline(now) - now,
                 )
             )
         except NoOwnerAnswers:
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -165,14 +165,7 @@
 
         Raise ``NotOffered``, ``PermitEnded`` or ``AnswerLost``.
         """
-        timeout = attempt.dispatch_deadline - self._loop.now()
-        connection = yield from self.acquire_connection(
-            choice.target,
-            attempt.account,
-            attempt.route.priority,
-            max(timeout, _ZERO),
-            len(attempt.statement.text),
-        )
+        connection = yield from self.acquire_connection(choice.target, attempt)
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
             if hedged_read.is_finished:
@@ -321,14 +314,7 @@
     def _write_once(
         self, attempt: Attempt, primary: Target, cutoff: "Future[None]"
     ) -> Steps:
-        timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
-        connection = yield from self.acquire_connection(
-            primary,
-            attempt.account,
-            attempt.route.priority,
-            timeout,
-            len(attempt.statement.text),
-        )
+        connection = yield from self.acquire_connection(primary, attempt)
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
             self.require_primary(primary)
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -128,11 +128,7 @@
         try:
             while True:
                 now = self._loop.now()
-                refusals = self.scheduler.expire(now)
-                for refusal in refusals:
-                    self._refuse(
-                        refusal.request_id, refusal.reason, refusal.retry_after
-                    )
+                # A request at its deadline starts if there is a place for it.
                 admitted = self.scheduler.admit(now)
                 for request_id in admitted:
                     lease = self._waiting_by_id.pop(request_id, None)
@@ -140,6 +136,11 @@
                         self.scheduler.finish(request_id, WorkOutcome.UNUSED, None, now)
                     else:
                         lease.take_place(request_id)
+                refusals = self.scheduler.expire(now)
+                for refusal in refusals:
+                    self._refuse(
+                        refusal.request_id, refusal.reason, refusal.retry_after
+                    )
                 if not refusals and not admitted:
                     break
         finally:
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -192,10 +192,7 @@
     def _begin_on_target(
         self, attempt: Attempt, target: Target, is_primary: bool
     ) -> Steps:
-        timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
-        connection = yield from self._runner.acquire_connection(
-            target, attempt.account, self._route.priority, timeout
-        )
+        connection = yield from self._runner.acquire_connection(target, attempt)
         answer = None
         try:
             yield from self._runner.apply_session_state(connection, attempt.prepared)
