Size the schedulers of owned targets and log their load

Schedulers follow the number of slots and of domains. Loads that owners tell are averaged for the placement of reads. Every 10 s an owner logs the limit, the queue and the refusals of targets that had requests.

--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Future
 from datetime import timedelta
-from typing import NamedTuple
 
 from bulrushloom.proxy.base import (
     LeasedConnection,
@@ -16,6 +15,8 @@
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
 from bulrushloom.proxy.exchange.messages import Member
 from bulrushloom.proxy.messages import ServerAnswer
+from bulrushloom.proxy.scheduling.base import TargetLoad
+from bulrushloom.proxy.scheduling.placement import LoadReports
 from bulrushloom.proxy.sharing.connections import LocalConnection
 from bulrushloom.proxy.sharing.leases import (
     Lease,
@@ -84,15 +85,11 @@
             self._connection.lose(reason, was_sent)
 
 
-class _KnownLoad(NamedTuple):
-    requests: int
-    told_at: timedelta
-
-
 class LeaseClient:
     """Requests leases from the owners of the domain, this instance among them.
 
-    ``keys`` returns the exchange keys, ``None`` if there are none yet.
+    ``keys`` returns the exchange keys, ``None`` if there are none yet. ``reports`` has
+    the loads of targets that their owners told.
     """
 
     def __init__(
@@ -114,7 +111,7 @@
         self._metrics = metrics
         self._member_by_name: dict[str, Member] = {}
         self._link_by_name: dict[str, OwnerLink] = {}
-        self._load_by_target: dict[str, _KnownLoad] = {}
+        self.reports = LoadReports()
         self._last_owner_by_target: dict[str, str] = {}
         self.chooser = OwnerChooser()
 
@@ -215,6 +212,9 @@
         result = self._owner.request(order, holder, 0)
         if isinstance(result, LeaseRefusal):
             raise LeaseRefused(*result)
+        load = self._owner.load(order.target_id)
+        if load is not None:
+            self.reports.record(order.target_id, load, timedelta(), self._loop.now())
         if not holder.granted.done():
             wait = order.start_deadline - self._loop.now() + GRANT_MARGIN
             try:
@@ -257,24 +257,24 @@
     # Load
 
     def _record_load(self, target_id: str, load: WireLoad) -> None:
-        count = load.running + load.waiting
-        self._load_by_target[target_id] = _KnownLoad(count, self._loop.now())
+        measured = TargetLoad(load.running, load.waiting, float(load.limit))
+        self.reports.record(target_id, measured, timedelta(), self._loop.now())
 
     def in_flight(self, target_id: str) -> int:
         """Return the number of requests of the domain that run or wait at a target."""
         load = self._owner.load(target_id)
         own = load.running + load.waiting if load is not None else 0
-        known = self._load_by_target.get(target_id)
-        if known is None or self._loop.now() - known.told_at > LOAD_LIFETIME:
+        report = self.reports.get(target_id)
+        if report is None or self._loop.now() - report.measured_at > LOAD_LIFETIME:
             return own
-        return max(known.requests, own)
+        return max(round(report.requests), own)
 
     def retain_only(self, target_ids: Iterable[str]) -> None:
         """Drop what is known about all targets except ``target_ids``."""
         kept = set(target_ids)
-        for by_target in (self._load_by_target, self._last_owner_by_target):
-            for target_id in by_target.keys() - kept:
-                del by_target[target_id]
+        self.reports.retain_only(kept)
+        for target_id in self._last_owner_by_target.keys() - kept:
+            del self._last_owner_by_target[target_id]
 
     def check(self) -> None:
         """Notice owners that have become silent; called at short intervals."""
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -8,12 +8,12 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.messages import Member
-from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.sharing.client import LeaseClient
 from bulrushloom.proxy.sharing.owner import Owner, TargetEvents
 from bulrushloom.proxy.sharing.ownership import ShareLimiter, is_shared
 from bulrushloom.proxy.sharing.peers import PeerContext, PeerServer
+from bulrushloom.proxy.sharing.schedulers import TargetSchedulers
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream
 
@@ -35,11 +35,14 @@
         self._was_stopping = False
         self._domain_count = 1
         self._limiter = ShareLimiter()
+        self._schedulers = TargetSchedulers(
+            lambda: self._domain_count, services.random, services.log
+        )
         self.owner = Owner(
             loop,
             services.network,
             self._find_target,
-            self._make_scheduler,
+            self._schedulers,
             self._connection_quota,
             self,
         )
@@ -65,9 +68,6 @@
         known = self._services.table.listed_target_by_id.get(target_id)
         return known.target if known is not None else None
 
-    def _make_scheduler(self, target: Target) -> DomainTargetScheduler:
-        return DomainTargetScheduler(target.slots, self._domain_count, self._loop.now())
-
     def _connection_quota(self, target: Target) -> int:
         return self._limiter.allowance(
             target.target_id,
@@ -140,6 +140,7 @@
             self.owner.check(idle_limit, self.client.is_owner)
             self.peers.check()
             self.client.check()
+            self._schedulers.log_loads(self._loop.now())
             yield self._loop.sleep(CHECK_INTERVAL)
 
     def _update_members(self) -> None:
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -26,6 +26,7 @@
     LeaseOrder,
     LeaseRefusal,
 )
+from bulrushloom.proxy.sharing.schedulers import TargetSchedulers
 from bulrushloom.runtime.loop import Loop, Steps, Timer
 from bulrushloom.runtime.streams import Network
 
@@ -269,13 +270,13 @@
         loop: Loop,
         network: Network,
         find_target: Callable[[str], Target | None],
-        make_scheduler: Callable[[Target], TargetScheduler],
+        schedulers: TargetSchedulers,
         connection_quota: Callable[[Target], int],
         events: TargetEvents,
     ):
         self._loop = loop
         self._find_target = find_target
-        self._make_scheduler = make_scheduler
+        self._schedulers = schedulers
         self._owned_by_id: dict[str, OwnedTarget] = {}
         self.pool = ConnectionPool(loop, network, connection_quota)
         self._events = events
@@ -303,7 +304,7 @@
                 self._loop,
                 self.pool,
                 target,
-                self._make_scheduler(target),
+                self._schedulers.make(target, self._loop.now()),
                 self._events,
             )
             self._owned_by_id[target.target_id] = owned
@@ -331,10 +332,12 @@
                 if target.born_ms != owned.target.born_ms:
                     owned.scheduler.record_restart(now)
                 owned.target = target
+                self._schedulers.adapt(target)
             else:
                 self.pool.close_idle_connections(target_id, "the target is gone")
                 if not owned.leases:
                     del self._owned_by_id[target_id]
+                    self._schedulers.forget(target_id)
 
     def check(self, idle_limit: timedelta, is_owner: Callable[[str], bool]) -> None:
         """Check leases and unused connections; called at short intervals.
