--- /dev/null
+++ b/tests/proxy/sharing/test_failover.py
@@ -0,0 +1,68 @@
+"""Failover of targets whose connections are shared, on a simulated fleet."""
+
+from contextlib import ExitStack
+
+import pytest
+
+from tests.proxy.builders import ms
+from tests.proxy.fleet_builders import (
+    SECOND,
+    check_acknowledged_commits,
+    check_commits_told_to_clients,
+    write_until_served,
+)
+from tests.proxy.sharing.builders import SharingFleet, check_no_statement_ran_twice
+
+
+@pytest.fixture
+def fleet():
+    with ExitStack() as stack:
+        yield SharingFleet(stack)
+
+
+@pytest.mark.parametrize("is_unresponsive", [False, True])
+def test_primary_that_fails_is_replaced(fleet, is_unresponsive):
+    # Guards against a failed primary that nobody suspects, because only owners connect
+    # to it.
+    clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
+    for client in clients:
+        assert client.query("WRITE 1 data")[0].startswith("DONE")
+    fleet.crash("a", is_unresponsive)
+    for client in clients:
+        client.sent += 1
+        client.send(f"QUERY {client.request_id(client.sent)} WRITE 2 data")
+    assert write_until_served(fleet, clients[0]) < SECOND * 6
+    assert len(fleet.promotion.orders) == 1
+    for client in clients[1:]:
+        client.received()
+        assert write_until_served(fleet, client) < SECOND
+    check_no_statement_ran_twice(fleet)
+    check_acknowledged_commits(fleet)
+    check_commits_told_to_clients(fleet)
+
+
+def test_target_that_is_gone_leaves_no_connections(fleet):
+    # Guards against owners that keep what belongs to a target that has left.
+    client = fleet.client_of(fleet.in_domain()[0], "bounded")
+    for _ in range(5):
+        client.query("READ 1")
+    fleet.deregistered |= {"b", "c"}
+    fleet.run(SECOND * 6)
+    for member in fleet.members:
+        assert set(member.sharing.owner.pool.target_ids()) <= {"a"}
+        assert set(member.sharing.owner.target_ids()) <= {"a"}
+
+
+def test_owner_suspects_a_target_that_its_callers_did_not_wait_for(fleet):
+    # Guards against callers with a short objective, who are gone before the attempt to
+    # connect ends, so that nobody suspects the target.
+    owner = fleet.owner_of("a")
+    caller = fleet.others(owner)[0]
+    fleet.crash("a", is_unresponsive=True)
+    target = caller.services.table.listed_target_by_id["a"].target
+    steps = caller.sharing.acquire(target, "account-1", {}, 0, ms(20))
+    leasing = fleet.loop.spawn_unreported(steps)
+    fleet.run(ms(200))
+    assert isinstance(leasing.exception(), TimeoutError)
+    fleet.run(ms(200))
+    assert "a" in owner.services.suspected_targets()
