End leases without a loop, and count failures of targets only

Closing a lease that had sent nothing while its statement waited for a place called itself without end. A holder that died counted as a failure of the target and reduced its limit.

--- a/bulrushloom/proxy/sharing/leases.py
+++ b/bulrushloom/proxy/sharing/leases.py
@@ -290,16 +290,21 @@
 
         ``values`` and ``prepared`` are what it has if they have changed.
         """
-        connection = self.connection
-        if self.has_ended or connection is None:
+        if self.has_ended or self.connection is None:
             self.close("released early")
-            return
-        if self._in_flight or self._unsent:
-            self.close("released with a statement without an answer")
-            return
-        if not is_state_small(values or connection.values, prepared or ()):
-            self.close("the session has too many values to share the connection")
-            return
+        elif self._in_flight or self._unsent:
+            self._discard("released with a statement without an answer")
+        elif not is_state_small(values or self.connection.values, prepared or ()):
+            self._discard("the session has too many values to share the connection")
+        else:
+            self._give_back(self.connection, values, prepared)
+
+    def _give_back(
+        self,
+        connection: ServerConnection,
+        values: Mapping[bytes, bytes] | None = None,
+        prepared: Sequence[bytes] | None = None,
+    ) -> None:
         if values is not None:
             connection.values = dict(values)
         if prepared is not None:
@@ -313,15 +318,22 @@
         """End the lease; close the connection unless nothing was sent on it."""
         if self.has_ended:
             return
-        connection = self.connection
-        if connection is not None and not self._has_sent:
-            self.release()
-            return
+        if self.connection is not None and not self._has_sent:
+            self._give_back(self.connection)
+        else:
+            # The holder closes a lease whose statement was not answered in time.
+            is_running = self._in_flight > 0
+            self._discard(
+                reason, WorkOutcome.FAILED if is_running else WorkOutcome.UNUSED
+            )
+
+    def _discard(self, reason: str, outcome: WorkOutcome = WorkOutcome.UNUSED) -> None:
+        """End the lease and close its connection."""
         self._end()
-        if connection is not None:
-            connection.close(reason)
+        if self.connection is not None:
+            self.connection.close(reason)
         if not self._is_opening:
-            self.free_place(WorkOutcome.FAILED)
+            self.free_place(outcome)
 
     def abandon(self, reason: str) -> None:
         """End the lease because its holder is gone.
@@ -330,12 +342,14 @@
         the next one resets it.
         """
         connection = self.connection
+        if self.has_ended:
+            return
         is_idle = not self._in_flight and not self._unsent
         if connection is None or not is_idle or not connection.is_reusable:
-            self.close(reason)
+            self._discard(reason)
             return
         values = {UNKNOWN_NAME: b""} if self._set_state else None
-        self.release(values)
+        self._give_back(connection, values)
 
     def _lose(self, reason: str, was_sent: bool) -> None:
         connection = self.connection
