Bound peers that have not authenticated themselves

At most 64 of them wait for their handshake at a time. Tests choose ports that are free for datagrams and streams: under load, the new listener on the peer address met ports in use by outgoing connections.

--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -54,6 +54,7 @@
 HANDSHAKE_TIMEOUT = timedelta(seconds=1)
 # A domain has at most 122 instances. Others cannot use up the descriptors.
 MAX_PEERS = 256
+MAX_UNAUTHENTICATED = 64
 MAX_LEASES_OF_PEER = 256
 # Statements that waited for this long in the buffers of a frozen process do not run.
 STALL_LIMIT = timedelta(seconds=1)
@@ -290,7 +291,8 @@
 
     def accept(self, stream: Stream) -> None:
         """Accept a connection; close it if there are too many."""
-        if len(self._peers) >= MAX_PEERS:
+        unknown = sum(not peer.is_authenticated for peer in self._peers)
+        if len(self._peers) >= MAX_PEERS or unknown >= MAX_UNAUTHENTICATED:
             stream.close("too many peers")
             self.record_rejected("", "too many peers")
             return
--- a/tests/proxy/node_builders.py
+++ b/tests/proxy/node_builders.py
@@ -12,6 +12,7 @@
 from bulrushloom.runtime.streams import split_address
 from standins.platform.documents import build_document
 from standins.platform.kv_server import KeyValueServer
+from standins.ports import free_ports
 from tests.proxy.test_settings import VALID
 
 STEP = timedelta(milliseconds=5)
@@ -19,10 +20,8 @@
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 
 
-def free_address(kind=socket.SOCK_STREAM):
-    with closing(socket.socket(socket.AF_INET, kind)) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+def free_address():
+    return f"127.0.0.1:{free_ports(1)[0]}"
 
 
 class RunningNode:
@@ -40,7 +39,8 @@
             name: free_address()
             for name in ("session_address", "probe_address", "metrics_address")
         }
-        addresses["peer_address"] = free_address(socket.SOCK_DGRAM)
+        # Datagrams and streams of other instances arrive at the same port.
+        addresses["peer_address"] = free_address()
         path.write_text(
             yaml.safe_dump(VALID | addresses | {"store_address": store_address})
         )
--- a/tests/proxy/sharing/test_peers.py
+++ b/tests/proxy/sharing/test_peers.py
@@ -5,7 +5,11 @@
 import pytest
 
 from bulrushloom.proxy.exchange.keys import new_keys
-from bulrushloom.proxy.sharing.peers import HANDSHAKE_TIMEOUT, MAX_PEERS, STALL_LIMIT
+from bulrushloom.proxy.sharing.peers import (
+    HANDSHAKE_TIMEOUT,
+    MAX_UNAUTHENTICATED,
+    STALL_LIMIT,
+)
 from bulrushloom.proxy.sharing.protocol import (
     MAX_FRAME_BYTES,
     MAX_HANDSHAKE_BYTES,
@@ -137,7 +141,7 @@
     peer = Peer(fleet)
     fleet.run(HANDSHAKE_TIMEOUT + ms(10))
     assert peer.is_refused
-    crowd = [Peer(fleet) for _ in range(MAX_PEERS + 5)]
+    crowd = [Peer(fleet) for _ in range(MAX_UNAUTHENTICATED + 5)]
     assert sum(peer.is_refused for peer in crowd) >= 5
     fleet.run(HANDSHAKE_TIMEOUT + ms(10))
     check_still_serving(fleet)
