--- a/tests/proxy/sharing/test_peers.py
+++ b/tests/proxy/sharing/test_peers.py
@@ -3,6 +3,8 @@
 from contextlib import ExitStack
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bulrushloom.proxy.exchange.keys import new_keys
 from bulrushloom.proxy.sharing.peers import (
@@ -15,11 +17,13 @@
     MAX_HANDSHAKE_BYTES,
     PROTOCOL_VERSION,
     Close,
+    ConnectionState,
     FrameReader,
     Hello,
     LeaseRequest,
     Proof,
     Query,
+    Release,
     encode_frame,
     handshake_decoder,
     handshake_tag,
@@ -189,6 +193,48 @@
     assert peer.owner.sharing.owner.lease_count() == 0
 
 
+NUMBERS = st.integers(1, 3)
+TEXTS = st.sampled_from([b"READ 1", b"WRITE 1 x", b"SET a b", b"BEGIN", b"COMMIT"])
+REQUEST_IDS = st.sampled_from([b"-", b"q"])
+STATES = st.builds(ConnectionState, st.none() | st.just(VALUES), st.none())
+MESSAGES = st.lists(
+    st.builds(
+        LeaseRequest,
+        NUMBERS,
+        st.sampled_from(["a", "b", "none"]),
+        st.just("account-1"),
+        st.sampled_from([{}, VALUES]),
+        st.integers(-1, 2),
+        st.sampled_from([0, 5, 100]),
+    )
+    | st.builds(Query, NUMBERS, REQUEST_IDS, TEXTS, st.none(), st.none() | STATES)
+    | st.builds(Release, NUMBERS, STATES)
+    | st.builds(Close, NUMBERS, st.just("closed")),
+    max_size=12,
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(messages=MESSAGES, pauses=st.lists(st.integers(0, 60), min_size=12, max_size=12))
+def test_any_order_of_messages_leaves_no_lease_behind(fleet, messages, pauses):
+    # Guards against places and connections that are never given back.
+    peer = Peer(fleet)
+    peer.authenticate()
+    for message, pause in zip(messages, pauses, strict=False):
+        peer.stream.write(encode_frame(message))
+        fleet.run(ms(pause))
+    fleet.run(ms(20))
+    peer.stream.close("gone")
+    fleet.run(ms(400))
+    assert not fleet.errors
+    owner = peer.owner.sharing.owner
+    assert owner.lease_count() == 0
+    for target_id in owner.target_ids():
+        assert owner.load(target_id)[:2] == (0, 0)
+        assert owner.pool.in_flight(target_id) == 0
+    assert not any(s.transaction for s in fleet.group.server_by_id["a"].connections)
+
+
 def test_statements_that_waited_in_a_frozen_owner_do_not_run(fleet):
     # Guards against statements whose permit has ended meanwhile.
     peer = Peer(fleet)
--- a/tests/proxy/test_malformed_input.py
+++ b/tests/proxy/test_malformed_input.py
@@ -69,6 +69,17 @@
     assert not running.errors
 
 
+def frame(body):
+    return len(body).to_bytes(4, "big") + body
+
+
+@FUZZ
+@given(data=st.binary(max_size=200) | st.binary(max_size=200).map(frame))
+def test_any_bytes_of_a_peer_end_at_most_its_connection(running, data):
+    running.send("peer_address", data)
+    assert not running.errors
+
+
 KEYS = st.sampled_from(
     ["servers/i-1", "members/x/y", "proxy/leader", "proxy/fence", "proxy/hot-accounts"]
     + ["proxy/groups/orders", "proxy/exchange-keys", "op/config", "other"]
@@ -98,7 +109,7 @@
 
 
 def test_instance_serves_after_malformed_input(running):
-    for address in ("session_address", "probe_address", "metrics_address"):
+    for address in running.address_by_name:
         running.send(address, b"\xff\x00\r\n" * 50)
     running.send_datagram(b'{"from":[]}')
     running.run(SECOND * 3)
