Close connections of owners that are above the quota or not shared

Owners kept their idle connections after the configuration allowed one for each instance, or after the quota fell, beside those of the others.

--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -137,12 +137,18 @@
             idle_limit = (
                 self._services.configuration.transaction_idle_limit + LEASE_IDLE_MARGIN
             )
-            self.owner.check(idle_limit, self.client.is_owner)
+            self.owner.check(idle_limit, self._is_owner)
             self.peers.check()
             self.client.check()
             self._schedulers.log_loads(self._loop.now())
             yield self._loop.sleep(CHECK_INTERVAL)
 
+    def _is_owner(self, target_id: str) -> bool:
+        """Return whether this instance shares its connections to a target."""
+        target = self._find_target(target_id)
+        is_covered = target is not None and self.covers(target)
+        return is_covered and self.client.is_owner(target_id)
+
     def _update_members(self) -> None:
         peers, services = self._fleet.peers_by_name, self._services
         is_stopping = services.is_stopping
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -277,6 +277,7 @@
         self._loop = loop
         self._find_target = find_target
         self._schedulers = schedulers
+        self._connection_quota = connection_quota
         self._owned_by_id: dict[str, OwnedTarget] = {}
         self.pool = ConnectionPool(loop, network, connection_quota)
         self._events = events
@@ -342,13 +343,19 @@
     def check(self, idle_limit: timedelta, is_owner: Callable[[str], bool]) -> None:
         """Check leases and unused connections; called at short intervals.
 
-        Leases that their holder does not use for ``idle_limit`` end.
+        Leases that their holder does not use for ``idle_limit`` end. Unused connections
+        are closed if there are more than the quota, or if ``is_owner`` is false.
         """
         now = self._loop.now()
         for owned in self._owned_by_id.values():
             if owned.leases:
                 owned.check(now, idle_limit)
         for target_id in self.pool.target_ids():
+            owned_target = self._owned_by_id.get(target_id)
+            if owned_target is not None:
+                allowed = self._connection_quota(owned_target.target)
+                if self.pool.size_of(target_id) > allowed:
+                    self.pool.close_excess_idle(target_id, allowed)
             if not is_owner(target_id):
                 self.pool.close_idle_connections(
                     target_id,
--- a/tests/proxy/sharing/test_leases.py
+++ b/tests/proxy/sharing/test_leases.py
@@ -60,6 +60,50 @@
     assert fleet.group.runs[-1].values == {"zone": "cet"}
 
 
+def test_refusal_of_the_owner_reaches_the_caller_with_its_time_to_return(fleet):
+    # Guards against callers that wait for a target which cannot serve them in time, or
+    # that all return at the same moment.
+    clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.in_domain())]
+    primary = fleet.group.server_by_id["a"]
+    primary.work = ms(150)
+    for client in clients * 3:
+        client.sent += 1
+        client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
+    fleet.run(ms(260))
+    refused = {}
+    for client in clients:
+        for line in client.received():
+            if line.startswith("ERR BUSY"):
+                refused.setdefault(line.rpartition("retry after")[2], client)
+    primary.work = ms(5)
+    fleet.run(ms(2000))
+    assert len(refused) >= 2
+    assert all(delay.endswith(" ms") for delay in refused)
+    check_no_statement_ran_twice(fleet)
+
+
+def test_load_of_the_domain_reaches_the_choice_of_targets(fleet):
+    # Guards against instances that see only their own statements and choose a target
+    # that others keep busy.
+    first, second = fleet.in_domain()[:2]
+    busy, other = fleet.client_of(first, "bounded"), fleet.client_of(second, "bounded")
+    other.query("READ 1")
+    for server in fleet.group.server_by_id.values():
+        server.work = ms(100)
+    busy.send("QUERY load-1 READ 1")
+    fleet.run(ms(30))
+    other.send("QUERY load-2 READ 1")
+    fleet.run(ms(30))
+    loads = {
+        candidate.target.target_id: candidate.in_flight
+        for candidate in second.services.candidates("orders", "account-1")
+    }
+    assert max(loads.values()) >= 1
+    for server in fleet.group.server_by_id.values():
+        server.work = ms(5)
+    fleet.run(ms(500))
+
+
 def test_transaction_keeps_its_connection_and_no_place(fleet):
     # Guards against pausing transactions that block the slots of a target.
     member = fleet.in_domain()[0]
@@ -78,3 +122,20 @@
         assert runs[-1].text == "COMMIT"
     fleet.run(ms(100))
     assert owner.lease_count() == 0
+
+
+def test_owners_close_their_connections_once_there_are_enough(fleet):
+    # Guards against connections of owners beside those of all instances.
+    client = fleet.client_of(fleet.in_domain()[0])
+    client.query("READ 1")
+    assert any(m.sharing.owner.pool.size() for m in fleet.members)
+    for member in fleet.members:
+        configuration = member.services.configuration
+        service = configuration.service_by_name["orders"]._replace(max_connections=100)
+        member.services.configuration = configuration._replace(
+            service_by_name={"orders": service}
+        )
+    fleet.run(ms(400))
+    assert not any(m.sharing.owner.pool.size() for m in fleet.members)
+    assert client.query("READ 1")[-2].startswith("DONE")
+    assert fleet.direct_opened() > 0
