--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -47,6 +47,8 @@
 GRANT_MARGIN = timedelta(milliseconds=150)
 # Time that a further owner has after one was silent for the whole wait of a statement.
 MIN_WAIT = timedelta(milliseconds=40)
+# Time that silent owners take from a statement before it uses a direct connection.
+MAX_SILENT_WAIT = 2 * SILENCE_LIMIT
 # Age from which the load that an owner has told is not used any more.
 LOAD_LIFETIME = timedelta(seconds=1)
 # Refusals after which another owner is asked.
@@ -145,9 +147,12 @@
         """Lease a connection; see ``SharedConnections.acquire``."""
         if not is_state_small(values) or len(account) > MAX_NAME_LENGTH:
             raise NoOwnerAnswers("the request does not fit in a message")
-        deadline = self._loop.now() + timeout
+        started_at = self._loop.now()
+        deadline = started_at + timeout
         tried: list[str] = []
         while len(tried) < MAX_OWNERS_ASKED:
+            if self._loop.now() - started_at >= MAX_SILENT_WAIT:
+                break
             name = self._choose(target.target_id, tried)
             if not name:
                 break
