--- a/bulrushloom/platform/documents.py
+++ b/bulrushloom/platform/documents.py
@@ -90,9 +90,18 @@
         name=entry["Name"],
         max_connections=int(entry.get("MaxConns") or 0),
         sync_replicas=int(entry.get("SyncReplicas") or 0),
+        cold_per_s=_rate(entry.get("ColdPerS")),
     )
 
 
+def _rate(value: Any) -> float:
+    """Return a rate a second, 0 if it is missing; raise ``ValueError`` if invalid."""
+    rate = float(value or 0)
+    if not 0 <= rate <= MAX_NUMBER:
+        raise ValueError(f"rate {rate} is out of range")
+    return rate
+
+
 def _account(entry: dict[str, Any]) -> tuple[Account, list[str]]:
     account = Account(
         name=entry["Name"],
--- a/bulrushloom/proxy/configuration.py
+++ b/bulrushloom/proxy/configuration.py
@@ -53,12 +53,14 @@
 
     ``max_connections`` is the limit of each target for the connections of the whole
     fleet. If ``sync_replicas`` is above 0, a commit is acknowledged only once a replica
-    has it as well.
+    has it as well. ``cold_per_s`` limits the requests a second of the whole fleet to a
+    target while its ``cold_left`` is above 0; 0 means no limit.
     """
 
     name: str
     max_connections: int
     sync_replicas: int
+    cold_per_s: float = 0
 
 
 class Account(NamedTuple):
@@ -129,8 +131,9 @@
 
     ``revision`` changes with each heartbeat of the server. ``claims_primary`` means
     that the server reports the role of a primary. ``born_ms`` is the calendar time of
-    its start and differs after a restart. ``slots`` and ``cold_left`` do not influence
-    decisions; they are relayed or logged only.
+    its start and differs after a restart. ``slots`` and ``cold_left`` matter only where
+    instances share connections: for the requests that run at a time, and for the hard
+    limit of a service with ``cold_per_s``.
     """
 
     target_id: str
--- a/bulrushloom/proxy/routing.py
+++ b/bulrushloom/proxy/routing.py
@@ -5,6 +5,9 @@
 statements of this instance that it would then run, plus the costs of a new connection,
 of another domain and of using the primary. Targets that were recently busy or failed
 come last. Only targets that have applied enough of the log are considered.
+
+Where instances share the connections of a target, reads are placed by account instead:
+see ``scheduling.placement``.
 """
 
 from collections.abc import Iterable
@@ -14,6 +17,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.messages import LogPosition
+from bulrushloom.proxy.scheduling.placement import LoadReport, LoadReports, place
 
 # Assumed for a target without answers; the latency of a typical statement.
 INITIAL_LATENCY = timedelta(milliseconds=20)
@@ -44,12 +48,14 @@
     """Target that may run a read, with the inputs of the choice.
 
     ``in_flight`` is the number of this instance's connections to it that are in use.
+    ``load`` is what the owner of its connections has reported, if there is one.
     """
 
     target: Target
     is_primary: bool
     in_flight: int
     has_idle_connection: bool
+    load: LoadReport | None = None
 
 
 class TargetHealth:
@@ -109,9 +115,13 @@
 
 
 class ReadRouter:
-    """Router that chooses the targets of reads by their recorded health."""
+    """Router that chooses the targets of reads by their recorded health.
+
+    ``loads`` has what the owners of connections reported.
+    """
 
     def __init__(self, domain: str):
+        self.loads = LoadReports()
         self._domain = domain
         self._health_by_id: dict[str, TargetHealth] = {}
 
@@ -123,8 +133,9 @@
         return health
 
     def retain_only(self, target_ids: Iterable[str]) -> None:
-        """Drop the health records of all targets except ``target_ids``."""
+        """Drop the health and load of all targets except ``target_ids``."""
         kept = set(target_ids)
+        self.loads.retain_only(kept)
         self._health_by_id = {
             target_id: health
             for target_id, health in self._health_by_id.items()
@@ -136,24 +147,44 @@
         candidates: Iterable[Candidate],
         required: LogPosition | Missing,
         now: timedelta,
+        placed_account: str | None = None,
     ) -> Candidate | Missing:
         """Return the candidate with the lowest cost.
 
         Replicas must be able to have applied ``required``; the primary has it anyway.
+        With a ``placed_account``, the read is placed on the replica that the account
+        prefers as long as its load permits; see ``scheduling.placement.place``.
         """
-        best: Candidate | None = None
-        best_cost: tuple[bool, timedelta] = (True, timedelta.max)
-        for candidate in candidates:
-            if not candidate.is_primary and not self._may_have_applied(
-                candidate.target.target_id, required, now
-            ):
-                continue
-            cost = self._cost(candidate, now)
-            if cost < best_cost:
-                best, best_cost = candidate, cost
-        if best is None:
+        usable = [
+            candidate
+            for candidate in candidates
+            if candidate.is_primary
+            or self._may_have_applied(candidate.target.target_id, required, now)
+        ]
+        if not usable:
             return Missing("no target is in reach that has applied enough")
-        return best
+        if placed_account is not None:
+            placed = self._place(usable, placed_account, now)
+            if placed is not None:
+                return placed
+        return min(usable, key=lambda candidate: self._cost(candidate, now))
+
+    def _place(
+        self, usable: list[Candidate], account: str, now: timedelta
+    ) -> Candidate | None:
+        """Return the replica for an account, ``None`` if all are avoided."""
+        replica_by_id = {
+            candidate.target.target_id: candidate
+            for candidate in usable
+            if not candidate.is_primary
+            and now >= self.health(candidate.target.target_id).avoided_until
+        }
+        if not replica_by_id:
+            return None
+        report_by_id = {
+            target_id: candidate.load for target_id, candidate in replica_by_id.items()
+        }
+        return replica_by_id[place(account, report_by_id, now)]
 
     def _may_have_applied(
         self, target_id: str, required: LogPosition | Missing, now: timedelta
--- a/bulrushloom/proxy/scheduling/placement.py
+++ b/bulrushloom/proxy/scheduling/placement.py
@@ -9,9 +9,9 @@
 from bulrushloom.proxy.scheduling.base import TargetLoad
 
 # The preferred replica is kept while its load is at most this multiple of the mean, and
-# always with this many requests more: short differences are no imbalance.
+# always with this many requests more: an idle replica is no reason to move.
 LOAD_TOLERANCE = 1.25
-LOAD_SLACK = 1.0
+LOAD_SLACK = 0.25
 # Reports are averaged over about this time, so that an account does not alternate.
 AVERAGING_TIME = timedelta(milliseconds=500)
 # Weight of an older report halves in this time; the rest is the mean of the others.
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -236,6 +236,7 @@
                     is_primary,
                     self.pool.in_flight(target.target_id),
                     self.pool.has_idle(target.target_id, account),
+                    self.router.loads.get(target.target_id),
                 )
             )
         return found
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -31,6 +31,30 @@
     assert configuration.transaction_idle_limit == timedelta(milliseconds=2500)
 
 
+@pytest.mark.parametrize(
+    ("entry", "cold_per_s"),
+    [
+        ({}, 0),
+        ({"ColdPerS": 0}, 0),
+        ({"ColdPerS": None}, 0),
+        ({"ColdPerS": 12.5}, 12.5),
+    ],
+)
+def test_rate_of_cold_targets_is_optional(entry, cold_per_s):
+    # Guards against a refused configuration of a deployment without this limit.
+    services = [{"Name": "orders", **entry}]
+    document = build_document() | {"Services": services}
+    configuration = decode_configuration(orjson.dumps(document), 1)
+    assert configuration.service_by_name["orders"].cold_per_s == cold_per_s
+
+
+@pytest.mark.parametrize("rate", [-1, 1e18, "many"])
+def test_invalid_rate_of_cold_targets_is_an_error(rate):
+    services = [{"Name": "orders", "ColdPerS": rate}]
+    with pytest.raises(DocumentError):
+        decode_configuration(orjson.dumps(build_document() | {"Services": services}), 1)
+
+
 @pytest.mark.parametrize(
     "value", [b"", b"[]", b"{}", b'{"Version": "x"}', b'{"Version": 1, "Routes": [1]}']
 )
--- a/tests/proxy/scheduling/simulation.py
+++ b/tests/proxy/scheduling/simulation.py
@@ -49,6 +49,7 @@
         self.busy_count = self.deepest_queue = 0
         self.slot_time = timedelta()
         self.received_at = []
+        self.down_until = timedelta()
         self._events = []
         self._sequence = itertools.count()
         self._operation_by_id = {}
@@ -75,6 +76,15 @@
             call(*arguments)
         self.now = until
 
+    def restart(self, has_pace):
+        """Let the server answer again; all connections were closed."""
+        self.open_connections = [0] * len(self.schedulers)
+        self.deepest_queue = self.busy_count = 0
+        for domain, scheduler in enumerate(self.schedulers):
+            if has_pace:
+                scheduler.record_restart(self.now)
+            self._poll(domain)
+
     def _submit(self, domain, operation):
         request_id = next(self._sequence)
         self._operation_by_id[request_id] = operation
@@ -89,7 +99,8 @@
 
     def _poll(self, domain):
         scheduler = self.schedulers[domain]
-        for request_id in scheduler.admit(self.now):
+        is_down = self.now < self.down_until
+        for request_id in [] if is_down else scheduler.admit(self.now):
             operation = self._operation_by_id[request_id]
             operation.sent_at = self.now
             self._used_connections[domain] += 1
@@ -98,8 +109,10 @@
             work = operation.work + (CONNECTION_WORK if is_new else timedelta())
             self.at(self.now + ONE_WAY, self._receive, domain, request_id, work)
         next_at = scheduler.next_event_at(self.now)
-        next_at = max(next_at, self.now) if next_at is not None else None
-        if next_at is not None and next_at != self._wake_at[domain]:
+        if next_at is None:
+            return
+        next_at = max(next_at, self.now + ms(10) if is_down else self.now)
+        if next_at != self._wake_at[domain]:
             self._wake_at[domain] = next_at
             self.at(next_at, self._wake, domain)
 
--- /dev/null
+++ b/tests/proxy/scheduling/test_pace.py
@@ -0,0 +1,114 @@
+"""Pace of a target that has started, and its hard limit."""
+
+from bulrushloom.proxy.scheduling.pace import COLD_WINDOW, ColdRate, cold_part
+from tests.proxy.builders import ms
+from tests.proxy.scheduling.builders import (
+    BILLING,
+    BOOKING,
+    LOOKUP,
+    build_schedulers,
+    offer,
+)
+from tests.proxy.scheduling.simulation import Simulation, share_served
+
+RETURN = ms(3000)
+
+
+def slowness(now):
+    """Return 1 before the restart, 4 right after it, and 1 again 2 s later."""
+    if now < RETURN:
+        return 1
+    return 1 + 3 * max(0, 1 - (now - RETURN) / ms(2000))
+
+
+class TestTargetThatStartsCold:
+    def play(self, has_pace):
+        """Play a target that is away for a second while requests wait for it."""
+        simulation = Simulation(build_schedulers(3), slowness=slowness)
+        bookings = offer(simulation, BOOKING, 40, (0, 6000), range(3), 0, 2)
+        offer(simulation, BILLING, 150, (0, 6000), range(3), 1, 2)
+        offer(simulation, LOOKUP, 50, (0, 6000), range(3), 2, 2)
+        simulation.run(ms(2000))
+        simulation.down_until = RETURN
+        simulation.run(RETURN)
+        simulation.restart(has_pace)
+        before = simulation.slot_time
+        simulation.run(ms(3400))
+        used = simulation.slot_time - before
+        simulation.run(ms(7000))
+        around = [
+            booking for booking in bookings if ms(2900) <= booking.arrived_at < ms(3400)
+        ]
+        return share_served(around, BOOKING.objective), used
+
+    def test_bookings_are_served_in_time_with_the_pace(self):
+        # Guards against a flood of waiting requests in the queue of a slow target.
+        with_pace, _ = self.play(has_pace=True)
+        without_pace, _ = self.play(has_pace=False)
+        assert with_pace > without_pace + 0.3
+
+    def test_slots_are_busy_from_the_start(self):
+        # Guards against a pace that leaves the target idle while requests wait.
+        _, used = self.play(has_pace=True)
+        assert used > 0.95 * 4 * ms(400)
+
+
+class TestColdRate:
+    def test_parts_of_the_domains_stay_within_the_limit(self):
+        # Guards against parts that are rounded up: 20 * 1.5 + 5 is 35 for all.
+        assert cold_part(20, 1.5, 5, 3) == 11
+        assert cold_part(0.1, 1, 0, 3) == 0
+
+    def test_no_second_has_more_requests_than_the_limit(self):
+        # Guards against fixed windows, which allow twice the limit around borders, and
+        # against requests that were sent before the entry said that it is cold.
+        cold_rate = ColdRate(ms(0))
+        for at in (910, 930, 950):
+            cold_rate.record(ms(at))
+        cold_rate.set_limit(5)
+        sent = [ms(910), ms(930), ms(950)]
+        for at in range(960, 6000, 7):
+            if cold_rate.allows(ms(at)):
+                cold_rate.record(ms(at))
+                sent.append(ms(at))
+        for start in sent:
+            assert sum(start <= at < start + COLD_WINDOW for at in sent) <= 5
+        assert len(sent) > 0.95 * 5 * 5
+
+    def test_schedulers_of_a_cold_target_keep_the_limit_in_an_overload(self):
+        # Guards against waiting requests that all start when a place becomes free.
+        cold_rates = [ColdRate(ms(0)) for _ in range(3)]
+        schedulers = [
+            build_schedulers(1, cold_rate=cold_rate)[0] for cold_rate in cold_rates
+        ]
+        for cold_rate in cold_rates:
+            cold_rate.set_limit(11)
+        simulation = Simulation(schedulers)
+        offer(simulation, BILLING, 300, (0, 4000), range(3))
+        simulation.run(ms(4500))
+        received = simulation.received_at
+        for start in received:
+            assert sum(start <= at < start + ms(1000) for at in received) <= 33
+        assert len(received) > 33 * 3
+
+    def test_owner_that_took_over_waits_for_what_its_predecessor_sent(self):
+        # Guards against twice the limit while an owner is replaced.
+        cold_rate = ColdRate(ms(0), is_first_owner=False)
+        cold_rate.set_limit(5)
+        assert not cold_rate.allows(ms(1000))
+        assert cold_rate.allows(COLD_WINDOW)
+
+    def test_expected_time_is_the_actual_one(self):
+        # Guards against refusals with a time at which the limit does not permit more.
+        cold_rate = ColdRate(ms(0))
+        cold_rate.set_limit(2)
+        expected = [cold_rate.allowed_at(ms(0), ahead) for ahead in range(7)]
+        actual = []
+        for at in range(0, 4000, 10):
+            if cold_rate.allows(ms(at)):
+                cold_rate.record(ms(at))
+                actual.append(ms(at))
+            if cold_rate.allows(ms(at)):
+                cold_rate.record(ms(at))
+                actual.append(ms(at))
+        assert actual[:7] == expected
