--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -35,6 +35,8 @@
 
 # Delay before a target that rejected a connection or does not answer is retried.
 REJECTED_RETRY_DELAY = timedelta(milliseconds=15)
+# Delay before a cold target is tried again whose owner does not answer.
+COLD_RETRY_DELAY = timedelta(milliseconds=100)
 # Timeout for the server to confirm session values and prepared statements, which takes
 # a few round trips.
 SESSION_STATE_TIMEOUT = timedelta(milliseconds=500)
@@ -73,10 +75,16 @@
         services, account = self._services, attempt.account
         sharing = services.shared(target)
         is_small = len(attempt.statement.text) <= MAX_SHARED_STATEMENT_BYTES
-        if sharing is not None and is_small:
-            leased = yield from self._lease(sharing, target, attempt)
-            if leased is not None:
-                return leased
+        if sharing is not None:
+            if is_small:
+                leased = yield from self._lease(sharing, target, attempt)
+                if leased is not None:
+                    return leased
+            if services.limits_cold_requests(target):
+                # Only owners keep the limit of all instances together.
+                raise NotOffered(
+                    target, "the target has just started", COLD_RETRY_DELAY
+                )
         timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         health = services.router.health(target.target_id)
         full_for = health.full_until - self._loop.now()
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -201,7 +201,9 @@
             for candidate in services.candidates(route.service, attempt.account)
             if candidate.target.target_id not in tried
         ]
-        return services.router.choose(candidates, required, self._loop.now())
+        is_shared = any(services.shared(c.target) is not None for c in candidates)
+        account = attempt.account if is_shared else None
+        return services.router.choose(candidates, required, self._loop.now(), account)
 
     def required_position(
         self, route: Route, session_position: LogPosition | Missing
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -128,6 +128,12 @@
         sharing = self.sharing
         return sharing if sharing is not None and sharing.covers(target) else None
 
+    def limits_cold_requests(self, target: Target) -> bool:
+        """Return whether the requests a second to a target have a hard limit now."""
+        service = self.configuration.service_by_name.get(target.service)
+        has_limit = service is not None and service.cold_per_s > 0
+        return has_limit and target.cold_left > _ZERO
+
     def release(self, connection: TargetConnection) -> None:
         """Return a connection to where it came from, or close it."""
         if isinstance(connection, LeasedConnection):
@@ -261,7 +267,8 @@
         if sharing is not None:
             # Owners hold connections for most accounts.
             in_flight, has_idle = in_flight + sharing.in_flight(target.target_id), True
-        return Candidate(target, is_primary, in_flight, has_idle)
+        load = self.router.loads.get(target.target_id)
+        return Candidate(target, is_primary, in_flight, has_idle, load)
 
     def report_failure(self, target: Target, reason: str) -> None:
         """Suspect a target that failed to answer."""
--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -90,8 +90,8 @@
 class LeaseClient:
     """Requests leases from the owners of the domain, this instance among them.
 
-    ``keys`` returns the exchange keys, ``None`` if there are none yet. ``reports`` has
-    the loads of targets that their owners told.
+    ``keys`` returns the exchange keys, ``None`` if there are none yet. ``reports`` gets
+    the loads of targets that their owners tell.
     """
 
     def __init__(
@@ -103,6 +103,7 @@
         keys: Callable[[], ExchangeKeys | None],
         log: EventLog,
         metrics: Metrics,
+        reports: LoadReports,
     ):
         self._loop = loop
         self._network = network
@@ -113,7 +114,7 @@
         self._metrics = metrics
         self._member_by_name: dict[str, Member] = {}
         self._link_by_name: dict[str, OwnerLink] = {}
-        self.reports = LoadReports()
+        self._reports = reports
         self._last_owner_by_target: dict[str, str] = {}
         self.chooser = OwnerChooser()
 
@@ -219,7 +220,7 @@
             raise LeaseRefused(*result)
         load = self._owner.load(order.target_id)
         if load is not None:
-            self.reports.record(order.target_id, load, timedelta(), self._loop.now())
+            self._reports.record(order.target_id, load, timedelta(), self._loop.now())
         if not holder.granted.done():
             wait = order.start_deadline - self._loop.now() + GRANT_MARGIN
             try:
@@ -263,13 +264,13 @@
 
     def _record_load(self, target_id: str, load: WireLoad) -> None:
         measured = TargetLoad(load.running, load.waiting, float(load.limit))
-        self.reports.record(target_id, measured, timedelta(), self._loop.now())
+        self._reports.record(target_id, measured, timedelta(), self._loop.now())
 
     def in_flight(self, target_id: str) -> int:
         """Return the number of requests of the domain that run or wait at a target."""
         load = self._owner.load(target_id)
         own = load.running + load.waiting if load is not None else 0
-        report = self.reports.get(target_id)
+        report = self._reports.get(target_id)
         if report is None or self._loop.now() - report.measured_at > LOAD_LIFETIME:
             return own
         return max(round(report.requests), own)
@@ -277,7 +278,6 @@
     def retain_only(self, target_ids: Iterable[str]) -> None:
         """Drop what is known about all targets except ``target_ids``."""
         kept = set(target_ids)
-        self.reports.retain_only(kept)
         for target_id in self._last_owner_by_target.keys() - kept:
             del self._last_owner_by_target[target_id]
 
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -8,6 +8,7 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.messages import Member
+from bulrushloom.proxy.scheduling.pace import cold_part
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.sharing.client import LeaseClient
 from bulrushloom.proxy.sharing.owner import Owner, TargetEvents
@@ -17,6 +18,9 @@
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream
 
+# Tolerance of the hard limit for targets that have just started.
+COLD_EXCESS = 1.5
+COLD_SLACK = 5.0
 CHECK_INTERVAL = timedelta(milliseconds=50)
 # Sessions abort a transaction that pauses for too long. A lease that is unused for this
 # much longer belongs to an instance that is frozen.
@@ -36,7 +40,7 @@
         self._domain_count = 1
         self._limiter = ShareLimiter()
         self._schedulers = TargetSchedulers(
-            lambda: self._domain_count, services.random, services.log
+            lambda: self._domain_count, self._cold_limit, services.random, services.log
         )
         self.owner = Owner(
             loop,
@@ -54,6 +58,7 @@
             lambda: fleet.keys,
             services.log,
             services.metrics,
+            services.router.loads,
         )
         context = PeerContext(
             member.name, lambda: fleet.keys, lambda: services.is_stopping
@@ -68,6 +73,14 @@
         known = self._services.table.listed_target_by_id.get(target_id)
         return known.target if known is not None else None
 
+    def _cold_limit(self, target: Target) -> int | None:
+        if not self._services.limits_cold_requests(target):
+            return None
+        service = self._services.configuration.service_by_name[target.service]
+        return cold_part(
+            service.cold_per_s, COLD_EXCESS, COLD_SLACK, self._domain_count
+        )
+
     def _connection_quota(self, target: Target) -> int:
         return self._limiter.allowance(
             target.target_id,
--- a/tests/proxy/sharing/builders.py
+++ b/tests/proxy/sharing/builders.py
@@ -26,8 +26,10 @@
 class SharingFleet(SimulatedFleet):
     """Fleet with fewer connections to each target than instances."""
 
-    def __init__(self, stack, max_connections=MAX_CONNECTIONS):
+    def __init__(self, stack, max_connections=MAX_CONNECTIONS, cold_per_s=0):
         self._max_connections = max_connections
+        self._cold_per_s = cold_per_s
+        self.cold_ids = set()
         super().__init__(stack, SIZE, DOMAINS, prepare=self._prepare)
         for member in self.members:
             self.share(member)
@@ -38,7 +40,7 @@
             f"key-{number}": build_account(f"account-{number}")
             for number in range(1, ACCOUNT_COUNT + 1)
         }
-        service = Service(SERVICE, self._max_connections, 1)
+        service = Service(SERVICE, self._max_connections, 1, self._cold_per_s)
         self.store.configuration = build_configuration(
             accounts=accounts, service_by_name={SERVICE: service}
         )
@@ -53,6 +55,19 @@
         member.services.sharing = member.sharing = sharing
         self.network.accept_by_address[f"{member.name}:1"] = sharing.accept
         self.loop.supervise(sharing.run)
+        update = member.services.update_targets
+
+        def update_with_cold_targets(target_by_id, listed_at):
+            # The directory of the exchange does not say which targets are cold.
+            cold = {
+                target_id: target._replace(
+                    cold_left=SECOND * (target_id in self.cold_ids)
+                )
+                for target_id, target in target_by_id.items()
+            }
+            update(cold, listed_at)
+
+        member.services.update_targets = update_with_cold_targets
         self.stack.callback(sharing.close)
 
     def kill(self, member):
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -41,6 +41,30 @@
     check_commits_told_to_clients(fleet)
 
 
+@pytest.mark.parametrize("owners_answer", [True, False])
+def test_cold_target_gets_no_more_requests_than_its_limit(owners_answer):
+    # Guards against requests that pass by the owners, who share the limit.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, cold_per_s=4)
+        fleet.cold_ids.add("a")
+        fleet.run(SECOND)
+        if not owners_answer:
+            for member in fleet.members:
+                member.sharing.client.chooser.update_members(())
+                member.sharing.client.update_members = lambda *_: None
+        clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
+        for _ in range(30):
+            for client in clients:
+                client.received()
+                client.sent += 1
+                client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
+            fleet.run(ms(100))
+        times = [run.at for run in fleet.group.runs]
+        for at in times:
+            assert sum(at <= other < at + SECOND for other in times) <= 4 * 1.5 + 5
+        assert bool(times) is owners_answer
+
+
 def test_target_that_is_gone_leaves_no_connections(fleet):
     # Guards against owners that keep what belongs to a target that has left.
     client = fleet.client_of(fleet.in_domain()[0], "bounded")
