Bound retries and copies of reads at shared targets

The budget of the schedulers applies to services with shared connections. With an empty budget a read is sent once, and twice otherwise (test).

--- a/bulrushloom/proxy/base.py
+++ b/bulrushloom/proxy/base.py
@@ -102,8 +102,8 @@
     """Connections to targets that the instances of a domain share."""
 
     @abstractmethod
-    def covers(self, target: Target) -> bool:
-        """Return whether the connections to a target are shared."""
+    def covers(self, service: str) -> bool:
+        """Return whether the connections to the targets of a service are shared."""
 
     @abstractmethod
     def acquire(
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -73,6 +73,7 @@
 
     def read(self, attempt: Attempt) -> Steps:
         """Run a read on a target that its consistency allows; return an ``Outcome``."""
+        self._services.retry_budget.record_first_attempt(self._loop.now())
         hedged_read = HedgedRead()
         try:
             return (yield from self._read_with_hedging(attempt, hedged_read))
@@ -106,7 +107,7 @@
                     continue
                 # Every eligible target has received the read, so each may get it again.
                 tried.clear()
-            else:
+            elif not running or self._may_hedge(attempt):
                 tried.append(choice.target.target_id)
                 steps = self._read_once(attempt, choice, hedged_read)
                 running.append(self._loop.spawn_unreported(steps))
@@ -201,8 +202,7 @@
             for candidate in services.candidates(route.service, attempt.account)
             if candidate.target.target_id not in tried
         ]
-        is_shared = any(services.shared(c.target) is not None for c in candidates)
-        account = attempt.account if is_shared else None
+        account = attempt.account if services.shares(route.service) else None
         return services.router.choose(candidates, required, self._loop.now(), account)
 
     def required_position(
@@ -241,9 +241,25 @@
             return (yield from self.wait_for_primary(attempt))
         if self._loop.now() >= attempt.busy_retry_deadline:
             return False
+        if not self._may_retry(attempt):
+            return False
         yield self.backoff_after_refusals(refusals)
         return True
 
+    def _may_retry(self, attempt: Attempt) -> bool:
+        """Return whether the retry budget of shared targets allows a retry."""
+        services, route = self._services, attempt.route
+        return not services.shares(route.service) or services.retry_budget.take_retry(
+            route.priority, self._loop.now()
+        )
+
+    def _may_hedge(self, attempt: Attempt) -> bool:
+        """Return whether the retry budget of shared targets allows a further copy."""
+        services = self._services
+        return not services.shares(attempt.route.service) or (
+            services.retry_budget.take_hedged_read(self._loop.now())
+        )
+
     def wait_for_primary(self, attempt: Attempt) -> Steps:
         """Wait for a new primary, at most ``PRIMARY_CHECK_INTERVAL``.
 
@@ -267,6 +283,7 @@
         last_reason = ""
         refusals = 0
         services = self._services
+        services.retry_budget.record_first_attempt(self._loop.now())
         service = attempt.route.service
         while self._loop.now() < attempt.deadline:
             primary = services.primary(service)
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -22,6 +22,7 @@
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
 from bulrushloom.proxy.routing import Candidate, ReadRouter
+from bulrushloom.proxy.scheduling.budget import RetryBudget
 from bulrushloom.proxy.settings import ProxySettings
 from bulrushloom.proxy.stopping import StopPlan
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE, StoreFreshness
@@ -64,7 +65,8 @@
     available.
     ``stop_plan`` is set once the instance stops. While ``session_close_reason`` is not
     empty, a refusal closes the session. ``sharing`` leases connections to targets that
-    have fewer of them than there are instances.
+    have fewer of them than there are instances; ``retry_budget`` bounds the further
+    attempts at these.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self.router = ReadRouter(settings.domain)
         self.pool = ConnectionPool(loop, network, self.connection_quota)
         self.sharing: SharedConnections | None = None
+        self.retry_budget = RetryBudget(loop.now())
         self.member_count = 1
         self.stop_plan: StopPlan | None = None
         self.session_close_reason = ""
@@ -125,8 +128,11 @@
 
     def shared(self, target: Target) -> SharedConnections | None:
         """Return what leases connections to a target, if they are shared."""
-        sharing = self.sharing
-        return sharing if sharing is not None and sharing.covers(target) else None
+        return self.sharing if self.shares(target.service) else None
+
+    def shares(self, service: str) -> bool:
+        """Return whether the connections to the targets of a service are shared."""
+        return self.sharing is not None and self.sharing.covers(service)
 
     def limits_cold_requests(self, target: Target) -> bool:
         """Return whether the requests a second to a target have a hard limit now."""
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -109,12 +109,10 @@
 
     # What sessions ask
 
-    def covers(self, target: Target) -> bool:
-        """Return whether the connections to a target are shared."""
+    def covers(self, service: str) -> bool:
+        """Return whether the connections to the targets of a service are shared."""
         services = self._services
-        return is_shared(
-            services.max_connections(target.service), services.member_count
-        )
+        return is_shared(services.max_connections(service), services.member_count)
 
     def acquire(
         self,
@@ -159,7 +157,7 @@
     def _is_owner(self, target_id: str) -> bool:
         """Return whether this instance shares its connections to a target."""
         target = self._find_target(target_id)
-        is_covered = target is not None and self.covers(target)
+        is_covered = target is not None and self.covers(target.service)
         return is_covered and self.client.is_owner(target_id)
 
     def _update_members(self) -> None:
--- a/tests/proxy/sharing/test_leases.py
+++ b/tests/proxy/sharing/test_leases.py
@@ -104,6 +104,23 @@
     fleet.run(ms(500))
 
 
+@pytest.mark.parametrize("tokens, copies", [(0.0, 1), (4.0, 2)])
+def test_copies_of_a_read_are_bounded_by_the_retry_budget(fleet, tokens, copies):
+    # Guards against hedged reads that add to the load of slow targets.
+    member = fleet.in_domain()[0]
+    client = fleet.client_of(member, "bounded")
+    client.query("READ 1")
+    for server in fleet.group.server_by_id.values():
+        server.work = ms(500)
+    member.services.retry_budget._tokens = tokens
+    client.query("READ 2", wait=ms(900))
+    fleet.run(ms(900))
+    assert fleet.run_ids().count(client.request_id(client.sent)) == copies
+    for server in fleet.group.server_by_id.values():
+        server.work = ms(5)
+    fleet.run(ms(500))
+
+
 def test_transaction_keeps_its_connection_and_no_place(fleet):
     # Guards against pausing transactions that block the slots of a target.
     member = fleet.in_domain()[0]
