--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -12,12 +12,15 @@
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, PermitEnded
-from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.connections import (
-    ConnectionLost,
-    ConnectionRejected,
-    ServerConnection,
+from bulrushloom.proxy.base import (
+    LeaseRefused,
+    NoOwnerAnswers,
+    RefusalKind,
+    SharedConnections,
+    TargetConnection,
 )
+from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.connections import ConnectionLost, ConnectionRejected
 from bulrushloom.proxy.messages import (
     AnswerCode,
     LogPosition,
@@ -32,11 +35,16 @@
 
 # Delay before a target that rejected a connection or does not answer is retried.
 REJECTED_RETRY_DELAY = timedelta(milliseconds=15)
+# Delay before a cold target is tried again whose owner does not answer.
+COLD_RETRY_DELAY = timedelta(milliseconds=100)
 # Timeout for the server to confirm session values and prepared statements, which takes
 # a few round trips.
 SESSION_STATE_TIMEOUT = timedelta(milliseconds=500)
 # A connection with more prepared statements is reset, which drops them all.
 MAX_PREPARED_STATEMENTS = 200
+# Larger statements use direct connections. On a shared one, they would delay the
+# statements of all other sessions that lease from the same owner.
+MAX_SHARED_STATEMENT_BYTES = 64 * 1024
 PRIMARY_REPLACED = "the server is no longer the primary"
 COMMIT_TOO_LATE = "the primary was replaced before the commit was answered"
 _ZERO = timedelta()
@@ -57,14 +65,27 @@
         self._admission = admission
         self._values = values
 
-    def acquire_connection(
-        self, target: Target, account: str, priority: int, timeout: timedelta
-    ) -> Steps:
-        """Return a connection for ``account``; wait at most ``timeout`` for it.
+    def acquire_connection(self, target: Target, attempt: Attempt) -> Steps:
+        """Return a connection for the account of an attempt.
 
-        Prefers one that has the session values already. Raise ``NotOffered``.
+        Waits until the attempt's ``lease_deadline`` for a shared connection, and until
+        its ``dispatch_deadline`` for another one. Prefers one that has the session
+        values already. Raise ``NotOffered``.
         """
-        services = self._services
+        services, account = self._services, attempt.account
+        sharing = services.shared(target)
+        is_small = len(attempt.statement.text) <= MAX_SHARED_STATEMENT_BYTES
+        if sharing is not None:
+            if is_small:
+                leased = yield from self._lease(sharing, target, attempt)
+                if leased is not None:
+                    return leased
+            if services.limits_cold_requests(target):
+                # Only owners keep the limit of all instances together.
+                raise NotOffered(
+                    target, "the target has just started", COLD_RETRY_DELAY
+                )
+        timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
         health = services.router.health(target.target_id)
         full_for = health.full_until - self._loop.now()
         if full_for > _ZERO and not services.pool.has_idle(target.target_id, account):
@@ -73,7 +94,7 @@
             raise NotOffered(target, "the target does not answer", REJECTED_RETRY_DELAY)
         try:
             connection = yield from services.pool.acquire(
-                target, account, self._values, priority, timeout
+                target, account, self._values, attempt.route.priority, timeout
             )
         except TimeoutError as error:
             raise NotOffered(target, "no connection became free") from error
@@ -92,7 +113,7 @@
             raise NotOffered(target, str(error)) from error
         return connection
 
-    def require_no_evacuation(self, connection: ServerConnection) -> None:
+    def require_no_evacuation(self, connection: TargetConnection) -> None:
         """Raise ``NotOffered`` if the domain of the target is evacuated.
 
         Open transactions have some time left, which ``Transaction`` checks.
@@ -102,8 +123,46 @@
         if reason and connection.state is TransactionState.IDLE:
             raise NotOffered(target, reason)
 
+    def _lease(
+        self, sharing: SharedConnections, target: Target, attempt: Attempt
+    ) -> Steps:
+        """Lease a connection; return ``None`` if no owner answers.
+
+        Raise ``NotOffered``.
+        """
+        now = self._loop.now()
+        try:
+            return (
+                yield from sharing.acquire(
+                    target,
+                    attempt.account,
+                    self._values,
+                    attempt.route.priority,
+                    attempt.lease_deadline(now) - now,
+                )
+            )
+        except NoOwnerAnswers:
+            return None
+        except TimeoutError as error:
+            raise NotOffered(target, "no connection was leased in time") from error
+        except LeaseRefused as error:
+            self._record_refusal(target, error)
+            raise NotOffered(
+                target,
+                str(error),
+                error.retry_after,
+                error.kind is RefusalKind.NOT_IN_TIME,
+            ) from error
+
+    def _record_refusal(self, target: Target, refusal: LeaseRefused) -> None:
+        health = self._services.router.health(target.target_id)
+        if refusal.kind is RefusalKind.UNREACHABLE:
+            self._record_failure(target, str(refusal))
+        elif refusal.kind in (RefusalKind.BUSY, RefusalKind.NOT_IN_TIME):
+            health.record_busy(self._loop.now())
+
     def apply_session_state(
-        self, connection: ServerConnection, prepared: PreparedStatement | None
+        self, connection: TargetConnection, prepared: PreparedStatement | None
     ) -> Steps:
         """Set the session values and the prepared statement on the connection.
 
@@ -166,7 +225,7 @@
 
     def send(
         self,
-        connection: ServerConnection,
+        connection: TargetConnection,
         attempt: Attempt,
         after: LogPosition | None,
         cutoff: "Future[None] | None" = None,
@@ -175,7 +234,8 @@
 
         The wait for the answer ends at the latest when ``cutoff`` is done.
 
-        Raise ``PermitEnded`` before the statement is sent, or ``AnswerLost``.
+        Raise ``PermitEnded`` or ``NotOffered`` before the statement is sent, or
+        ``AnswerLost``.
         """
         self.require_permit(attempt, connection.target)
         text = statement_text(attempt.statement, attempt.prepared)
@@ -191,20 +251,17 @@
         try:
             answer = yield waiting
         except TimeoutError as error:
-            connection.close("no answer within the statement timeout")
-            self._services.router.health(target.target_id).record_failure(
-                self._loop.now()
-            )
-            self._services.report_failure(
-                target, "no answer within the statement timeout"
-            )
             reason = "no answer within the statement timeout"
+            is_at_target = connection.is_path_working
+            connection.close(reason)
+            if is_at_target:
+                self._record_failure(target, reason)
             raise AnswerLost(target, AnswerCode.TIMEOUT, reason) from error
         except (ConnectionLost, ConnectionRejected) as error:
-            self._services.router.health(target.target_id).record_failure(
-                self._loop.now()
-            )
-            self._services.report_failure(target, str(error))
+            if not (isinstance(error, ConnectionLost) and error.is_at_owner):
+                self._record_failure(target, str(error))
+            if isinstance(error, ConnectionLost) and not error.was_sent:
+                raise NotOffered(target, str(error)) from error
             raise AnswerLost(target, AnswerCode.IN_DOUBT, str(error)) from error
         self._record_answer(target, answer, sent_at)
         self.log_attempt(
@@ -212,6 +269,10 @@
         )
         return answer
 
+    def _record_failure(self, target: Target, reason: str) -> None:
+        self._services.router.health(target.target_id).record_failure(self._loop.now())
+        self._services.report_failure(target, reason)
+
     def log_attempt(
         self,
         attempt: Attempt,
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -74,6 +74,7 @@
 
     def read(self, attempt: Attempt) -> Steps:
         """Run a read on a target that its consistency allows; return an ``Outcome``."""
+        self._services.retry_budget.record_first_attempt(self._loop.now())
         hedged_read = HedgedRead()
         try:
             return (yield from self._read_with_hedging(attempt, hedged_read))
@@ -89,9 +90,12 @@
         hedge_after = attempt.route.latency_objective * HEDGE_DELAY_FRACTION
         sent_count = 0
         refusals = 0
+        too_late: NotOffered | None = None
         while sent_count < MAX_READ_ATTEMPTS and self._loop.now() < attempt.deadline:
             choice = self.choose_read(attempt, tried)
             if isinstance(choice, Missing):
+                if not running and too_late is not None:
+                    return _too_late(too_late)
                 if not running:
                     refusals += 1
                     should_retry = yield from self.wait_to_retry(
@@ -104,7 +108,7 @@
                     continue
                 # Every eligible target has received the read, so each may get it again.
                 tried.clear()
-            else:
+            elif not running or self._may_hedge(attempt):
                 tried.append(choice.target.target_id)
                 steps = self._read_once(attempt, choice, hedged_read)
                 running.append(self._loop.spawn_unreported(steps))
@@ -123,6 +127,8 @@
                     ended = error
                     continue
                 sent_count -= isinstance(error, NotOffered)
+                if isinstance(error, NotOffered) and error.is_too_late:
+                    too_late = _first_to_retry(too_late, error)
                 outcome, last_reason = self._read_outcome(attempt, future)
                 if outcome is not None:
                     return outcome
@@ -161,10 +167,7 @@
 
         Raise ``NotOffered``, ``PermitEnded`` or ``AnswerLost``.
         """
-        timeout = attempt.dispatch_deadline - self._loop.now()
-        connection = yield from self.acquire_connection(
-            choice.target, attempt.account, attempt.route.priority, max(timeout, _ZERO)
-        )
+        connection = yield from self.acquire_connection(choice.target, attempt)
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
             if hedged_read.is_finished:
@@ -179,9 +182,10 @@
                 after = self.require_position(
                     choice.target, attempt.route, attempt.session_position
                 )
+            connection.expect_release()
             answer = yield from self.send(connection, attempt, after)
         finally:
-            self._services.pool.release(connection)
+            self._services.release(connection)
         return answer
 
     def choose_read(self, attempt: Attempt, tried: list[str]) -> Candidate | Missing:
@@ -202,7 +206,8 @@
             for candidate in services.candidates(route.service, attempt.account)
             if candidate.target.target_id not in tried
         ]
-        return services.router.choose(candidates, required, self._loop.now())
+        account = attempt.account if services.shares(route.service) else None
+        return services.router.choose(candidates, required, self._loop.now(), account)
 
     def required_position(
         self, route: Route, session_position: LogPosition | Missing
@@ -240,9 +245,25 @@
             return (yield from self.wait_for_primary(attempt))
         if self._loop.now() >= attempt.busy_retry_deadline:
             return False
+        if not self._may_retry(attempt):
+            return False
         yield self.backoff_after_refusals(refusals)
         return True
 
+    def _may_retry(self, attempt: Attempt) -> bool:
+        """Return whether the retry budget of shared targets allows a retry."""
+        services, route = self._services, attempt.route
+        return not services.shares(route.service) or services.retry_budget.take_retry(
+            route.priority, self._loop.now()
+        )
+
+    def _may_hedge(self, attempt: Attempt) -> bool:
+        """Return whether the retry budget of shared targets allows a further copy."""
+        services = self._services
+        return not services.shares(attempt.route.service) or (
+            services.retry_budget.take_hedged_read(self._loop.now())
+        )
+
     def wait_for_primary(self, attempt: Attempt) -> Steps:
         """Wait for a new primary, at most ``PRIMARY_CHECK_INTERVAL``.
 
@@ -269,6 +290,7 @@
         last_reason = ""
         refusals = 0
         services = self._services
+        services.retry_budget.record_first_attempt(self._loop.now())
         service = attempt.route.service
         while self._loop.now() < attempt.deadline:
             primary = services.primary(service)
@@ -284,6 +306,8 @@
             except NotOffered as error:
                 last_reason = str(error)
                 self.log_attempt(attempt, primary, last_reason)
+                if error.is_too_late:
+                    return _too_late(error)
                 yield self._loop.sleep(error.retry_delay)
             except AnswerLost as error:
                 self.log_attempt(attempt, primary, str(error))
@@ -316,16 +340,14 @@
     def _write_once(
         self, attempt: Attempt, primary: Target, cutoff: "Future[None]"
     ) -> Steps:
-        timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
-        connection = yield from self.acquire_connection(
-            primary, attempt.account, attempt.route.priority, timeout
-        )
+        connection = yield from self.acquire_connection(primary, attempt)
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
             self.require_primary(primary)
+            connection.expect_release()
             answer = yield from self.send(connection, attempt, None, cutoff)
         finally:
-            self._services.pool.release(connection)
+            self._services.release(connection)
         return answer
 
     def _refused(self, reason: str, service: str) -> Outcome:
@@ -333,3 +355,15 @@
             PRIMARY_CHECK_INTERVAL, self._services.expected_primary_wait(service)
         )
         return Outcome(Failure(AnswerCode.NOT_RUN, reason, retry_after), None)
+
+
+def _first_to_retry(known: NotOffered | None, refusal: NotOffered) -> NotOffered:
+    """Return the refusal with the earlier time to return."""
+    if known is None or refusal.retry_delay < known.retry_delay:
+        return refusal
+    return known
+
+
+def _too_late(refusal: NotOffered) -> Outcome:
+    """Return the refusal of a statement that no target can run in time."""
+    return Outcome(Failure(AnswerCode.NOT_RUN, str(refusal), refusal.retry_delay), None)
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -29,6 +29,7 @@
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
+from bulrushloom.proxy.sharing.domain import DomainConnections
 from bulrushloom.proxy.stopping import (
     BALANCER_REMOVAL_TIME,
     SHUTDOWN_MARGIN,
@@ -127,6 +128,16 @@
         )
         self.reader.connect(self.fleet, self.leadership)
         stack.callback(self.fleet.close)
+        self.sharing = DomainConnections(self.services, self.member, self.fleet)
+        self.services.sharing = self.sharing
+        stack.callback(self.sharing.close)
+        peer_listener = Listener(
+            loop,
+            settings.peer_address,
+            self.sharing.accept,
+            lambda reason: self.log.write("peer_not_accepted", reason=reason),
+        )
+        stack.callback(peer_listener.close)
         status = StatusReader(self.services, settings.name)
         self._replacement = FailoverRunner(
             self.services,
@@ -158,6 +169,7 @@
         loop.supervise(self.reader.run)
         loop.supervise(self._registration.run)
         loop.supervise(self.fleet.run)
+        loop.supervise(self.sharing.run)
         loop.supervise(self.primary_monitor.run)
         hot_account_recorder = HotAccountRecorder(
             self.services, self._store, self.leadership
@@ -321,8 +333,10 @@
         gauges = self.metrics.gauges
         gauges["sessions"] = len(self._sessions)
         self.client_watch.set_gauges()
-        gauges["server_connections"] = self.services.pool.size()
-        gauges["server_connections_opened"] = self.services.pool.opened
+        pool, owned = self.services.pool, self.sharing.owner.pool
+        gauges["server_connections"] = pool.size() + owned.size()
+        gauges["server_connections_opened"] = pool.opened + owned.opened
+        gauges.update(self.sharing.gauges())
         gauges["store_calls"] = self._store.calls
         gauges["store_era"] = self.services.eras.era
         gauges["members"] = self.services.member_count
@@ -367,6 +381,8 @@
             self.log.write("registration_not_ended")
         # The last ones were accepted just before the listener was closed.
         yield from self._close_sessions(plan, plan.ends_at)
+        while self.sharing.peers.lease_count() and self._loop.now() < plan.ends_at:
+            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
         self.log.write("stopped", sessions=len(self._sessions))
         for session in list(self._sessions):
             session.end()
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -7,12 +7,9 @@
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Permit
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, Outcome
+from bulrushloom.proxy.base import TargetConnection
 from bulrushloom.proxy.configuration import Consistency, Target
-from bulrushloom.proxy.connections import (
-    ConnectionLost,
-    ConnectionRejected,
-    ServerConnection,
-)
+from bulrushloom.proxy.connections import ConnectionLost, ConnectionRejected
 from bulrushloom.proxy.dispatch import COMMIT_TOO_LATE, PRIMARY_REPLACED
 from bulrushloom.proxy.execution import BUSY_RETRY_DELAY, StatementRunner
 from bulrushloom.proxy.messages import (
@@ -59,7 +56,7 @@
         self._route = permit.route
         self._is_read_only = is_read_only
         self._session_position = session_position
-        self._connection: ServerConnection | None = None
+        self._connection: TargetConnection | None = None
         self.wrote = False
         self.failure: Failure | None = None
 
@@ -98,7 +95,7 @@
             return ""
         return evacuations.reason(target)
 
-    def _reason_to_end(self, connection: ServerConnection) -> str:
+    def _reason_to_end(self, connection: TargetConnection) -> str:
         """Return why nothing more may be sent on the connection, or an empty string.
 
         Commits of a primary that is being replaced might be missing at its successor.
@@ -119,7 +116,7 @@
             self._session_position,
         )
 
-    def _send(self, attempt: Attempt, connection: ServerConnection) -> Steps:
+    def _send(self, attempt: Attempt, connection: TargetConnection) -> Steps:
         """Send a statement, again while the server is busy; return an ``Outcome``.
 
         Any other failure makes the transaction fail.
@@ -130,7 +127,7 @@
                 return self._fail_with(reason)
             try:
                 answer = yield from self._runner.send(connection, attempt, None)
-            except AnswerLost as error:
+            except (AnswerLost, NotOffered) as error:
                 self._runner.log_attempt(attempt, connection.target, str(error))
                 return self._fail_with(f"a statement got no answer: {error}")
             if answer.failure is None:
@@ -159,9 +156,12 @@
         tried: list[str] = []
         refusals = 0
         last_reason = "no target is in reach"
+        retry_after: timedelta | None = None
         while self._loop.now() < attempt.deadline:
             choice = self._choose(attempt, tried)
             if isinstance(choice, Missing):
+                if retry_after is not None:
+                    break
                 refusals += 1
                 should_retry = yield from self._runner.wait_to_retry(
                     attempt, tried, refusals
@@ -177,13 +177,16 @@
             except NotOffered as error:
                 last_reason = str(error)
                 self._runner.log_attempt(attempt, target, last_reason)
+                if error.is_too_late:
+                    delay = error.retry_delay
+                    retry_after = min(retry_after or delay, delay)
                 continue
             if answer.failure is None:
                 return True
             last_reason = f"{answer.failure.code.value}: {answer.failure.reason}"
         wait = self._services.expected_primary_wait(self._route.service)
         self.failure = Failure(
-            AnswerCode.NOT_RUN, last_reason, max(wait, BUSY_RETRY_DELAY)
+            AnswerCode.NOT_RUN, last_reason, retry_after or max(wait, BUSY_RETRY_DELAY)
         )
         return False
 
@@ -208,10 +211,7 @@
     def _begin_on_target(
         self, attempt: Attempt, target: Target, is_primary: bool
     ) -> Steps:
-        timeout = max(attempt.dispatch_deadline - self._loop.now(), _ZERO)
-        connection = yield from self._runner.acquire_connection(
-            target, attempt.account, self._route.priority, timeout
-        )
+        connection = yield from self._runner.acquire_connection(target, attempt)
         answer = None
         try:
             yield from self._runner.apply_session_state(connection, attempt.prepared)
@@ -221,13 +221,13 @@
             answer = yield from self._send_begin(attempt, connection, is_primary)
         finally:
             if answer is None or answer.failure is not None:
-                self._services.pool.release(connection)
+                self._services.release(connection)
         if answer.failure is None:
             self._connection = connection
         return answer
 
     def _send_begin(
-        self, attempt: Attempt, connection: ServerConnection, is_primary: bool
+        self, attempt: Attempt, connection: TargetConnection, is_primary: bool
     ) -> Steps:
         target = connection.target
         after = None
@@ -246,9 +246,11 @@
                 answer_future, max(timeout, ROLLBACK_TIMEOUT)
             )
         except (ConnectionLost, ConnectionRejected, TimeoutError) as error:
+            is_at_owner = isinstance(error, ConnectionLost) and error.is_at_owner
+            if connection.is_path_working and not is_at_owner:
+                health.record_failure(self._loop.now())
+                self._services.report_failure(target, str(error))
             connection.close("no answer to the begin")
-            health.record_failure(self._loop.now())
-            self._services.report_failure(target, str(error))
             raise NotOffered(target, str(error)) from error
         self._services.record_answer_position(target, answer, sent_at)
         self._record_begin_failure(target, answer)
@@ -284,13 +286,13 @@
             outcome = yield from self._commit_on(connection, attempt, cutoff)
         self._connection = None
         if connection.state is TransactionState.IDLE:
-            self._services.pool.release(connection)
+            self._services.release(connection)
         else:
             self._roll_back_in_background(connection)
         return outcome
 
     def _commit_on(
-        self, connection: ServerConnection, attempt: Attempt, cutoff: "Future[None]"
+        self, connection: TargetConnection, attempt: Attempt, cutoff: "Future[None]"
     ) -> Steps:
         """Send the commit, again while the server is busy; return an ``Outcome``."""
         for retries in range(1, MAX_BUSY_RETRIES + 1):
@@ -306,6 +308,11 @@
             except AnswerLost as error:
                 self._runner.log_attempt(attempt, connection.target, str(error))
                 return Outcome(self._unanswered_commit_failure(str(error)), None)
+            except NotOffered as error:
+                self._runner.log_attempt(attempt, connection.target, str(error))
+                reason = f"the commit was not sent: {error}"
+                failure = Failure(AnswerCode.ABORTED, reason, BUSY_RETRY_DELAY)
+                return Outcome(failure, None)
             if answer.failure is None:
                 if self.wrote and not self._services.acknowledge_commit(
                     connection.target, answer.position, cutoff
@@ -364,16 +371,16 @@
         self._services.log.write("transaction_abandoned", reason=reason)
         self.roll_back()
 
-    def _roll_back_in_background(self, connection: ServerConnection) -> None:
+    def _roll_back_in_background(self, connection: TargetConnection) -> None:
         self._loop.spawn(self._roll_back_on(connection))
 
-    def _roll_back_on(self, connection: ServerConnection) -> Steps:
+    def _roll_back_on(self, connection: TargetConnection) -> Steps:
         reason = self._services.evacuation_reason(connection.target)
         if reason:
             # Nothing more is sent there; the server rolls back when it is closed.
             self._services.metrics.count("transactions_ended_by_evacuation")
             connection.close(reason)
-            self._services.pool.release(connection)
+            self._services.release(connection)
             return
         try:
             answer_future = connection.query(wire.PROXY_REQUEST_ID, wire.ROLLBACK)
@@ -381,4 +388,4 @@
         except (ConnectionLost, ConnectionRejected, TimeoutError):
             # Closing the connection makes the server roll back.
             connection.close("no answer to the rollback")
-        self._services.pool.release(connection)
+        self._services.release(connection)
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -16,6 +16,8 @@
     Target,
 )
 from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord
+from bulrushloom.proxy.regions import Regions
+from bulrushloom.proxy.routing import ReadRouter
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings
@@ -262,3 +264,8 @@
     def request_id(self, number: int) -> str:
         """Return the request id of the session's statement ``number``."""
         return f"{self.number:05d}x{number}"
+
+
+def build_router(domain, **region_by_domain):
+    settings = SETTINGS._replace(domain=domain, region_by_domain=region_by_domain)
+    return ReadRouter(Regions(settings).distance_to)
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -21,10 +21,16 @@
 )
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
-from bulrushloom.proxy.regions import Regions
-from bulrushloom.proxy.routing import Candidate, ReadRouter
+from bulrushloom.proxy.routing import Candidate
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE, StoreFreshness
-from tests.proxy.builders import SERVICE, SETTINGS, build_group, build_target, ms
+from tests.proxy.builders import (
+    SERVICE,
+    SETTINGS,
+    build_group,
+    build_router,
+    build_target,
+    ms,
+)
 
 SECOND = timedelta(seconds=1)
 
@@ -39,11 +45,6 @@
     return build_group(**(fields | changes))
 
 
-def build_router(domain, **region_by_domain):
-    settings = SETTINGS._replace(domain=domain, region_by_domain=region_by_domain)
-    return ReadRouter(Regions(settings).distance_to)
-
-
 class TestPositionHistory:
     def test_position_covers_every_commit_of_the_given_age(self):
         # Guards against choosing a sample that was taken before the bound.
