Keep latency baselines over the restart of a target

The limit learnt its baselines again while a restarted target was cold, took the latency of that time for normal, and grew while the target became warm.

--- a/bulrushloom/proxy/scheduling/limit.py
+++ b/bulrushloom/proxy/scheduling/limit.py
@@ -84,8 +84,11 @@
         self._value = min(self._value, self._ceiling)
 
     def restart(self) -> None:
-        """Start again from the share: the target may answer at another pace now."""
-        self._baseline_by_priority.clear()
+        """Start again from the share: the target may answer at another pace now.
+
+        Baselines are kept. If they were learnt again while the target is cold, the
+        limit would grow as it gets warm, and its queue with it.
+        """
         self._ratio = 1.0
         self._value = self._share
 
--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -64,6 +64,22 @@
     ended_by_outcome: Mapping[WorkOutcome, int]
     refused_by_reason: Mapping[RefusalReason, int]
 
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of a log line; the intervals are in milliseconds."""
+        has_pace = math.isfinite(self.pace_limit)
+        outcomes, reasons = self.ended_by_outcome, self.refused_by_reason
+        return {
+            "limit": round(self.limit, 1),
+            "pace_limit": self.pace_limit if has_pace else None,
+            "cold_per_s": self.cold_per_s,
+            "running": self.running,
+            "waiting": self.waiting,
+            "drain_interval": round(self.drain_interval / timedelta(milliseconds=1), 1),
+            "latency_ratio": round(self.latency_ratio, 2),
+            "ended": {outcome.value: outcomes[outcome] for outcome in outcomes},
+            "refused": {reason.name.lower(): reasons[reason] for reason in reasons},
+        }
+
 
 class _Running(NamedTuple):
     priority: int
--- a/tests/proxy/scheduling/test_pace.py
+++ b/tests/proxy/scheduling/test_pace.py
@@ -1,5 +1,7 @@
 """Pace of a target that has started, and its hard limit."""
 
+import pytest
+
 from bulrushloom.proxy.scheduling.pace import COLD_WINDOW, ColdRate, cold_part
 from tests.proxy.builders import ms
 from tests.proxy.scheduling.builders import (
@@ -22,12 +24,13 @@
 
 
 class TestTargetThatStartsCold:
-    def play(self, has_pace):
+    def play(self, has_pace, domain_count=3):
         """Play a target that is away for a second while requests wait for it."""
-        simulation = Simulation(build_schedulers(3), slowness=slowness)
-        bookings = offer(simulation, BOOKING, 40, (0, 6000), range(3), 0, 2)
-        offer(simulation, BILLING, 150, (0, 6000), range(3), 1, 2)
-        offer(simulation, LOOKUP, 50, (0, 6000), range(3), 2, 2)
+        simulation = Simulation(build_schedulers(domain_count), slowness=slowness)
+        domains = range(domain_count)
+        bookings = offer(simulation, BOOKING, 40, (0, 6000), domains, 0, 2)
+        offer(simulation, BILLING, 150, (0, 6000), domains, 1, 2)
+        offer(simulation, LOOKUP, 50, (0, 6000), domains, 2, 2)
         simulation.run(ms(2000))
         simulation.down_until = RETURN
         simulation.run(RETURN)
@@ -41,10 +44,11 @@
         ]
         return share_served(around, BOOKING.objective), used
 
-    def test_bookings_are_served_in_time_with_the_pace(self):
+    @pytest.mark.parametrize("domain_count", [3, 6])
+    def test_bookings_are_served_in_time_with_the_pace(self, domain_count):
         # Guards against a flood of waiting requests in the queue of a slow target.
-        with_pace, _ = self.play(has_pace=True)
-        without_pace, _ = self.play(has_pace=False)
+        with_pace, _ = self.play(True, domain_count)
+        without_pace, _ = self.play(False, domain_count)
         assert with_pace > without_pace + 0.3
 
     def test_slots_are_busy_from_the_start(self):
--- a/tests/proxy/scheduling/test_scheduler.py
+++ b/tests/proxy/scheduling/test_scheduler.py
@@ -37,6 +37,19 @@
         assert [refusal.request_id for refusal in scheduler.expire(ms(51))] == [2]
         assert scheduler.next_event_at(ms(51)) is None
 
+    def test_snapshot_shows_the_decisions(self):
+        # Guards against a log line that cannot be written: JSON has no infinity.
+        scheduler = DomainTargetScheduler(slots=1, domain_count=1, now=ms(0))
+        submit(scheduler, 1)
+        scheduler.admit(ms(0))
+        submit(scheduler, 2, deadline=0)
+        fields = scheduler.snapshot(ms(0)).log_fields()
+        assert fields["pace_limit"] is None
+        assert (fields["running"], fields["waiting"], fields["limit"]) == (1, 0, 1.0)
+        assert fields["refused"] == {"hopeless": 1}
+        scheduler.record_restart(ms(0))
+        assert scheduler.snapshot(ms(0)).log_fields()["pace_limit"] == 1
+
     def test_cancelled_request_does_not_start(self):
         scheduler = DomainTargetScheduler(slots=1, domain_count=1, now=ms(0))
         submit(scheduler, 1)
