Keep failures and pauses out of the measured drain rate

If all running requests failed, the time until the next request counted as a slow target, and a burst a minute later was refused as hopeless. A pause of 0.5 s counted with a tenth, which multiplied the estimate for some tens of answers. Each of the two tests fails without its change.

--- a/bulrushloom/proxy/scheduling/drain.py
+++ b/bulrushloom/proxy/scheduling/drain.py
@@ -33,13 +33,22 @@
         self._last_at = None
 
     def record_end(self, now: timedelta, has_waiting: bool) -> None:
-        """Record that a place has become free."""
+        """Record that an answer has freed a place.
+
+        A single long time counts only in part: after a pause of the target, waiting
+        requests would be refused although it answers again.
+        """
         if self._last_at is not None:
             self._count += 1
             weight = max(WEIGHT, 1 / self._count)
-            self._interval += (now - self._last_at - self._interval) * weight
+            elapsed = min(now - self._last_at, self._interval * SILENT_INTERVALS)
+            self._interval += (elapsed - self._interval) * weight
         self._last_at = now if has_waiting else None
 
+    def record_idle(self) -> None:
+        """Record that no request waits; the time until the next end is no measure."""
+        self._last_at = None
+
     def record_wait(self, now: timedelta) -> None:
         """Record that a request waits because all places are in use."""
         if self._last_at is None:
--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -225,6 +225,8 @@
         elif outcome is not WorkOutcome.UNUSED:
             self._limit.record_refusal(now)
             self._pace.record_refusal()
+        if not self._waiting:
+            self._drain.record_idle()
         if outcome is WorkOutcome.BUSY:
             self._busy_until = now + BUSY_PAUSE
 
--- a/tests/proxy/scheduling/test_limit.py
+++ b/tests/proxy/scheduling/test_limit.py
@@ -1,6 +1,7 @@
 """Concurrency limit and estimates of one scheduler."""
 
 from bulrushloom.proxy.scheduling.base import WorkOutcome, WorkRequest
+from bulrushloom.proxy.scheduling.drain import DrainRate
 from bulrushloom.proxy.scheduling.limit import RELEARN_ANSWERS, ConcurrencyLimit
 from bulrushloom.proxy.scheduling.pace import ColdRate
 from bulrushloom.proxy.scheduling.scheduler import BUSY_PAUSE
@@ -100,3 +101,22 @@
             scheduler.finish(request_id, WorkOutcome.SERVED, ms(9), ms(9))
         assert scheduler.next_event_at(ms(9)) <= ms(2) + BUSY_PAUSE
         assert scheduler.admit(ms(2) + BUSY_PAUSE)
+
+    def test_callers_are_not_refused_because_of_an_earlier_failure(self):
+        # Guards against a time without requests that counts as a slow target.
+        (scheduler,) = build_schedulers(1)
+        submit(scheduler, 6, patience=100)
+        running = scheduler.admit(ms(0))
+        scheduler.expire(ms(100))
+        for request_id in running:
+            scheduler.finish(request_id, WorkOutcome.FAILED, None, ms(800))
+        assert not submit(scheduler, 6, patience=100, now=60_000)
+
+    def test_pause_of_the_target_is_no_lasting_slowness(self):
+        # Guards against refusals after a pause, when the target answers again.
+        drain = DrainRate(places=4)
+        for at in range(0, 500, 10):
+            drain.record_end(ms(at), has_waiting=True)
+        assert drain.interval(ms(990)) > ms(100)
+        drain.record_end(ms(990), has_waiting=True)
+        assert drain.interval(ms(990)) < ms(20)
