--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -10,6 +10,7 @@
 from bulrushloom.proxy.connections import ServerConnection
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
+from bulrushloom.proxy.scheduling.base import TargetLoad
 from bulrushloom.proxy.sharing.leases import (
     FinalState,
     Lease,
@@ -29,6 +30,7 @@
     Grant,
     Hello,
     LeaseRequest,
+    Loads,
     Lost,
     PeerProtocolError,
     Proof,
@@ -58,6 +60,8 @@
 MAX_LEASES_OF_PEER = 256
 # Statements that waited for this long in the buffers of a frozen process do not run.
 STALL_LIMIT = timedelta(seconds=1)
+# Interval at which peers are told the loads of busy targets.
+LOAD_INTERVAL = timedelta(milliseconds=500)
 REJECTION_LOG_INTERVAL = timedelta(seconds=1)
 _MILLISECOND = timedelta(milliseconds=1)
 _NO_LOAD = WireLoad(0, 0, 0)
@@ -249,10 +253,12 @@
         self._send(Lost(lease.number, reason[:MAX_REASON_LENGTH], was_sent))
 
     def _load(self, target_id: str) -> WireLoad:
-        load = self._server.owner.load(target_id)
-        if load is None:
-            return _NO_LOAD
-        return WireLoad(load.running, load.waiting, int(load.limit))
+        return wire_load(self._server.owner.load(target_id))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Send a frame if the instance has authenticated itself."""
+        if self.is_authenticated:
+            self._stream.write(frame)
 
     def send_pulse_if_waiting(self) -> None:
         """Show that this instance runs while requests of the peer wait."""
@@ -261,6 +267,13 @@
             self._send(Pulse())
 
 
+def wire_load(load: TargetLoad | None) -> WireLoad:
+    """Return the encoded load of a target."""
+    if load is None:
+        return _NO_LOAD
+    return WireLoad(load.running, load.waiting, int(load.limit))
+
+
 class PeerContext(NamedTuple):
     """What an owner needs to know about its instance to accept peers."""
 
@@ -287,7 +300,8 @@
         self._log = log
         self._peers: set[PeerSession] = set()
         self._last_logged_at: timedelta | None = None
-        self._checked_at = loop.now()
+        self._checked_at = self._reported_at = loop.now()
+        self._busy_targets: set[str] = set()
 
     def accept(self, stream: Stream) -> None:
         """Accept a connection; close it if there are too many."""
@@ -330,6 +344,26 @@
         self._checked_at = self.loop.now()
         for peer in list(self._peers):
             peer.send_pulse_if_waiting()
+        if self._checked_at - self._reported_at >= LOAD_INTERVAL:
+            self._reported_at = self._checked_at
+            self._report_loads()
+
+    def _report_loads(self) -> None:
+        """Tell all peers the loads that are not 0, or have become 0.
+
+        A single instance gets an answer of a target every few seconds, so the loads in
+        its grants are too old to place reads.
+        """
+        loads = {}
+        for target_id in self.owner.target_ids():
+            load = wire_load(self.owner.load(target_id))
+            if load[:2] != (0, 0) or target_id in self._busy_targets:
+                loads[target_id] = load
+        self._busy_targets = {key for key, load in loads.items() if load[:2] != (0, 0)}
+        if loads:
+            frame = encode_frame(Loads(loads))
+            for peer in self._peers:
+                peer.send_frame(frame)
 
     def record_rejected(self, peer: str, reason: str) -> None:
         """Count a connection that was rejected; log at most one per interval."""
--- a/tests/proxy/sharing/test_leases.py
+++ b/tests/proxy/sharing/test_leases.py
@@ -156,3 +156,22 @@
     assert not any(m.sharing.owner.pool.size() for m in fleet.members)
     assert client.query("READ 1")[-2].startswith("DONE")
     assert fleet.direct_opened() > 0
+
+
+def test_state_of_schedulers_is_in_the_metrics_of_their_owner(fleet):
+    # Guards against refusals that an operator cannot see.
+    owner = fleet.owner_of("a")
+    client = fleet.client_of(fleet.others(owner)[0])
+    for member in fleet.members:
+        service = member.services.configuration.service_by_name["orders"]
+        shared = service._replace(max_connections=MAX_CONNECTIONS)
+        member.services.configuration = member.services.configuration._replace(
+            service_by_name={"orders": shared}
+        )
+    client.query("WRITE 1 data")
+    fleet.run(ms(1200))
+    services = owner.services
+    services.metrics.gauges.update(owner.sharing.gauges())
+    text = services.metrics.text()
+    assert b'bulrushloom_scheduler_limit{case="a"} ' in text
+    assert b'bulrushloom_scheduler_ended_total{case="served"} ' in text
