--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -40,7 +40,11 @@
         self._domain_count = 1
         self._limiter = ShareLimiter()
         self._schedulers = TargetSchedulers(
-            lambda: self._domain_count, self._cold_limit, services.random, services.log
+            lambda: self._domain_count,
+            self._cold_limit,
+            services.random,
+            services.log,
+            services.metrics,
         )
         self.owner = Owner(
             loop,
@@ -151,7 +155,7 @@
             self.owner.check(idle_limit, self._is_owner)
             self.peers.check()
             self.client.check()
-            self._schedulers.log_loads(self._loop.now())
+            self._schedulers.report(self._loop.now())
             yield self._loop.sleep(CHECK_INTERVAL)
 
     def _is_owner(self, target_id: str) -> bool:
@@ -181,6 +185,7 @@
             "owned_connections_opened": self.owner.pool.opened,
             "leases": self.owner.lease_count(),
             "peers": self.peers.peer_count,
+            **self._schedulers.gauges(),
         }
 
     def close(self) -> None:
--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -26,6 +26,7 @@
     Grant,
     Hello,
     LeaseRequest,
+    Loads,
     Lost,
     PeerProtocolError,
     Proof,
@@ -190,6 +191,9 @@
             self._handle_grant(message)
         elif isinstance(message, Refused):
             self._handle_refusal(message)
+        elif isinstance(message, Loads):
+            for target_id, load in message.load_by_target.items():
+                self._on_load(target_id, load)
         elif isinstance(message, Lost):
             connection = self._connection_by_number.pop(message.lease, None)
             if connection is not None:
--- a/bulrushloom/proxy/sharing/protocol.py
+++ b/bulrushloom/proxy/sharing/protocol.py
@@ -181,9 +181,15 @@
     """Sign that the owner runs, sent while requests wait."""
 
 
+class Loads(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """Loads of the targets that the owner has requests for."""
+
+    load_by_target: Annotated[dict[Name, WireLoad], Meta(max_length=10_000)]
+
+
 HandshakeMessage = Hello | Challenge | Proof
 RequestMessage = LeaseRequest | Query | Release | Close
-AnswerMessage = Grant | Refused | Answer | Lost | Pulse
+AnswerMessage = Grant | Refused | Answer | Lost | Pulse | Loads
 
 _encoder = msgspec.msgpack.Encoder()
 handshake_decoder = msgspec.msgpack.Decoder(HandshakeMessage)
--- a/bulrushloom/proxy/sharing/schedulers.py
+++ b/bulrushloom/proxy/sharing/schedulers.py
@@ -1,16 +1,23 @@
 """Schedulers of the targets that an instance owns, sized for its domain."""
 
-from collections.abc import Callable
+import math
+from collections import Counter
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from random import Random
+from typing import TypeVar
 
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.scheduling.base import TargetScheduler
 from bulrushloom.proxy.scheduling.pace import ColdRate
-from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
-from bulrushloom.proxy.telemetry import EventLog
+from bulrushloom.proxy.scheduling.scheduler import (
+    DomainTargetScheduler,
+    SchedulerSnapshot,
+)
+from bulrushloom.proxy.telemetry import EventLog, Metrics
 
-LOG_INTERVAL = timedelta(seconds=10)
+REPORT_INTERVAL = timedelta(seconds=1)
+K = TypeVar("K")
 
 
 class TargetSchedulers:
@@ -27,15 +34,17 @@
         cold_limit: Callable[[Target], int | None],
         random: Random,
         log: EventLog,
+        metrics: Metrics,
     ):
         self._domain_count = domain_count
         self._cold_limit = cold_limit
         self._random = random
         self._log = log
+        self._metrics = metrics
         self._scheduler_by_target: dict[str, DomainTargetScheduler] = {}
         self._cold_rate_by_target: dict[str, ColdRate] = {}
-        self._logged_by_target: dict[str, tuple[int, int]] = {}
-        self._next_log_at = timedelta()
+        self._reported_by_target: dict[str, SchedulerSnapshot] = {}
+        self._next_report_at = timedelta()
 
     def make(self, target: Target, now: timedelta) -> TargetScheduler:
         """Return a new scheduler for a target."""
@@ -65,28 +74,65 @@
         """Drop the scheduler of a target that is gone."""
         self._scheduler_by_target.pop(target_id, None)
         self._cold_rate_by_target.pop(target_id, None)
-        self._logged_by_target.pop(target_id, None)
+        self._reported_by_target.pop(target_id, None)
+        for name in ("limit", "running", "waiting"):
+            self._metrics.gauges.pop(_gauge_name(name, target_id), None)
 
-    def log_loads(self, now: timedelta) -> None:
-        """Log the state of the schedulers that had requests since the last line."""
-        if now < self._next_log_at:
+    def report(self, now: timedelta) -> None:
+        """Count what ended, and log schedulers with waiting or refused requests.
+
+        Called at intervals; reports at most once a second.
+        """
+        if now < self._next_report_at:
             return
-        self._next_log_at = now + LOG_INTERVAL
+        self._next_report_at = now + REPORT_INTERVAL
         for target_id, scheduler in self._scheduler_by_target.items():
             state = scheduler.snapshot(now)
-            ended = sum(state.ended_by_outcome.values())
-            refused = sum(state.refused_by_reason.values())
-            if self._logged_by_target.get(target_id, (0, 0)) == (ended, refused):
-                continue
-            self._logged_by_target[target_id] = (ended, refused)
-            self._log.write(
-                "target_load",
-                target=target_id,
-                limit=round(state.limit, 2),
-                running=state.running,
-                waiting=state.waiting,
-                drain_interval=state.drain_interval,
-                latency_ratio=round(state.latency_ratio, 2),
-                ended={k.value: n for k, n in state.ended_by_outcome.items()},
-                refused={k.name.lower(): n for k, n in state.refused_by_reason.items()},
+            known = self._reported_by_target.get(target_id)
+            self._reported_by_target[target_id] = state
+            ended = _increase(state.ended_by_outcome, known and known.ended_by_outcome)
+            refused = _increase(
+                state.refused_by_reason, known and known.refused_by_reason
             )
+            for outcome, count in ended.items():
+                self._metrics.count("scheduler_ended", outcome.value, count)
+            for reason, count in refused.items():
+                self._metrics.count("scheduler_refused", reason.name.lower(), count)
+            if state.waiting or refused:
+                self._log_state(target_id, state)
+
+    def _log_state(self, target_id: str, state: SchedulerSnapshot) -> None:
+        is_paced = math.isfinite(state.pace_limit)
+        self._log.write(
+            "scheduler_state",
+            target=target_id,
+            limit=round(state.limit, 2),
+            pace_limit=round(state.pace_limit, 2) if is_paced else None,
+            cold_per_s=state.cold_per_s,
+            running=state.running,
+            waiting=state.waiting,
+            drain_interval=state.drain_interval,
+            latency_ratio=round(state.latency_ratio, 2),
+            ended={k.value: n for k, n in state.ended_by_outcome.items()},
+            refused={k.name.lower(): n for k, n in state.refused_by_reason.items()},
+        )
+
+    def gauges(self) -> dict[str, float]:
+        """Return the present values for the metrics, by target."""
+        gauges: dict[str, float] = {}
+        for target_id, scheduler in self._scheduler_by_target.items():
+            load = scheduler.load
+            gauges[_gauge_name("limit", target_id)] = load.limit
+            gauges[_gauge_name("running", target_id)] = load.running
+            gauges[_gauge_name("waiting", target_id)] = load.waiting
+        return gauges
+
+
+def _gauge_name(name: str, target_id: str) -> str:
+    return f'scheduler_{name}{{case="{target_id}"}}'
+
+
+def _increase(counts: Mapping[K, int], before: Mapping[K, int] | None) -> Counter[K]:
+    increase = Counter(counts)
+    increase.subtract(before or {})
+    return +increase
