Start the pace of a restarted target with the share of its slots

A restarted target got one request at first. The pace now holds a domain to its share until the latency comes near the baseline from before the restart; a target that stays slow gets a new baseline after 15 answers.

--- a/bulrushloom/proxy/scheduling/limit.py
+++ b/bulrushloom/proxy/scheduling/limit.py
@@ -78,6 +78,11 @@
         """Return the ratio of recent latencies to their baselines."""
         return self._ratio
 
+    @property
+    def is_near_baseline(self) -> bool:
+        """Return whether the target answers as fast as when it is not loaded."""
+        return self._ratio < GROWTH_RATIO
+
     def resize(self, slots: int, domain_count: int) -> None:
         """Apply another number of slots or domains."""
         self._set_size(slots, domain_count)
@@ -104,7 +109,7 @@
         self._answers_until_shrink -= 1
         if self._ratio > SHRINK_RATIO:
             self._shrink_by_latency()
-        elif self._ratio < GROWTH_RATIO and is_in_use:
+        elif self.is_near_baseline and is_in_use:
             self._value = min(self._value + 1 / self._value, self._ceiling)
 
     def record_refusal(self, now: timedelta) -> None:
--- a/bulrushloom/proxy/scheduling/pace.py
+++ b/bulrushloom/proxy/scheduling/pace.py
@@ -4,10 +4,10 @@
 from collections import deque
 from datetime import timedelta
 
-FIRST_LIMIT = 1.0
-# A latency above this multiple of the lowest one since the start means that the target
-# is loaded already.
-LOADED_RATIO = 2.0
+# The pace ends after this many answers at the earliest: the first ones may have opened
+# connections, and the averaged latency follows them slowly.
+MIN_ANSWERS = 8
+
 # Requests of one second at the scheduler may reach the target within a shorter time,
 # because their delays differ.
 COLD_WINDOW = timedelta(milliseconds=1050)
@@ -18,39 +18,41 @@
 
     Answers a target that returns while many requests wait for it: with the limit from
     before, all of them would reach it while it is slow, and urgent ones would wait
-    behind them in its queue. Starts with one request. Each answer allows one more, so
-    the limit doubles in a round trip, unless the latency shows that the target is
-    loaded. A full queue or a failure halves it. The pace ends once it exceeds the
-    concurrency limit, which has started again from its share.
+    behind them in its queue. The domain keeps to its share of the slots, which together
+    fill them, until the answers come near the baseline from before the restart, or the
+    concurrency limit has learnt another one. Missing answers and a full queue halve it.
     """
 
     def __init__(self) -> None:
         self._limit = math.inf
-        self._lowest: timedelta | None = None
+        self._answers = 0
 
     @property
     def limit(self) -> float:
         """Return how many requests may run at the same time; infinite if ended."""
         return self._limit
 
-    def restart(self) -> None:
-        """Begin with one request."""
-        self._limit = FIRST_LIMIT
-        self._lowest = None
-
-    def record_answer(self, latency: timedelta, concurrency_limit: float) -> None:
-        """Record an answer; end the pace above ``concurrency_limit``."""
-        if self._lowest is None or latency < self._lowest:
-            self._lowest = latency
-        if latency <= self._lowest * LOADED_RATIO:
-            self._limit += 1
-        if self._limit > concurrency_limit:
+    @property
+    def is_active(self) -> bool:
+        """Return whether the target has not caught up since its restart."""
+        return math.isfinite(self._limit)
+
+    def restart(self, share: float) -> None:
+        """Begin with the domain's ``share`` of the slots."""
+        self._limit = share
+        self._answers = 0
+
+    def record_answer(self, is_near_baseline: bool) -> None:
+        """Record an answer; the pace ends if the latency is near its baseline."""
+        self._answers += 1
+        if is_near_baseline and self._answers >= MIN_ANSWERS:
             self._limit = math.inf
 
     def record_refusal(self) -> None:
         """Record that the target was full or did not answer."""
-        if math.isfinite(self._limit):
-            self._limit = max(FIRST_LIMIT, self._limit / 2)
+        if self.is_active:
+            self._limit = max(1.0, self._limit / 2)
+            self._answers = 0
 
 
 def cold_part(per_s: float, excess: float, slack: float, domain_count: int) -> int:
--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -32,8 +32,8 @@
 RECHECK_INTERVAL = timedelta(milliseconds=20)
 # A target that answered BUSY has 32 queued requests; some of them end in this time.
 BUSY_PAUSE = timedelta(milliseconds=10)
-# The most urgent requests have one place beyond the limit, unless the target restarts:
-# at a limit of one, they would wait until a long request of another priority ends.
+# The most urgent requests have one place beyond the limit. At a limit of one, they
+# would wait until a long request of another priority ends.
 URGENT_PLACES = 1
 _ZERO = timedelta()
 
@@ -232,8 +232,8 @@
 
     def record_restart(self, now: timedelta) -> None:
         """Record that the target has started or answers again after a failure."""
-        self._pace.restart()
         self._limit.restart()
+        self._pace.restart(self._limit.share)
         self._drain.restart(self._limit.share)
         self._busy_until = now
 
@@ -260,7 +260,7 @@
         return math.floor(self._current_limit()) - len(self._running_by_id)
 
     def _has_place(self, request: WorkRequest) -> bool:
-        is_urgent = request.priority <= 0 and math.isinf(self._pace.limit)
+        is_urgent = request.priority <= 0
         return self._free_places() + (URGENT_PLACES if is_urgent else 0) > 0
 
     def _start(self, request: WorkRequest, now: timedelta) -> None:
@@ -273,8 +273,9 @@
 
     def _record_answer(self, running: _Running, duration: timedelta) -> None:
         is_in_use = running.was_last or bool(self._waiting)
-        self._limit.record_answer(duration, running.priority, is_in_use)
-        self._pace.record_answer(duration, self._limit.value)
+        may_grow = is_in_use and not self._pace.is_active
+        self._limit.record_answer(duration, running.priority, may_grow)
+        self._pace.record_answer(self._limit.is_near_baseline)
 
     def _displace_last(self) -> None:
         last = self._waiting.last()
--- a/tests/proxy/scheduling/test_pace.py
+++ b/tests/proxy/scheduling/test_pace.py
@@ -1,8 +1,17 @@
 """Pace of a target that has started, and its hard limit."""
 
+import itertools
+
 import pytest
 
-from bulrushloom.proxy.scheduling.pace import COLD_WINDOW, ColdRate, cold_part
+from bulrushloom.proxy.scheduling.base import WorkOutcome, WorkRequest
+from bulrushloom.proxy.scheduling.pace import (
+    COLD_WINDOW,
+    MIN_ANSWERS,
+    ColdRate,
+    cold_part,
+)
+from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
 from tests.proxy.builders import ms
 from tests.proxy.scheduling.builders import (
     BILLING,
@@ -51,12 +60,65 @@
         without_pace, _ = self.play(False, domain_count)
         assert with_pace > without_pace + 0.3
 
-    def test_slots_are_busy_from_the_start(self):
-        # Guards against a pace that leaves the target idle while requests wait.
-        _, used = self.play(has_pace=True)
+    @pytest.mark.parametrize("domain_count", [1, 3, 6])
+    def test_slots_are_busy_from_the_start(self, domain_count):
+        # Guards against a pace that leaves the target idle while requests wait. A domain
+        # that started with one request used 0.83 of the slots.
+        _, used = self.play(True, domain_count)
         assert used > 0.95 * 4 * ms(400)
 
 
+class TestRestartPace:
+    def serve(self, scheduler, count, latency):
+        """Let requests be answered one after the other while others wait."""
+        for _ in range(count):
+            request_id = next(self.ids)
+            deadline = ms(90_000)
+            request = WorkRequest(request_id, "hotel", 1, ms(0), deadline)
+            scheduler.submit(request, ms(0))
+            for admitted in scheduler.admit(ms(0)):
+                self.running.append(admitted)
+            scheduler.finish(self.running.pop(0), WorkOutcome.SERVED, latency, ms(0))
+
+    def build_scheduler(self):
+        """Return a scheduler whose limit has grown, with requests that wait."""
+        self.ids, self.running = itertools.count(), []
+        scheduler = DomainTargetScheduler(4, 2, ms(0))
+        for _ in range(20):
+            request = WorkRequest(next(self.ids), "hotel", 1, ms(0), ms(90_000))
+            scheduler.submit(request, ms(0))
+        self.running += scheduler.admit(ms(0))
+        self.serve(scheduler, 100, ms(10))
+        assert scheduler.load.limit == 6
+        return scheduler
+
+    def test_limit_is_the_share_until_the_target_answers_as_before(self):
+        # Guards against a limit that grows while the target is still cold.
+        scheduler = self.build_scheduler()
+        scheduler.record_restart(ms(0))
+        self.serve(scheduler, MIN_ANSWERS - 1, ms(10))
+        assert scheduler.load.limit == 2
+        scheduler.record_restart(ms(0))
+        self.serve(scheduler, 14, ms(40))
+        assert scheduler.load.limit == 2
+        self.serve(scheduler, 60, ms(10))
+        assert scheduler.load.limit > 4
+
+    def test_limit_grows_at_a_target_that_stays_slow(self):
+        # Guards against slots that stay idle because of a baseline of an earlier run.
+        scheduler = self.build_scheduler()
+        scheduler.record_restart(ms(0))
+        self.serve(scheduler, 100, ms(40))
+        assert scheduler.load.limit > 4
+
+    def test_target_that_fails_again_gets_single_requests(self):
+        # Guards against a flood at each of the returns of a failing target.
+        scheduler = self.build_scheduler()
+        scheduler.record_restart(ms(0))
+        scheduler.finish(self.running.pop(), WorkOutcome.FAILED, None, ms(0))
+        assert scheduler.load.limit == 1
+
+
 class TestColdRate:
     def test_parts_of_the_domains_stay_within_the_limit(self):
         # Guards against parts that are rounded up: 20 * 1.5 + 5 is 35 for all.
