Test the end of the pace of a restarted target

The tests passed although the pace ended at the first answer, or the limit grew behind it and jumped at its end. Both mutations fail now. The 54 tests of the package pass.

--- a/tests/proxy/scheduling/test_pace.py
+++ b/tests/proxy/scheduling/test_pace.py
@@ -5,12 +5,7 @@
 import pytest
 
 from bulrushloom.proxy.scheduling.base import WorkOutcome, WorkRequest
-from bulrushloom.proxy.scheduling.pace import (
-    COLD_WINDOW,
-    MIN_ANSWERS,
-    ColdRate,
-    cold_part,
-)
+from bulrushloom.proxy.scheduling.pace import COLD_WINDOW, ColdRate, cold_part
 from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
 from tests.proxy.builders import ms
 from tests.proxy.scheduling.builders import (
@@ -62,8 +57,8 @@
 
     @pytest.mark.parametrize("domain_count", [1, 3, 6])
     def test_slots_are_busy_from_the_start(self, domain_count):
-        # Guards against a pace that leaves the target idle while requests wait. A domain
-        # that started with one request used 0.83 of the slots.
+        # Guards against a pace that leaves the target idle while requests wait. With
+        # one request at first, a domain used 0.83 of the slots.
         _, used = self.play(True, domain_count)
         assert used > 0.95 * 4 * ms(400)
 
@@ -96,8 +91,10 @@
         # Guards against a limit that grows while the target is still cold.
         scheduler = self.build_scheduler()
         scheduler.record_restart(ms(0))
-        self.serve(scheduler, MIN_ANSWERS - 1, ms(10))
+        self.serve(scheduler, 7, ms(10))
         assert scheduler.load.limit == 2
+        self.serve(scheduler, 2, ms(10))
+        assert 2 <= scheduler.load.limit < 3
         scheduler.record_restart(ms(0))
         self.serve(scheduler, 14, ms(40))
         assert scheduler.load.limit == 2
