--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -82,6 +82,8 @@
 
 
 class _Running(NamedTuple):
+    """Admitted request; ``was_last``: it took the last place, or others waited."""
+
     priority: int
     was_last: bool
 
@@ -266,8 +268,8 @@
     def _start(self, request: WorkRequest, now: timedelta) -> None:
         self._waiting.remove(request.request_id)
         self._cold_rate.record(now)
-        is_last = bool(self._waiting) or self._free_places() <= 1
-        self._running_by_id[request.request_id] = _Running(request.priority, is_last)
+        was_last = bool(self._waiting) or self._free_places() <= 1
+        self._running_by_id[request.request_id] = _Running(request.priority, was_last)
         if self._waiting and self._free_places() <= 0:
             self._drain.record_wait(now)
 
