Carry cold targets to all instances; bound outdated lists only where it is asked for

The directory left out how long a target stays cold, so the limit for cold targets held only at instances that read the store, and only where connections are shared. The time goes along in whole seconds, and services with such a limit always share connections.

A test of leases passed only after another one had warmed up the fleet.

--- a/bulrushloom/proxy/exchange/directory.py
+++ b/bulrushloom/proxy/exchange/directory.py
@@ -20,8 +20,10 @@
 from bulrushloom.proxy.exchange.messages import Directory, Member
 from bulrushloom.runtime.streams import split_address
 
+# Unit of the time for which a target stays cold. A finer one would give the directory a
+# new version with each heartbeat.
+COLD_UNIT = timedelta(seconds=1)
 MAX_ENTRIES = Meta(max_length=20_000)
-_ZERO = timedelta()
 
 
 class _WireTarget(
@@ -35,6 +37,7 @@
     is_draining: bool
     claims_primary: bool
     born_ms: Count
+    cold_units: Annotated[int, Meta(ge=0, le=10_000)]
 
 
 class _WireDirectory(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -51,10 +54,11 @@
 ) -> Directory:
     """Return a directory with the version of its content.
 
-    The fields of a target that change with each heartbeat are left out.
+    The fields of a target that change with each heartbeat are left out, and the time
+    for which it stays cold is rounded up.
     """
     targets = {
-        target_id: target._replace(cold_left=_ZERO, revision=0)
+        target_id: target._replace(cold_left=_rounded_up(target.cold_left), revision=0)
         for target_id, target in target_by_id.items()
     }
     directory = Directory(
@@ -76,6 +80,7 @@
             target.is_draining,
             target.claims_primary,
             target.born_ms,
+            target.cold_left // COLD_UNIT,
         ]
         for _, target in sorted(directory.target_by_id.items())
     ]
@@ -107,7 +112,7 @@
             slots=wire_target.slots,
             is_draining=wire_target.is_draining,
             claims_primary=wire_target.claims_primary,
-            cold_left=_ZERO,
+            cold_left=wire_target.cold_units * COLD_UNIT,
             born_ms=wire_target.born_ms,
             revision=0,
         )
@@ -115,3 +120,7 @@
     }
     members = {member.name: Member(*member) for member in wire.members}
     return make_directory(listed_at, targets, members, frozenset(wire.evacuated))
+
+
+def _rounded_up(cold_left: timedelta) -> timedelta:
+    return -(-cold_left // COLD_UNIT) * COLD_UNIT
--- a/bulrushloom/proxy/failover/evacuation.py
+++ b/bulrushloom/proxy/failover/evacuation.py
@@ -11,6 +11,10 @@
 TRANSACTION_GRACE_FRACTION = 0.4
 
 
+# Applies where the settings have no bound.
+DEFAULT_BOUND = timedelta(seconds=5)
+
+
 class Evacuations:
     """Domains whose targets must get no more statements, by request of the operators.
 
--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -10,7 +10,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.failover.evacuation import Evacuations
+from bulrushloom.proxy.failover.evacuation import DEFAULT_BOUND, Evacuations
 from bulrushloom.proxy.failover.member_records import GroupMembers
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store import Record
@@ -228,10 +228,10 @@
     def __init__(
         self,
         drain_bound: timedelta,
-        evacuation_bound: timedelta = timedelta(seconds=5),
+        evacuation_bound: timedelta | None = None,
     ):
         self.drain_bound = drain_bound
-        self.evacuations = Evacuations(evacuation_bound)
+        self.evacuations = Evacuations(evacuation_bound or DEFAULT_BOUND)
         self.group_by_service: dict[str, GroupRecord] = {}
         self.listed_target_by_id: dict[str, KnownTarget] = {}
         self._departed_target_by_id: dict[str, DepartedTarget] = {}
--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -20,6 +20,7 @@
 from bulrushloom.proxy.connections import ConnectionPool, ServerConnection
 from bulrushloom.proxy.exchange.messages import Report
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
+from bulrushloom.proxy.failover.evacuation import DEFAULT_BOUND
 from bulrushloom.proxy.failover.groups import (
     VANISHED_TARGET_LIFETIME,
     GroupPhase,
@@ -271,7 +272,10 @@
         An instance that was paused or cut off hears of the store again before it has
         copied the list. While nobody reads the store, the last known list holds.
         """
-        max_age = self.settings.evacuation_bound * MAX_LIST_AGE_FRACTION
+        bound = self.settings.evacuation_bound
+        if bound is None:
+            return False
+        max_age = bound * MAX_LIST_AGE_FRACTION
         oldest = self.loop.now() - max_age
         is_store_read = self.store_freshness.last_read_at >= oldest
         return is_store_read and not self.table.is_read_since(oldest)
@@ -394,7 +398,7 @@
         self.store_freshness.settings = settings
         self.regions = Regions(settings)
         self.table.drain_bound = settings.target_drain_bound
-        self.table.evacuations.bound = settings.evacuation_bound
+        self.table.evacuations.bound = settings.evacuation_bound or DEFAULT_BOUND
         self.limiter.window = RateWindow(
             settings.rate_window, settings.rate_excess, settings.rate_slack
         )
--- a/bulrushloom/proxy/settings.py
+++ b/bulrushloom/proxy/settings.py
@@ -29,9 +29,9 @@
     The rest is optional. ``region`` is the region of ``domain``; ``region_by_domain``
     has the regions of all domains, and is empty where there is only one.
     ``evacuation_bound`` is the time within which the targets of an evacuated domain
-    must get no more statements. A target that started recently may get
-    ``ColdPerS x cold_excess + cold_slack`` requests in a second, with the ``ColdPerS``
-    of its service. ``memory_limit_mb`` and ``descriptor_limit`` are those of the
+    must get no more statements; ``None`` if the deployment sets no bound. A target that
+    started recently may get ``cold_per_s * cold_excess + cold_slack`` requests in a
+    second, with the ``cold_per_s`` of its service. ``memory_limit_mb`` and ``descriptor_limit`` are those of the
     machine; ``None`` if they are not known.
     """
 
@@ -53,7 +53,7 @@
     lease_minimum: timedelta
     region: str = ""
     region_by_domain: Mapping[str, str] = MappingProxyType({})
-    evacuation_bound: timedelta = timedelta(seconds=5)
+    evacuation_bound: timedelta | None = None
     cold_excess: float = 1.5
     cold_slack: float = 5.0
     memory_limit_mb: float | None = None
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -18,9 +18,6 @@
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream
 
-# Tolerance of the hard limit for targets that have just started.
-COLD_EXCESS = 1.5
-COLD_SLACK = 5.0
 CHECK_INTERVAL = timedelta(milliseconds=50)
 # Sessions abort a transaction that pauses for too long. A lease that is unused for this
 # much longer belongs to an instance that is frozen.
@@ -80,9 +77,12 @@
     def _cold_limit(self, target: Target) -> int | None:
         if not self._services.limits_cold_requests(target):
             return None
-        service = self._services.configuration.service_by_name[target.service]
+        services = self._services
         return cold_part(
-            service.cold_per_s, COLD_EXCESS, COLD_SLACK, self._domain_count
+            services.configuration.service_by_name[target.service].cold_per_s,
+            services.settings.cold_excess,
+            services.settings.cold_slack,
+            self._domain_count,
         )
 
     def _connection_quota(self, target: Target) -> int:
@@ -114,8 +114,15 @@
     # What sessions ask
 
     def covers(self, service: str) -> bool:
-        """Return whether the connections to the targets of a service are shared."""
+        """Return whether the connections to the targets of a service are shared.
+
+        Those of a service with a limit for cold targets always are: only owners know
+        how many requests of their domain reach a target in a second.
+        """
         services = self._services
+        known = services.configuration.service_by_name.get(service)
+        if known is not None and known.cold_per_s > 0:
+            return True
         return is_shared(services.max_connections(service), services.member_count)
 
     def acquire(
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -136,8 +136,10 @@
         if self._fleet.is_domain_relay() and not self._fleet.has_live_leader():
             # The leader lease may expire at any time; relays are the first candidates.
             return now - self._read_at >= LEADERLESS_READ_INTERVAL
+        max_directory_age = MAX_DIRECTORY_AGE
         bound = self._services.settings.evacuation_bound
-        max_directory_age = min(MAX_DIRECTORY_AGE, bound * EVACUATION_READ_FRACTION)
+        if bound is not None:
+            max_directory_age = min(max_directory_age, bound * EVACUATION_READ_FRACTION)
         is_listed = self._services.table.is_read_since(now - max_directory_age)
         is_relay = self._fleet.is_domain_relay()
         max_age = MAX_RELAYED_READ_AGE if is_relay else MAX_FOLLOWER_READ_AGE
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -122,6 +122,19 @@
     assert decode_directory(encode_directory(directory), timedelta()) == directory
 
 
+def test_directory_says_which_targets_are_cold():
+    # Guards against a limit for cold targets that only instances that read the store
+    # know. The time is rounded, so that heartbeats do not change the version.
+    versions = set()
+    for cold_ms in (4001, 4400, 5000):
+        target = decode_target("i-1", orjson.dumps(build_entry(ColdLeftMs=cold_ms)), 9)
+        directory = make_directory(timedelta(), {"i-1": target}, {})
+        versions.add(directory.version)
+        copy = decode_directory(encode_directory(directory), timedelta())
+        assert copy.target_by_id["i-1"].cold_left == timedelta(seconds=5)
+    assert len(versions) == 1
+
+
 def test_target_with_an_id_that_is_too_long_is_no_target():
     entry = orjson.dumps(build_entry())
     assert isinstance(decode_target("i" * 300, entry, 9), Missing)
--- a/tests/proxy/builders.py
+++ b/tests/proxy/builders.py
@@ -45,6 +45,7 @@
     rate_excess=0.1,
     rate_slack=20,
     lease_minimum=timedelta(seconds=1),
+    evacuation_bound=timedelta(seconds=5),
 )
 
 
--- a/tests/proxy/sharing/test_leases.py
+++ b/tests/proxy/sharing/test_leases.py
@@ -16,7 +16,12 @@
 @pytest.fixture(scope="module")
 def fleet():
     with ExitStack() as stack:
-        yield SharingFleet(stack)
+        fleet = SharingFleet(stack)
+        for number, member in enumerate(fleet.members):
+            fleet.client_of(member, number=number).query("WRITE 1 data")
+        # An owner has few connections at first, also where one test runs alone.
+        fleet.run(ms(4000))
+        yield fleet
 
 
 def test_statements_of_all_instances_find_open_connections(fleet):
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -102,7 +102,7 @@
     unfilled = yaml.safe_dump(VALID) + "".join(f"{key}: \n" for key in OPTIONAL)
     assert parse_proxy_settings(unfilled.encode(), "s.yaml") == parse()
     assert parse().region_by_domain == {}
-    assert parse().evacuation_bound.total_seconds() == 5
+    assert parse().evacuation_bound is None
     assert parse().memory_limit_mb is None
 
 
