Let the copy of the stand-in's store include the evacuated domains

test_copy_of_the_store_without_the_request passed without the call of Evacuations.hold as well: the copy kept the requests of operators, so the returned store still had the evacuated domain.

The copy now has the domains that were evacuated when it was made. The test fails without the call of hold in Services.enter_era (137 statements in the evacuated domain) and passes with it.

--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -42,6 +42,7 @@
     leases: dict[int, _Lease]
     revision: int
     last_lease_id: int
+    evacuated_domains: frozenset[str]
 
 
 class SimulatedStore:
@@ -90,6 +91,7 @@
             dict(self.leases),
             self.revision,
             self.last_lease_id,
+            frozenset(self.evacuated_domains),
         )
 
     def return_from(self, copy: StoreCopy) -> None:
@@ -108,6 +110,7 @@
             for lease_id, lease in copy.leases.items()
         }
         self.revision, self.last_lease_id = copy.revision, copy.last_lease_id
+        self.evacuated_domains = set(copy.evacuated_domains)
 
     def expire(self) -> None:
         """End the leases that have expired."""
