Keep the session of a client that pauses in a large answer

TCP_USER_TIMEOUT of 0.9 s applies to all sockets. Linux also applies it to a peer that acknowledges but does not read, so the session of a client that paused for 1 s in an answer larger than the socket buffers was reset, and the rest of the answer was lost. The limits of clients name 60 s.

Sessions now have 15 s, the time after which a message that stopped half-way ends as well. Targets, peers and HTTP keep 0.9 s.

The new test pauses for 2.5 s; it fails with 0.9 s and passes with 15 s. Cost: a client that is out of reach is found after 15 s instead of 0.9 to 2 s; its open transaction still ends at the idle limit.

--- a/bulrushloom/proxy/clients/session_bounds.py
+++ b/bulrushloom/proxy/clients/session_bounds.py
@@ -24,6 +24,9 @@
 MAX_MESSAGE_TIME = timedelta(seconds=60)
 # Without a byte for this time the client has stopped or is out of reach.
 MAX_MESSAGE_SILENCE = timedelta(seconds=15)
+# A client that reads nothing for this time has stopped or is out of reach. At 0.9 s, as
+# for targets and peers, a client that paused for 1 s in a large answer lost it.
+MAX_READER_SILENCE = timedelta(seconds=15)
 # A client that does not take its answer is not served for longer.
 MAX_ANSWER_TIME = timedelta(seconds=60)
 
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -13,6 +13,7 @@
 from bulrushloom.platform.process import READY_PATH
 from bulrushloom.platform.store import DutyPromotion, KeyValueStore
 from bulrushloom.proxy import connection_allowance
+from bulrushloom.proxy.clients.session_bounds import MAX_READER_SILENCE
 from bulrushloom.proxy.clients.watch import ClientWatch
 from bulrushloom.proxy.era_recovery import EraRecovery
 from bulrushloom.proxy.exchange.directory import encode_directory
@@ -163,6 +164,7 @@
             settings.session_address,
             self._accept,
             lambda reason: self.log.write("session_not_accepted", reason=reason),
+            MAX_READER_SILENCE,
         )
         stack.callback(self._listener.close)
         self._install_signal_handlers()
--- a/bulrushloom/runtime/streams.py
+++ b/bulrushloom/runtime/streams.py
@@ -32,7 +32,8 @@
 # Without a free descriptor, accepting fails at once while connections wait.
 ACCEPT_RETRY_DELAY = timedelta(milliseconds=100)
 # TCP closes a connection on which a segment stays unacknowledged for this long, since
-# the path is then dead. The time allows three minimal retransmissions.
+# the path is then dead. The time allows three minimal retransmissions. Linux applies it
+# also to a peer that acknowledges but does not read, so sessions of clients have more.
 UNACKNOWLEDGED_TIMEOUT = timedelta(milliseconds=900)
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
@@ -271,7 +272,8 @@
 class Listener:
     """Listening socket that passes each accepted connection to ``accept``.
 
-    ``on_error`` is called with the reason of a failed accept.
+    ``on_error`` is called with the reason of a failed accept. A connection is closed
+    if its peer takes no bytes for ``unacknowledged_timeout``.
     """
 
     def __init__(
@@ -280,8 +282,10 @@
         address: str,
         accept: Callable[[Stream], None],
         on_error: Callable[[str], None] = lambda _: None,
+        unacknowledged_timeout: timedelta = UNACKNOWLEDGED_TIMEOUT,
     ):
         self._loop = loop
+        self._unacknowledged_timeout = unacknowledged_timeout
         self._accept = accept
         self._on_error = on_error
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -306,7 +310,7 @@
                 # Otherwise it was reset before accept; the next event retries.
                 return
             sock.setblocking(False)
-            _set_options(sock)
+            _set_options(sock, self._unacknowledged_timeout)
             stream = TcpStream(self._loop, sock)
             try:
                 self._accept(stream)
@@ -330,9 +334,11 @@
         self._sock.close()
 
 
-def _set_options(sock: socket.socket) -> None:
+def _set_options(
+    sock: socket.socket, unacknowledged_timeout: timedelta = UNACKNOWLEDGED_TIMEOUT
+) -> None:
     """Disable Nagle's algorithm and make the kernel detect dead paths."""
-    limit_ms = UNACKNOWLEDGED_TIMEOUT // _MILLISECOND
+    limit_ms = unacknowledged_timeout // _MILLISECOND
     options: list[tuple[int, int, Any]] = [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/tests/runtime/test_bounded_streams.py
+++ b/tests/runtime/test_bounded_streams.py
@@ -6,12 +6,15 @@
 
 import pytest
 
+from bulrushloom.proxy.clients.session_bounds import MAX_READER_SILENCE
 from bulrushloom.runtime.buffers import BufferAccount
 from bulrushloom.runtime.http import HttpServer, HttpServerLimits
 from bulrushloom.runtime.streams import MAX_UNREAD_BYTES, Listener, TcpStream
 from tests.runtime.builders import running_loop, wait_until
 
 SECOND = timedelta(seconds=1)
+# More than the socket buffers of both sides hold.
+LARGE_ANSWER = 12_000_000
 GET = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -129,6 +132,35 @@
     assert line in lines
 
 
+def test_client_that_pauses_in_a_large_answer_gets_the_rest(loop):
+    # Guards against TCP_USER_TIMEOUT, which also ends connections of peers that
+    # acknowledge but do not read.
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    accepted, received = [], 0
+    listener = Listener(
+        loop, address, accepted.append, unacknowledged_timeout=MAX_READER_SILENCE
+    )
+    with (
+        closing(listener),
+        socket.create_connection(("127.0.0.1", listener.port)) as far,
+    ):
+        wait_until(loop, lambda: accepted)
+        accepted[0].write(b"x" * LARGE_ANSWER)
+        run(loop, 2.5)
+        far.setblocking(False)
+        end = loop.now() + SECOND * 5
+        while received < LARGE_ANSWER and loop.now() < end:
+            loop.run_once(SECOND / 1000)
+            try:
+                received += len(far.recv(1_000_000))
+            except BlockingIOError:
+                continue
+        assert accepted[0].closed_reason == "" and received == LARGE_ANSWER
+        accepted[0].close()
+
+
 def test_listener_pauses_without_a_free_descriptor(loop):
     # Guards against a busy loop while a connection waits and cannot be accepted.
     errors, accepted = [], []
