Shorten the first start on a store whose first era is above 0

Such a start looks like a return of the store. The first leader waits for reports of the members, but these read the store every 1.5 s until they have the keys of the exchange, so it waited for its whole limit, and the others got the records late. Every account was also assumed to have used its whole limit for the first window, so each instance admitted a tenth of it.

Instances without keys now read every 0.4 s while the era is not settled. An instance that finds no fence in the store assumes the usage of a first start: no leader existed when the copy was made, so no record of hot accounts is lost. Nothing else is shortened: the era still needs its leader and the wait for a lease of an earlier era.

--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -22,7 +22,11 @@
     next_rotation_step,
 )
 from bulrushloom.proxy.exchange.messages import Member
-from bulrushloom.proxy.failover.groups import LEADER_KEY, decode_group_records
+from bulrushloom.proxy.failover.groups import (
+    FENCE_KEY,
+    LEADER_KEY,
+    decode_group_records,
+)
 from bulrushloom.proxy.failover.member_records import decode_all_group_members
 from bulrushloom.proxy.hot_accounts import decode_hot_accounts
 from bulrushloom.proxy.leadership import (
@@ -129,7 +133,10 @@
         if self._leadership.is_leader():
             return now - self._read_at >= READ_INTERVAL
         if self._read_at != _ZERO and not self._fleet.has_keys:
-            return now - self._read_at >= STARTUP_READ_INTERVAL
+            # The leader of a new era waits for reports, which need the keys.
+            is_settled = self._services.eras.is_settled
+            interval = STARTUP_READ_INTERVAL if is_settled else LEADERLESS_READ_INTERVAL
+            return now - self._read_at >= interval
         if not self._fleet.peers_by_name:
             interval = READ_INTERVAL if self._read_at == _ZERO else LONELY_READ_INTERVAL
             return now - self._read_at >= interval
@@ -317,10 +324,11 @@
         if services.enter_era(snapshot.era, is_settled(records, snapshot.era)):
             self._fleet.keep_members()
         if not services.configuration.version:
-            hot_accounts = decode_hot_accounts(snapshot.record_by_key)
-            services.limiter.load_recorded_usage(
-                hot_accounts, is_outdated=not services.eras.is_settled
-            )
+            hot_accounts = decode_hot_accounts(records)
+            # Without a fence the copy is older than the first leader, as at the first
+            # start of the platform on a store whose era is above 0.
+            is_outdated = not services.eras.is_settled and FENCE_KEY in records
+            services.limiter.load_recorded_usage(hot_accounts, is_outdated)
             self._log.write("limits_started", noted=hot_accounts)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, "store")
