Do not count answers of the store that name an earlier era

Once an answer has named an era, one of an earlier era is late or lacks the header. A renewed lease that was answered in this way counted as lost, so one answer without the header took the lease from the leader and the entry from a member; a new lease counted as one of era 0.

Such answers are now failures with an unknown outcome, for all calls and not only for reads. The new test fails before (the lease was created in era 0) and passes now.

--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -105,7 +105,7 @@
                 return answer
             page, era = answer
             first_era = era if first_era is None else first_era
-            if first_era != era or era < self._era:
+            if first_era != era:
                 reason = "the store returned from a copy during the read"
                 return StoreFailure(StoreFailureKind.UNKNOWN, reason)
             try:
@@ -306,7 +306,11 @@
         era = _decode_era(response)
         if isinstance(content, StoreFailure) or isinstance(era, StoreFailure):
             return content if isinstance(content, StoreFailure) else era
-        self._seen_era = max(self._seen_era, era)
+        if era < self._seen_era:
+            # A late answer of an earlier era, or one without the header.
+            reason = f"an answer of era {era} after one of {self._seen_era}"
+            return StoreFailure(StoreFailureKind.UNKNOWN, reason)
+        self._seen_era = era
         return content, era
 
     def close(self) -> None:
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -93,6 +93,24 @@
     assert renewed == other
 
 
+def test_answer_without_the_era_that_is_known(platform):
+    # Guards against a leader that gives up a valid lease, and a write that counts as
+    # one of era 0, because one answer lacks the header.
+    loop, server, client, _ = platform
+    server.return_from(server.copy())
+    lease = wait_for(loop, client.create_lease(SECOND * 9))
+    server.era = 0
+    failures = [
+        wait_for(loop, client.renew_lease(lease.lease_id, lease.era)),
+        wait_for(loop, client.create_lease(SECOND * 9)),
+        wait_for(loop, client.commit((), (Put("proxy/groups/orders", b"{}"),))),
+    ]
+    assert [f.kind for f in failures] == [StoreFailureKind.UNKNOWN] * 3
+    server.era = 1
+    renewed = wait_for(loop, client.renew_lease(lease.lease_id, lease.era))
+    assert renewed == lease
+
+
 def test_write_that_was_decided_in_an_earlier_era(platform):
     # Guards against a condition that holds by accident, and against a write before the
     # new era has a leader that counts as done.
--- a/tests/proxy/test_first_start.py
+++ b/tests/proxy/test_first_start.py
@@ -42,8 +42,8 @@
 
 
 def test_first_start_does_not_assume_that_limits_are_used_up():
-    # Guards against accounts that get a tenth of their limit for a whole window, because
-    # the store may have lost the record of hot accounts: there was none yet.
+    # Guards against accounts that get a tenth of their limit for a whole window, as if
+    # the store had lost the record of hot accounts.
     with ExitStack() as stack:
         fleets = [StartingFleet(stack, era) for era in (0, 1)]
         account = build_account(rate_per_s=20.0, burst=10.0)
