Tell the client of a closed transaction that it is rolled back

A session that is closed to free memory or descriptors, or because its message stopped half-way, got a refusal as not run, also with an open transaction whose statements had run. A client whose commit was on its way would take it as the answer to the commit, and could repeat the commit alone.

The refusal has the code ABORTED if a transaction is open. The new test fails before and passes now.

--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -105,11 +105,14 @@
     def refuse(self, reason: str) -> None:
         """Close a session that is closable; tell the client that nothing has run.
 
-        Answers that the client has not read come first, so nothing is sent then.
+        An open transaction is rolled back, so a message on its way is not told to be
+        repeated alone. Answers that the client has not read come first, so nothing is
+        sent then.
         """
         if not self._stream.unsent_bytes:
-            failure = Failure(AnswerCode.NOT_RUN, reason, NO_MEMORY.retry_after)
-            self._send_failure(failure)
+            in_transaction = self._transaction is not None
+            code = AnswerCode.ABORTED if in_transaction else AnswerCode.NOT_RUN
+            self._send_failure(Failure(code, reason, NO_MEMORY.retry_after))
         self._stream.close(reason)
 
     @property
--- a/tests/proxy/clients/test_sessions.py
+++ b/tests/proxy/clients/test_sessions.py
@@ -106,6 +106,19 @@
     assert b'clients_closed_total{case="memory of a client"} 1' in text
 
 
+def test_closed_session_with_a_transaction_is_told_that_it_is_rolled_back(instance):
+    # Guards against a refusal as not run of a commit that was on its way: the client
+    # would repeat the commit alone.
+    client = instance.client("strict")
+    client.query("BEGIN")
+    client.query("WRITE 1 first")
+    client.session.refuse("test")
+    instance.run(SECOND)
+    assert client.is_ended
+    assert client.received()[0].startswith("ERR ABORTED")
+    assert "COMMIT" not in texts(instance)
+
+
 def test_client_that_stops_half_way_is_closed_and_an_idle_one_is_kept(instance):
     client, idle = instance.client("strict"), instance.client("strict")
     watch(instance, client, idle)
