Do not let new sessions displace each other at the limit of sessions

At the limit, each new connection replaced the oldest one without a start message, however new that was. Clients that connected at the same moment closed each other: of 64 connections accepted in one turn one was left, also while sessions were idle. An idle session with an open transaction was chosen before one without.

A session without a start message is replaced after 200 ms; until then an idle session is, or the new connection is refused. Among the sessions of a client, one without a transaction goes first. Two new tests of the decision fail before and pass now.

--- a/bulrushloom/proxy/clients/session_bounds.py
+++ b/bulrushloom/proxy/clients/session_bounds.py
@@ -18,6 +18,8 @@
 # Sessions may use half of the memory at which reading is paused.
 SESSION_MEMORY_FRACTION = 0.5
 MIN_SESSIONS = 16
+# A client sends its start message at once; a busy instance reads it later.
+MIN_START_TIME = timedelta(milliseconds=200)
 # A session that was idle for a shorter time may be in constant use.
 MIN_IDLE_TIME = timedelta(seconds=2)
 # The largest message takes 1.7 s at 5 Mbit/s; many clients may share this bandwidth.
@@ -51,6 +53,10 @@
     client: tuple[str, str]
     awaiting_since: timedelta
 
+    @property
+    def has_transaction(self) -> bool:
+        """Return whether a transaction is open, which a close would end."""
+
     @property
     def is_closable(self) -> bool:
         """Return whether a close interrupts no running statement."""
@@ -71,11 +77,13 @@
 ) -> SessionActivity | None:
     """Return the session that is closed for a new one; ``None`` if there is none.
 
-    That is the session that has not started for the longest time. Otherwise it is the
-    longest idle one of the client (database and key) that has the most sessions, so a
-    client with few sessions keeps them.
+    That is the session that has not started for the longest time, unless it was
+    accepted just now. Otherwise it is the longest idle one of the client (database and
+    key) that has the most sessions, so a client with few sessions keeps them; one
+    without a transaction goes first.
     """
     unstarted = [s for s in sessions if not s.is_started and s.is_closable]
+    unstarted = [s for s in unstarted if now - s.awaiting_since >= MIN_START_TIME]
     if unstarted:
         return min(unstarted, key=lambda s: s.awaiting_since)
     count_by_client = Counter(s.client for s in sessions)
@@ -84,7 +92,11 @@
     ]
     return max(
         idle,
-        key=lambda s: (count_by_client[s.client], now - s.awaiting_since),
+        key=lambda s: (
+            count_by_client[s.client],
+            not s.has_transaction,
+            now - s.awaiting_since,
+        ),
         default=None,
     )
 
--- a/tests/proxy/clients/test_session_bounds.py
+++ b/tests/proxy/clients/test_session_bounds.py
@@ -26,12 +26,15 @@
 NOW = SECOND * 1000
 
 
-def session(idle_s=10.0, is_started=True, key="key-1", is_closable=True):
+def session(
+    idle_s=10.0, is_started=True, key="key-1", is_closable=True, has_transaction=False
+):
     return SimpleNamespace(
         awaiting_since=NOW - SECOND * idle_s,
         is_started=is_started,
         client=("stock", key),
         is_closable=is_closable,
+        has_transaction=has_transaction,
     )
 
 
@@ -57,6 +60,24 @@
     assert session_to_replace(sessions, NOW) is silent
 
 
+def test_session_that_was_accepted_just_now_is_not_replaced():
+    # Guards against clients that connect at the same moment and displace each other,
+    # while sessions are idle: of 64 accepted in one turn, one was left.
+    idle, new = session(10), session(0.1, is_started=False)
+    assert session_to_replace([idle, new], NOW) is idle
+    assert session_to_replace([session(1), new], NOW) is None
+    silent = session(0.3, is_started=False)
+    assert session_to_replace([idle, silent], NOW) is silent
+
+
+def test_paused_transaction_is_replaced_after_other_sessions_of_its_client():
+    # Guards against a transaction that is lost although its client has a session that
+    # loses nothing.
+    paused, idle = session(9, has_transaction=True), session(3)
+    assert session_to_replace([paused, idle], NOW) is idle
+    assert session_to_replace([paused], NOW) is paused
+
+
 def test_client_with_few_sessions_keeps_them():
     # Guards against a crowd of one key that displaces the sessions of others.
     ordinary = session(900, key="ordinary")
