Let stopped replicas receive again after a change of the leader

A failover stops all replicas; those of an evacuated domain are told to receive again when the evacuation ends. Only a leader that had seen the evacuation did that: if it died while the key was removed, the next one found no evacuation that had ended, and the replica missed every commit from then on. The same held for a leader that died after a failover, before it had told the replicas.

A new leader now asks the replicas of each group once, and resumes those that are stopped for a term above the primary's. Cost: one status request to each target at a change of the leader.

--- a/bulrushloom/proxy/failover/primary_monitor.py
+++ b/bulrushloom/proxy/failover/primary_monitor.py
@@ -75,7 +75,8 @@
         self._sampling: set[str] = set()
         self._unclaimed_since: dict[str, timedelta] = {}
         self._stall_failover_at: dict[str, timedelta] = {}
-        self._evacuated: frozenset[str] = frozenset()
+        # The evacuated domains, as the leader; not known before its first check.
+        self._evacuated: frozenset[str] | None = None
 
     def run(self) -> Steps:
         """Check all services at fixed intervals while the process runs."""
@@ -84,6 +85,7 @@
             if not self._leadership.may_decide():
                 self._probe_by_service.clear()
                 self._unclaimed_since.clear()
+                self._evacuated = None
                 self._check_suspected_primaries()
                 continue
             self._check_ended_evacuations()
@@ -95,11 +97,12 @@
         """Let the replicas of a domain receive again once its evacuation has ended.
 
         A failover stops all replicas, and those of evacuated domains are not asked
-        afterwards whether they follow the new primary.
+        afterwards whether they follow the new primary. A new leader does not know
+        whether an evacuation, or the leader that stopped them, has just ended.
         """
         table = self._services.table
         previous, self._evacuated = self._evacuated, table.evacuated_domains
-        if previous <= self._evacuated:
+        if previous is not None and previous <= self._evacuated:
             return
         for service, group in table.group_by_service.items():
             if group.phase is GroupPhase.STEADY:
--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -359,3 +359,24 @@
     fleet.run(SECOND * 2)
     assert statements_at(fleet, {"north"}, returned_at) == []
     assert readers
+
+
+@pytest.mark.parametrize("dies", [False, True])
+def test_stopped_replica_receives_again_after_the_evacuation(fleet, dies):
+    # Guards against a replica that stays stopped and misses every commit, because the
+    # leader that knew of the evacuation died while the key was removed.
+    write_until_served(fleet, open_clients(fleet)[0])
+    fleet.crash("a")
+    send_reads(open_clients(fleet))
+    fleet.run(SECOND * 6)
+    primary = primary_id(fleet)
+    replica = next(key for key in ("b", "c") if key != primary)
+    evacuate(fleet, {"b": "south", "c": "west"}[replica])
+    fleet.run(SECOND * 2)
+    server = fleet.group.server_by_id[replica]
+    server.paused_term = fleet.group.server_by_id[primary].term + 1
+    if dies:
+        fleet.kill(fleet.leader())
+    fleet.store.evacuated_domains.clear()
+    fleet.run(SECOND * 14)
+    assert server.paused_term == 0
