Resume light connections as soon as they may be read

Between 0.6 of the memory budget and the whole, light connections are read in small pieces. One that was paused at the whole budget was resumed only below 0.6, so ordinary clients waited until heavy connections had been closed, which takes a second, although new ones were read.

Paused light connections are now resumed below the whole budget, like answers of targets. The new test fails before and passes now.

--- a/bulrushloom/proxy/clients/memory_budget.py
+++ b/bulrushloom/proxy/clients/memory_budget.py
@@ -130,11 +130,11 @@
         self.used = 0
         self._schedule = schedule
         self._accounts: dict[MemoryAccount, None] = {}
-        self._paused: dict[MemoryAccount, None] = {}
-        # Answers of targets are resumed earlier than the reading from clients.
-        self._level_by_kind = {
-            AccountKind.CLIENT: limits.pause_bytes,
-            AccountKind.TARGET: limits.budget_bytes,
+        # Paused connections, by whether they are resumed as soon as the use is below
+        # the budget: answers of targets and light connections are.
+        self._paused_by_is_early: dict[bool, dict[MemoryAccount, None]] = {
+            True: {},
+            False: {},
         }
         self._pressed_since: timedelta | None = None
         self._is_resuming = False
@@ -142,7 +142,7 @@
     @property
     def paused_count(self) -> int:
         """Return the number of connections whose reading is paused."""
-        return len(self._paused)
+        return sum(len(paused) for paused in self._paused_by_is_early.values())
 
     def open_account(self, kind: AccountKind) -> MemoryAccount:
         """Add a connection."""
@@ -155,27 +155,33 @@
         if account.is_open:
             account.is_open = False
             del self._accounts[account]
-            self._paused.pop(account, None)
+            for paused in self._paused_by_is_early.values():
+                paused.pop(account, None)
             self.change(-account.used)
 
     def change(self, size: int) -> None:
         """Add ``size`` bytes to the use; resume paused connections if it falls."""
         self.used += size
-        if size >= 0 or not self._paused or self._is_resuming:
-            return
-        if any(self._may_resume(kind) for kind in AccountKind):
+        if size < 0 and not self._is_resuming and self._resumable():
             self._is_resuming = True
             self._schedule(self._resume)
 
-    def _may_resume(self, kind: AccountKind) -> bool:
-        return self.used < self._level_by_kind[kind]
+    def _resumable(self) -> list[MemoryAccount]:
+        """Return the paused connections that may be read at the present use."""
+        limits = self.limits
+        return [
+            account
+            for is_early, paused in self._paused_by_is_early.items()
+            if self.used < (limits.budget_bytes if is_early else limits.pause_bytes)
+            for account in paused
+        ]
 
     def _resume(self) -> None:
         self._is_resuming = False
-        for account in list(self._paused):
-            if self._may_resume(account.kind):
-                self._paused.pop(account, None)
-                account.on_room()
+        for account in self._resumable():
+            for paused in self._paused_by_is_early.values():
+                paused.pop(account, None)
+            account.on_room()
 
     def has_room(self) -> bool:
         """Return whether the budget is not exceeded."""
@@ -194,7 +200,8 @@
                 return RECEIVE_BYTES
             if account.used < LIGHT_BYTES:
                 return PRESSED_RECEIVE_BYTES
-        self._paused[account] = None
+        is_early = account.kind is AccountKind.TARGET or account.used < LIGHT_BYTES
+        self._paused_by_is_early[is_early][account] = None
         return 0
 
     def accounts_to_close(self, now: timedelta) -> list[MemoryAccount]:
--- a/tests/proxy/clients/test_memory_budget.py
+++ b/tests/proxy/clients/test_memory_budget.py
@@ -54,6 +54,21 @@
     assert light.receivable() == 0
 
 
+def test_light_connection_resumes_as_soon_as_it_may_receive(budget):
+    # Guards against ordinary clients that are paused by a short peak, and then wait
+    # until heavy connections are closed.
+    light, other = add(budget, SESSION_BYTES), add(budget, 10 * MEGABYTE)
+    heavy, resumed = add(budget, MEGABYTE), []
+    light.on_room = lambda: resumed.append(light)
+    heavy.on_room = lambda: resumed.append(heavy)
+    assert light.receivable() == 0 and heavy.receivable() == 0
+    other.set_held(8 * MEGABYTE)
+    assert resumed == [light] and light.receivable() > 0
+    assert budget.paused_count == 1
+    other.close()
+    assert resumed == [light, heavy] and budget.paused_count == 0
+
+
 def test_answers_of_targets_are_read_until_the_budget_is_used_up(budget):
     # Guards against statements that time out because clients fill the budget.
     target = add(budget, MEGABYTE, AccountKind.TARGET)
