Name cold targets in the directory

Every instance, also the one that reads the store, applies the list of targets as a directory, and the directory left out ColdLeftMs. No owner ever knew that a target was cold, so ColdPerS had no effect. The test of the limit set the field behind the directory and did not notice.

The directory now names the cold targets of services with ColdPerS, without the time that is left, which changes with each heartbeat. The key is absent otherwise, so directories of other deployments do not change. The test lists cold targets in the store.

--- a/bulrushloom/proxy/exchange/directory.py
+++ b/bulrushloom/proxy/exchange/directory.py
@@ -1,8 +1,8 @@
 """Encoding of the directory, which instances copy over HTTP.
 
-The directory has the targets, the members and the evacuated domains. It does not fit a
-datagram in a large fleet and rarely changes. Reports carry its version only, and an
-instance that has another one copies the content.
+The directory has the targets, the members, the evacuated domains and which targets are
+cold. It does not fit a datagram in a large fleet and rarely changes. Reports carry its
+version only, and an instance that has another one copies the content.
 """
 
 from collections.abc import Mapping
@@ -21,6 +21,9 @@
 from bulrushloom.runtime.streams import split_address
 
 MAX_ENTRIES = Meta(max_length=20_000)
+# Stands for any time that a cold target has left. The time itself changes with each
+# heartbeat, and each change would make all instances copy the directory.
+STILL_COLD = timedelta(milliseconds=1)
 _ZERO = timedelta()
 
 
@@ -41,6 +44,7 @@
     targets: Annotated[list[_WireTarget], MAX_ENTRIES]
     members: Annotated[list[WireMember], MAX_ENTRIES]
     evacuated: Annotated[list[Name], MAX_ENTRIES] = []
+    cold: Annotated[list[Name], MAX_ENTRIES] = []
 
 
 def make_directory(
@@ -51,10 +55,13 @@
 ) -> Directory:
     """Return a directory with the version of its content.
 
-    The fields of a target that change with each heartbeat are left out.
+    The fields of a target that change with each heartbeat are left out; of
+    ``cold_left``, only whether it is above 0 is kept.
     """
     targets = {
-        target_id: target._replace(cold_left=_ZERO, revision=0)
+        target_id: target._replace(
+            cold_left=STILL_COLD if target.cold_left > _ZERO else _ZERO, revision=0
+        )
         for target_id, target in target_by_id.items()
     }
     directory = Directory(
@@ -81,10 +88,13 @@
     ]
     members = [list(m) for _, m in sorted(directory.member_by_name.items())]
     content: dict[str, list[Any]] = {"targets": targets, "members": members}
+    # Earlier releases reject a directory with further keys, so each is added only when
+    # there is something to say.
     if directory.evacuated_domains:
-        # Earlier releases reject a directory with further keys, so it is added only
-        # when there is something to say.
         content["evacuated"] = sorted(directory.evacuated_domains)
+    cold = [t.target_id for t in directory.target_by_id.values() if t.cold_left > _ZERO]
+    if cold:
+        content["cold"] = sorted(cold)
     return orjson.dumps(content)
 
 
@@ -98,6 +108,7 @@
             split_address(address)
     except ValueError as error:
         return Missing(f"malformed directory: {error}")
+    cold = frozenset(wire.cold)
     targets = {
         wire_target.target_id: Target(
             target_id=wire_target.target_id,
@@ -107,7 +118,7 @@
             slots=wire_target.slots,
             is_draining=wire_target.is_draining,
             claims_primary=wire_target.claims_primary,
-            cold_left=_ZERO,
+            cold_left=STILL_COLD if wire_target.target_id in cold else _ZERO,
             born_ms=wire_target.born_ms,
             revision=0,
         )
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -5,6 +5,7 @@
 answer, the relay of each domain retries more often than its other instances.
 """
 
+from collections.abc import Mapping
 from concurrent.futures import Future
 from datetime import timedelta
 from typing import Any
@@ -12,7 +13,7 @@
 import xxhash
 
 from bulrushloom.core.sentinels import Missing
-from bulrushloom.proxy.configuration import Configuration, changes_between
+from bulrushloom.proxy.configuration import Configuration, Target, changes_between
 from bulrushloom.proxy.exchange.directory import decode_directory, make_directory
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.keys import (
@@ -310,6 +311,20 @@
             self._is_store_lost = False
             self._log.write("store_regained")
 
+    def _without_unused_cold_times(
+        self, target_by_id: Mapping[str, Target]
+    ) -> dict[str, Target]:
+        """Return the targets, cold only where the service has a limit for that.
+
+        Without a limit, the end of the cold time needs no copies of the directory.
+        """
+        return {
+            target_id: target
+            if self._services.limits_cold_requests(target)
+            else target._replace(cold_left=timedelta())
+            for target_id, target in target_by_id.items()
+        }
+
     def _apply_snapshot(self, snapshot: StoreSnapshot) -> None:
         services, records = self._services, snapshot.record_by_key
         if snapshot.era < services.eras.era:
@@ -337,7 +352,7 @@
         self._fleet.update_directory(
             make_directory(
                 snapshot.requested_at,
-                snapshot.target_by_id,
+                self._without_unused_cold_times(snapshot.target_by_id),
                 members,
                 snapshot.evacuated_domains,
             )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -122,6 +122,22 @@
     assert decode_directory(encode_directory(directory), timedelta()) == directory
 
 
+def test_directory_says_which_targets_are_cold():
+    # Guards against owners that do not know that a target is cold, since they copy the
+    # directory, and against a copy by all instances with each heartbeat of the target.
+    entries = [build_entry(ColdLeftMs=left) for left in (900, 400, 0)]
+    first, second, last = (
+        make_directory(
+            timedelta(), {"i-1": decode_target("i-1", orjson.dumps(entry), 9)}, {}
+        )
+        for entry in entries
+    )
+    copied = decode_directory(encode_directory(first), timedelta())
+    assert copied.target_by_id["i-1"].cold_left > timedelta()
+    assert last.target_by_id["i-1"].cold_left == timedelta()
+    assert first.version == second.version != last.version
+
+
 def test_target_with_an_id_that_is_too_long_is_no_target():
     entry = orjson.dumps(build_entry())
     assert isinstance(decode_target("i" * 300, entry, 9), Missing)
--- a/tests/proxy/sharing/builders.py
+++ b/tests/proxy/sharing/builders.py
@@ -47,6 +47,13 @@
         for server in self.group.server_by_id.values():
             server.max_connections = self._max_connections
 
+    def targets(self):
+        """Return the entries of the targets in the store."""
+        return {
+            target_id: target._replace(cold_left=SECOND * (target_id in self.cold_ids))
+            for target_id, target in super().targets().items()
+        }
+
     def share(self, member):
         """Let an instance take part in sharing."""
         sharing = DomainConnections(
@@ -55,19 +62,6 @@
         member.services.sharing = member.sharing = sharing
         self.network.accept_by_address[f"{member.name}:1"] = sharing.accept
         self.loop.supervise(sharing.run)
-        update = member.services.update_targets
-
-        def update_with_cold_targets(target_by_id, listed_at):
-            # The directory of the exchange does not say which targets are cold.
-            cold = {
-                target_id: target._replace(
-                    cold_left=SECOND * (target_id in self.cold_ids)
-                )
-                for target_id, target in target_by_id.items()
-            }
-            update(cold, listed_at)
-
-        member.services.update_targets = update_with_cold_targets
         self.stack.callback(sharing.close)
 
     def kill(self, member):
