Count requests to a cold target when they are sent

The hard limit counted a request when the scheduler admitted it. A request without a free connection gives back its place and is admitted again, and each time used up a part of the limit. One whose connection opened slowly reached the target long after it was counted, beside those of the next second.

An admitted request now holds a part of the limit until it is sent or ends, and counts from the time of sending. Further statements that use the same place count as well.

--- a/bulrushloom/proxy/scheduling/base.py
+++ b/bulrushloom/proxy/scheduling/base.py
@@ -81,6 +81,10 @@
     def cancel(self, request_id: int) -> None:
         """Remove a waiting request whose caller does not wait any more."""
 
+    @abstractmethod
+    def record_sent(self, request_id: int, now: timedelta) -> None:
+        """Record that a statement of an admitted request is sent to the target."""
+
     @abstractmethod
     def finish(
         self,
--- a/bulrushloom/proxy/scheduling/pace.py
+++ b/bulrushloom/proxy/scheduling/pace.py
@@ -69,12 +69,15 @@
 
     Answers a target that stays slow for a time after its start. Everything that is
     sent is recorded, also while the limit is off: the target may have received it in
-    the second before. An owner that has taken over does not know what its predecessor
-    sent, so the limit counts the first second as used up unless ``is_first_owner``.
+    the second before. An admitted request is reserved until it is sent, because its
+    connection may take long to open, or not be opened at all; it counts as sent now.
+    An owner that has taken over does not know what its predecessor sent, so the limit
+    counts the first second as used up unless ``is_first_owner``.
     """
 
     def __init__(self, now: timedelta, is_first_owner: bool = True):
         self._per_s: int | None = None
+        self._reserved = 0
         self._sent: deque[timedelta] = deque()
         self._silent_until = now if is_first_owner else now + COLD_WINDOW
 
@@ -87,6 +90,14 @@
         """Set the requests that may be sent in a second; ``None`` for no limit."""
         self._per_s = per_s
 
+    def reserve(self) -> None:
+        """Count a request that may be sent at any time from now on."""
+        self._reserved += 1
+
+    def end_reservation(self) -> None:
+        """Stop counting a reserved request, which was sent or will not be."""
+        self._reserved -= 1
+
     def record(self, now: timedelta) -> None:
         """Record that a request is sent."""
         self._sent.append(now)
@@ -109,12 +120,13 @@
         self._forget(now)
         start = max(now, self._silent_until)
         # The request that is ``per_s`` places earlier must be a window old.
-        count = len(self._sent)
+        sent = [*self._sent, *[now] * self._reserved]
+        count = len(sent)
         index = count + ahead - self._per_s
         rounds = max(0, -(-(index - count + 1) // self._per_s))
         index -= rounds * self._per_s
         if index >= 0:
-            start = max(start, self._sent[index] + COLD_WINDOW)
+            start = max(start, sent[index] + COLD_WINDOW)
         return start + rounds * COLD_WINDOW
 
     def _forget(self, now: timedelta) -> None:
--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -120,6 +120,7 @@
         self._waiting = WaitingRequests()
         self._max_waiting = max_waiting
         self._running_by_id: dict[int, _Running] = {}
+        self._unsent_ids: set[int] = set()
         self._displaced: list[WorkRequest] = []
         self._busy_until = now
         self._checked_at = now
@@ -204,6 +205,13 @@
             request for request in self._displaced if request.request_id != request_id
         ]
 
+    def record_sent(self, request_id: int, now: timedelta) -> None:
+        """Record that a statement of an admitted request is sent to the target."""
+        if request_id in self._unsent_ids:
+            self._unsent_ids.remove(request_id)
+            self._cold_rate.end_reservation()
+        self._cold_rate.record(now)
+
     def finish(
         self,
         request_id: int,
@@ -219,6 +227,12 @@
         running = self._running_by_id.pop(request_id, None)
         if running is None:
             return
+        if request_id in self._unsent_ids:
+            self._unsent_ids.remove(request_id)
+            self._cold_rate.end_reservation()
+            if outcome is not WorkOutcome.UNUSED:
+                # The attempt to connect may have reached the target.
+                self._cold_rate.record(now)
         self._ended_by_outcome[outcome] += 1
         if outcome is WorkOutcome.SERVED:
             self._drain.record_end(now, bool(self._waiting))
@@ -267,7 +281,8 @@
 
     def _start(self, request: WorkRequest, now: timedelta) -> None:
         self._waiting.remove(request.request_id)
-        self._cold_rate.record(now)
+        self._cold_rate.reserve()
+        self._unsent_ids.add(request.request_id)
         was_last = bool(self._waiting) or self._free_places() <= 1
         self._running_by_id[request.request_id] = _Running(request.priority, was_last)
         if self._waiting and self._free_places() <= 0:
--- a/bulrushloom/proxy/sharing/leases.py
+++ b/bulrushloom/proxy/sharing/leases.py
@@ -246,6 +246,8 @@
         self._in_flight += 1
         self._has_sent = True
         self._set_state = self._set_state or not query.needs_place
+        if query.needs_place and self.place is not None:
+            self._owned.record_sent(self.place)
         sent_at = self._owned.now()
         future = connection.query(query.request_id, query.text, query.after)
         future.add_done_callback(
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -162,6 +162,10 @@
         self._timer, self._timer_at = None, timedelta.max
         self._pump()
 
+    def record_sent(self, place: int) -> None:
+        """Tell the scheduler that a statement is sent with a place."""
+        self.scheduler.record_sent(place, self._loop.now())
+
     def finish(
         self, place: int, outcome: WorkOutcome, duration: timedelta | None
     ) -> None:
--- a/tests/proxy/scheduling/test_pace.py
+++ b/tests/proxy/scheduling/test_pace.py
@@ -161,6 +161,41 @@
         assert not cold_rate.allows(ms(1000))
         assert cold_rate.allows(COLD_WINDOW)
 
+    def admit_two(self):
+        """Return a scheduler with two admitted requests of a limit of two."""
+        cold_rate = ColdRate(ms(0))
+        cold_rate.set_limit(2)
+        scheduler = DomainTargetScheduler(4, 1, ms(0), cold_rate=cold_rate)
+        self.submit(scheduler, 1, 2)
+        assert scheduler.admit(ms(0)) == [1, 2]
+        return scheduler
+
+    def submit(self, scheduler, *request_ids):
+        for request_id in request_ids:
+            request = WorkRequest(request_id, "hotel", 0, ms(0), ms(90_000))
+            assert scheduler.submit(request, ms(0)) is None
+
+    def test_requests_that_were_not_sent_leave_their_part_to_others(self):
+        # Guards against a cold target that gets a fifth of its limit, because requests
+        # without a free connection give back their places and are admitted again.
+        scheduler = self.admit_two()
+        self.submit(scheduler, 3, 4)
+        assert scheduler.admit(ms(10)) == []
+        for request_id in (1, 2):
+            scheduler.finish(request_id, WorkOutcome.UNUSED, None, ms(20))
+        assert scheduler.admit(ms(20)) == [3, 4]
+
+    def test_limit_counts_from_the_time_of_sending(self):
+        # Guards against twice the limit in a second if connections open slowly.
+        scheduler = self.admit_two()
+        self.submit(scheduler, 3)
+        assert scheduler.admit(ms(2000)) == []
+        for request_id in (1, 2):
+            scheduler.record_sent(request_id, ms(2000))
+            scheduler.finish(request_id, WorkOutcome.SERVED, ms(5), ms(2005))
+        assert scheduler.admit(ms(3000)) == []
+        assert scheduler.admit(ms(2000) + COLD_WINDOW) == [3]
+
     def test_expected_time_is_the_actual_one(self):
         # Guards against refusals with a time at which the limit does not permit more.
         cold_rate = ColdRate(ms(0))
--- a/tests/proxy/sharing/test_lease.py
+++ b/tests/proxy/sharing/test_lease.py
@@ -50,9 +50,14 @@
 
 
 class FakeOwned:
-    """Target at its owner; ``ended`` has the outcomes of the places."""
+    """Target at its owner.
+
+    ``ended`` has the outcomes of the places, and ``sent`` the places with which
+    statements were sent.
+    """
 
     def __init__(self):
+        self.sent = []
         self.time, self.ended, self.released, self.waiting = ms(0), [], [], []
 
     def now(self):
@@ -62,6 +67,9 @@
         lease.waiting = len(self.waiting) + 100
         self.waiting.append(lease)
 
+    def record_sent(self, place):
+        self.sent.append(place)
+
     def finish(self, place, outcome, duration):
         self.ended.append((place, outcome, duration))
 
@@ -124,6 +132,15 @@
     assert lease.connection.texts == [b"READ 1", b"WRITE 2", b"ROLLBACK"]
 
 
+def test_only_statements_with_a_place_count_as_sent(lease):
+    # Guards against a hard limit that counts requests which were never sent, or misses
+    # what was sent later.
+    lease.query(b"-", b"SET zone utc", None)
+    assert lease._owned.sent == []
+    lease.query(b"1", b"READ 1", None)
+    assert lease._owned.sent == [7]
+
+
 def test_closed_request_for_a_place_returns_the_connection_unused(lease):
     # Guards against a lease that never ends because nothing was sent on it.
     lease.check(PLACE_IDLE_LIMIT + ms(1), IDLE_LIMIT)
