Take the tolerance for cold targets from the settings

Owners used constants of 1.5 and 5 instead of cold_excess and cold_slack, so a platform with smaller bounds got more requests than it allows.

--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -18,9 +18,6 @@
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream
 
-# Tolerance of the hard limit for targets that have just started.
-COLD_EXCESS = 1.5
-COLD_SLACK = 5.0
 CHECK_INTERVAL = timedelta(milliseconds=50)
 # Sessions abort a transaction that pauses for too long. A lease that is unused for this
 # much longer belongs to an instance that is frozen.
@@ -81,8 +78,12 @@
         if not self._services.limits_cold_requests(target):
             return None
         service = self._services.configuration.service_by_name[target.service]
+        settings = self._services.settings
         return cold_part(
-            service.cold_per_s, COLD_EXCESS, COLD_SLACK, self._domain_count
+            service.cold_per_s,
+            settings.cold_excess,
+            settings.cold_slack,
+            self._domain_count,
         )
 
     def _connection_quota(self, target: Target) -> int:
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -65,6 +65,30 @@
         assert bool(times) is owners_answer
 
 
+def test_limit_of_a_cold_target_follows_the_settings():
+    # Guards against owners that use the default tolerance instead of the platform's.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, cold_per_s=4)
+        for member in fleet.members:
+            settings = member.services.settings
+            member.services.apply_settings(
+                settings._replace(cold_excess=1.0, cold_slack=0.0)
+            )
+        fleet.cold_ids.add("a")
+        fleet.run(SECOND)
+        clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
+        for _ in range(30):
+            for client in clients:
+                client.received()
+                client.sent += 1
+                client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
+            fleet.run(ms(100))
+        times = [run.at for run in fleet.group.runs]
+        assert times
+        for at in times:
+            assert sum(at <= other < at + SECOND for other in times) <= 4
+
+
 def test_target_that_is_gone_leaves_no_connections(fleet):
     # Guards against owners that keep what belongs to a target that has left.
     client = fleet.client_of(fleet.in_domain()[0], "bounded")
