Count the memory of shared connections at their owner

The pool of an owner had no memory budget. Answers that it assembled had no limit at all, and neither they nor the session values at the targets counted. The pool now uses the budget of the instance, as the pool of direct connections does.

The test fails without the change: 0 bytes counted for a session value of 3000 bytes.

--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -51,6 +51,7 @@
             self._connection_quota,
             self,
         )
+        self.owner.pool.memory = services.memory
         self.client = LeaseClient(
             loop,
             services.network,
--- a/tests/proxy/sharing/test_leases.py
+++ b/tests/proxy/sharing/test_leases.py
@@ -175,3 +175,15 @@
     text = services.metrics.text()
     assert b'bulrushloom_scheduler_limit{case="a"} ' in text
     assert b'bulrushloom_scheduler_ended_total{case="served"} ' in text
+
+
+def test_memory_of_shared_connections_counts_at_their_owner(fleet):
+    # Guards against answers and session values that fill the memory of an owner, whose
+    # budget does not know of them.
+    owner = fleet.owner_of("a")
+    client = fleet.client_of(fleet.others(owner)[0])
+    before = owner.services.memory.used
+    client.query(f"SET note {'x' * 3000}")
+    assert client.query("WRITE 1 data")[0].startswith("DONE")
+    fleet.run(ms(50))
+    assert owner.services.memory.used >= before + 3000
