Close a link to an owner that was closed while it connected

If a member left the list while an instance connected to it, the stream that was opened afterwards was used for a handshake and never closed, because closing the link again does nothing.

The test fails without the change: one open stream more at the owner.

--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -108,6 +108,9 @@
         deadline = self._loop.now() + SILENCE_LIMIT
         try:
             stream = yield network.connect(self.member.address, SILENCE_LIMIT)
+            if self.closed_reason:
+                stream.close(self.closed_reason)
+                return
             self._stream = stream
             stream.on_data(self._on_data)
             self.send(self._hello)
--- a/tests/proxy/sharing/test_owner_failures.py
+++ b/tests/proxy/sharing/test_owner_failures.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bulrushloom.proxy.sharing.links import OwnerLink
 from tests.proxy.builders import ms
 from tests.proxy.fleet_builders import (
     SECOND,
@@ -14,6 +15,7 @@
     MAX_CONNECTIONS,
     SharingFleet,
     check_no_statement_ran_twice,
+    streams_to,
 )
 
 
@@ -180,3 +182,19 @@
     assert answer(client, fleet)[0].startswith("DONE")
     assert fleet.direct_opened() > 0
     check(fleet)
+
+
+def test_link_that_is_closed_while_it_connects_leaves_no_connection(fleet):
+    # Guards against descriptors that leak when an instance leaves the list of members
+    # in the moment in which another one connects to it.
+    owner, caller = fleet.in_domain()[:2]
+    client = caller.sharing.client
+    member = client._member_by_name[owner.name]
+    link = OwnerLink(
+        fleet.loop, caller.name, member, caller.fleet.keys, lambda *_: None
+    )
+    before = len([s for s in streams_to(fleet, owner) if s.is_open])
+    fleet.loop.spawn(link.connect(fleet.network))
+    link.close("the instance is gone or has restarted")
+    fleet.run(ms(100))
+    assert len([s for s in streams_to(fleet, owner) if s.is_open]) == before
