Keep the limit of cold targets where connections are not shared

Only owners keep ColdPerS. Services with enough connections for all instances do not share them, so their cold targets had no limit at all. Statements to a target with a limit in effect now lease a connection in any case.

--- a/bulrushloom/proxy/services.py
+++ b/bulrushloom/proxy/services.py
@@ -155,8 +155,12 @@
         return service.max_connections if service else 0
 
     def shared(self, target: Target) -> SharedConnections | None:
-        """Return what leases connections to a target, if they are shared."""
-        return self.sharing if self.shares(target.service) else None
+        """Return what leases connections to a target, if they are shared.
+
+        Those to a target with a hard limit are, since owners keep that limit.
+        """
+        is_shared = self.shares(target.service) or self.limits_cold_requests(target)
+        return self.sharing if is_shared else None
 
     def shares(self, service: str) -> bool:
         """Return whether the connections to the targets of a service are shared."""
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -41,6 +41,18 @@
     check_commits_told_to_clients(fleet)
 
 
+def write_for_three_seconds(fleet):
+    """Let clients of all instances write; return when statements ran."""
+    clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
+    for _ in range(30):
+        for client in clients:
+            client.received()
+            client.sent += 1
+            client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
+        fleet.run(ms(100))
+    return [run.at for run in fleet.group.runs]
+
+
 @pytest.mark.parametrize("owners_answer", [True, False])
 def test_cold_target_gets_no_more_requests_than_its_limit(owners_answer):
     # Guards against requests that pass by the owners, who share the limit.
@@ -52,14 +64,7 @@
             for member in fleet.members:
                 member.sharing.client.chooser.update_members(())
                 member.sharing.client.update_members = lambda *_: None
-        clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
-        for _ in range(30):
-            for client in clients:
-                client.received()
-                client.sent += 1
-                client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
-            fleet.run(ms(100))
-        times = [run.at for run in fleet.group.runs]
+        times = write_for_three_seconds(fleet)
         for at in times:
             assert sum(at <= other < at + SECOND for other in times) <= 4 * 1.5 + 5
         assert bool(times) is owners_answer
@@ -76,19 +81,25 @@
             )
         fleet.cold_ids.add("a")
         fleet.run(SECOND)
-        clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
-        for _ in range(30):
-            for client in clients:
-                client.received()
-                client.sent += 1
-                client.send(f"QUERY {client.request_id(client.sent)} WRITE 1 data")
-            fleet.run(ms(100))
-        times = [run.at for run in fleet.group.runs]
+        times = write_for_three_seconds(fleet)
         assert times
         for at in times:
             assert sum(at <= other < at + SECOND for other in times) <= 4
 
 
+def test_limit_of_a_cold_target_holds_without_shared_connections():
+    # Guards against a limit that only holds where connections are scarce.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, max_connections=60, cold_per_s=4)
+        assert not fleet.members[0].services.shares("orders")
+        fleet.cold_ids.add("a")
+        fleet.run(SECOND)
+        times = write_for_three_seconds(fleet)
+        assert len(times) > 10
+        for at in times:
+            assert sum(at <= other < at + SECOND for other in times) <= 4 * 1.5 + 5
+
+
 def test_target_that_is_gone_leaves_no_connections(fleet):
     # Guards against owners that keep what belongs to a target that has left.
     client = fleet.client_of(fleet.in_domain()[0], "bounded")
