Divide the limit of cold targets among all domains of the settings

An instance that has just started, or was cut off, does not know the instances of the other domains and took a larger part of the hard limit. The parts of three domains then exceed it together. Domains that region_by_domain names now count in any case, so a domain without instances leaves its part unused.

--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -84,7 +84,8 @@
             service.cold_per_s,
             settings.cold_excess,
             settings.cold_slack,
-            self._domain_count,
+            # The instances of a domain may be running although they are not known.
+            max(self._domain_count, len(settings.region_by_domain)),
         )
 
     def _connection_quota(self, target: Target) -> int:
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -87,6 +87,25 @@
             assert sum(at <= other < at + SECOND for other in times) <= 4
 
 
+def test_limit_of_a_cold_target_is_divided_among_all_domains_of_the_settings():
+    # Guards against parts that exceed the limit together, because an instance that has
+    # just started, or was cut off, does not know the instances of other domains.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, cold_per_s=4)
+        domains = dict.fromkeys(("north", "south", "west"), "region")
+        for member in fleet.members:
+            settings = member.services.settings
+            member.services.apply_settings(settings._replace(region_by_domain=domains))
+        fleet.cold_ids.add("a")
+        fleet.run(SECOND)
+        times = write_for_three_seconds(fleet)
+        part = (4 * 1.5 + 5) // 3
+        assert times
+        for at in times:
+            count = sum(at <= other < at + SECOND for other in times)
+            assert count <= 2 * part
+
+
 def test_limit_of_a_cold_target_holds_without_shared_connections():
     # Guards against a limit that only holds where connections are scarce.
     with ExitStack() as stack:
