--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -70,7 +70,7 @@
         outcomes, reasons = self.ended_by_outcome, self.refused_by_reason
         return {
             "limit": round(self.limit, 1),
-            "pace_limit": self.pace_limit if has_pace else None,
+            "pace_limit": round(self.pace_limit, 1) if has_pace else None,
             "cold_per_s": self.cold_per_s,
             "running": self.running,
             "waiting": self.waiting,
--- a/bulrushloom/proxy/sharing/schedulers.py
+++ b/bulrushloom/proxy/sharing/schedulers.py
@@ -1,6 +1,5 @@
 """Schedulers of the targets that an instance owns, sized for its domain."""
 
-import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -99,23 +98,9 @@
             for reason, count in refused.items():
                 self._metrics.count("scheduler_refused", reason.name.lower(), count)
             if state.waiting or refused:
-                self._log_state(target_id, state)
-
-    def _log_state(self, target_id: str, state: SchedulerSnapshot) -> None:
-        is_paced = math.isfinite(state.pace_limit)
-        self._log.write(
-            "scheduler_state",
-            target=target_id,
-            limit=round(state.limit, 2),
-            pace_limit=round(state.pace_limit, 2) if is_paced else None,
-            cold_per_s=state.cold_per_s,
-            running=state.running,
-            waiting=state.waiting,
-            drain_interval=state.drain_interval,
-            latency_ratio=round(state.latency_ratio, 2),
-            ended={k.value: n for k, n in state.ended_by_outcome.items()},
-            refused={k.name.lower(): n for k, n in state.refused_by_reason.items()},
-        )
+                self._log.write(
+                    "scheduler_state", target=target_id, **state.log_fields()
+                )
 
     def gauges(self) -> dict[str, float]:
         """Return the present values for the metrics, by target."""
