Lease no connections to targets in evacuated domains

An owner that knew of an evacuation still leased connections to instances that did not, and opened new ones for them. It now refuses, with the reason.

The test fails without the change: a connection is leased.

--- a/bulrushloom/proxy/base.py
+++ b/bulrushloom/proxy/base.py
@@ -73,7 +73,8 @@
     """Why an owner refused a lease.
 
     NOT_IN_TIME: the target cannot run the request in time. NO_CONNECTION: all
-    connections of the domain are in use. TOO_MANY and BUSY: the target refused another
+    connections of the domain are in use, or none may be used because the target is in
+    an evacuated domain. TOO_MANY and BUSY: the target refused another
     connection. UNREACHABLE: no connection to the target could be opened. STOPPING,
     UNKNOWN_TARGET and OVERLOADED concern the owner; another one may grant the lease.
     """
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -4,14 +4,15 @@
 from contextlib import ExitStack
 from datetime import timedelta
 
-from bulrushloom.proxy.base import SharedConnections
+from bulrushloom.proxy.base import RefusalKind, SharedConnections
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.messages import Member
 from bulrushloom.proxy.scheduling.pace import cold_part
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.sharing.client import LeaseClient
-from bulrushloom.proxy.sharing.owner import Owner, TargetEvents
+from bulrushloom.proxy.sharing.leases import LeaseRefusal
+from bulrushloom.proxy.sharing.owner import RETRY_DELAY, Owner, TargetEvents
 from bulrushloom.proxy.sharing.ownership import ShareLimiter, is_shared
 from bulrushloom.proxy.sharing.peers import PeerContext, PeerServer
 from bulrushloom.proxy.sharing.schedulers import TargetSchedulers
@@ -46,7 +47,7 @@
         self.owner = Owner(
             loop,
             services.network,
-            self._find_target,
+            self._find_usable_target,
             self._schedulers,
             self._connection_quota,
             self,
@@ -75,6 +76,21 @@
         known = self._services.table.listed_target_by_id.get(target_id)
         return known.target if known is not None else None
 
+    def _find_usable_target(self, target_id: str) -> Target | LeaseRefusal:
+        """Return a target, or why nothing new may be sent there.
+
+        An instance may ask for a target although its list does not name the evacuated
+        domain yet.
+        """
+        target = self._find_target(target_id)
+        if target is None:
+            reason = "the target is not listed here"
+            return LeaseRefusal(RefusalKind.UNKNOWN_TARGET, reason, RETRY_DELAY)
+        reason = self._services.table.evacuations.reason(target)
+        if reason:
+            return LeaseRefusal(RefusalKind.NO_CONNECTION, reason, RETRY_DELAY)
+        return target
+
     def _cold_limit(self, target: Target) -> int | None:
         if not self._services.limits_cold_requests(target):
             return None
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -265,15 +265,15 @@
 class Owner:
     """Owner of connections to all targets that this instance is asked for.
 
-    ``find_target`` returns a listed target by its id. ``connection_quota`` returns how
-    many connections to a target the owner may have.
+    ``find_target`` returns the target with an id, or why it may not be used.
+    ``connection_quota`` returns how many connections to a target the owner may have.
     """
 
     def __init__(
         self,
         loop: Loop,
         network: Network,
-        find_target: Callable[[str], Target | None],
+        find_target: Callable[[str], Target | LeaseRefusal],
         schedulers: TargetSchedulers,
         connection_quota: Callable[[Target], int],
         events: TargetEvents,
@@ -291,10 +291,8 @@
     ) -> Lease | LeaseRefusal:
         """Request a lease; ``holder`` may be called before this returns."""
         target = self._find_target(order.target_id)
-        if target is None:
-            return LeaseRefusal(
-                RefusalKind.UNKNOWN_TARGET, "the target is not listed here", RETRY_DELAY
-            )
+        if isinstance(target, LeaseRefusal):
+            return target
         owned = self._owned(target)
         if len(owned.leases) >= MAX_LEASES:
             return LeaseRefusal(
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bulrushloom.proxy.base import LeaseRefused
 from tests.proxy.builders import ms
 from tests.proxy.fleet_builders import (
     SECOND,
@@ -144,3 +145,20 @@
     assert isinstance(leasing.exception(), TimeoutError)
     fleet.run(ms(200))
     assert "a" in owner.services.suspected_targets()
+
+
+def test_owner_leases_no_connection_to_a_target_in_an_evacuated_domain(fleet):
+    # Guards against statements of an instance that hears of the evacuation later than
+    # the owner.
+    fleet.domain_by_server_id["b"] = "south"
+    fleet.run(SECOND * 3)
+    owner = fleet.owner_of("b")
+    caller = fleet.others(owner)[0]
+    target = caller.services.table.listed_target_by_id["b"].target
+    owner.services.table.evacuations.update({"south"}, fleet.loop.now())
+    steps = caller.sharing.acquire(target, "account-1", {}, 0, ms(50))
+    leasing = fleet.loop.spawn_unreported(steps)
+    fleet.run(ms(40))
+    assert isinstance(leasing.exception(), LeaseRefused)
+    assert "evacuated" in str(leasing.exception())
+    assert owner.sharing.owner.pool.size_of("b") == 0
