Keep idle connections to cold targets that are leased for their limit

Where connections are not shared otherwise, an instance did not count as the owner and closed unused connections after 250 ms, so a cold target also had to open one for most statements. The description of update_targets no longer says that connections to restarted targets are closed, which was never done.

--- a/bulrushloom/proxy/base.py
+++ b/bulrushloom/proxy/base.py
@@ -129,4 +129,4 @@
 
     @abstractmethod
     def update_targets(self, target_by_id: Mapping[str, Target]) -> None:
-        """Close what belongs to targets that are gone or have restarted."""
+        """Use the listed targets; close what belongs to those that are gone."""
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -153,7 +153,7 @@
         return self.client.in_flight(target_id)
 
     def update_targets(self, target_by_id: Mapping[str, Target]) -> None:
-        """Close what belongs to targets that are gone or have restarted."""
+        """Use the listed targets; close what belongs to those that are gone."""
         self.owner.update_targets(target_by_id)
         self.client.retain_only(target_by_id)
         self._limiter.retain_only(target_by_id)
@@ -180,8 +180,9 @@
     def _is_owner(self, target_id: str) -> bool:
         """Return whether this instance shares its connections to a target."""
         target = self._find_target(target_id)
-        is_covered = target is not None and self.covers(target.service)
-        return is_covered and self.client.is_owner(target_id)
+        if target is None or self._services.shared(target) is None:
+            return False
+        return self.client.is_owner(target_id)
 
     def _update_members(self) -> None:
         peers, services = self._fleet.peers_by_name, self._services
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -118,6 +118,9 @@
         assert len(times) > 10
         for at in times:
             assert sum(at <= other < at + SECOND for other in times) <= 4 * 1.5 + 5
+        # Otherwise the owners close their connections between the statements.
+        opened = sum(m.sharing.owner.pool.opened for m in fleet.members)
+        assert opened < len(times) / 2
 
 
 def test_target_that_is_gone_leaves_no_connections(fleet):
