Count the memory of the streams between instances

The buffers of connections between an owner and the instances that lease from it, and incomplete messages of up to 2 MiB on each of them, were outside the memory budget. They now count like connections to targets: they are paused only when the budget is used up, and are not closed for memory.

The test fails without the change: 0 bytes counted for 500,000 received.

--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -10,6 +10,7 @@
     NoOwnerAnswers,
     RefusalKind,
 )
+from bulrushloom.proxy.clients.memory_budget import MemoryBudget
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.connections import ServerConnection
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
@@ -91,7 +92,8 @@
     """Requests leases from the owners of the domain, this instance among them.
 
     ``keys`` returns the exchange keys, ``None`` if there are none yet. ``reports`` gets
-    the loads of targets that their owners tell.
+    the loads of targets that their owners tell. ``memory`` counts the buffers of the
+    connections to owners.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         log: EventLog,
         metrics: Metrics,
         reports: LoadReports,
+        memory: MemoryBudget,
     ):
         self._loop = loop
         self._network = network
@@ -115,6 +118,7 @@
         self._member_by_name: dict[str, Member] = {}
         self._link_by_name: dict[str, OwnerLink] = {}
         self._reports = reports
+        self._memory = memory
         self._last_owner_by_target: dict[str, str] = {}
         self.chooser = OwnerChooser()
 
@@ -250,7 +254,9 @@
         member, keys = self._member_by_name.get(name), self._keys()
         if member is None or keys is None:
             return None
-        link = OwnerLink(self._loop, self._own.name, member, keys, self._record_load)
+        link = OwnerLink(
+            self._loop, self._own.name, member, keys, self._record_load, self._memory
+        )
         self._link_by_name[name] = link
         self._loop.spawn(self._connect(link))
         return link
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -62,9 +62,13 @@
             services.log,
             services.metrics,
             services.router.loads,
+            services.memory,
         )
         context = PeerContext(
-            member.name, lambda: fleet.keys, lambda: services.is_stopping
+            member.name,
+            lambda: fleet.keys,
+            lambda: services.is_stopping,
+            services.memory,
         )
         self.peers = PeerServer(
             loop, self.owner, context, services.log, services.metrics
--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bulrushloom.proxy.base import LeaseRefused, RefusalKind
+from bulrushloom.proxy.clients.memory_budget import AccountKind, MemoryBudget
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
 from bulrushloom.proxy.exchange.messages import Member
@@ -76,6 +77,7 @@
         member: Member,
         keys: ExchangeKeys,
         on_load: Callable[[str, WireLoad], None],
+        memory: MemoryBudget,
     ):
         self._loop = loop
         self._hello = Hello(
@@ -85,6 +87,7 @@
         self._on_load = on_load
         self._frames = FrameReader()
         self._stream: Stream | None = None
+        self._account = memory.open_account(AccountKind.TARGET)
         self._numbers = itertools.count(1)
         self._pending_by_number: dict[int, _PendingLease] = {}
         self._connection_by_number: dict[int, RemoteConnection] = {}
@@ -112,6 +115,7 @@
                 stream.close(self.closed_reason)
                 return
             self._stream = stream
+            stream.limit_memory(self._account)
             stream.on_data(self._on_data)
             self.send(self._hello)
             yield self._loop.wait_for(self.ready, deadline - self._loop.now())
@@ -149,6 +153,7 @@
         self.closed_reason = reason or "closed"
         if self._stream is not None:
             self._stream.close(reason)
+        self._account.close()
         error = OwnerUnavailable(reason)
         set_exception_if_pending(self.ready, error)
         self._fail_pending(reason)
@@ -173,6 +178,7 @@
                 self._record_heard()
         except (PeerProtocolError, msgspec.DecodeError) as error:
             self.close(f"protocol error: {error}")
+        self._account.set_held(self._frames.buffered_bytes)
         if stream.at_eof:
             self.close(stream.closed_reason or "closed by the owner")
 
--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bulrushloom.proxy.base import RefusalKind
+from bulrushloom.proxy.clients.memory_budget import AccountKind, MemoryBudget
 from bulrushloom.proxy.connections import ServerConnection
 from bulrushloom.proxy.exchange.keys import ExchangeKeys
 from bulrushloom.proxy.messages import LogPosition, ServerAnswer
@@ -84,6 +85,8 @@
         self._nonce = new_nonce()
         self._lease_by_number: dict[int, Lease] = {}
         self.is_authenticated = False
+        self._account = server.memory.open_account(AccountKind.TARGET)
+        stream.limit_memory(self._account)
         stream.on_data(self._on_data)
 
     @property
@@ -99,6 +102,7 @@
     def close(self, reason: str) -> None:
         """Close the connection and end its leases."""
         self._stream.close(reason)
+        self._account.close()
         leases, self._lease_by_number = self._lease_by_number, {}
         for lease in leases.values():
             lease.abandon(reason)
@@ -121,6 +125,7 @@
         except (PeerProtocolError, msgspec.DecodeError) as error:
             self._server.record_rejected(self.name, str(error))
             self.close(f"protocol error: {error}")
+        self._account.set_held(self._frames.buffered_bytes)
         if self._stream.at_eof:
             self.close(self._stream.closed_reason or "closed by the peer")
 
@@ -280,6 +285,7 @@
     name: str
     keys: Callable[[], ExchangeKeys | None]
     is_stopping: Callable[[], bool]
+    memory: MemoryBudget
 
 
 class PeerServer:
@@ -295,7 +301,7 @@
     ):
         self.loop = loop
         self.owner = owner
-        self.name, self.keys, self.is_stopping = context
+        self.name, self.keys, self.is_stopping, self.memory = context
         self.metrics = metrics
         self._log = log
         self._peers: set[PeerSession] = set()
--- a/bulrushloom/proxy/sharing/protocol.py
+++ b/bulrushloom/proxy/sharing/protocol.py
@@ -214,6 +214,11 @@
         self.max_bytes = MAX_HANDSHAKE_BYTES
         self._buffer = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of what was received of an incomplete frame."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Add received bytes."""
         self._buffer += data
--- a/tests/proxy/sharing/test_owner_failures.py
+++ b/tests/proxy/sharing/test_owner_failures.py
@@ -191,7 +191,12 @@
     client = caller.sharing.client
     member = client._member_by_name[owner.name]
     link = OwnerLink(
-        fleet.loop, caller.name, member, caller.fleet.keys, lambda *_: None
+        fleet.loop,
+        caller.name,
+        member,
+        caller.fleet.keys,
+        lambda *_: None,
+        caller.services.memory,
     )
     before = len([s for s in streams_to(fleet, owner) if s.is_open])
     fleet.loop.spawn(link.connect(fleet.network))
--- a/tests/proxy/sharing/test_peers.py
+++ b/tests/proxy/sharing/test_peers.py
@@ -170,6 +170,19 @@
     check_still_serving(fleet)
 
 
+def test_memory_of_peers_counts_until_they_are_gone(fleet):
+    # Guards against messages of many peers that exceed the memory of an owner.
+    peer = Peer(fleet)
+    memory = peer.owner.services.memory
+    peer.authenticate()
+    before = memory.used
+    peer.send(MAX_FRAME_BYTES.to_bytes(4, "big") + bytes(500_000))
+    assert memory.used >= before + 500_000
+    peer.stream.close()
+    fleet.run(ms(10))
+    assert memory.used == before
+
+
 def test_messages_about_unknown_leases_are_ignored(fleet):
     # Guards against late messages about a lease that the owner has ended.
     peer = Peer(fleet)
