Keep the cold limit until the entry of a restarted target is known

Copies of the list of targets are up to 3.5 s old. A target that restarted was used without its hard limit until the next copy said that it was cold. An owner whose connection was refused because no process listens now applies the limit for 5 s, or until it knows the new entry. Other failures do not count: they would limit a busy primary that is not cold.

--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -19,6 +19,9 @@
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream
 
+# After a restart, an instance learns of the new entry within this time: copies of the
+# list are up to 3.5 s old, and the last attempt to connect was some time before.
+RESTART_NOTICE_TIME = timedelta(seconds=5)
 CHECK_INTERVAL = timedelta(milliseconds=50)
 # Sessions abort a transaction that pauses for too long. A lease that is unused for this
 # much longer belongs to an instance that is frozen.
@@ -36,6 +39,7 @@
         self._peers_by_name: Mapping[str, Member] | None = None
         self._was_stopping = False
         self._domain_count = 1
+        self._down_by_target: dict[str, tuple[int, timedelta]] = {}
         self._limiter = ShareLimiter()
         self._schedulers = TargetSchedulers(
             lambda: self._domain_count,
@@ -96,9 +100,11 @@
         return target
 
     def _cold_limit(self, target: Target) -> int | None:
-        if not self._services.limits_cold_requests(target):
+        service = self._services.configuration.service_by_name.get(target.service)
+        if service is None or service.cold_per_s <= 0:
+            return None
+        if target.cold_left <= timedelta() and not self._may_have_restarted(target):
             return None
-        service = self._services.configuration.service_by_name[target.service]
         settings = self._services.settings
         return cold_part(
             service.cold_per_s,
@@ -108,6 +114,16 @@
             max(self._domain_count, len(settings.region_by_domain)),
         )
 
+    def _may_have_restarted(self, target: Target) -> bool:
+        """Return whether a target was down and its new entry is not known yet.
+
+        Answers a cold target that is flooded before the list says that it is cold.
+        """
+        born_ms, down_at = self._down_by_target.get(target.target_id, (-1, timedelta()))
+        if target.born_ms != born_ms:
+            return False
+        return self._loop.now() - down_at < RESTART_NOTICE_TIME
+
     def _connection_quota(self, target: Target) -> int:
         return self._limiter.allowance(
             target.target_id,
@@ -116,9 +132,12 @@
             self._loop.now(),
         )
 
-    def on_unreachable(self, target: Target, reason: str) -> None:
+    def on_unreachable(self, target: Target, reason: str, is_down: bool) -> None:
         """Suspect a target to which no connection could be opened."""
         self._services.report_failure(target, reason)
+        if is_down:
+            self._down_by_target[target.target_id] = (target.born_ms, self._loop.now())
+            self._schedulers.adapt(target)
 
     def on_too_many(self, target: Target) -> None:
         """Reduce the share of this owner."""
@@ -161,6 +180,8 @@
         self.owner.update_targets(target_by_id)
         self.client.retain_only(target_by_id)
         self._limiter.retain_only(target_by_id)
+        for target_id in self._down_by_target.keys() - target_by_id.keys():
+            del self._down_by_target[target_id]
 
     # Peers and upkeep
 
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -61,8 +61,11 @@
         """Record that a target had too many connections."""
 
     @abstractmethod
-    def on_unreachable(self, target: Target, reason: str) -> None:
-        """Record that a connection to a target could not be opened."""
+    def on_unreachable(self, target: Target, reason: str, is_down: bool) -> None:
+        """Record that a connection to a target could not be opened.
+
+        With ``is_down``, no process listens at its address.
+        """
 
 
 class OwnedTarget:
@@ -202,7 +205,7 @@
         except ConnectionRejected as error:
             self._fail_rejected(lease, error)
         except ConnectionLost as error:
-            self._events.on_unreachable(self.target, str(error))
+            self._events.on_unreachable(self.target, str(error), error.refused)
             lease.fail_to_open(
                 LeaseRefusal(RefusalKind.UNREACHABLE, str(error), RETRY_DELAY)
             )
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -107,6 +107,45 @@
             assert count <= 2 * part
 
 
+def test_limit_holds_before_the_list_says_that_a_restarted_target_is_cold():
+    # Guards against a flood between the start of a target and the next copy of the
+    # list, which may be some seconds later.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, cold_per_s=4)
+        fleet.run(SECOND * 4)
+        clients = [
+            fleet.client_of(m, "bounded", number=n) for n, m in enumerate(fleet.members)
+        ]
+
+        def read(duration):
+            end = fleet.loop.now() + duration
+            while fleet.loop.now() < end:
+                for client in clients:
+                    client.received()
+                    client.sent += 1
+                    client.send(f"QUERY {client.request_id(client.sent)} READ 1")
+                fleet.run(ms(100))
+
+        read(SECOND)
+        fleet.crash("b")
+        read(SECOND * 3)
+        server = fleet.group.server_by_id["b"]
+        server.drops_replication = False
+        server.born_ms += 100_000
+        fleet.cold_ids.add("b")
+        fleet.network.accept_by_address[server.address] = server.accept
+        started_at = fleet.loop.now()
+        read(SECOND * 3)
+        times = [
+            query.at
+            for query in fleet.group.queries
+            if query.server == "b" and query.at > started_at and "READ" in query.text
+        ]
+        assert times
+        for at in times:
+            assert sum(at <= other < at + SECOND for other in times) <= 4 * 1.5 + 5
+
+
 def test_limit_of_a_cold_target_holds_without_shared_connections():
     # Guards against a limit that only holds where connections are scarce.
     with ExitStack() as stack:
