Lease connections for large statements to cold targets

Statements above 64 KiB use direct connections, which may not be used to a target with a hard limit. They were refused as long as the primary was cold.

The test fails without the change: "the target has just started".

--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -76,12 +76,13 @@
         sharing = services.shared(target)
         is_small = len(attempt.statement.text) <= MAX_SHARED_STATEMENT_BYTES
         if sharing is not None:
-            if is_small:
+            # Only owners keep the limit of all instances together.
+            needs_owner = services.limits_cold_requests(target)
+            if is_small or needs_owner:
                 leased = yield from self._lease(sharing, target, attempt)
                 if leased is not None:
                     return leased
-            if services.limits_cold_requests(target):
-                # Only owners keep the limit of all instances together.
+            if needs_owner:
                 raise NotOffered(
                     target, "the target has just started", COLD_RETRY_DELAY
                 )
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -107,6 +107,20 @@
             assert count <= 2 * part
 
 
+def test_large_statement_is_served_by_a_cold_target():
+    # Guards against large statements that are refused as long as the primary is cold,
+    # since they have no other connection.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, cold_per_s=4)
+        fleet.cold_ids.add("a")
+        fleet.run(SECOND)
+        client = fleet.client_of(fleet.others(fleet.owner_of("a"))[0])
+        client.query("WRITE 1 data")
+        fleet.run(SECOND * 2)
+        answer = client.query(f"WRITE 2 {'x' * 100_000}")
+        assert answer[0].startswith("DONE")
+
+
 def test_limit_holds_before_the_list_says_that_a_restarted_target_is_cold():
     # Guards against a flood between the start of a target and the next copy of the
     # list, which may be some seconds later.
