Drop the scheduler of a target that is owned elsewhere

An instance kept the scheduler of a target that it had owned for a while. When it took over again, it did not wait for what the other owner had just sent to a cold target, and used old latencies. The metrics also listed such targets as owned. A scheduler without leases is now dropped 2 s after the last request, unless the instance is the owner by its own view.

The test fails without the change: the former owner still has a load.

--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -43,6 +43,10 @@
 # An instance that is not the owner of a target by its own view keeps unused connections
 # for this long, for instances that have another view.
 FORMER_OWNER_IDLE_TIME = timedelta(milliseconds=250)
+# It drops the scheduler of a target that nobody has asked for during this time, so that
+# it does not rely on old measurements, and on what it sent itself under a hard limit,
+# when it becomes the owner again.
+FORMER_OWNER_LIFETIME = timedelta(seconds=2)
 _ZERO = timedelta()
 _REFUSAL_KIND_BY_CODE = {
     AnswerCode.TOO_MANY_CONNECTIONS: RefusalKind.TOO_MANY,
@@ -91,6 +95,7 @@
         self.target = target
         self.scheduler = scheduler
         self.leases: set[Lease] = set()
+        self.requested_at = loop.now()
 
     def now(self) -> timedelta:
         """Return the monotonic time."""
@@ -98,6 +103,7 @@
 
     def request(self, order: LeaseOrder, holder: LeaseHolder, number: int) -> Lease:
         """Request a lease; ``holder`` may be called before this returns."""
+        self.requested_at = self._loop.now()
         lease = Lease(self, order, holder, number)
         self.leases.add(lease)
         self._submit(lease, order.priority, order.start_deadline)
@@ -342,8 +348,11 @@
             else:
                 self.pool.close_idle_connections(target_id, "the target is gone")
                 if not owned.leases:
-                    del self._owned_by_id[target_id]
-                    self._schedulers.forget(target_id)
+                    self._forget(target_id)
+
+    def _forget(self, target_id: str) -> None:
+        del self._owned_by_id[target_id]
+        self._schedulers.forget(target_id)
 
     def check(self, idle_limit: timedelta, is_owner: Callable[[str], bool]) -> None:
         """Check leases and unused connections; called at short intervals.
@@ -352,9 +361,13 @@
         are closed if there are more than the quota, or if ``is_owner`` is false.
         """
         now = self._loop.now()
-        for owned in self._owned_by_id.values():
+        for target_id, owned in list(self._owned_by_id.items()):
             if owned.leases:
                 owned.check(now, idle_limit)
+            elif not is_owner(target_id) and (
+                now - owned.requested_at > FORMER_OWNER_LIFETIME
+            ):
+                self._forget(target_id)
         for target_id in self.pool.target_ids():
             owned_target = self._owned_by_id.get(target_id)
             if owned_target is not None:
--- a/tests/proxy/sharing/test_owner_failures.py
+++ b/tests/proxy/sharing/test_owner_failures.py
@@ -203,3 +203,23 @@
     link.close("the instance is gone or has restarted")
     fleet.run(ms(100))
     assert len([s for s in streams_to(fleet, owner) if s.is_open]) == before
+
+
+def test_former_owner_drops_its_scheduler(fleet):
+    # Guards against an owner that takes over a second time and relies on old state: it
+    # does not know what the other owner has just sent to a cold target.
+    owner = fleet.owner_of("a")
+    clients = [fleet.client_of(member) for member in fleet.others(owner)]
+    fleet.kill(owner)
+    fleet.run(ms(300))
+    warm_up(fleet, clients)
+    (second,) = [m for m in fleet.others(owner) if m.sharing.owner.load("a")]
+    successor = fleet.restart(owner)
+    fleet.share(successor)
+    for _ in range(3):
+        # The first statements connect to the owner that has returned.
+        fleet.run(SECOND * 3)
+        warm_up(fleet, clients)
+    assert successor.sharing.owner.load("a")
+    assert second.sharing.owner.load("a") is None
+    assert not any("waiting" in name for name in second.services.metrics.gauges)
