Wait between attempts of an owner to connect to a full target

An owner without a connection to a target that holds orphaned ones opened one for each request, and had each rejected, one after the other. Direct connections wait 250 ms after a rejection; owners now do the same. Requests meanwhile are refused with the time that is left, and callers with less time are refused at once.

--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -132,6 +132,7 @@
         Raise ``NotOffered``.
         """
         now = self._loop.now()
+        deadline = attempt.lease_deadline(now)
         try:
             return (
                 yield from sharing.acquire(
@@ -139,7 +140,7 @@
                     attempt.account,
                     self._values,
                     attempt.route.priority,
-                    attempt.lease_deadline(now) - now,
+                    deadline - now,
                 )
             )
         except NoOwnerAnswers:
@@ -148,11 +149,12 @@
             raise NotOffered(target, "no connection was leased in time") from error
         except LeaseRefused as error:
             self._record_refusal(target, error)
+            is_full = error.kind is RefusalKind.TOO_MANY
+            is_too_late = error.kind is RefusalKind.NOT_IN_TIME or (
+                is_full and self._loop.now() + error.retry_after > deadline
+            )
             raise NotOffered(
-                target,
-                str(error),
-                error.retry_after,
-                error.kind is RefusalKind.NOT_IN_TIME,
+                target, str(error), error.retry_after, is_too_late
             ) from error
 
     def _record_refusal(self, target: Target, refusal: LeaseRefused) -> None:
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -36,6 +36,9 @@
 # Time that a statement of an open transaction may wait for a place.
 TRANSACTION_WAIT = timedelta(milliseconds=200)
 RETRY_DELAY = timedelta(milliseconds=15)
+# An owner without a connection to a target that rejected one opens the next after this
+# time. All requests that wait would otherwise be rejected one after the other.
+FULL_TIME = timedelta(milliseconds=250)
 STOPPING_RETRY_DELAY = timedelta(milliseconds=1)
 # Leases and requests for one at one target. Schedulers refuse much earlier.
 MAX_LEASES = 1000
@@ -92,6 +95,7 @@
         self._is_pumping = False
         self._timer: Timer | None = None
         self._timer_at = timedelta.max
+        self._full_until = timedelta()
         self.target = target
         self.scheduler = scheduler
         self.leases: set[Lease] = set()
@@ -188,8 +192,13 @@
         connection = self._pool.acquire_idle(
             order.target_id, order.account, order.values
         )
+        full_for = self._full_until - self._loop.now()
         if connection is not None:
             lease.grant(connection, self._loop.now())
+        elif full_for > _ZERO and not self._pool.size_of(order.target_id):
+            reason = "the target has too many connections"
+            refusal = LeaseRefusal(RefusalKind.TOO_MANY, reason, full_for)
+            lease.fail_to_open(refusal, WorkOutcome.UNUSED)
         else:
             self._loop.spawn(self._open_for(lease))
 
@@ -225,6 +234,7 @@
     def _fail_rejected(self, lease: Lease, error: ConnectionRejected) -> None:
         code = error.failure.code
         if code is AnswerCode.TOO_MANY_CONNECTIONS:
+            self._full_until = self._loop.now() + FULL_TIME
             self._events.on_too_many(self.target)
         kind = _REFUSAL_KIND_BY_CODE.get(code, RefusalKind.UNREACHABLE)
         outcome = {
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -12,7 +12,11 @@
     check_commits_told_to_clients,
     write_until_served,
 )
-from tests.proxy.sharing.builders import SharingFleet, check_no_statement_ran_twice
+from tests.proxy.sharing.builders import (
+    MAX_CONNECTIONS,
+    SharingFleet,
+    check_no_statement_ran_twice,
+)
 
 
 @pytest.fixture
@@ -176,6 +180,22 @@
         assert opened < len(times) / 2
 
 
+def test_full_target_gets_few_attempts_to_connect(fleet):
+    # Guards against owners that let a target reject a connection for each request, for
+    # as long as it holds those of hosts that lost power.
+    server = fleet.group.server_by_id["a"]
+    server.max_connections = 0
+    opened_before = fleet.opened()
+    write_for_three_seconds(fleet)
+    # Two owners, one attempt every 250 ms.
+    assert 6 <= fleet.opened() - opened_before <= 2 * 3 * 4 + 4
+    assert not fleet.run_ids()
+    server.max_connections = MAX_CONNECTIONS
+    fleet.run(ms(300))
+    client = fleet.client_of(fleet.members[0])
+    assert client.query("WRITE 1 data")[0].startswith("DONE")
+
+
 def test_target_that_is_gone_leaves_no_connections(fleet):
     # Guards against owners that keep what belongs to a target that has left.
     client = fleet.client_of(fleet.in_domain()[0], "bounded")
