Do not count failed attempts to connect to a cold target

The limit counts statements, and a connection that could not be opened has sent none. While a target was down, failed attempts used up the limit that holds until its new entry is known, and callers were told to return later instead of waiting for another primary. The simulation of schedulers now says when a request is sent, as owners do.

--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -230,9 +230,6 @@
         if request_id in self._unsent_ids:
             self._unsent_ids.remove(request_id)
             self._cold_rate.end_reservation()
-            if outcome is not WorkOutcome.UNUSED:
-                # The attempt to connect may have reached the target.
-                self._cold_rate.record(now)
         self._ended_by_outcome[outcome] += 1
         if outcome is WorkOutcome.SERVED:
             self._drain.record_end(now, bool(self._waiting))
--- a/tests/proxy/scheduling/simulation.py
+++ b/tests/proxy/scheduling/simulation.py
@@ -103,6 +103,7 @@
         for request_id in [] if is_down else scheduler.admit(self.now):
             operation = self._operation_by_id[request_id]
             operation.sent_at = self.now
+            scheduler.record_sent(request_id, self.now)
             self._used_connections[domain] += 1
             is_new = self._used_connections[domain] > self.open_connections[domain]
             self.open_connections[domain] += is_new
--- a/tests/proxy/scheduling/test_pace.py
+++ b/tests/proxy/scheduling/test_pace.py
@@ -175,14 +175,16 @@
             request = WorkRequest(request_id, "hotel", 0, ms(0), ms(90_000))
             assert scheduler.submit(request, ms(0)) is None
 
-    def test_requests_that_were_not_sent_leave_their_part_to_others(self):
+    @pytest.mark.parametrize("outcome", [WorkOutcome.UNUSED, WorkOutcome.FAILED])
+    def test_requests_that_were_not_sent_leave_their_part_to_others(self, outcome):
         # Guards against a cold target that gets a fifth of its limit, because requests
-        # without a free connection give back their places and are admitted again.
+        # without a free connection give back their places and are admitted again, and
+        # against callers that are told to return later while a target is down.
         scheduler = self.admit_two()
         self.submit(scheduler, 3, 4)
         assert scheduler.admit(ms(10)) == []
         for request_id in (1, 2):
-            scheduler.finish(request_id, WorkOutcome.UNUSED, None, ms(20))
+            scheduler.finish(request_id, outcome, None, ms(20))
         assert scheduler.admit(ms(20)) == [3, 4]
 
     def test_limit_counts_from_the_time_of_sending(self):
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -125,6 +125,24 @@
         assert answer[0].startswith("DONE")
 
 
+def test_primary_of_a_service_with_a_limit_for_cold_targets_is_replaced():
+    # Guards against a limit that keeps a failure of the primary from being noticed.
+    with ExitStack() as stack:
+        fleet = SharingFleet(stack, cold_per_s=4)
+        clients = [fleet.client_of(m, number=n) for n, m in enumerate(fleet.members)]
+        for client in clients:
+            assert client.query("WRITE 1 data")[0].startswith("DONE")
+        fleet.crash("a")
+        for client in clients:
+            client.sent += 1
+            client.send(f"QUERY {client.request_id(client.sent)} WRITE 2 data")
+        assert write_until_served(fleet, clients[0]) < SECOND * 6
+        assert len(fleet.promotion.orders) == 1
+        check_no_statement_ran_twice(fleet)
+        check_acknowledged_commits(fleet)
+        check_commits_told_to_clients(fleet)
+
+
 def test_limit_holds_before_the_list_says_that_a_restarted_target_is_cold():
     # Guards against a flood between the start of a target and the next copy of the
     # list, which may be some seconds later.
