Give no log position with a refusal by an owner

When an owner refuses a further statement of a transaction, it made up an answer with the last position that the connection had. The caller's instance recorded it as the position of the primary at the time of sending, although others may have committed since. Replicas then seemed to have applied enough, and a read could miss an acknowledged commit. The answer has no position now.

The test fails without the change: the answer has the old position.

--- a/bulrushloom/proxy/sharing/leases.py
+++ b/bulrushloom/proxy/sharing/leases.py
@@ -11,6 +11,7 @@
 from bulrushloom.proxy.base import RefusalKind
 from bulrushloom.proxy.connections import ServerConnection
 from bulrushloom.proxy.messages import (
+    NO_POSITION,
     AnswerCode,
     Failure,
     LogPosition,
@@ -197,8 +198,10 @@
             return
         self._unsent.popleft()
         failure = Failure(AnswerCode.NOT_RUN, refusal.reason, refusal.retry_after)
-        connection = self.connection
-        answer = ServerAnswer((), b"", failure, connection.state, connection.position)
+        # The last position of the connection may be old, and a position in an answer
+        # counts as that of the target when the statement was sent.
+        state = self.connection.state
+        answer = ServerAnswer((), b"", failure, state, NO_POSITION)
         self.holder.on_answer(self, answer)
         self._send_unsent()
         self._release_if_final()
--- a/tests/proxy/sharing/test_lease.py
+++ b/tests/proxy/sharing/test_lease.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from bulrushloom.proxy.base import RefusalKind
 from bulrushloom.proxy.messages import (
     NO_POSITION,
     AnswerCode,
     Failure,
+    LogPosition,
     ServerAnswer,
     TransactionState,
 )
@@ -19,6 +21,7 @@
     FinalState,
     Lease,
     LeaseOrder,
+    LeaseRefusal,
 )
 from tests.proxy.builders import ms
 
@@ -132,6 +135,18 @@
     assert lease.connection.texts == [b"READ 1", b"WRITE 2", b"ROLLBACK"]
 
 
+def test_refusal_of_a_statement_has_no_position(lease):
+    # Guards against a read that misses commits, because the position that a connection
+    # had long ago was taken for that of the primary at the time of the refusal.
+    lease.check(PLACE_IDLE_LIMIT + ms(1), IDLE_LIMIT)
+    lease.connection.position = LogPosition(1, 5)
+    lease.query(b"1", b"WRITE 1", None)
+    lease.refuse(LeaseRefusal(RefusalKind.NOT_IN_TIME, "too late", ms(10)))
+    (answer,) = lease.holder.answers
+    assert answer.failure.code is AnswerCode.NOT_RUN
+    assert answer.position is NO_POSITION
+
+
 def test_only_statements_with_a_place_count_as_sent(lease):
     # Guards against a hard limit that counts requests which were never sent, or misses
     # what was sent later.
