Keep a target suspected when its owner refuses a statement

Any answer cleared the suspicion of a target, also the refusal of a statement that its owner never sent. While a target did not answer, transactions could thus hide its failure. Refusals without a log position come from owners and no longer count as a sign of the target.

The test fails without the change: no target is suspected.

--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, PermitEnded
@@ -310,9 +311,13 @@
     ) -> None:
         services, now = self._services, self._loop.now()
         services.record_answer_position(target, answer, sent_at)
-        services.clear_suspicion(target.target_id)
         health = services.router.health(target.target_id)
         code = answer.failure.code if answer.failure else None
+        is_from_owner = code is AnswerCode.NOT_RUN and isinstance(
+            answer.position, Missing
+        )
+        if not is_from_owner:
+            services.clear_suspicion(target.target_id)
         if code is None:
             health.record_success(now, now - sent_at)
             health.record_caught_up()
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -5,6 +5,15 @@
 import pytest
 
 from bulrushloom.proxy.base import LeaseRefused
+from bulrushloom.proxy.dispatch import Dispatcher
+from bulrushloom.proxy.messages import (
+    NO_POSITION,
+    AnswerCode,
+    Failure,
+    LogPosition,
+    ServerAnswer,
+    TransactionState,
+)
 from tests.proxy.builders import ms
 from tests.proxy.fleet_builders import (
     SECOND,
@@ -256,3 +265,20 @@
     assert isinstance(leasing.exception(), LeaseRefused)
     assert "evacuated" in str(leasing.exception())
     assert owner.sharing.owner.pool.size_of("b") == 0
+
+
+def test_refusal_by_an_owner_is_no_sign_of_a_working_target(fleet):
+    # Guards against a failure that is not noticed, because the owner refuses further
+    # statements of transactions while the target does not answer.
+    services = fleet.members[0].services
+    target = services.table.listed_target_by_id["a"].target
+    services.report_failure(target, "no answer")
+    refusal = ServerAnswer(
+        (), b"", Failure(AnswerCode.NOT_RUN, "late"), TransactionState.OPEN, NO_POSITION
+    )
+    dispatcher = Dispatcher(services, None, {})
+    dispatcher._record_answer(target, refusal, fleet.loop.now())
+    assert services.suspected_targets() == {"a"}
+    answer = refusal._replace(position=LogPosition(1, 0))
+    dispatcher._record_answer(target, answer, fleet.loop.now())
+    assert not services.suspected_targets()
