--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
 from bulrushloom.proxy.admission import Admission
 from bulrushloom.proxy.attempts import AnswerLost, Attempt, NotOffered, PermitEnded
@@ -76,12 +77,13 @@
         sharing = services.shared(target)
         is_small = len(attempt.statement.text) <= MAX_SHARED_STATEMENT_BYTES
         if sharing is not None:
-            if is_small:
+            # Only owners keep the limit of all instances together.
+            needs_owner = services.limits_cold_requests(target)
+            if is_small or needs_owner:
                 leased = yield from self._lease(sharing, target, attempt)
                 if leased is not None:
                     return leased
-            if services.limits_cold_requests(target):
-                # Only owners keep the limit of all instances together.
+            if needs_owner:
                 raise NotOffered(
                     target, "the target has just started", COLD_RETRY_DELAY
                 )
@@ -131,6 +133,7 @@
         Raise ``NotOffered``.
         """
         now = self._loop.now()
+        deadline = attempt.lease_deadline(now)
         try:
             return (
                 yield from sharing.acquire(
@@ -138,7 +141,7 @@
                     attempt.account,
                     self._values,
                     attempt.route.priority,
-                    attempt.lease_deadline(now) - now,
+                    deadline - now,
                 )
             )
         except NoOwnerAnswers:
@@ -147,11 +150,12 @@
             raise NotOffered(target, "no connection was leased in time") from error
         except LeaseRefused as error:
             self._record_refusal(target, error)
+            is_full = error.kind is RefusalKind.TOO_MANY
+            is_too_late = error.kind is RefusalKind.NOT_IN_TIME or (
+                is_full and self._loop.now() + error.retry_after > deadline
+            )
             raise NotOffered(
-                target,
-                str(error),
-                error.retry_after,
-                error.kind is RefusalKind.NOT_IN_TIME,
+                target, str(error), error.retry_after, is_too_late
             ) from error
 
     def _record_refusal(self, target: Target, refusal: LeaseRefused) -> None:
@@ -307,9 +311,13 @@
     ) -> None:
         services, now = self._services, self._loop.now()
         services.record_answer_position(target, answer, sent_at)
-        services.clear_suspicion(target.target_id)
         health = services.router.health(target.target_id)
         code = answer.failure.code if answer.failure else None
+        is_from_owner = code is AnswerCode.NOT_RUN and isinstance(
+            answer.position, Missing
+        )
+        if not is_from_owner:
+            services.clear_suspicion(target.target_id)
         if code is None:
             health.record_success(now, now - sent_at)
             health.record_caught_up()
--- a/bulrushloom/proxy/exchange/directory.py
+++ b/bulrushloom/proxy/exchange/directory.py
@@ -1,8 +1,8 @@
 """Encoding of the directory, which instances copy over HTTP.
 
-The directory has the targets, the members and the evacuated domains. It does not fit a
-datagram in a large fleet and rarely changes. Reports carry its version only, and an
-instance that has another one copies the content.
+The directory has the targets, the members, the evacuated domains and which targets are
+cold. It does not fit a datagram in a large fleet and rarely changes. Reports carry its
+version only, and an instance that has another one copies the content.
 """
 
 from collections.abc import Mapping
@@ -20,10 +20,11 @@
 from bulrushloom.proxy.exchange.messages import Directory, Member
 from bulrushloom.runtime.streams import split_address
 
-# Unit of the time for which a target stays cold. A finer one would give the directory a
-# new version with each heartbeat.
-COLD_UNIT = timedelta(seconds=1)
 MAX_ENTRIES = Meta(max_length=20_000)
+# Stands for any time that a cold target has left. The time itself changes with each
+# heartbeat, and each change would make all instances copy the directory.
+STILL_COLD = timedelta(milliseconds=1)
+_ZERO = timedelta()
 
 
 class _WireTarget(
@@ -37,13 +38,13 @@
     is_draining: bool
     claims_primary: bool
     born_ms: Count
-    cold_units: Annotated[int, Meta(ge=0, le=10_000)]
 
 
 class _WireDirectory(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     targets: Annotated[list[_WireTarget], MAX_ENTRIES]
     members: Annotated[list[WireMember], MAX_ENTRIES]
     evacuated: Annotated[list[Name], MAX_ENTRIES] = []
+    cold: Annotated[list[Name], MAX_ENTRIES] = []
 
 
 def make_directory(
@@ -54,11 +55,13 @@
 ) -> Directory:
     """Return a directory with the version of its content.
 
-    The fields of a target that change with each heartbeat are left out, and the time
-    for which it stays cold is rounded up.
+    The fields of a target that change with each heartbeat are left out; of
+    ``cold_left``, only whether it is above 0 is kept.
     """
     targets = {
-        target_id: target._replace(cold_left=_rounded_up(target.cold_left), revision=0)
+        target_id: target._replace(
+            cold_left=STILL_COLD if target.cold_left > _ZERO else _ZERO, revision=0
+        )
         for target_id, target in target_by_id.items()
     }
     directory = Directory(
@@ -80,16 +83,18 @@
             target.is_draining,
             target.claims_primary,
             target.born_ms,
-            target.cold_left // COLD_UNIT,
         ]
         for _, target in sorted(directory.target_by_id.items())
     ]
     members = [list(m) for _, m in sorted(directory.member_by_name.items())]
     content: dict[str, list[Any]] = {"targets": targets, "members": members}
+    # Earlier releases reject a directory with further keys, so each is added only when
+    # there is something to say.
     if directory.evacuated_domains:
-        # Earlier releases reject a directory with further keys, so it is added only
-        # when there is something to say.
         content["evacuated"] = sorted(directory.evacuated_domains)
+    cold = [t.target_id for t in directory.target_by_id.values() if t.cold_left > _ZERO]
+    if cold:
+        content["cold"] = sorted(cold)
     return orjson.dumps(content)
 
 
@@ -103,6 +108,7 @@
             split_address(address)
     except ValueError as error:
         return Missing(f"malformed directory: {error}")
+    cold = frozenset(wire.cold)
     targets = {
         wire_target.target_id: Target(
             target_id=wire_target.target_id,
@@ -112,7 +118,7 @@
             slots=wire_target.slots,
             is_draining=wire_target.is_draining,
             claims_primary=wire_target.claims_primary,
-            cold_left=wire_target.cold_units * COLD_UNIT,
+            cold_left=STILL_COLD if wire_target.target_id in cold else _ZERO,
             born_ms=wire_target.born_ms,
             revision=0,
         )
@@ -120,7 +126,3 @@
     }
     members = {member.name: Member(*member) for member in wire.members}
     return make_directory(listed_at, targets, members, frozenset(wire.evacuated))
-
-
-def _rounded_up(cold_left: timedelta) -> timedelta:
-    return -(-cold_left // COLD_UNIT) * COLD_UNIT
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -36,6 +36,9 @@
 # Time that a statement of an open transaction may wait for a place.
 TRANSACTION_WAIT = timedelta(milliseconds=200)
 RETRY_DELAY = timedelta(milliseconds=15)
+# An owner without a connection to a target that rejected one opens the next after this
+# time. All requests that wait would otherwise be rejected one after the other.
+FULL_TIME = timedelta(milliseconds=250)
 STOPPING_RETRY_DELAY = timedelta(milliseconds=1)
 # Leases and requests for one at one target. Schedulers refuse much earlier.
 MAX_LEASES = 1000
@@ -43,6 +46,10 @@
 # An instance that is not the owner of a target by its own view keeps unused connections
 # for this long, for instances that have another view.
 FORMER_OWNER_IDLE_TIME = timedelta(milliseconds=250)
+# It drops the scheduler of a target that nobody has asked for during this time, so that
+# it does not rely on old measurements, and on what it sent itself under a hard limit,
+# when it becomes the owner again.
+FORMER_OWNER_LIFETIME = timedelta(seconds=2)
 _ZERO = timedelta()
 _REFUSAL_KIND_BY_CODE = {
     AnswerCode.TOO_MANY_CONNECTIONS: RefusalKind.TOO_MANY,
@@ -61,8 +68,11 @@
         """Record that a target had too many connections."""
 
     @abstractmethod
-    def on_unreachable(self, target: Target, reason: str) -> None:
-        """Record that a connection to a target could not be opened."""
+    def on_unreachable(self, target: Target, reason: str, is_down: bool) -> None:
+        """Record that a connection to a target could not be opened.
+
+        With ``is_down``, no process listens at its address.
+        """
 
 
 class OwnedTarget:
@@ -85,9 +95,11 @@
         self._is_pumping = False
         self._timer: Timer | None = None
         self._timer_at = timedelta.max
+        self._full_until = timedelta()
         self.target = target
         self.scheduler = scheduler
         self.leases: set[Lease] = set()
+        self.requested_at = loop.now()
 
     def now(self) -> timedelta:
         """Return the monotonic time."""
@@ -95,6 +107,7 @@
 
     def request(self, order: LeaseOrder, holder: LeaseHolder, number: int) -> Lease:
         """Request a lease; ``holder`` may be called before this returns."""
+        self.requested_at = self._loop.now()
         lease = Lease(self, order, holder, number)
         self.leases.add(lease)
         self._submit(lease, order.priority, order.start_deadline)
@@ -162,6 +175,10 @@
         self._timer, self._timer_at = None, timedelta.max
         self._pump()
 
+    def record_sent(self, place: int) -> None:
+        """Tell the scheduler that a statement is sent with a place."""
+        self.scheduler.record_sent(place, self._loop.now())
+
     def finish(
         self, place: int, outcome: WorkOutcome, duration: timedelta | None
     ) -> None:
@@ -175,8 +192,13 @@
         connection = self._pool.acquire_idle(
             order.target_id, order.account, order.values
         )
+        full_for = self._full_until - self._loop.now()
         if connection is not None:
             lease.grant(connection, self._loop.now())
+        elif full_for > _ZERO and not self._pool.size_of(order.target_id):
+            reason = "the target has too many connections"
+            refusal = LeaseRefusal(RefusalKind.TOO_MANY, reason, full_for)
+            lease.fail_to_open(refusal, WorkOutcome.UNUSED)
         else:
             self._loop.spawn(self._open_for(lease))
 
@@ -198,7 +220,7 @@
         except ConnectionRejected as error:
             self._fail_rejected(lease, error)
         except ConnectionLost as error:
-            self._events.on_unreachable(self.target, str(error))
+            self._events.on_unreachable(self.target, str(error), error.refused)
             lease.fail_to_open(
                 LeaseRefusal(RefusalKind.UNREACHABLE, str(error), RETRY_DELAY)
             )
@@ -212,6 +234,7 @@
     def _fail_rejected(self, lease: Lease, error: ConnectionRejected) -> None:
         code = error.failure.code
         if code is AnswerCode.TOO_MANY_CONNECTIONS:
+            self._full_until = self._loop.now() + FULL_TIME
             self._events.on_too_many(self.target)
         kind = _REFUSAL_KIND_BY_CODE.get(code, RefusalKind.UNREACHABLE)
         outcome = {
@@ -261,15 +284,15 @@
 class Owner:
     """Owner of connections to all targets that this instance is asked for.
 
-    ``find_target`` returns a listed target by its id. ``connection_quota`` returns how
-    many connections to a target the owner may have.
+    ``find_target`` returns the target with an id, or why it may not be used.
+    ``connection_quota`` returns how many connections to a target the owner may have.
     """
 
     def __init__(
         self,
         loop: Loop,
         network: Network,
-        find_target: Callable[[str], Target | None],
+        find_target: Callable[[str], Target | LeaseRefusal],
         schedulers: TargetSchedulers,
         connection_quota: Callable[[Target], int],
         events: TargetEvents,
@@ -287,10 +310,8 @@
     ) -> Lease | LeaseRefusal:
         """Request a lease; ``holder`` may be called before this returns."""
         target = self._find_target(order.target_id)
-        if target is None:
-            return LeaseRefusal(
-                RefusalKind.UNKNOWN_TARGET, "the target is not listed here", RETRY_DELAY
-            )
+        if isinstance(target, LeaseRefusal):
+            return target
         owned = self._owned(target)
         if len(owned.leases) >= MAX_LEASES:
             return LeaseRefusal(
@@ -337,8 +358,11 @@
             else:
                 self.pool.close_idle_connections(target_id, "the target is gone")
                 if not owned.leases:
-                    del self._owned_by_id[target_id]
-                    self._schedulers.forget(target_id)
+                    self._forget(target_id)
+
+    def _forget(self, target_id: str) -> None:
+        del self._owned_by_id[target_id]
+        self._schedulers.forget(target_id)
 
     def check(self, idle_limit: timedelta, is_owner: Callable[[str], bool]) -> None:
         """Check leases and unused connections; called at short intervals.
@@ -347,9 +371,13 @@
         are closed if there are more than the quota, or if ``is_owner`` is false.
         """
         now = self._loop.now()
-        for owned in self._owned_by_id.values():
+        for target_id, owned in list(self._owned_by_id.items()):
             if owned.leases:
                 owned.check(now, idle_limit)
+            elif not is_owner(target_id) and (
+                now - owned.requested_at > FORMER_OWNER_LIFETIME
+            ):
+                self._forget(target_id)
         for target_id in self.pool.target_ids():
             owned_target = self._owned_by_id.get(target_id)
             if owned_target is not None:
