Keep leases of an owner that has left the list of members

A stopping owner waits for the leases of others after it has ended its registration. Instances that saw the list without it closed their connection to it, which cut their open transactions. They now keep it while they have leases; the owner closes it when it ends.

The test fails without the change: the commit is answered with ABORTED, as "the instance is gone or has restarted".

--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -130,7 +130,12 @@
             names.add(self._own.name)
         self.chooser.update_members(names)
         for name, link in list(self._link_by_name.items()):
-            if self._member_by_name.get(name) != link.member:
+            member = self._member_by_name.get(name)
+            if member is None and link.has_leases:
+                # A stopping owner leaves the list before the leases end. It closes the
+                # connection itself.
+                continue
+            if member != link.member:
                 del self._link_by_name[name]
                 link.close("the instance is gone or has restarted")
 
--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -104,6 +104,11 @@
         is_ready = self.ready.done() and self.ready.exception() is None
         return is_ready and not self.closed_reason and not self.is_silent
 
+    @property
+    def has_leases(self) -> bool:
+        """Return whether connections are leased over this one."""
+        return bool(self._connection_by_number)
+
     # Connection
 
     def connect(self, network: Network) -> Steps:
--- a/tests/proxy/sharing/test_owner_failures.py
+++ b/tests/proxy/sharing/test_owner_failures.py
@@ -205,6 +205,20 @@
     assert len([s for s in streams_to(fleet, owner) if s.is_open]) == before
 
 
+def test_transaction_outlives_the_entry_of_a_stopping_owner(fleet):
+    # Guards against transactions that are cut when a stopping owner has left the list
+    # of members, although it waits for them.
+    owner = fleet.owner_of("a")
+    caller = fleet.others(owner)[0]
+    client = fleet.client_of(caller)
+    client.query("BEGIN")
+    assert client.query("WRITE 1 data")[-2].startswith("DONE")
+    sharing = caller.sharing.client
+    remaining = [m for m in sharing._member_by_name.values() if m.name != owner.name]
+    sharing.update_members(remaining, False)
+    assert client.query("COMMIT")[-2].startswith("DONE")
+
+
 def test_former_owner_drops_its_scheduler(fleet):
     # Guards against an owner that takes over a second time and relies on old state: it
     # does not know what the other owner has just sent to a cold target.
