--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -92,13 +92,13 @@
 
 
 def test_expired_lease_deletes_its_keys_and_versions_are_not_reused(store):
-    lease = store.grant_lease(timedelta(milliseconds=150))
+    lease = store.grant_lease(timedelta(seconds=1.5))
     store.compare_and_swap("k", 0, "held", lease)
-    time.sleep(0.1)
+    time.sleep(1.0)
     assert store.keep_alive(lease)
-    time.sleep(0.1)
+    time.sleep(1.0)
     assert store.get("k").value == "held"
-    time.sleep(0.1)
+    time.sleep(1.0)
     assert store.get("k") == StoredValue(0, None)
     assert not store.keep_alive(lease)
     with pytest.raises(StoreRefused, match="lease"):
