--- a/soak/plans.py
+++ b/soak/plans.py
@@ -43,7 +43,7 @@
 )
 from soak.store_faults import ReturnFromCopy, ReturnWithoutInstances
 
-CURRENT_VERSION = 5
+CURRENT_VERSION = 6
 FIRST_VERSION_WITH_MOVING_KEYS = 3
 FIRST_VERSION_WITH_SERVER_DOMAINS = 4
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
@@ -100,7 +100,7 @@
     )
 )
 # Probabilities of a fault from ``GROUP_KINDS`` or, from version 3 on, ``CHANGE_KINDS``,
-# of an evacuation from version 4 on, and of each companion of a cause. From version 5
+# of an evacuation in versions 4 and 6, and of each companion of a cause. From version 5
 # on, the same of a return of the store from a copy, and of one beside a cause.
 GROUP_SHARE = 0.5
 CHANGE_SHARE = 0.3
@@ -168,6 +168,12 @@
 
 
 def _choose_kind_or_return(rng: random.Random) -> type[Fault]:
+    if rng.random() < RETURN_SHARE:
+        return rng.choice(RETURN_KINDS)
+    return _choose_kind_or_change(rng)
+
+
+def _choose_kind_of_all(rng: random.Random) -> type[Fault]:
     if rng.random() < RETURN_SHARE:
         return rng.choice(RETURN_KINDS)
     return _choose_kind_or_evacuation(rng)
@@ -179,4 +185,5 @@
     3: _choose_kind_or_change,
     4: _choose_kind_or_evacuation,
     5: _choose_kind_or_return,
+    6: _choose_kind_of_all,
 }
