--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -30,6 +30,7 @@
 from bulrushloom.runtime.http import HttpClient, HttpError, Response
 from bulrushloom.runtime.loop import Loop, Steps
 
+# ``Store-Era`` in the store's answers; h11 gives names in lower case.
 ERA_HEADER = "store-era"
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
