Count the time of an owner from when it is first in the order

Cause: an owner has few connections for its first 3.5 s, counted from its first lease. An instance that had owned a target for minutes, and was asked for the first time, therefore had one or a few connections, and a transaction that took them made it refuse everybody else with "all connections of the domain are in use".

Change: the first in the order owns a target since the last instance left the list of members. One that is asked because the first is silent owns it from then on, as before.

--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -128,7 +128,7 @@
         names = set(self._member_by_name)
         if not is_stopping:
             names.add(self._own.name)
-        self.chooser.update_members(names)
+        self.chooser.update_members(names, self._loop.now())
         for name, link in list(self._link_by_name.items()):
             member = self._member_by_name.get(name)
             if member is None and link.has_leases:
@@ -141,8 +141,11 @@
 
     def is_owner(self, target_id: str) -> bool:
         """Return whether this instance owns a target by its own view."""
-        owner = self.chooser.choose(target_id, self._loop.now()).name
-        return owner == self._own.name
+        return self.owned_since(target_id) is not None
+
+    def owned_since(self, target_id: str) -> timedelta | None:
+        """Return since when this instance owns a target, ``None`` if it does not."""
+        return self.chooser.owned_since(target_id, self._own.name, self._loop.now())
 
     # Leases
 
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -219,9 +219,8 @@
             self.client.update_members(
                 [m for m in peers.values() if m.domain == domain], is_stopping
             )
-        now = self._loop.now()
         for target_id in self.owner.target_ids():
-            self._limiter.set_owned(target_id, self.client.is_owner(target_id), now)
+            self._limiter.set_owned(target_id, self.client.owned_since(target_id))
 
     def gauges(self) -> dict[str, float]:
         """Return the values for the metrics of this instance."""
--- a/bulrushloom/proxy/sharing/ownership.py
+++ b/bulrushloom/proxy/sharing/ownership.py
@@ -71,12 +71,15 @@
         self._owned_since_by_target: dict[str, timedelta] = {}
         self._reduced_by_target: dict[str, tuple[int, timedelta]] = {}
 
-    def set_owned(self, target_id: str, is_owned: bool, now: timedelta) -> None:
-        """Record whether this instance is the owner of a target by its own view."""
-        if not is_owned:
+    def set_owned(self, target_id: str, since: timedelta | None) -> None:
+        """Record since when this instance owns a target by its own view.
+
+        ``since`` is ``None`` if another instance is the owner.
+        """
+        if since is None:
             self._owned_since_by_target.pop(target_id, None)
         else:
-            self._owned_since_by_target.setdefault(target_id, now)
+            self._owned_since_by_target.setdefault(target_id, since)
 
     def retain_only(self, target_ids: Iterable[str]) -> None:
         """Drop what is known about all targets except ``target_ids``."""
@@ -133,12 +136,15 @@
         self._names: frozenset[str] = frozenset()
         self._order_by_target: dict[str, list[str]] = {}
         self._skipped_until_by_name: dict[str, timedelta] = {}
+        self._last_loss_at = timedelta()
 
-    def update_members(self, names: Iterable[str]) -> None:
+    def update_members(self, names: Iterable[str], now: timedelta) -> None:
         """Set the instances of the domain, with this one if it may be an owner."""
         current = frozenset(names)
         if current == self._names:
             return
+        if not current.issuperset(self._names) or not self._names:
+            self._last_loss_at = now
         self._names = current
         self._order_by_target.clear()
         for name in self._skipped_until_by_name.keys() - current:
@@ -155,6 +161,19 @@
             self._order_by_target[target_id] = order
         return order
 
+    def owned_since(
+        self, target_id: str, name: str, now: timedelta
+    ) -> timedelta | None:
+        """Return since when an instance owns a target, ``None`` if it does not.
+
+        The first in the order has been the owner at least since the last instance left,
+        whether or not anybody asked it for the target. Another one owns a target from
+        now on, because the first is skipped.
+        """
+        if self.choose(target_id, now).name != name:
+            return None
+        return self._last_loss_at if self.order(target_id)[0] == name else now
+
     def record_failure(self, name: str, now: timedelta) -> None:
         """Skip an instance that is silent, refuses or cannot be connected to."""
         self._skipped_until_by_name[name] = now + SKIP_TIME
--- a/tests/processes/test_shared_connections.py
+++ b/tests/processes/test_shared_connections.py
@@ -52,10 +52,10 @@
             SECOND * 15,
         )
     chooser = OwnerChooser()
-    chooser.update_members(NAMES)
+    chooser.update_members(NAMES, SECOND)
     order = chooser.order("a")
     daemons.sort(key=lambda daemon: order.index(daemon.name))
-    # An owner has only one connection until 3.5 s after its first lease.
+    # An owner has only one connection until 3.5 s after it knows all members.
     caller = open_session(platform, daemons[-1])
     assert caller.query("WRITE 0 data")[-2].startswith("DONE")
     run(platform, SECOND * 4)
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -76,7 +76,7 @@
         fleet.run(SECOND)
         if not owners_answer:
             for member in fleet.members:
-                member.sharing.client.chooser.update_members(())
+                member.sharing.client.chooser.update_members((), SECOND)
                 member.sharing.client.update_members = lambda *_: None
         times = write_for_three_seconds(fleet)
         for at in times:
--- a/tests/proxy/sharing/test_ownership.py
+++ b/tests/proxy/sharing/test_ownership.py
@@ -24,12 +24,13 @@
 NAMES = [f"north-{number}" for number in range(49)]
 # Connections of a target and domains of the two deployments.
 DEPLOYMENTS = [(112, 3, 146), (70, 6, 79)]
+STARTED_AT = timedelta(seconds=40)
 NOW = timedelta(seconds=100)
 
 
 def build_chooser(names=NAMES):
     chooser = OwnerChooser()
-    chooser.update_members(names)
+    chooser.update_members(names, STARTED_AT)
     return chooser
 
 
@@ -59,18 +60,18 @@
 def test_owner_starts_with_few_connections_and_gets_its_share_later():
     # Guards against an owner that replaces one whose host lost power.
     limiter = ShareLimiter()
-    limiter.set_owned("a", True, NOW)
+    limiter.set_owned("a", NOW)
     assert limiter.allowance("a", 112, 3, NOW) == first_share(112, 3) == 6
     later = NOW + ORPHANED_CONNECTION_LIFETIME
     assert limiter.allowance("a", 112, 3, later) == domain_share(112, 3) == 29
-    limiter.set_owned("a", False, later)
+    limiter.set_owned("a", None)
     assert limiter.allowance("a", 112, 3, later) == 6
 
 
 def test_owners_that_are_rejected_shrink_and_grow_again():
     # Guards against two owners that each keep the share of the domain.
     limiter = ShareLimiter()
-    limiter.set_owned("a", True, NOW - timedelta(minutes=1))
+    limiter.set_owned("a", NOW - timedelta(minutes=1))
     limiter.record_too_many("a", 20, NOW)
     assert limiter.allowance("a", 112, 3, NOW) == 15
     assert limiter.allowance("a", 112, 3, NOW + GROWTH_INTERVAL * 4) == 19
@@ -92,12 +93,39 @@
     before = {target_id: chooser.choose(target_id, NOW).name for target_id in targets}
     assert max(Counter(before.values()).values()) < 15
     gone = before[targets[0]]
-    chooser.update_members(set(NAMES) - {gone})
+    chooser.update_members(set(NAMES) - {gone}, NOW)
     for target_id in targets:
         if before[target_id] != gone:
             assert chooser.choose(target_id, NOW).name == before[target_id]
 
 
+def test_owner_that_nobody_has_asked_yet_has_owned_the_target():
+    # Guards against a first transaction that takes the only connection of an owner
+    # which has been the first in the order all the time.
+    chooser = build_chooser()
+    first, second, *_ = chooser.order("a")
+    assert chooser.owned_since("a", first, NOW) == STARTED_AT
+    assert chooser.owned_since("a", second, NOW) is None
+    chooser.update_members(NAMES + ["north-49"], NOW)
+    first, second, *_ = chooser.order("a")
+    assert chooser.owned_since("a", first, NOW) == STARTED_AT
+
+
+def test_owner_that_replaces_another_owns_the_target_from_then_on():
+    # Guards against more connections than a target has, while it still holds those of
+    # an owner that is lost or silent.
+    chooser = build_chooser()
+    first, second, third, *_ = chooser.order("a")
+    chooser.record_failure(first, NOW)
+    assert chooser.owned_since("a", second, NOW) == NOW
+    chooser.record_failure(second, NOW)
+    chooser.update_members(set(NAMES) - {first}, NOW + ms(1))
+    assert chooser.owned_since("a", second, NOW + SKIP_TIME) is None
+    assert chooser.owned_since("a", third, NOW + SKIP_TIME) == NOW + SKIP_TIME
+    chooser.record_contact(second, NOW + SKIP_TIME)
+    assert chooser.owned_since("a", second, NOW + SKIP_TIME) == NOW + ms(1)
+
+
 def test_silent_owner_is_skipped_and_returns_only_after_contact():
     # Guards against a statement that waits for an owner that is still silent.
     chooser = build_chooser()
