Compare with any document in force that instances accept

Cause: the document given with --in-force went through the check of new documents, so one with a number written as text, which instances accept, was called no configuration document, with status 2.

Change: it is decoded as instances decode it.

Tests: the new one fails without the change. tests/management and tests/platform/test_document_check.py: 84 passed.

--- a/bulrushloom/management/commands/proxy_configuration.py
+++ b/bulrushloom/management/commands/proxy_configuration.py
@@ -5,8 +5,10 @@
 from bulrushloom.management.base import prepared_command
 from bulrushloom.management.exceptions import BadInput, CommandError
 from bulrushloom.platform.document_changes import describe_changes, version_problem
-from bulrushloom.platform.document_check import CheckedDocument, check_document
+from bulrushloom.platform.document_check import check_document
+from bulrushloom.platform.documents import decode_configuration
 from bulrushloom.proxy.configuration import Configuration
+from bulrushloom.proxy.store import DocumentError
 
 
 class ProxyConfigurationCommands:
@@ -23,12 +25,10 @@
             file: JSON file with the document.
             in_force: JSON file with the document that is in force.
         """
-        checked = _read_document(file)
+        checked = check_document(_read_file(file))
         problems = list(checked.problems)
         if in_force is not None:
-            previous = _read_document(in_force).configuration
-            if previous is None:
-                raise BadInput(f"{in_force}: is not a configuration document")
+            previous = _read_in_force(in_force)
             if checked.configuration is not None:
                 problems += _compare(previous, checked.configuration)
         if problems:
@@ -36,13 +36,21 @@
         print(f"{file}: correct: {_summary(checked.configuration)}")
 
 
-def _read_document(path: str) -> CheckedDocument:
+def _read_file(path: str) -> bytes:
     try:
-        return check_document(Path(str(path)).read_bytes())
+        return Path(str(path)).read_bytes()
     except OSError as error:
         raise BadInput(f"{path}: {error.strerror}") from error
 
 
+def _read_in_force(path: str) -> Configuration:
+    """Decode the document in force as instances do, which may have other problems."""
+    try:
+        return decode_configuration(_read_file(path), 0)
+    except DocumentError as error:
+        raise BadInput(f"{path}: is not a configuration document") from error
+
+
 def _compare(previous: Configuration, configuration: Configuration) -> list[str]:
     """Print the differences; return the problem of the version, if any."""
     for line in describe_changes(previous, configuration):
--- a/tests/management/test_proxy_configuration.py
+++ b/tests/management/test_proxy_configuration.py
@@ -53,3 +53,13 @@
     assert exit_status("new.json", "--in-force=missing.json") == 2
     assert exit_status("new.json", "--in-force=broken.json") == 2
     assert exit_status("new.json", "--unknown=1") == 2
+
+
+def test_version_in_force_is_any_document_that_instances_accept(write, capsys):
+    # Guards against status 2 for a document in force that instances have accepted,
+    # although the check finds problems in it.
+    services = [{"Name": "orders", "MaxConns": "40", "SyncReplicas": 1}]
+    write("new.json", build_document(8))
+    write("old.json", build_document(7, Services=services))
+    main(["proxy-configuration", "check", "new.json", "--in-force", "old.json"])
+    assert "service orders: max_connections 40 -> 42" in capsys.readouterr().out
