Keep the status of the check for odd file names and outputs

Cause: Fire read file names as Python values (1e3, None) and took a second file without --in-force as the version in force. A file without an end was read until the memory was full. A name that the output cannot encode, or a reader that ended early, ended the check with a traceback.

--- a/tests/management/test_proxy_configuration.py
+++ b/tests/management/test_proxy_configuration.py
@@ -1,5 +1,9 @@
 """Exit statuses and output of ``proxy-configuration check``."""
 
+import os
+import subprocess
+import sys
+
 import orjson
 import pytest
 
@@ -63,3 +67,68 @@
     write("old.json", build_document(7, Services=services))
     main(["proxy-configuration", "check", "new.json", "--in-force", "old.json"])
     assert "service orders: max_connections 40 -> 42" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("name", ["1e3", "0x10", "None", "True", "[new]", "a,b"])
+def test_file_names_are_not_read_as_python_values(write, capsys, name):
+    # Guards against "1e3" opened as "1000.0", and against "None", which left out the
+    # comparison with the version in force without a word.
+    write(name, build_document(8))
+    write("old.json", build_document(7))
+    main(["proxy-configuration", "check", name, "--in-force", "old.json"])
+    assert f"{name}: correct: version 8" in capsys.readouterr().out
+    write("new.json", build_document(9))
+    main(["proxy-configuration", "check", "new.json", f"--in-force={name}"])
+    assert "version: 8 -> 9" in capsys.readouterr().out
+
+
+def test_second_file_without_its_option_is_an_error(write, capsys):
+    # Guards against a script that passes several files, of which only the first would
+    # be checked.
+    write("new.json", build_document(8))
+    write("other.json", build_document(7))
+    assert exit_status("new.json", "other.json") == 2
+    assert "correct" not in capsys.readouterr().out
+
+
+def test_file_without_an_end_is_read_up_to_the_limit(write):
+    # Guards against a check that fills the memory when the path is a device.
+    assert exit_status("/dev/zero") == 1
+    write("new.json", build_document(8))
+    assert exit_status("new.json", "--in-force=/dev/zero") == 2
+
+
+def check_in_a_process(directory, **options):
+    return subprocess.Popen(
+        [sys.executable, "-m", "bulrushloom", "proxy-configuration", "check"]
+        + ["new.json", "--in-force=old.json"],
+        cwd=directory,
+        stderr=subprocess.PIPE,
+        **options,
+    )
+
+
+def test_names_that_the_terminal_cannot_show_do_not_end_the_check(write, tmp_path):
+    # Guards against a traceback with status 1, which looks like a problem.
+    write("new.json", build_document(8))
+    routes = [build_document()["Routes"][0] | {"Host": "\u043a"}]
+    write("old.json", build_document(7, Routes=routes))
+    environment = os.environ | {"PYTHONIOENCODING": "ascii"}
+    process = check_in_a_process(
+        tmp_path, env=environment, stdout=subprocess.PIPE, text=True
+    )
+    output, errors = process.communicate(timeout=60)
+    assert (process.returncode, errors) == (0, "")
+    assert "route of database \\u043a: removed" in output.splitlines()
+
+
+def test_closed_output_does_not_change_the_status(write, tmp_path):
+    # Guards against status 120 in a pipeline whose reader ends early.
+    write("new.json", build_document(8))
+    write("old.json", build_document(7))
+    reading, writing = os.pipe()
+    os.close(reading)
+    process = check_in_a_process(tmp_path, stdout=writing)
+    os.close(writing)
+    _, errors = process.communicate(timeout=60)
+    assert (process.returncode, errors) == (0, b"")
