Tell apart what instances refuse and what they accept

Cause: the check called documents errors that instances accept, such as a number written as text or an empty object in place of a list, and then showed no differences. A field that they refuse (ColdPerS, a duration that is too long) was reported without its entry. Names that are not text ended the comparison with a traceback, and line breaks in names broke the output.

Change: the decoder of the instances decides. What it refuses is an error (status 1), everything else is a warning (status 3), and the semantic checks use the decoded values. A small document with one field shows which of several fields is refused. Other names are printed as Python shows them.

--- a/bulrushloom/management/__init__.py
+++ b/bulrushloom/management/__init__.py
@@ -33,8 +33,9 @@
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command that the command line names.
 
-    Exit with status 2 for invalid arguments, settings or rules, and with status 1 for
-    other failures. The reason is printed on standard error.
+    Exit with status 2 for invalid arguments, settings or rules, with status 3 if a
+    check ends with warnings only, and with status 1 for other failures. The reason is
+    printed on standard error.
     """
     # Fire's default display would start a pager process.
     fire.core.Display = _print_lines
--- a/bulrushloom/management/commands/proxy_configuration.py
+++ b/bulrushloom/management/commands/proxy_configuration.py
@@ -9,7 +9,12 @@
 from fire.decorators import SetParseFn
 
 from bulrushloom.management.base import prepared_command
-from bulrushloom.management.exceptions import BadInput, CommandError
+from bulrushloom.management.exceptions import (
+    FAILURE_STATUS,
+    WARNING_STATUS,
+    BadInput,
+    CommandError,
+)
 from bulrushloom.platform.document_changes import describe_changes, version_problem
 from bulrushloom.platform.document_check import MAX_DOCUMENT_BYTES, check_document
 from bulrushloom.platform.documents import decode_configuration
@@ -26,27 +31,31 @@
     def check(self, file: str, *, in_force: str | None = None) -> None:
         """Check a configuration document before it is written to the store.
 
-        Print what differs from the version in force. Exit with status 1 if there are
-        problems, and with status 2 if a file cannot be read.
+        Print what differs from the version in force. Exit with status 1 if instances
+        refuse the document or do not apply it, with status 3 if they accept it but
+        there are warnings, and with status 2 if a file cannot be read.
 
         Args:
             file: JSON file with the document.
             in_force: JSON file with the document that is in force.
         """
         checked = check_document(_read_file(file))
-        problems = list(checked.problems)
+        errors = list(checked.errors)
         lines: list[str] = []
         if in_force is not None:
             previous = _read_in_force(in_force)
             if checked.configuration is not None:
                 lines += describe_changes(previous, checked.configuration)
                 problem = version_problem(previous, checked.configuration)
-                problems += [problem] if problem else []
+                errors += [problem] if problem else []
+        problems = [f"{file}: error: {text}" for text in errors]
+        problems += [f"{file}: warning: {text}" for text in checked.warnings]
         if not problems:
             lines.append(f"{file}: correct: {_summary(checked.configuration)}")
         _print_lines(lines)
         if problems:
-            raise CommandError("\n".join(f"{file}: {text}" for text in problems))
+            status = FAILURE_STATUS if errors else WARNING_STATUS
+            raise CommandError("\n".join(problems), status)
 
 
 def _read_file(path: str) -> bytes:
--- a/bulrushloom/management/exceptions.py
+++ b/bulrushloom/management/exceptions.py
@@ -2,6 +2,7 @@
 
 BAD_INPUT_STATUS = 2
 FAILURE_STATUS = 1
+WARNING_STATUS = 3
 
 
 class CommandError(Exception):
--- a/bulrushloom/platform/document_changes.py
+++ b/bulrushloom/platform/document_changes.py
@@ -1,8 +1,10 @@
 """Differences between a configuration document and the one in force, as text."""
 
 from collections.abc import Iterator, Mapping
+from datetime import timedelta
 from typing import Any
 
+from bulrushloom.platform.document_text import printable
 from bulrushloom.proxy.configuration import Configuration
 
 
@@ -34,13 +36,13 @@
 def _entry_changes(
     label: str, old: Mapping[str, Any], new: Mapping[str, Any]
 ) -> Iterator[str]:
-    for name in sorted(old.keys() | new.keys()):
+    for name in sorted(old.keys() | new.keys(), key=printable):
         if name not in old:
-            yield f"{label} {name}: added"
+            yield f"{label} {printable(name)}: added"
         elif name not in new:
-            yield f"{label} {name}: removed"
+            yield f"{label} {printable(name)}: removed"
         elif old[name] != new[name]:
-            yield f"{label} {name}: {_field_changes(old[name], new[name])}"
+            yield f"{label} {printable(name)}: {_field_changes(old[name], new[name])}"
 
 
 def _field_changes(old: Any, new: Any) -> str:
@@ -53,15 +55,19 @@
 
 
 def _text(value: Any) -> str:
-    return str(getattr(value, "value", value))
+    value = getattr(value, "value", value)
+    is_number = isinstance(value, int | float | timedelta)
+    return str(value) if is_number else printable(value)
 
 
 def _key_changes(old: Configuration, new: Configuration) -> Iterator[str]:
-    for name in sorted(old.account_by_name.keys() | new.account_by_name.keys()):
+    names = old.account_by_name.keys() | new.account_by_name.keys()
+    for name in sorted(names, key=printable):
         before, after = _keys(old, name), _keys(new, name)
         if before != after:
             added, withdrawn = len(after - before), len(before - after)
-            yield f"keys of account {name}: {added} added, {withdrawn} withdrawn"
+            label = f"keys of account {printable(name)}"
+            yield f"{label}: {added} added, {withdrawn} withdrawn"
 
 
 def _keys(configuration: Configuration, account: str) -> set[str]:
--- a/bulrushloom/platform/document_check.py
+++ b/bulrushloom/platform/document_check.py
@@ -3,13 +3,18 @@
 import math
 from collections import Counter
 from collections.abc import Iterator
+from datetime import timedelta
 from typing import Any, NamedTuple
 
 import orjson
 
+from bulrushloom.platform.document_text import printable
 from bulrushloom.platform.documents import (
-    DEFAULT_STATEMENT_TIMEOUT_MS,
+    MAX_NUMBER,
+    decode_account,
     decode_configuration,
+    decode_route,
+    decode_service,
 )
 from bulrushloom.proxy.configuration import Configuration
 from bulrushloom.proxy.connection_allowance import RESERVED_CONNECTIONS
@@ -20,88 +25,147 @@
 MAX_DOCUMENT_BYTES = 1024 * 1024
 _NUMBERS_BY_SECTION = {
     "Routes": ("TimeoutMs", "SloMs", "Priority", "MaxStalenessMs"),
-    "Services": ("MaxConns", "SyncReplicas"),
+    "Services": ("MaxConns", "SyncReplicas", "ColdPerS"),
     "Tenants": ("RatePerS", "Burst", "Priority"),
 }
 _NAME_FIELD_BY_SECTION = {"Routes": "Host", "Services": "Name", "Tenants": "Name"}
+# The fields without which instances refuse an entry. With one field of an entry under
+# check instead, they show whether instances accept that field.
+_NEEDED_FIELDS_BY_SECTION = {
+    "Routes": {"Host": "host", "Service": "service", "Type": "primary"},
+    "Services": {"Name": "service"},
+    "Tenants": {"Name": "account"},
+}
+_ABSENT = object()
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 class CheckedDocument(NamedTuple):
-    """A document with its problems; ``configuration`` is ``None`` if undecodable."""
+    """A document with its problems.
+
+    ``errors`` are those for which instances refuse or ignore the document, and
+    ``warnings`` those with which they accept it. ``configuration`` is ``None`` if they
+    cannot decode it.
+    """
 
     configuration: Configuration | None
-    problems: list[str]
+    errors: list[str]
+    warnings: list[str]
+
+    @property
+    def problems(self) -> list[str]:
+        """Errors and warnings."""
+        return [*self.errors, *self.warnings]
+
+
+class _Finding(NamedTuple):
+    """A value of the wrong type or size, in a document without other problems."""
+
+    text: str
+    document: dict[str, Any]
 
 
 def check_document(data: bytes) -> CheckedDocument:
     """Decode a document and find what cannot have been intended.
 
     Instances accept most of these documents: an entry that contradicts another one
-    has no effect, or callers are refused.
+    has no effect, or callers are refused. What they refuse is for their decoder to say.
     """
     if len(data) > MAX_DOCUMENT_BYTES:
         reason = f"the document has more than {MAX_DOCUMENT_BYTES} bytes"
-        return CheckedDocument(None, [reason])
+        return CheckedDocument(None, [reason], [])
     try:
         document = orjson.loads(data)
     except orjson.JSONDecodeError as error:
-        return CheckedDocument(None, [f"not valid JSON: {error}"])
+        return CheckedDocument(None, [f"not valid JSON: {error}"], [])
     if not isinstance(document, dict):
-        return CheckedDocument(None, ["the document is not a JSON object"])
-    problems = list(_shape_problems(document))
-    if problems:
-        return CheckedDocument(None, problems)
+        return CheckedDocument(None, ["the document is not a JSON object"], [])
+    findings = list(_shape_findings(document))
     try:
         configuration = decode_configuration(data, 0)
     except DocumentError as error:
-        return CheckedDocument(None, [str(error.__cause__ or error)])
-    problems = [
-        *_version_problems(document),
+        errors = [f.text for f in findings if _is_refused(f.document)]
+        warnings = [f.text for f in findings if not _is_refused(f.document)]
+        reason = str(error.__cause__ or error)
+        return CheckedDocument(None, errors or [reason], warnings)
+    warnings = [
+        *(finding.text for finding in findings),
         *_route_problems(document),
         *_service_problems(document),
         *_account_problems(document),
     ]
-    return CheckedDocument(configuration, problems)
+    return CheckedDocument(
+        configuration, list(_version_errors(configuration)), warnings
+    )
+
+
+def _is_refused(document: dict[str, Any]) -> bool:
+    try:
+        decode_configuration(orjson.dumps(document), 0)
+    except DocumentError:
+        return True
+    return False
 
 
-def _shape_problems(document: dict[str, Any]) -> Iterator[str]:
-    """Find entries that the decoder cannot read or would read as something else."""
-    version = document.get("Version")
-    if isinstance(version, bool) or not isinstance(version, int):
-        yield "Version is not a whole number"
+def _shape_findings(document: dict[str, Any]) -> Iterator[_Finding]:
+    """Find what instances refuse or would read as something else."""
+    version = document.get("Version", _ABSENT)
+    if not _is_whole_number(version):
+        part = {} if version is _ABSENT else {"Version": version}
+        yield _Finding("Version is not a whole number", part)
     limits = document.get("Limits")
+    part = {"Version": 1, "Limits": limits}
     if limits is not None and not isinstance(limits, dict):
-        yield "Limits is not an object"
-    elif limits and not _is_number(limits.get("TxIdleMs")):
-        yield "Limits: TxIdleMs is not a non-negative number"
-    for section, numbers in _NUMBERS_BY_SECTION.items():
+        yield _Finding("Limits is not an object", part)
+    elif limits and (problem := _number_problem(limits.get("TxIdleMs"), part)):
+        yield _Finding(f"Limits: TxIdleMs is {problem}", part)
+    for section in _NUMBERS_BY_SECTION:
         entries = document.get(section)
         if entries is not None and not isinstance(entries, list):
-            yield f"{section} is not a list"
+            yield _Finding(f"{section} is not a list", {"Version": 1, section: entries})
             continue
         for position, entry in enumerate(entries or ()):
-            yield from _entry_problems(section, position, entry, numbers)
+            yield from _entry_findings(section, position, entry)
 
 
-def _entry_problems(
-    section: str, position: int, entry: Any, numbers: tuple[str, ...]
-) -> Iterator[str]:
+def _entry_findings(section: str, position: int, entry: Any) -> Iterator[_Finding]:
     label = f"{section}[{position}]"
     if not isinstance(entry, dict):
-        yield f"{label} is not an object"
+        part = {"Version": 1, section: [entry]}
+        yield _Finding(f"{label} is not an object", part)
         return
     texts = [_NAME_FIELD_BY_SECTION[section]]
     if section == "Routes":
         texts += ["Service", "Type"]
     for field in texts:
         if not isinstance(entry.get(field), str) or not entry[field]:
-            yield f"{label}: {field} is missing or not text"
-    for field in numbers:
-        if not _is_number(entry.get(field)):
-            yield f"{label}: {field} is not a non-negative number"
+            part = _document_with(section, field, entry.get(field, _ABSENT))
+            yield _Finding(f"{label}: {field} is missing or not text", part)
+    for field in _NUMBERS_BY_SECTION[section]:
+        part = _document_with(section, field, entry.get(field))
+        if problem := _number_problem(entry.get(field), part):
+            yield _Finding(f"{label}: {field} is {problem}", part)
     keys = entry.get("ApiKeys")
     if section == "Tenants" and not _is_list_of_texts(keys):
-        yield f"{label}: ApiKeys is not a list of texts"
+        part = _document_with(section, "ApiKeys", keys)
+        yield _Finding(f"{label}: ApiKeys is not a list of texts", part)
+
+
+def _document_with(section: str, field: str, value: Any) -> dict[str, Any]:
+    """Return a document of one entry in which one field can be wrong."""
+    entry: dict[str, Any] = {**_NEEDED_FIELDS_BY_SECTION[section], field: value}
+    if value is _ABSENT:
+        del entry[field]
+    return {"Version": 1, section: [entry]}
+
+
+def _number_problem(value: Any, part: dict[str, Any]) -> str:
+    """Return what is wrong with a number, empty if nothing is; it may be missing."""
+    if not _is_number(value):
+        return "not a non-negative number"
+    if value is not None and value > MAX_NUMBER and _is_refused(part):
+        return "too large"
+    return ""
 
 
 def _is_number(value: Any) -> bool:
@@ -111,74 +175,85 @@
     return is_number and math.isfinite(value) and value >= 0
 
 
+def _is_whole_number(value: Any) -> bool:
+    if isinstance(value, float):
+        return value.is_integer()
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
 def _is_list_of_texts(value: Any) -> bool:
     return value is None or (
         isinstance(value, list) and all(isinstance(key, str) and key for key in value)
     )
 
 
-def _version_problems(document: dict[str, Any]) -> Iterator[str]:
-    if document["Version"] < 1:
+def _version_errors(configuration: Configuration) -> Iterator[str]:
+    if configuration.version < 1:
         yield "Version is below 1, so instances regard it as no configuration"
 
 
 def _route_problems(document: dict[str, Any]) -> Iterator[str]:
-    routes = document.get("Routes") or []
-    services = {entry["Name"] for entry in document.get("Services") or ()}
-    for database, count in Counter(entry["Host"] for entry in routes).items():
+    entries = document.get("Routes") or []
+    routes = [decode_route(entry) for entry in entries]
+    services = {decode_service(entry).name for entry in document.get("Services") or ()}
+    for database, count in Counter(route.database for route in routes).items():
         if count > 1:
-            yield f"database {database} has {count} routes; only the last one applies"
-    for entry in routes:
-        label = f"database {entry['Host']}"
-        if entry["Service"] not in services:
-            yield f"{label}: there is no service {entry['Service']}"
-        if entry["Type"] not in ROUTE_TYPES:
-            yield f"{label}: type {entry['Type']} is unknown and is read as primary"
-        if not isinstance(entry.get("Public", False), bool):
+            label = f"database {printable(database)}"
+            yield f"{label} has {count} routes; only the last one applies"
+    for entry, route in zip(entries, routes, strict=True):
+        label, kind = f"database {printable(route.database)}", entry["Type"]
+        if isinstance(route.service, str) and route.service not in services:
+            yield f"{label}: there is no service {printable(route.service)}"
+        if isinstance(kind, str) and kind and kind not in ROUTE_TYPES:
+            yield f"{label}: type {printable(kind)} is unknown and is read as primary"
+        if not isinstance(entry.get("Public") or False, bool):
             yield f"{label}: Public is neither true nor false, and is read as false"
-        staleness_ms = entry.get("MaxStalenessMs") or 0
-        if entry["Type"] == "primary" and staleness_ms:
+        if kind == "primary" and route.max_staleness:
             yield f"{label}: MaxStalenessMs has no effect on a primary route"
-        if entry["Type"] == "bounded_staleness" and not staleness_ms:
+        if kind == "bounded_staleness" and not route.max_staleness:
             yield f"{label}: MaxStalenessMs is 0, so no replica may serve reads"
-        timeout_ms = entry.get("TimeoutMs") or DEFAULT_STATEMENT_TIMEOUT_MS
-        objective_ms = entry.get("SloMs") or DEFAULT_STATEMENT_TIMEOUT_MS
-        if timeout_ms < objective_ms:
+        if route.statement_timeout < route.latency_objective:
             yield (
-                f"{label}: the timeout of {timeout_ms} ms is below the latency "
-                f"objective of {objective_ms} ms"
+                f"{label}: the timeout of {_ms(route.statement_timeout)} ms is below "
+                f"the latency objective of {_ms(route.latency_objective)} ms"
             )
 
 
+def _ms(duration: timedelta) -> str:
+    return f"{duration / _MILLISECOND:.15g}"
+
+
 def _service_problems(document: dict[str, Any]) -> Iterator[str]:
-    entries = document.get("Services") or []
-    for name, count in Counter(entry["Name"] for entry in entries).items():
+    services = [decode_service(entry) for entry in document.get("Services") or ()]
+    for name, count in Counter(service.name for service in services).items():
         if count > 1:
-            yield f"service {name} is listed {count} times; only the last one applies"
-    for entry in entries:
-        connections = entry.get("MaxConns") or 0
-        if connections <= RESERVED_CONNECTIONS:
+            label = f"service {printable(name)}"
+            yield f"{label} is listed {count} times; only the last one applies"
+    for service in services:
+        if service.max_connections <= RESERVED_CONNECTIONS:
             yield (
-                f"service {entry['Name']}: of {connections} connections, "
-                f"{RESERVED_CONNECTIONS} are reserved for status requests"
+                f"service {printable(service.name)}: of {service.max_connections} "
+                f"connections, {RESERVED_CONNECTIONS} are reserved for status requests"
             )
 
 
 def _account_problems(document: dict[str, Any]) -> Iterator[str]:
     entries = document.get("Tenants") or []
+    accounts = [decode_account(entry)[0] for entry in entries]
     names_by_key: dict[str, list[str]] = {}
-    for name, count in Counter(entry["Name"] for entry in entries).items():
+    for name, count in Counter(account.name for account in accounts).items():
         if count > 1:
-            yield f"account {name} is listed {count} times"
-    for entry in entries:
-        label = f"account {entry['Name']}"
-        for key in entry.get("ApiKeys") or ():
-            names_by_key.setdefault(key, []).append(entry["Name"])
+            yield f"account {printable(name)} is listed {count} times"
+    for entry, account in zip(entries, accounts, strict=True):
+        label = f"account {printable(account.name)}"
+        if _is_list_of_texts(entry.get("ApiKeys")):
+            for key in entry.get("ApiKeys") or ():
+                names_by_key.setdefault(key, []).append(printable(account.name))
         if not entry.get("ApiKeys"):
             yield f"{label} has no keys, so nobody can use it"
-        if not entry.get("RatePerS"):
+        if not account.rate_per_s:
             yield f"{label}: the rate is 0, so its operations are refused"
-        if (entry.get("Burst") or 0) < 1:
+        if account.burst < 1:
             yield f"{label}: the burst is below 1 operation"
     for names in names_by_key.values():
         # Keys are secrets, so they are not printed.
--- a/bulrushloom/platform/documents.py
+++ b/bulrushloom/platform/documents.py
@@ -35,16 +35,17 @@
     """Decode a configuration; raise ``DocumentError`` if it is invalid."""
     try:
         document = orjson.loads(value)
-        accounts = [_account(entry) for entry in document.get("Tenants") or ()]
+        accounts = [decode_account(entry) for entry in document.get("Tenants") or ()]
         return Configuration(
             version=int(document["Version"]),
             revision=revision,
             # The key ``Host`` of a route holds the name of its database.
             route_by_database={
-                entry["Host"]: _route(entry) for entry in document.get("Routes") or ()
+                entry["Host"]: decode_route(entry)
+                for entry in document.get("Routes") or ()
             },
             service_by_name={
-                entry["Name"]: _service(entry)
+                entry["Name"]: decode_service(entry)
                 for entry in document.get("Services") or ()
             },
             account_by_key={key: account for account, keys in accounts for key in keys},
@@ -69,7 +70,8 @@
     return timedelta(milliseconds=milliseconds or default_ms)
 
 
-def _route(entry: dict[str, Any]) -> Route:
+def decode_route(entry: dict[str, Any]) -> Route:
+    """Decode one of the routes of a configuration."""
     return Route(
         name=entry.get("Name", ""),
         database=entry["Host"],
@@ -85,7 +87,8 @@
     )
 
 
-def _service(entry: dict[str, Any]) -> Service:
+def decode_service(entry: dict[str, Any]) -> Service:
+    """Decode one of the services of a configuration."""
     return Service(
         name=entry["Name"],
         max_connections=int(entry.get("MaxConns") or 0),
@@ -102,7 +105,8 @@
     return rate
 
 
-def _account(entry: dict[str, Any]) -> tuple[Account, list[str]]:
+def decode_account(entry: dict[str, Any]) -> tuple[Account, list[str]]:
+    """Decode one of the accounts of a configuration, with its keys."""
     account = Account(
         name=entry["Name"],
         rate_per_s=float(entry.get("RatePerS") or 0),
--- a/tests/platform/test_document_check.py
+++ b/tests/platform/test_document_check.py
@@ -4,10 +4,13 @@
 
 import orjson
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 
 from bulrushloom.platform.document_changes import describe_changes, version_problem
 from bulrushloom.platform.document_check import MAX_DOCUMENT_BYTES, check_document
 from bulrushloom.platform.documents import decode_configuration
+from bulrushloom.proxy.store import DocumentError
 from standins.platform.documents import build_document
 
 
@@ -123,3 +126,137 @@
     old = configuration(build_document(7))
     assert version_problem(old, configuration(build_document(8))) == ""
     assert "not higher than 7" in version_problem(old, old)
+
+
+def is_refused(document):
+    try:
+        configuration(document)
+    except DocumentError:
+        return True
+    return False
+
+
+@pytest.mark.parametrize(
+    "section, changes, problem",
+    [
+        ("Routes", {"Host": ["stock"]}, "Routes[0]: Host is missing or not text"),
+        ("Routes", {"SloMs": "400"}, "Routes[0]: SloMs is not a non-negative number"),
+        ("Routes", {"TimeoutMs": 1e300}, "Routes[0]: TimeoutMs is too large"),
+        ("Services", {"MaxConns": "x"}, "Services[0]: MaxConns is not a non-negative"),
+        ("Services", {"ColdPerS": -1}, "Services[0]: ColdPerS is not a non-negative"),
+        ("Services", {"ColdPerS": 1e18}, "Services[0]: ColdPerS is too large"),
+        ("Tenants", {"ApiKeys": [["key-1"]]}, "Tenants[0]: ApiKeys is not a list of"),
+        ("Tenants", {"ApiKeys": 5}, "Tenants[0]: ApiKeys is not a list of texts"),
+    ],
+)
+def test_entry_that_instances_refuse_is_named_as_an_error(section, changes, problem):
+    # Guards against the text of a Python exception that names no entry.
+    document = document_with(section, 0, **changes)
+    assert is_refused(document)
+    checked = check_document(orjson.dumps(document))
+    assert checked.configuration is None and checked.warnings == []
+    assert len(checked.errors) == 1 and checked.errors[0].startswith(problem)
+
+
+@pytest.mark.parametrize("field", ["Host", "Service", "Type"])
+def test_route_without_a_field_that_instances_need_is_an_error(field):
+    document = build_document()
+    del document["Routes"][1][field]
+    checked = check_document(orjson.dumps(document))
+    assert checked.errors == [f"Routes[1]: {field} is missing or not text"]
+
+
+@pytest.mark.parametrize(
+    "section, changes, problem",
+    [
+        ("Routes", {"Host": 5}, "Host is missing or not text"),
+        ("Routes", {"Service": []}, "Service is missing or not text"),
+        ("Routes", {"Type": None}, "Type is missing or not text"),
+        ("Routes", {"TimeoutMs": True}, "TimeoutMs is not a non-negative number"),
+        ("Services", {"MaxConns": "40"}, "MaxConns is not a non-negative number"),
+        ("Tenants", {"ApiKeys": "key-11"}, "ApiKeys is not a list of texts"),
+        ("Tenants", {"ApiKeys": [5]}, "ApiKeys is not a list of texts"),
+        ("Tenants", {"RatePerS": "nan"}, "RatePerS is not a non-negative number"),
+        ("Tenants", {"Name": ""}, "Name is missing or not text"),
+    ],
+)
+def test_odd_entry_that_instances_accept_is_a_warning(section, changes, problem):
+    # Guards against an error, and no differences, for a document that instances apply.
+    document = document_with(section, 0, **changes)
+    checked = check_document(orjson.dumps(document))
+    # As text, because NaN is not equal to itself.
+    assert repr(checked.configuration) == repr(configuration(document))
+    assert checked.errors == []
+    assert any(problem in text for text in checked.warnings)
+
+
+@pytest.mark.parametrize("version", [True, "7", 7.5])
+@pytest.mark.parametrize("section", ["Routes", "Services", "Tenants", "Limits"])
+@pytest.mark.parametrize("value", [{}, "", 0, False])
+def test_odd_document_that_instances_accept_is_a_warning(version, section, value):
+    document = build_document(version, **{section: value})
+    assert not is_refused(document)
+    checked = check_document(orjson.dumps(document))
+    assert checked.configuration == configuration(document)
+    assert checked.errors == []
+    assert "Version is not a whole number" in checked.warnings
+
+
+@pytest.mark.parametrize("document", [{"Routes": {"Host": "a"}}, {"Limits": [1]}])
+def test_section_that_instances_refuse_is_an_error(document):
+    checked = check_document(orjson.dumps(build_document() | document))
+    assert len(checked.errors) == 1 and checked.configuration is None
+
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.sampled_from(["", "x", "orders", "stock", "nan", "7", "\n", "\u2028"])
+    | st.sampled_from([-1, 0, 0.5, 7, 2**53, 2**64 - 1, 1e17, 1e300, -1e300]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(st.sampled_from(["Host", "Name", "x"]), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
+FIELDS = st.sampled_from(
+    [
+        *[("Routes", field) for field in ("Host", "Service", "Type", "TimeoutMs")],
+        *[("Routes", field) for field in ("SloMs", "MaxStalenessMs", "Priority")],
+        *[("Routes", field) for field in ("Public", "Name")],
+        *[("Services", field) for field in ("Name", "MaxConns", "SyncReplicas")],
+        *[("Services", "ColdPerS"), ("Tenants", "Name"), ("Tenants", "ApiKeys")],
+        *[("Tenants", field) for field in ("RatePerS", "Burst", "Priority")],
+        *[(section, "") for section in ("Routes", "Services", "Tenants")],
+        *[("Limits", "TxIdleMs"), ("Limits", ""), ("Version", "")],
+    ]
+)
+
+
+@settings(deadline=None)
+@example([(("Routes", "Service"), [])])
+@given(st.lists(st.tuples(FIELDS, VALUES), min_size=1, max_size=3))
+def test_errors_are_what_instances_refuse(changes):
+    # Guards against exceptions of the check and of the comparison, and against an error
+    # for a document that instances accept, or none for one that they refuse.
+    document = copy.deepcopy(build_document())
+    for (section, field), value in changes:
+        if not field:
+            document[section] = value
+        elif isinstance(document[section], list) and document[section]:
+            entry = document[section][0]
+            if isinstance(entry, dict):
+                entry[field] = value
+        elif isinstance(document[section], dict):
+            document[section][field] = value
+    checked = check_document(orjson.dumps(document))
+    if is_refused(document):
+        assert checked.configuration is None and checked.errors
+        return
+    new = checked.configuration
+    assert new is not None and new.version == configuration(document).version
+    assert bool(checked.errors) == (new.version < 1)
+    for line in describe_changes(configuration(build_document()), new):
+        assert line.isprintable()
+    assert all(text.isprintable() for text in checked.problems)
+    assert checked.problems == check_document(orjson.dumps(document)).problems
