Report fields that are given twice in a configuration

Cause: of two fields of a name in one JSON object, such as two lists of routes, decoders use the last one, and the check said nothing of the other.

Change: a warning for each such field that instances read.

Tests: 5 of the new cases fail without the change. tests/management and tests/platform: 278 passed.

--- a/bulrushloom/platform/document_check.py
+++ b/bulrushloom/platform/document_check.py
@@ -1,8 +1,9 @@
 """Checks of a configuration document before operators write it to the store."""
 
+import json
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -36,6 +37,11 @@
     "Services": {"Name": "service"},
     "Tenants": {"Name": "account"},
 }
+_FIELDS_BY_SECTION = {
+    "Routes": ("Name", "Host", "Service", "Type", "Public"),
+    "Services": ("Name",),
+    "Tenants": ("Name", "ApiKeys"),
+}
 _ABSENT = object()
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -89,6 +95,7 @@
         reason = str(error.__cause__ or error)
         return CheckedDocument(None, errors or [reason], warnings)
     warnings = [
+        *_repeated_fields(data),
         *(finding.text for finding in findings),
         *_route_problems(document),
         *_service_problems(document),
@@ -99,6 +106,39 @@
     )
 
 
+class _RawObject(dict[str, Any]):
+    """A JSON object that knows how often each of its fields is given."""
+
+    def __init__(self, pairs: list[tuple[str, Any]]):
+        super().__init__(pairs)
+        self.count_by_field = Counter(field for field, _ in pairs)
+
+
+def _repeated_fields(data: bytes) -> Iterator[str]:
+    """Find fields that are given more than once, of which decoders use the last one."""
+    try:
+        document = json.loads(data, object_pairs_hook=_RawObject)
+    except RecursionError:
+        yield "the document is nested too deeply to look for fields given twice"
+        return
+    fields = ("Version", "Limits", *_FIELDS_BY_SECTION)
+    yield from _repeated_of("", document, fields)
+    yield from _repeated_of("Limits: ", document.get("Limits"), ("TxIdleMs",))
+    for section, texts in _FIELDS_BY_SECTION.items():
+        fields = (*texts, *_NUMBERS_BY_SECTION[section])
+        for position, entry in enumerate(document.get(section) or ()):
+            yield from _repeated_of(f"{section}[{position}]: ", entry, fields)
+
+
+def _repeated_of(label: str, entry: Any, fields: Iterable[str]) -> Iterator[str]:
+    """Find the repeated ones of the fields that instances read."""
+    if not isinstance(entry, _RawObject):
+        return
+    for field in fields:
+        if (count := entry.count_by_field[field]) > 1:
+            yield f"{label}{field} is given {count} times; only the last one applies"
+
+
 def _is_refused(document: dict[str, Any]) -> bool:
     try:
         decode_configuration(orjson.dumps(document), 0)
--- a/tests/platform/test_document_check.py
+++ b/tests/platform/test_document_check.py
@@ -208,6 +208,39 @@
     assert len(checked.errors) == 1 and checked.configuration is None
 
 
+@pytest.mark.parametrize(
+    "old, new, problem",
+    [
+        ('"Version":7', '"Version":9,"Version":7', "Version is given 2 times"),
+        ('"Routes":[', '"Routes":[],"Routes":[', "Routes is given 2 times"),
+        ('"Limits":{', '"Limits":{"TxIdleMs":1,', "Limits: TxIdleMs is given 2 times"),
+        ('"SloMs":400', '"SloMs":9,"SloMs":400', "Routes[1]: SloMs is given 2 times"),
+        ('"ApiKeys":[', '"ApiKeys":[],"ApiKeys":[', "Tenants[0]: ApiKeys is given 2"),
+        # Instances do not read this field.
+        ('"SomethingNew":{', '"SomethingNew":{"x":1,"x":2,', ""),
+    ],
+)
+def test_field_that_is_given_twice_is_a_warning(old, new, problem):
+    # Guards against a value that the last one of the same name hides.
+    data = orjson.dumps(build_document()).decode()
+    assert data.count(old) == 1
+    checked = check_document(data.replace(old, new).encode())
+    assert checked.configuration == configuration(build_document())
+    assert checked.errors == []
+    assert [text[: len(problem)] for text in checked.warnings] == [problem] * bool(
+        problem
+    )
+
+
+def test_document_that_is_nested_deeply_is_checked():
+    # Guards against a traceback for a document that instances accept.
+    data = orjson.dumps(build_document()).decode()
+    nested = "[" * 1000 + "]" * 1000
+    checked = check_document(data.replace('{"field":1}', nested).encode())
+    assert checked.configuration == configuration(build_document())
+    assert checked.errors == []
+
+
 VALUES = st.recursive(
     st.none()
     | st.booleans()
