Give the true effect of rates, bursts and staleness bounds

Cause: the check said that an account with a rate of 0 or a burst below 1 is refused, but a window allows rate x window + burst, so only both together refuse. A staleness bound of up to 100 ms, and a missing one on a route that reads its own writes, keep all reads from replicas without a warning; bounds beyond the positions that are kept have no effect of their own.

Change: the warnings follow the limiter and the position history.

--- a/bulrushloom/platform/document_check.py
+++ b/bulrushloom/platform/document_check.py
@@ -17,13 +17,18 @@
     decode_route,
     decode_service,
 )
-from bulrushloom.proxy.configuration import Configuration
+from bulrushloom.proxy.configuration import Account, Configuration, Consistency, Route
 from bulrushloom.proxy.connection_allowance import RESERVED_CONNECTIONS
+from bulrushloom.proxy.positions import SAMPLE_LIFETIME, TRANSIT_MARGIN
 from bulrushloom.proxy.store import DocumentError
 
 ROUTE_TYPES = ("primary", "bounded_staleness", "read_your_writes")
 # A larger document is not accepted by the store.
 MAX_DOCUMENT_BYTES = 1024 * 1024
+# Up to the first bound, no position of the primary is recent enough for reads at
+# replicas. Beyond the second, reads need the oldest position that is kept.
+MIN_STALENESS = TRANSIT_MARGIN
+MAX_STALENESS = SAMPLE_LIFETIME + TRANSIT_MARGIN
 _NUMBERS_BY_SECTION = {
     "Routes": ("TimeoutMs", "SloMs", "Priority", "MaxStalenessMs"),
     "Services": ("MaxConns", "SyncReplicas", "ColdPerS"),
@@ -248,10 +253,8 @@
             yield f"{label}: type {printable(kind)} is unknown and is read as primary"
         if not isinstance(entry.get("Public") or False, bool):
             yield f"{label}: Public is neither true nor false, and is read as false"
-        if kind == "primary" and route.max_staleness:
-            yield f"{label}: MaxStalenessMs has no effect on a primary route"
-        if kind == "bounded_staleness" and not route.max_staleness:
-            yield f"{label}: MaxStalenessMs is 0, so no replica may serve reads"
+        if kind in ROUTE_TYPES:
+            yield from (f"{label}: {text}" for text in _staleness_problems(route))
         if route.statement_timeout < route.latency_objective:
             yield (
                 f"{label}: the timeout of {_ms(route.statement_timeout)} ms is below "
@@ -259,6 +262,23 @@
             )
 
 
+def _staleness_problems(route: Route) -> Iterator[str]:
+    bound = route.max_staleness
+    if route.consistency is Consistency.PRIMARY:
+        if bound:
+            yield "MaxStalenessMs has no effect on a primary route"
+    elif bound <= MIN_STALENESS:
+        yield (
+            f"MaxStalenessMs is {_ms(bound)}, so no replica may serve reads: "
+            f"{_ms(MIN_STALENESS)} ms of it are for the transit of a request"
+        )
+    elif bound > MAX_STALENESS:
+        yield (
+            f"MaxStalenessMs is {_ms(bound)}, but no bound above "
+            f"{_ms(MAX_STALENESS)} ms has an effect of its own"
+        )
+
+
 def _ms(duration: timedelta) -> str:
     return f"{duration / _MILLISECOND:.15g}"
 
@@ -291,11 +311,22 @@
                 names_by_key.setdefault(key, []).append(printable(account.name))
         if not entry.get("ApiKeys"):
             yield f"{label} has no keys, so nobody can use it"
-        if not account.rate_per_s:
-            yield f"{label}: the rate is 0, so its operations are refused"
-        if account.burst < 1:
-            yield f"{label}: the burst is below 1 operation"
+        yield from (f"{label}: {text}" for text in _rate_problems(account))
     for names in names_by_key.values():
         # Keys are secrets, so they are not printed.
         if len(names) > 1:
             yield f"one key is listed {len(names)} times: accounts {', '.join(names)}"
+
+
+def _rate_problems(account: Account) -> Iterator[str]:
+    """Find limits that contradict each other; a window allows rate x window + burst."""
+    if not account.rate_per_s and account.burst < 1:
+        yield (
+            "the rate is 0 and the burst is below 1 operation, so its operations are "
+            "refused"
+        )
+    elif not account.rate_per_s:
+        burst = f"{account.burst:.15g}"
+        yield f"the rate is 0, so only its burst of {burst} is served in each window"
+    elif account.burst < 1:
+        yield "the burst is below 1 operation, so only its rate is served"
--- a/tests/platform/test_document_check.py
+++ b/tests/platform/test_document_check.py
@@ -1,15 +1,24 @@
 """Problems and differences that are found before a document is written."""
 
 import copy
+from datetime import timedelta
 
 import orjson
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform.document_changes import describe_changes, version_problem
-from bulrushloom.platform.document_check import MAX_DOCUMENT_BYTES, check_document
+from bulrushloom.platform.document_check import (
+    MAX_DOCUMENT_BYTES,
+    MAX_STALENESS,
+    MIN_STALENESS,
+    check_document,
+)
 from bulrushloom.platform.documents import decode_configuration
+from bulrushloom.proxy.messages import LogPosition
+from bulrushloom.proxy.positions import PositionHistory, PositionSample
 from bulrushloom.proxy.store import DocumentError
 from standins.platform.documents import build_document
 
@@ -241,6 +250,67 @@
     assert checked.errors == []
 
 
+@pytest.mark.parametrize(
+    "section, changes, problem",
+    [
+        # The limit of a window is rate x window + burst, so both cases serve callers.
+        (
+            "Tenants",
+            {"RatePerS": 0},
+            "account hotel: the rate is 0, so only its burst of 70 is served in each "
+            "window",
+        ),
+        (
+            "Tenants",
+            {"Burst": 0},
+            "account hotel: the burst is below 1 operation, so only its rate is served",
+        ),
+        (
+            "Tenants",
+            {"RatePerS": 0, "Burst": 0.5},
+            "account hotel: the rate is 0 and the burst is below 1 operation, so its "
+            "operations are refused",
+        ),
+        (
+            "Routes",
+            {"MaxStalenessMs": 100},
+            "database stock: MaxStalenessMs is 100, so no replica may serve reads: "
+            "100 ms of it are for the transit of a request",
+        ),
+        (
+            "Routes",
+            {"Type": "read_your_writes", "MaxStalenessMs": None},
+            "database stock: MaxStalenessMs is 0, so no replica may serve reads: "
+            "100 ms of it are for the transit of a request",
+        ),
+        (
+            "Routes",
+            {"MaxStalenessMs": 10_101},
+            "database stock: MaxStalenessMs is 10101, but no bound above 10100 ms has "
+            "an effect of its own",
+        ),
+    ],
+)
+def test_limits_that_contradict_each_other(section, changes, problem):
+    # Guards against a wrong reason: callers of an account without a rate or a burst are
+    # served, and a staleness bound above 0 may still keep reads from replicas.
+    checked = check_document(orjson.dumps(document_with(section, 0, **changes)))
+    assert (checked.errors, checked.warnings) == ([], [problem])
+
+
+def test_staleness_bounds_agree_with_the_position_history():
+    history = PositionHistory()
+    for second in range(31):
+        at = timedelta(seconds=second)
+        history.record(PositionSample(at, LogPosition(1, second)))
+    now = timedelta(seconds=30)
+    later = now + timedelta(milliseconds=1)
+    assert isinstance(history.position_for(later, MIN_STALENESS), Missing)
+    longest = history.position_for(now, MAX_STALENESS)
+    assert longest == history.position_for(now, MAX_STALENESS * 2)
+    assert longest == LogPosition(1, 20)
+
+
 VALUES = st.recursive(
     st.none()
     | st.booleans()
