Find entries of a configuration that can never match

Cause: the check found routes and keys that a later entry hides, but not a database or key that no client can send, a name that servers or other instances refuse, a service to which no route leads, or an account that has lost all its keys to later ones.

Change: a warning for each. Whether a client can send a database and a key is decided by the codec of the statement protocol.

--- a/bulrushloom/platform/document_check.py
+++ b/bulrushloom/platform/document_check.py
@@ -9,9 +9,11 @@
 
 import orjson
 
+from bulrushloom.platform import wire
 from bulrushloom.platform.document_text import printable
 from bulrushloom.platform.documents import (
     MAX_NUMBER,
+    MAX_TEXT_LENGTH,
     decode_account,
     decode_configuration,
     decode_route,
@@ -19,6 +21,7 @@
 )
 from bulrushloom.proxy.configuration import Account, Configuration, Consistency, Route
 from bulrushloom.proxy.connection_allowance import RESERVED_CONNECTIONS
+from bulrushloom.proxy.messages import StartRequest
 from bulrushloom.proxy.positions import SAMPLE_LIFETIME, TRANSIT_MARGIN
 from bulrushloom.proxy.store import DocumentError
 
@@ -103,8 +106,8 @@
         *_repeated_fields(data),
         *(finding.text for finding in findings),
         *_route_problems(document),
-        *_service_problems(document),
-        *_account_problems(document),
+        *_service_problems(document, configuration),
+        *_account_problems(document, configuration),
     ]
     return CheckedDocument(
         configuration, list(_version_errors(configuration)), warnings
@@ -247,6 +250,8 @@
             yield f"{label} has {count} routes; only the last one applies"
     for entry, route in zip(entries, routes, strict=True):
         label, kind = f"database {printable(route.database)}", entry["Type"]
+        if isinstance(route.database, str) and not _can_start(route.database, "key"):
+            yield f"{label}: no client can name it: it is not ASCII, or has a space"
         if isinstance(route.service, str) and route.service not in services:
             yield f"{label}: there is no service {printable(route.service)}"
         if isinstance(kind, str) and kind and kind not in ROUTE_TYPES:
@@ -262,6 +267,12 @@
             )
 
 
+def _can_start(database: str, key: str) -> bool:
+    """Return whether a client can start a session with this database and key."""
+    line = f"START {database} {key}".encode()
+    return wire.decode_client_line(line) == StartRequest(database, key)
+
+
 def _staleness_problems(route: Route) -> Iterator[str]:
     bound = route.max_staleness
     if route.consistency is Consistency.PRIMARY:
@@ -283,21 +294,42 @@
     return f"{duration / _MILLISECOND:.15g}"
 
 
-def _service_problems(document: dict[str, Any]) -> Iterator[str]:
+def _service_problems(
+    document: dict[str, Any], configuration: Configuration
+) -> Iterator[str]:
     services = [decode_service(entry) for entry in document.get("Services") or ()]
     for name, count in Counter(service.name for service in services).items():
         if count > 1:
             label = f"service {printable(name)}"
             yield f"{label} is listed {count} times; only the last one applies"
+    routes = configuration.route_by_database.values()
+    used_names = {route.service for route in routes if isinstance(route.service, str)}
     for service in services:
+        label = f"service {printable(service.name)}"
+        if isinstance(service.name, str) and service.name not in used_names:
+            yield f"{label}: no route leads to it"
+        if _has_space(service.name):
+            yield f"{label}: servers cannot read a name with a space or line break"
+        if isinstance(service.name, str) and len(service.name) > MAX_TEXT_LENGTH:
+            yield (
+                f"{label}: instances refuse targets that name a service of more than "
+                f"{MAX_TEXT_LENGTH} characters"
+            )
         if service.max_connections <= RESERVED_CONNECTIONS:
             yield (
-                f"service {printable(service.name)}: of {service.max_connections} "
-                f"connections, {RESERVED_CONNECTIONS} are reserved for status requests"
+                f"{label}: of {service.max_connections} connections, "
+                f"{RESERVED_CONNECTIONS} are reserved for status requests"
             )
 
 
-def _account_problems(document: dict[str, Any]) -> Iterator[str]:
+def _has_space(name: Any) -> bool:
+    """Return whether a name would be more than one field of a message."""
+    return isinstance(name, str) and bool(name) and name.split() != [name]
+
+
+def _account_problems(
+    document: dict[str, Any], configuration: Configuration
+) -> Iterator[str]:
     entries = document.get("Tenants") or []
     accounts = [decode_account(entry)[0] for entry in entries]
     names_by_key: dict[str, list[str]] = {}
@@ -306,12 +338,31 @@
             yield f"account {printable(name)} is listed {count} times"
     for entry, account in zip(entries, accounts, strict=True):
         label = f"account {printable(account.name)}"
-        if _is_list_of_texts(entry.get("ApiKeys")):
-            for key in entry.get("ApiKeys") or ():
-                names_by_key.setdefault(key, []).append(printable(account.name))
+        if _has_space(account.name):
+            yield f"{label}: servers cannot read a name with a space or line break"
+        if isinstance(account.name, str) and len(account.name) > MAX_TEXT_LENGTH:
+            yield (
+                f"{label}: instances refuse messages with names of more than "
+                f"{MAX_TEXT_LENGTH} characters"
+            )
+        has_keys = _is_list_of_texts(entry.get("ApiKeys"))
+        keys = (entry.get("ApiKeys") or []) if has_keys else []
+        for key in keys:
+            names_by_key.setdefault(key, []).append(printable(account.name))
         if not entry.get("ApiKeys"):
             yield f"{label} has no keys, so nobody can use it"
+        if count := sum(not _can_start("database", key) for key in keys):
+            yield f"{label}: {count} of its keys cannot be sent by clients"
         yield from (f"{label}: {text}" for text in _rate_problems(account))
+    for entry, account in zip(entries, accounts, strict=True):
+        keys = entry.get("ApiKeys")
+        if not keys or not _is_list_of_texts(keys):
+            continue
+        holders = {configuration.account_by_key[key].name for key in keys}
+        if account.name not in holders:
+            label = f"account {printable(account.name)}"
+            reason = "all its keys belong to later accounts"
+            yield f"{label}: {reason}, so nobody can use it"
     for names in names_by_key.values():
         # Keys are secrets, so they are not printed.
         if len(names) > 1:
--- a/tests/platform/test_document_check.py
+++ b/tests/platform/test_document_check.py
@@ -311,6 +311,78 @@
     assert longest == LogPosition(1, 20)
 
 
+@pytest.mark.parametrize(
+    "section, changes, problem",
+    [
+        ("Routes", {"Host": "s tock"}, "database s tock: no client can name it"),
+        ("Routes", {"Host": "\u043a"}, "database \u043a: no client can name it"),
+        ("Routes", {"Host": "a\r"}, "database 'a\\r': no client can name it"),
+        (
+            "Tenants",
+            {"ApiKeys": ["secr\u00e9t", "a\nb", "key 1"]},
+            "account hotel: 2 of its keys cannot be sent by clients",
+        ),
+        (
+            "Tenants",
+            {"Name": "ho tel"},
+            "account ho tel: servers cannot read a name with a space or line break",
+        ),
+        (
+            "Tenants",
+            {"Name": "h" * 201},
+            f"account {'h' * 201}: instances refuse messages with names of more than "
+            "200 characters",
+        ),
+    ],
+)
+def test_entry_that_can_never_match(section, changes, problem):
+    # Guards against a route, an account or a key that no client or server can use.
+    checked = check_document(orjson.dumps(document_with(section, 0, **changes)))
+    assert checked.errors == [] and len(checked.warnings) == 1
+    assert checked.warnings[0].startswith(problem)
+    assert "secr" not in checked.warnings[0]
+
+
+@pytest.mark.parametrize(
+    "name, problem",
+    [
+        ("or ders", "servers cannot read a name with a space or line break"),
+        ("o" * 201, "instances refuse targets that name a service of more than 200"),
+    ],
+)
+def test_service_that_can_have_no_target(name, problem):
+    document = build_document()
+    document["Services"][0]["Name"] = name
+    for route in document["Routes"]:
+        route["Service"] = name
+    (warning,) = check(document)
+    assert warning.startswith(f"service {name}: {problem}")
+
+
+def test_service_without_routes_is_a_warning():
+    document = build_document()
+    document["Services"].append(document["Services"][0] | {"Name": "billing"})
+    assert check(document) == ["service billing: no route leads to it"]
+    # Only the last route of a database applies.
+    document["Routes"][0]["Service"] = "billing"
+    assert check(document) == []
+    document["Routes"].append(document["Routes"][0] | {"Service": "orders"})
+    assert check(document) == [
+        "database stock has 2 routes; only the last one applies",
+        "service billing: no route leads to it",
+    ]
+
+
+def test_account_whose_keys_all_belong_to_a_later_one_is_a_warning():
+    document = build_document()
+    account = document["Tenants"][0]
+    document["Tenants"].append(account | {"Name": "train", "ApiKeys": ["key-2"]})
+    hidden = "account hotel: all its keys belong to later accounts, so nobody can use "
+    assert not any(hidden in text for text in check(document))
+    document["Tenants"].append(account | {"Name": "bus", "ApiKeys": ["key-1"]})
+    assert hidden + "it" in check(document)
+
+
 VALUES = st.recursive(
     st.none()
     | st.booleans()
