Warn of numbers that instances cut or refuse later

Cause: a fraction in MaxConns, SyncReplicas or Priority was not reported, although instances drop it: SyncReplicas 0.5 means no replica. A priority or a version beyond the bounds of the messages between instances was not reported either. A negative priority, which instances handle, was a problem.

Change: warnings for the former, and negative whole priorities are correct.

--- a/bulrushloom/platform/document_check.py
+++ b/bulrushloom/platform/document_check.py
@@ -37,6 +37,12 @@
     "Services": ("MaxConns", "SyncReplicas", "ColdPerS"),
     "Tenants": ("RatePerS", "Burst", "Priority"),
 }
+# Instances drop the fraction of these numbers; the others are durations and rates.
+_WHOLE_NUMBERS = ("Priority", "MaxConns", "SyncReplicas")
+# Bounds of the messages between instances: of a request for a shared connection, and
+# of a report.
+_MAX_PRIORITY = 2**31
+_MAX_VERSION = 2**53
 _NAME_FIELD_BY_SECTION = {"Routes": "Host", "Services": "Name", "Tenants": "Name"}
 # The fields without which instances refuse an entry. With one field of an entry under
 # check instead, they show whether instances accept that field.
@@ -104,6 +110,7 @@
         return CheckedDocument(None, errors or [reason], warnings)
     warnings = [
         *_repeated_fields(data),
+        *_version_warnings(configuration),
         *(finding.text for finding in findings),
         *_route_problems(document),
         *_service_problems(document, configuration),
@@ -191,7 +198,7 @@
             yield _Finding(f"{label}: {field} is missing or not text", part)
     for field in _NUMBERS_BY_SECTION[section]:
         part = _document_with(section, field, entry.get(field))
-        if problem := _number_problem(entry.get(field), part):
+        if problem := _number_problem(entry.get(field), part, field):
             yield _Finding(f"{label}: {field} is {problem}", part)
     keys = entry.get("ApiKeys")
     if section == "Tenants" and not _is_list_of_texts(keys):
@@ -207,10 +214,15 @@
     return {"Version": 1, section: [entry]}
 
 
-def _number_problem(value: Any, part: dict[str, Any]) -> str:
+def _number_problem(value: Any, part: dict[str, Any], field: str = "") -> str:
     """Return what is wrong with a number, empty if nothing is; it may be missing."""
+    # A negative priority comes before 0.
+    if field == "Priority" and _is_whole_number(value):
+        return "too large" if _is_refused(part) else ""
     if not _is_number(value):
         return "not a non-negative number"
+    if value and field in _WHOLE_NUMBERS and not _is_whole_number(value):
+        return f"not a whole number and is read as {int(value)}"
     if value is not None and value > MAX_NUMBER and _is_refused(part):
         return "too large"
     return ""
@@ -240,6 +252,13 @@
         yield "Version is below 1, so instances regard it as no configuration"
 
 
+def _version_warnings(configuration: Configuration) -> Iterator[str]:
+    if configuration.version > _MAX_VERSION:
+        yield (
+            f"Version is above {_MAX_VERSION}, so instances refuse each other's reports"
+        )
+
+
 def _route_problems(document: dict[str, Any]) -> Iterator[str]:
     entries = document.get("Routes") or []
     routes = [decode_route(entry) for entry in entries]
@@ -258,6 +277,11 @@
             yield f"{label}: type {printable(kind)} is unknown and is read as primary"
         if not isinstance(entry.get("Public") or False, bool):
             yield f"{label}: Public is neither true nor false, and is read as false"
+        if abs(route.priority) > _MAX_PRIORITY:
+            yield (
+                f"{label}: owners of shared connections refuse statements of priority "
+                f"{route.priority}"
+            )
         if kind in ROUTE_TYPES:
             yield from (f"{label}: {text}" for text in _staleness_problems(route))
         if route.statement_timeout < route.latency_objective:
--- a/tests/platform/test_document_check.py
+++ b/tests/platform/test_document_check.py
@@ -383,6 +383,62 @@
     assert hidden + "it" in check(document)
 
 
+@pytest.mark.parametrize(
+    "section, changes, problem",
+    [
+        (
+            "Services",
+            {"SyncReplicas": 0.5},
+            "Services[0]: SyncReplicas is not a whole number and is read as 0",
+        ),
+        (
+            "Services",
+            {"MaxConns": 41.9},
+            "Services[0]: MaxConns is not a whole number and is read as 41",
+        ),
+        (
+            "Routes",
+            {"Priority": 1.5},
+            "Routes[0]: Priority is not a whole number and is read as 1",
+        ),
+        (
+            "Routes",
+            {"Priority": 2**31 + 1},
+            "database stock: owners of shared connections refuse statements of "
+            "priority 2147483649",
+        ),
+        (
+            "Routes",
+            {"Priority": -(2**31) - 1},
+            "database stock: owners of shared connections refuse statements of "
+            "priority -2147483649",
+        ),
+    ],
+)
+def test_number_that_is_read_differently_or_refused_later(section, changes, problem):
+    # Guards against commits that wait for no replica although a replica was asked for,
+    # and against statements that fail only where connections are shared.
+    assert check(document_with(section, 0, **changes)) == [problem]
+
+
+@pytest.mark.parametrize("priority", [-1, -1.0, -(2**31), 2**31])
+def test_priority_may_be_any_whole_number_that_instances_handle(priority):
+    assert check(document_with("Routes", 0, Priority=priority)) == []
+    assert check(document_with("Tenants", 0, Priority=-1)) == []
+
+
+def test_versions_that_reports_between_instances_cannot_hold_are_warned_of():
+    # Guards against instances that refuse all reports of those that apply the version.
+    # No lower version can replace it.
+    assert check(build_document(2**53)) == []
+    for version in (2**53 + 1, 1e300):
+        document = build_document(version)
+        (warning,) = check(document)
+        assert warning == "Version is above 9007199254740992, so instances refuse " + (
+            "each other's reports"
+        )
+
+
 VALUES = st.recursive(
     st.none()
     | st.booleans()
