Show moved keys, and limits and contents that were not compared

Cause: a key that moves to another account was counted as withdrawn. Only the last entry of an account that is listed twice was compared, although keys of an earlier one have its limits. The error for a version that is in force did not say whether the content differs, and an unchanged version was printed as a difference.

Change: moved keys are counted with the other account, limits are compared by key, and the error names other content. The expected error of test_problems_end_with_status_1 changed with it.

--- a/bulrushloom/platform/document_changes.py
+++ b/bulrushloom/platform/document_changes.py
@@ -1,23 +1,28 @@
 """Differences between a configuration document and the one in force, as text."""
 
+from collections import Counter
 from collections.abc import Iterator, Mapping
 from datetime import timedelta
 from typing import Any
 
 from bulrushloom.platform.document_text import printable
-from bulrushloom.proxy.configuration import Configuration
+from bulrushloom.proxy.configuration import Account, Configuration
 
 
 def version_problem(old: Configuration, new: Configuration) -> str:
     """Return why instances would not apply ``new``, empty if they would."""
     if new.version > old.version:
         return ""
-    return f"version {new.version} is not higher than {old.version}, which is in force"
+    problem = f"version {new.version} is not higher than {old.version}"
+    if new.version == old.version and new._replace(revision=old.revision) != old:
+        return f"{problem}, which is in force with other content"
+    return f"{problem}, which is in force"
 
 
 def describe_changes(old: Configuration, new: Configuration) -> Iterator[str]:
     """Yield one line for each difference; keys are secrets and only counted."""
-    yield f"version: {old.version} -> {new.version}"
+    if old.version != new.version:
+        yield f"version: {old.version} -> {new.version}"
     if old.transaction_idle_limit != new.transaction_idle_limit:
         yield (
             f"transaction idle limit: {old.transaction_idle_limit} -> "
@@ -30,6 +35,7 @@
     ]
     for label, old_entries, new_entries in sections:
         yield from _entry_changes(label, old_entries, new_entries)
+    yield from _limit_changes(old, new)
     yield from _key_changes(old, new)
 
 
@@ -60,14 +66,51 @@
     return str(value) if is_number else printable(value)
 
 
+def _limit_changes(old: Configuration, new: Configuration) -> Iterator[str]:
+    """Yield the changes that concern only earlier entries of an account.
+
+    An account that is listed more than once has the limits of its last entry, but a
+    key has those of the entry that lists it.
+    """
+    count_by_change: Counter[tuple[Account, Account]] = Counter()
+    for key, before in old.account_by_key.items():
+        after = new.account_by_key.get(key)
+        if after is None or before.name != after.name:
+            continue
+        name = before.name
+        is_last = (before, after) == (
+            old.account_by_name[name],
+            new.account_by_name[name],
+        )
+        if before != after and not is_last:
+            count_by_change[before, after] += 1
+    for (before, after), count in count_by_change.items():
+        label = f"account {printable(before.name)}"
+        change = _field_changes(before, after)
+        yield f"{label}: {change} for {count} keys of an earlier entry"
+
+
 def _key_changes(old: Configuration, new: Configuration) -> Iterator[str]:
     names = old.account_by_name.keys() | new.account_by_name.keys()
     for name in sorted(names, key=printable):
         before, after = _keys(old, name), _keys(new, name)
-        if before != after:
-            added, withdrawn = len(after - before), len(before - after)
-            label = f"keys of account {printable(name)}"
-            yield f"{label}: {added} added, {withdrawn} withdrawn"
+        if before == after:
+            continue
+        withdrawn = sum(key not in new.account_by_key for key in before)
+        added = sum(key not in old.account_by_key for key in after)
+        texts = [f"{added} added", f"{withdrawn} withdrawn"]
+        for direction, keys, other in (("to", before, new), ("from", after, old)):
+            holders = [other.account_by_key.get(key) for key in keys]
+            moved = Counter(
+                printable(account.name)
+                for account in holders
+                if account is not None and account.name != name
+            )
+            texts += [
+                f"{moved[holder]} moved {direction} {holder}"
+                for holder in sorted(moved)
+            ]
+        yield f"keys of account {printable(name)}: {', '.join(texts)}"
 
 
 def _keys(configuration: Configuration, account: str) -> set[str]:
--- a/tests/management/test_proxy_configuration.py
+++ b/tests/management/test_proxy_configuration.py
@@ -45,7 +45,7 @@
     errors = capsys.readouterr().err.splitlines()
     assert errors == [
         "bulrushloom: new.json: error: "
-        "version 7 is not higher than 7, which is in force",
+        "version 7 is not higher than 7, which is in force with other content",
         "bulrushloom: new.json: warning: database stock: there is no service orders",
         "bulrushloom: new.json: warning: database booking: there is no service orders",
     ]
--- a/tests/platform/test_document_check.py
+++ b/tests/platform/test_document_check.py
@@ -137,6 +137,74 @@
     assert "not higher than 7" in version_problem(old, old)
 
 
+def changes(old, new):
+    return list(describe_changes(configuration(old), configuration(new)))
+
+
+def test_moved_key_is_not_called_withdrawn():
+    # Guards against a key that is taken for one that is refused, or for a new one.
+    old, new = build_document(7), build_document(8)
+    account = old["Tenants"][0]
+    old["Tenants"] = [account, account | {"Name": "train", "ApiKeys": ["key-3"]}]
+    new["Tenants"] = [
+        account | {"ApiKeys": ["key-1", "key-4"]},
+        account | {"Name": "train", "ApiKeys": ["key-2"]},
+        account | {"Name": "bus", "ApiKeys": []},
+    ]
+    assert changes(old, new) == [
+        "version: 7 -> 8",
+        "account bus: added",
+        "keys of account hotel: 1 added, 0 withdrawn, 1 moved to train",
+        "keys of account train: 0 added, 1 withdrawn, 1 moved from hotel",
+    ]
+
+
+def test_limits_of_an_account_that_is_listed_twice_are_compared_by_key():
+    # Guards against a change of limits that is not shown, because only the last entry
+    # of an account is compared. Keys of the first entry have the limits of that entry.
+    old, new = build_document(7), build_document(8)
+    account = old["Tenants"][0]
+    last = account | {"ApiKeys": ["key-3"]}
+    old["Tenants"], new["Tenants"] = [account, last], [account | {"Burst": 5}, last]
+    assert changes(old, new) == [
+        "version: 7 -> 8",
+        "account hotel: burst 70.0 -> 5.0 for 2 keys of an earlier entry",
+    ]
+    # Otherwise the change of the account tells it already.
+    new["Tenants"] = old["Tenants"] = [account]
+    new["Tenants"] = [account | {"Burst": 5}]
+    assert changes(old, new) == ["version: 7 -> 8", "account hotel: burst 70.0 -> 5.0"]
+
+
+def test_unchanged_version_is_no_difference():
+    old = build_document(7)
+    assert changes(old, old) == []
+    new = build_document(7, Limits={"TxIdleMs": 1000})
+    assert changes(old, new) == [
+        "transaction idle limit: 0:00:02.500000 -> 0:00:01",
+    ]
+    assert changes(build_document(8), old) == ["version: 8 -> 7"]
+
+
+def test_version_in_force_with_other_content_is_named():
+    # Guards against two contents of one version: instances that have it keep theirs,
+    # and those that start later read the other one.
+    old = configuration(build_document(7))
+    new = configuration(build_document(7, Limits={"TxIdleMs": 1000}))
+    assert version_problem(old, new) == (
+        "version 7 is not higher than 7, which is in force with other content"
+    )
+    keys = build_document(7)
+    keys["Tenants"][0]["ApiKeys"] = ["key-1", "key-3"]
+    assert "with other content" in version_problem(old, configuration(keys))
+    assert version_problem(old, old) == (
+        "version 7 is not higher than 7, which is in force"
+    )
+    assert version_problem(configuration(build_document(9)), new) == (
+        "version 7 is not higher than 9, which is in force"
+    )
+
+
 def is_refused(document):
     try:
         configuration(document)
