Let a new leader go on with what it observed of a primary as a relay

Cause: in the trace of a domain that is cut off with the leader and three primaries, the next leader got the lease 2.8 s after the cut and started the failovers only 1.0 s later. Relays probe suspected primaries, but a relay that became the leader dropped what it had observed, waited for its own probe in flight and its pause of 0.4 s, and then observed the silence again.

Change: relays keep the probe of a suspected primary, by target, until it answers or is not suspected any more, and the leader goes on with it. The conditions of a failover are the same: most domains cannot reach the primary, and this instance got no answer for 0.4 s.

--- a/bulrushloom/proxy/failover/decisions.py
+++ b/bulrushloom/proxy/failover/decisions.py
@@ -28,9 +28,10 @@
 
 
 class PrimaryProbe(NamedTuple):
-    """Health of a primary as observed by the leader.
+    """Health of a primary as observed by the leader, or by a relay that may become it.
 
-    The event ``failover_started`` logs it with its field names.
+    ``target_id`` is the primary that was observed, empty before that. The event
+    ``failover_started`` logs the probe with its field names.
 
     Each time is the start of an uninterrupted condition: ``refused_since`` of refused
     connections, ``silent_since`` of missing answers, and ``stalled_since`` of a log
@@ -43,6 +44,7 @@
     while the leader reaches the store and every replica.
     """
 
+    target_id: str = ""
     refused_since: timedelta | None = None
     silent_since: timedelta | None = None
     stalled_since: timedelta | None = None
--- a/bulrushloom/proxy/failover/primary_monitor.py
+++ b/bulrushloom/proxy/failover/primary_monitor.py
@@ -83,7 +83,6 @@
         while True:
             yield self._loop.sleep(WATCH_INTERVAL)
             if not self._leadership.may_decide():
-                self._probe_by_service.clear()
                 self._unclaimed_since.clear()
                 self._evacuated = None
                 self._check_suspected_primaries()
@@ -113,26 +112,35 @@
         """Probe the primaries that other instances suspect, if this one is a relay.
 
         The leader counts the domains that cannot reach a primary. A domain without
-        statements of its own would not notice the failure otherwise.
+        statements of its own would not notice the failure otherwise. A relay that
+        becomes the leader goes on with what it has observed: if the previous leader was
+        lost together with primaries, observing them again would take another second.
         """
         if not self._fleet.is_domain_relay():
+            self._probe_by_service.clear()
             return
         suspected = self._fleet.fleet_suspects()
         for service in self._services.configuration.service_by_name:
             primary = self._services.table.primary_of(service)
-            if isinstance(primary, Missing) or service in self._probing:
-                continue
-            if primary.target_id in suspected:
+            if isinstance(primary, Missing) or primary.target_id not in suspected:
+                self._probe_by_service.pop(service, None)
+            elif service not in self._probing:
                 self._probing.add(service)
                 self._loop.spawn(self._check_primary(service, primary))
 
     def _check_primary(self, service: str, primary: Target) -> Steps:
+        requested_at = self._loop.now()
         try:
             status = yield from self._status.read(primary)
             if isinstance(status, Missing) and status is not OVERLOADED:
                 self._services.report_failure(primary, status.reason)
+                probe = self._known_probe(service, primary)
+                self._probe_by_service[service] = _without_answer(
+                    probe, status.reason, requested_at
+                )
             else:
                 self._services.clear_suspicion(primary.target_id)
+                self._probe_by_service.pop(service, None)
             yield self._loop.sleep(SUSPECT_CHECK_INTERVAL)
         finally:
             self._probing.discard(service)
@@ -241,13 +249,13 @@
 
         The result of the new probe is available in a later call.
         """
-        probe = self._probe_by_service.get(service, PrimaryProbe())
         if isinstance(primary, Missing):
-            return probe
+            return self._probe_by_service.get(service, PrimaryProbe())
         target_id = primary.target_id
+        probe = self._known_probe(service, primary)
         domains = self._fleet.count_suspecting_domains(target_id)
         if not domains.suspecting and probe.stalled_since is None:
-            probe = PrimaryProbe()
+            probe = PrimaryProbe(target_id)
         elif service not in self._probing:
             self._probing.add(service)
             self._loop.spawn(self._probe_primary(service, primary))
@@ -259,32 +267,31 @@
         self._probe_by_service[service] = probe
         return probe
 
+    def _known_probe(self, service: str, primary: Target) -> PrimaryProbe:
+        """Return what was observed of this primary, not of an earlier one."""
+        probe = self._probe_by_service.get(service)
+        if probe is None or probe.target_id != primary.target_id:
+            return PrimaryProbe(primary.target_id)
+        return probe
+
     def _probe_primary(self, service: str, primary: Target) -> Steps:
         """Request the status of a suspected primary and, if needed, of its replicas."""
         requested_at = self._loop.now()
         try:
             status = yield from self._status.read(primary)
-            probe = self._probe_by_service.get(service, PrimaryProbe())
+            probe = self._known_probe(service, primary)
             if status is OVERLOADED:
                 # A new primary is busiest right after its promotion, when all waiting
                 # statements arrive.
                 self._services.clear_suspicion(primary.target_id)
-                probe = PrimaryProbe()
+                probe = PrimaryProbe(primary.target_id)
             elif isinstance(status, Missing):
                 self._services.report_failure(primary, status.reason)
-                refused = status.reason == CONNECTION_REFUSED
                 is_apart = yield from self._is_partitioned(
                     service, primary, requested_at
                 )
-                probe = probe._replace(
-                    refused_since=(probe.refused_since or requested_at)
-                    if refused
-                    else None,
-                    silent_since=probe.silent_since or requested_at,
-                    is_apart=is_apart,
-                    stalled_since=None,
-                    status=None,
-                )
+                probe = _without_answer(probe, status.reason, requested_at)
+                probe = probe._replace(is_apart=is_apart)
             else:
                 self._services.clear_suspicion(primary.target_id)
                 stalled = yield from self._is_stalled(service, primary, status)
@@ -318,7 +325,7 @@
         replica answers, and no reporting domain reaches the primary.
         """
         domains = self._fleet.count_suspecting_domains(primary.target_id)
-        probe = self._probe_by_service.get(service, PrimaryProbe())
+        probe = self._known_probe(service, primary)
         silent_since = probe.silent_since or requested_at
         if self._services.store_freshness.last_read_at < silent_since:
             return False
@@ -385,3 +392,19 @@
         finally:
             self._probe_by_service.pop(service, None)
             self._failing_over.discard(service)
+
+
+def _without_answer(
+    probe: PrimaryProbe, reason: str, requested_at: timedelta
+) -> PrimaryProbe:
+    """Return the probe after a status request that failed for ``reason``."""
+    refused_since = None
+    if reason == CONNECTION_REFUSED:
+        refused_since = probe.refused_since or requested_at
+    return probe._replace(
+        refused_since=refused_since,
+        silent_since=probe.silent_since or requested_at,
+        is_apart=False,
+        stalled_since=None,
+        status=None,
+    )
--- a/tests/proxy/test_failover.py
+++ b/tests/proxy/test_failover.py
@@ -203,6 +203,26 @@
     check_acknowledged_commits(fleet)
 
 
+def test_primary_that_is_lost_with_the_leader_is_replaced_by_the_next_one(fleet):
+    # Guards against a second in which the next leader observes again what it has
+    # observed as a relay, while nobody can write.
+    clients = open_clients(fleet)
+    write_until_served(fleet, clients[0])
+    first = fleet.leader()
+    others = [client for client in clients if client.instance is not first]
+    fleet.kill(first)
+    fleet.crash("a", is_unresponsive=True)
+    send_reads(others)
+    while fleet.leader() is None:
+        fleet.run(ms(10))
+    started_at, leader = fleet.loop.now(), fleet.leader()
+    while leader.services.table.group_by_service.get(SERVICE) is None:
+        fleet.run(ms(10))
+    assert fleet.loop.now() - started_at < ms(300)
+    write_until_served(fleet, fleet.members[0].client("strict"), SECOND * 3)
+    check_acknowledged_commits(fleet)
+
+
 def test_new_leader_finishes_the_failover_of_its_predecessor(fleet):
     clients = open_clients(fleet)
     write_until_served(fleet, clients[0])
