--- a/tests/proxy/test_promotion_orders.py
+++ b/tests/proxy/test_promotion_orders.py
@@ -6,7 +6,10 @@
 
 from bulrushloom.proxy.failover.groups import GroupPhase, decode_group
 from bulrushloom.proxy.failover.replacement import RESUME_CHECK_INTERVAL
-from bulrushloom.proxy.services import EXPECTED_FAILOVER_TIME, OVERDUE_WAIT_FRACTION
+from bulrushloom.proxy.primary_wait import (
+    EXPECTED_FAILOVER_TIME,
+    OVERDUE_WAIT_FRACTION,
+)
 from standins.platform.store import NO_ANSWER_DELAY
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
--- a/tests/proxy/test_session.py
+++ b/tests/proxy/test_session.py
@@ -6,7 +6,7 @@
 
 from bulrushloom.proxy.configuration import Consistency
 from bulrushloom.proxy.failover.groups import GroupPhase
-from bulrushloom.proxy.services import expected_time_left
+from bulrushloom.proxy.primary_wait import expected_time_left
 from tests.proxy.builders import (
     SERVICE,
     build_account,
