Split the session into its connection, statements and answers

It held the life of a connection, the handling of each kind of statement, and the answers.

Change: Session keeps the connection, the order of the messages and the end. clients.session_statements runs statements, clients.session_answers sends and logs answers, and clients.session_context holds what they have in common: the open transaction and the positions of own commits. Changes of session values and statements outside transactions are functions of their own. Behaviour is unchanged. The faulty variant that forgets own commits in test_broken_sessions.py now patches SessionContext.advance_position, where that logic is.

--- a/bulrushloom/proxy/session.py
+++ b/bulrushloom/proxy/session.py
@@ -1,4 +1,7 @@
-"""Client session: its connection, session values, prepared statements, transaction."""
+"""Client session: its connection, the order of its messages, and its end.
+
+What a statement does is in ``clients.session_statements``.
+"""
 
 from collections.abc import Callable
 from concurrent.futures import Future
@@ -6,28 +9,21 @@
 from datetime import timedelta
 from typing import Any
 
-from bulrushloom.core.sentinels import Missing
 from bulrushloom.platform import wire
-from bulrushloom.proxy.admission import Admission
-from bulrushloom.proxy.attempts import Attempt, Outcome, PermitEnded
+from bulrushloom.proxy.clients.session_answers import SessionAnswers
+from bulrushloom.proxy.clients.session_context import SessionContext
 from bulrushloom.proxy.clients.session_guard import (
     MAX_UNSENT_BEFORE_NEXT,
     NO_MEMORY,
     SessionGuard,
 )
-from bulrushloom.proxy.execution import StatementRunner
+from bulrushloom.proxy.clients.session_statements import SessionStatements
 from bulrushloom.proxy.messages import (
-    NO_POSITION,
     AnswerCode,
     DisconnectRequest,
     Failure,
-    LogPosition,
-    Malformed,
-    PreparedStatement,
     StartRequest,
     Statement,
-    StatementKind,
-    TransactionState,
 )
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.stopping import STOP_REASON, unfinished_failure
@@ -56,23 +52,20 @@
         self._stream = stream
         self._on_end = on_end
         self._pending_line: Future[bytes | None] | None = None
-        self._database = ""
-        self._admission = Admission(services, "", "")
         self._guard = SessionGuard(services.memory, stream)
         self._guard.account.is_closable = lambda: self.is_closable
         self._guard.account.close_connection = self.refuse
         self._state = self._guard.state
-        # Latest commit of the session at each service that its route has led to.
-        self._position_by_service: dict[str, LogPosition] = {}
-        self._position: LogPosition | Missing = NO_POSITION
-        self._transaction: Transaction | None = None
-        self._runner = StatementRunner(services, self._admission, self._state.values)
+        self._context = SessionContext()
+        self._answers = SessionAnswers(services, stream, self._context)
+        self._statements = SessionStatements(
+            services, self._context, self._answers, self._state
+        )
         self.client = ("", "")
         self.is_started = False
         self.is_awaiting_statement = True
         self.awaiting_since = services.loop.now()
         self._message: Any = None
-        self._was_refused = False
         stream.on_data(self._on_data)
         services.loop.spawn(self._run())
 
@@ -81,7 +74,7 @@
         """Return whether closing the session interrupts no statement or transaction."""
         return (
             self.is_closable
-            and self._transaction is None
+            and self._context.transaction is None
             and not self._stream.unread_bytes
             and not self._stream.unsent_bytes
         )
@@ -110,26 +103,24 @@
         sent then.
         """
         if not self._stream.unsent_bytes:
-            in_transaction = self._transaction is not None
+            in_transaction = self._context.transaction is not None
             code = AnswerCode.ABORTED if in_transaction else AnswerCode.NOT_RUN
-            self._send_failure(Failure(code, reason, NO_MEMORY.retry_after))
+            self._answers.send_failure(Failure(code, reason, NO_MEMORY.retry_after))
         self._stream.close(reason)
 
     @property
     def has_transaction(self) -> bool:
         """Return whether a transaction is open."""
-        return self._transaction is not None
+        return self._context.transaction is not None
 
     def abort_idle_transaction(self, reason: str) -> None:
         """Abort the open transaction unless one of its statements is running."""
-        transaction = self._transaction
+        transaction = self._context.transaction
         if transaction is None or transaction.failure is not None:
             return
         if self.is_awaiting_statement:
             transaction.fail(reason)
-            self._services.log.write(
-                "transaction_ended", database=self._database, reason=reason
-            )
+            self._log_end_of_transaction(reason)
 
     def close(self, reason: str) -> None:
         """Close the client connection."""
@@ -139,17 +130,14 @@
         """Close the client connection; answer a request that still runs."""
         message = self._message
         if not self.is_awaiting_statement and isinstance(message, Statement):
-            in_transaction = self._transaction is not None
-            self._send_failure(
-                unfinished_failure(message, self._writes(message), in_transaction)
+            in_transaction = self._context.transaction is not None
+            self._answers.send_failure(
+                unfinished_failure(
+                    message, self._statements.writes(message), in_transaction
+                )
             )
         self._stream.close(STOP_REASON)
 
-    def _writes(self, statement: Statement) -> bool:
-        return statement.kind is StatementKind.WRITE or (
-            statement.kind is StatementKind.EXECUTE and self._state.writes(statement)
-        )
-
     # Receiving messages
 
     def _on_data(self) -> None:
@@ -180,9 +168,9 @@
         try:
             yield from self._serve()
         finally:
-            if self._transaction is not None:
-                self._transaction.abandon("the client disconnected")
-                self._transaction = None
+            if self._context.transaction is not None:
+                self._context.transaction.abandon("the client disconnected")
+                self._context.transaction = None
             self._stream.close("the session ended")
             self._guard.close()
             self._message = None
@@ -208,7 +196,7 @@
             self.is_awaiting_statement = False
             if line is None or not self._stream.is_open:
                 return
-            self._was_refused = False
+            self._answers.was_refused = False
             if not self._guard.admits(line):
                 self._refuse_for_memory(len(line))
                 continue
@@ -217,7 +205,7 @@
             del line
             if isinstance(self._message, DisconnectRequest):
                 return
-            yield from self._handle(self._message)
+            yield from self._statements.handle(self._message)
             self._message = None
             self._guard.finish_statement()
             if self._closes_after_answer():
@@ -236,15 +224,17 @@
 
     def _refuse_for_memory(self, size: int) -> None:
         """Refuse a large statement that was not decoded; its transaction fails."""
-        transaction = self._transaction
+        transaction = self._context.transaction
         failure: Failure = NO_MEMORY
         if transaction is not None:
             transaction.fail(NO_MEMORY.reason)
             failure = transaction.failure or NO_MEMORY
         self._services.metrics.count("statements_failed", failure.code.value)
         self._services.metrics.count("memory_refusals")
-        self._services.memory_refusal_log.write(database=self._database, size=size)
-        self._answer_failure(failure)
+        self._services.memory_refusal_log.write(
+            database=self._context.database, size=size
+        )
+        self._answers.answer_failure(failure)
 
     def _closes_after_answer(self) -> bool:
         """Return whether the client has to continue at another instance.
@@ -253,9 +243,9 @@
         closed with a refusal, because a client waits before it repeats a request, so
         that no request is on its way.
         """
-        if not self._services.session_close_reason or not self._was_refused:
+        if not self._services.session_close_reason or not self._answers.was_refused:
             return False
-        return self._transaction is None and not self._stream.unread_bytes
+        return self._context.transaction is None and not self._stream.unread_bytes
 
     def _await_line(self) -> Steps:
         """Return the next line, or ``None`` at the end of the connection."""
@@ -265,24 +255,13 @@
 
     def _await_client(self, event: "Future[Any]") -> Steps:
         """Wait for an event; abort the transaction at its idle timeout."""
-        transaction = self._transaction
+        transaction = self._context.transaction
         since = self._loop.now()
         while transaction is not None and not event.done():
             # The limit may change during the wait.
             limit = self._services.configuration.transaction_idle_limit
             remaining = since + limit - self._loop.now()
-            reason = transaction.evacuation_reason()
-            if reason:
-                transaction.fail(reason)
-                self._services.log.write(
-                    "transaction_ended", database=self._database, reason=reason
-                )
-                break
-            if remaining <= _ZERO:
-                transaction.fail("the transaction was idle for too long")
-                self._services.log.write(
-                    "transaction_idle", database=self._database, limit=limit
-                )
+            if self._fail_if_ended(transaction, remaining, limit):
                 break
             with suppress(TimeoutError):
                 yield self._loop.wait_for(
@@ -290,257 +269,51 @@
                 )
         return (yield event)
 
+    def _fail_if_ended(
+        self, transaction: Transaction, remaining: timedelta, limit: timedelta
+    ) -> bool:
+        """Return whether an idle transaction must end; it fails then."""
+        reason = transaction.evacuation_reason()
+        if reason:
+            transaction.fail(reason)
+            self._log_end_of_transaction(reason)
+            return True
+        if remaining <= _ZERO:
+            transaction.fail("the transaction was idle for too long")
+            self._services.log.write(
+                "transaction_idle", database=self._context.database, limit=limit
+            )
+            return True
+        return False
+
+    def _log_end_of_transaction(self, reason: str) -> None:
+        self._services.log.write(
+            "transaction_ended", database=self._context.database, reason=reason
+        )
+
     # Session start
 
     def _start(self, message: Any) -> Steps:
         if not isinstance(message, StartRequest):
-            self._send_failure(Failure(AnswerCode.BAD_REQUEST, "no session started"))
+            self._answers.send_failure(
+                Failure(AnswerCode.BAD_REQUEST, "no session started")
+            )
             return False
-        self._database = message.database
+        self._context.database = message.database
         self.client = (message.database, message.key)
-        self._admission = Admission(self._services, message.database, message.key)
-        self._runner = StatementRunner(
-            self._services, self._admission, self._state.values
-        )
-        failure = self._admission.refusal()
-        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
-            yield from self._admission.refresh_configuration()
-            failure = self._admission.refusal()
+        failure = yield from self._statements.start(message.database, message.key)
         if failure is not None:
             self._services.metrics.count("sessions_refused", failure.code.value)
             self._services.log.write(
                 "session_refused",
-                database=self._database,
+                database=self._context.database,
                 code=failure.code.value,
                 reason=failure.reason,
                 configuration=self._services.configuration.version,
                 evidence_age=self._services.store_freshness.age(self._loop.now()),
             )
-            self._send_failure(failure)
+            self._answers.send_failure(failure)
             return False
         self._services.metrics.count("sessions_started")
-        self._send(wire.encode_ready(TransactionState.IDLE, NO_POSITION))
+        self._answers.send_ready()
         return True
-
-    # Statements
-
-    def _handle(self, message: Any) -> Steps:
-        if isinstance(message, Malformed) or not isinstance(message, Statement):
-            reason = getattr(message, "reason", "a session is open already")
-            self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
-            return
-        transaction = self._transaction
-        if transaction is not None and transaction.failure is not None:
-            self._answer_in_failed_transaction(message, transaction)
-            return
-        plan = self._services.stop_plan
-        if plan and transaction and plan.aborts(self._loop.now(), message.kind):
-            transaction.fail(STOP_REASON)
-            self._answer(message, Outcome(transaction.failure, None))
-            return
-        match message.kind:
-            case StatementKind.SET_VALUE:
-                self._answer_change(
-                    self._state.set_value(message.name, message.arguments)
-                )
-            case StatementKind.PREPARE:
-                assert message.prepared is not None
-                self._answer_change(self._state.prepare(message.name, message.prepared))
-            case StatementKind.DEALLOCATE:
-                if self._state.deallocate(message.name):
-                    self._answer_locally()
-                else:
-                    self._answer_unknown_prepared(message)
-            case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
-                yield from self._begin(message)
-            case StatementKind.COMMIT | StatementKind.ROLLBACK:
-                yield from self._end_transaction(message)
-            case _:
-                yield from self._run_statement(message)
-
-    def _answer_in_failed_transaction(
-        self, message: Statement, transaction: Transaction
-    ) -> None:
-        assert transaction.failure is not None
-        if message.kind is StatementKind.ROLLBACK:
-            self._transaction = None
-            self._answer_locally()
-        elif message.kind is StatementKind.COMMIT:
-            self._transaction = None
-            self._answer_failure(transaction.failure)
-        else:
-            failure = Failure(AnswerCode.BAD_REQUEST, transaction.failure.reason)
-            self._answer_failure(failure)
-
-    def _begin(self, message: Statement) -> Steps:
-        if self._transaction is not None:
-            reason = "a transaction is open already"
-            self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
-            return
-        permit = yield from self._admission.admit(begins_transaction=True)
-        if isinstance(permit, Failure):
-            self._answer(message, Outcome(permit, None))
-            return
-        self._transaction = Transaction(
-            self._services,
-            self._runner,
-            permit,
-            message.kind is StatementKind.BEGIN_READ_ONLY,
-            self._position_at(permit.route.service),
-        )
-        self._answer_locally()
-
-    def _end_transaction(self, message: Statement) -> Steps:
-        transaction = self._transaction
-        if transaction is None:
-            reason = "no transaction is open"
-            self._answer_failure(Failure(AnswerCode.BAD_REQUEST, reason))
-            return
-        if message.kind is StatementKind.ROLLBACK:
-            self._transaction = None
-            transaction.roll_back()
-            self._answer_locally()
-            return
-        outcome = yield from self._run_permitted(
-            transaction, lambda: transaction.commit(message)
-        )
-        self._transaction = None
-        if outcome.answer is not None and transaction.wrote:
-            service = transaction.permit.route.service
-            self._advance_position(service, outcome.answer.position)
-        self._answer(message, outcome)
-
-    def _run_statement(self, message: Statement) -> Steps:
-        prepared = None
-        if message.kind is StatementKind.EXECUTE:
-            prepared = self._state.prepared_by_name.get(message.name)
-            if prepared is None:
-                self._answer_unknown_prepared(message)
-                return
-        writes = self._writes(message)
-        if self._transaction is not None:
-            yield from self._run_in_transaction(message, prepared, writes)
-            return
-        started_at = self._loop.now()
-        run = self._runner.write if writes else self._runner.read
-        outcome: Outcome | None = None
-        permit = yield from self._admission.admit()
-        while outcome is None:
-            if isinstance(permit, Failure):
-                self._answer(message, Outcome(permit, None))
-                return
-            position = self._position_at(permit.route.service)
-            attempt = Attempt(message, prepared, permit, started_at, position)
-            try:
-                outcome = yield from run(attempt)
-            except PermitEnded:
-                permit = yield from self._admission.renew(permit, attempt.deadline)
-        if outcome.answer is not None and writes:
-            self._advance_position(permit.route.service, outcome.answer.position)
-        kind = "write" if writes else "read"
-        self._services.metrics.record(f"{kind}_latency", self._loop.now() - started_at)
-        self._answer(message, outcome)
-
-    def _run_in_transaction(
-        self, message: Statement, prepared: PreparedStatement | None, writes: bool
-    ) -> Steps:
-        transaction = self._transaction
-        assert transaction is not None
-        outcome = yield from self._run_permitted(
-            transaction, lambda: transaction.run(message, prepared, writes)
-        )
-        self._answer(message, outcome)
-
-    def _run_permitted(
-        self, transaction: Transaction, start: Callable[[], Steps]
-    ) -> Steps:
-        """Run a statement of a transaction unless its permit has ended.
-
-        Returns an ``Outcome``. The transaction fails with its permit.
-        """
-        refusal = self._admission.refusal_in_transaction(transaction.permit)
-        if refusal is None:
-            try:
-                return (yield from start())
-            except PermitEnded as error:
-                refusal = error.failure
-        transaction.fail(refusal.reason)
-        return Outcome(refusal, None)
-
-    def _position_at(self, service: str) -> LogPosition | Missing:
-        return self._position_by_service.get(service, NO_POSITION)
-
-    def _advance_position(self, service: str, position: LogPosition | Missing) -> None:
-        known = self._position_at(service)
-        if isinstance(position, Missing):
-            return
-        if isinstance(known, Missing) or position > known:
-            self._position = self._position_by_service[service] = position
-
-    # Responses
-
-    def _transaction_state(self) -> TransactionState:
-        if self._transaction is None:
-            return TransactionState.IDLE
-        if self._transaction.failure is not None:
-            return TransactionState.FAILED
-        return TransactionState.OPEN
-
-    def _answer(self, message: Statement, outcome: Outcome) -> None:
-        if outcome.failure is not None or outcome.answer is None:
-            failure = outcome.failure or Failure(AnswerCode.FAILED, "no answer")
-            self._log_failure(message, failure)
-            self._answer_failure(failure)
-            return
-        answer = outcome.answer
-        ready = wire.encode_ready(self._transaction_state(), answer.position)
-        self._send(wire.encode_rows_and_signature(answer.rows, answer.signature, ready))
-
-    def _log_failure(self, message: Statement, failure: Failure) -> None:
-        services = self._services
-        services.metrics.count("statements_failed", failure.code.value)
-        services.log.write(
-            "statement_failed",
-            request_id=message.request_id,
-            kind=message.kind.value,
-            database=self._database,
-            code=failure.code.value,
-            reason=failure.reason,
-            retry_after=failure.retry_after,
-            configuration=services.configuration.version,
-            evidence_age=services.store_freshness.age(self._loop.now()),
-        )
-
-    def _answer_locally(self) -> None:
-        self._send(
-            wire.LOCAL_DONE
-            + wire.encode_ready(self._transaction_state(), self._position)
-        )
-
-    def _answer_change(self, failure: Failure | None) -> None:
-        """Answer a change of the session's values or prepared statements."""
-        if failure is None:
-            self._answer_locally()
-            return
-        self._services.metrics.count("session_state_refused")
-        self._answer_failure(failure)
-
-    def _answer_unknown_prepared(self, message: Statement) -> None:
-        failure = Failure(AnswerCode.UNKNOWN_STATEMENT, "no such prepared statement")
-        if self._transaction is not None:
-            self._transaction.fail(failure.reason)
-        self._log_failure(message, failure)
-        self._answer_failure(failure)
-
-    def _answer_failure(self, failure: Failure) -> None:
-        self._was_refused = failure.code is AnswerCode.NOT_RUN
-        self._send(
-            wire.encode_failure(failure)
-            + wire.encode_ready(self._transaction_state(), self._position)
-        )
-
-    def _send_failure(self, failure: Failure) -> None:
-        self._send(wire.encode_failure(failure))
-
-    def _send(self, data: bytes) -> None:
-        self._stream.write(data)
--- a/tests/proxy/test_broken_sessions.py
+++ b/tests/proxy/test_broken_sessions.py
@@ -5,9 +5,9 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from bulrushloom.proxy.attempts import Outcome
+from bulrushloom.proxy.clients.session_context import SessionContext
 from bulrushloom.proxy.execution import StatementRunner
 from bulrushloom.proxy.messages import AnswerCode, Failure, LogPosition
-from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.transaction import Transaction
 from tests.proxy.test_session_machine import SessionMachine
 
@@ -77,7 +77,7 @@
 
 def forget_own_commits(monkeypatch):
     """Ignore the position of the session's own commits in reads."""
-    monkeypatch.setattr(Session, "_advance_position", lambda *_: None)
+    monkeypatch.setattr(SessionContext, "advance_position", lambda *_: None)
 
 
 def split_transactions(monkeypatch):
