Merge the decoding of group records and of their members

Change: failover.record_codec has this once, as RecordOrder, decode_record_order, decode_by_service and MALFORMED_RECORD_ERRORS, and both modules use it. Behaviour is unchanged.

--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -12,9 +12,14 @@
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.failover.evacuation import DEFAULT_BOUND, Evacuations
 from bulrushloom.proxy.failover.member_records import GroupMembers
+from bulrushloom.proxy.failover.record_codec import (
+    MALFORMED_RECORD_ERRORS,
+    decode_by_service,
+    decode_record_order,
+)
 from bulrushloom.proxy.messages import LogPosition
 from bulrushloom.proxy.store import Record
-from bulrushloom.proxy.store_eras import decode_order, record_version
+from bulrushloom.proxy.store_eras import record_version
 
 GROUP_PREFIX = "proxy/groups/"
 LEADER_KEY = "proxy/leader"
@@ -139,7 +144,7 @@
     """
     try:
         fields = orjson.loads(value)
-        era, generation = decode_order(fields)
+        order = decode_record_order(fields, revision_era)
         sealed = fields.get("sealed")
         stopped = fields.get("stopped", {})
         # Records of earlier versions lack it; such a replica is stopped again.
@@ -168,11 +173,11 @@
                 target_id: _decode_count(count)
                 for target_id, count in fields.get("unanswered", {}).items()
             },
-            era=era,
-            generation=generation,
-            revision_era=era if revision_era is None else revision_era,
+            era=order.era,
+            generation=order.generation,
+            revision_era=order.revision_era,
         )
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
+    except MALFORMED_RECORD_ERRORS as error:
         return Missing(f"malformed group record: {error!r}")
 
 
@@ -191,13 +196,7 @@
     records: Iterable[Record], revision_era: int
 ) -> dict[str, GroupRecord]:
     """Return the valid group records of a snapshot of an era by service."""
-    groups = {}
-    for record in records:
-        if record.key.startswith(GROUP_PREFIX):
-            group = decode_group(record.value, record.revision, revision_era)
-            if not isinstance(group, Missing):
-                groups[group.service] = group
-    return groups
+    return decode_by_service(records, GROUP_PREFIX, decode_group, revision_era)
 
 
 class KnownTarget(NamedTuple):
--- a/bulrushloom/proxy/failover/member_records.py
+++ b/bulrushloom/proxy/failover/member_records.py
@@ -12,8 +12,13 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
+from bulrushloom.proxy.failover.record_codec import (
+    MALFORMED_RECORD_ERRORS,
+    decode_by_service,
+    decode_record_order,
+)
 from bulrushloom.proxy.store import Record
-from bulrushloom.proxy.store_eras import decode_order, record_version
+from bulrushloom.proxy.store_eras import record_version
 from bulrushloom.runtime.streams import split_address
 
 GROUP_MEMBERS_PREFIX = "proxy/servers/"
@@ -95,24 +100,16 @@
                 str(target_id), service, address, str(domain), int(born_ms)
             )
         primary_id = str(fields["primary_id"])
-        era, generation = decode_order(fields)
-    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
+        order = decode_record_order(fields, revision_era)
+    except MALFORMED_RECORD_ERRORS as error:
         return Missing(f"malformed record of group members: {error!r}")
-    if revision_era is None:
-        revision_era = era
-    return GroupMembers(
-        service, primary_id, target_by_id, revision, era, generation, revision_era
-    )
+    return GroupMembers(service, primary_id, target_by_id, revision, *order)
 
 
 def decode_all_group_members(
     records: Iterable[Record], revision_era: int
 ) -> dict[str, GroupMembers]:
     """Return the valid records of a snapshot of an era by service."""
-    members_by_service = {}
-    for record in records:
-        if record.key.startswith(GROUP_MEMBERS_PREFIX):
-            members = decode_group_members(record.value, record.revision, revision_era)
-            if not isinstance(members, Missing):
-                members_by_service[members.service] = members
-    return members_by_service
+    return decode_by_service(
+        records, GROUP_MEMBERS_PREFIX, decode_group_members, revision_era
+    )
