Split groups.py into records, the list of targets and the table

It held the stored records, the list of targets with those that left it, and the decisions about primaries.

Change: groups.py keeps the records of the store. failover.target_list has TargetList, which applies reads and keeps targets that left, and failover.group_table has GroupTable, which extends it with primaries and evacuations. The records stay in groups.py, so most import lines stay; those of GroupTable and its constants change, also in three tests. Behaviour is unchanged.

--- a/bulrushloom/proxy/failover/record_versions.py
+++ b/bulrushloom/proxy/failover/record_versions.py
@@ -2,7 +2,8 @@
 
 from bulrushloom.proxy.exchange.messages import Report
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
-from bulrushloom.proxy.failover.groups import GroupPhase, GroupTable
+from bulrushloom.proxy.failover.group_table import GroupTable
+from bulrushloom.proxy.failover.groups import GroupPhase
 from bulrushloom.proxy.failover.member_records import (
     GROUP_MEMBERS_PREFIX,
     encode_group_members,
--- a/bulrushloom/proxy/instance_state.py
+++ b/bulrushloom/proxy/instance_state.py
@@ -17,7 +17,7 @@
 from bulrushloom.proxy.connections import ConnectionPool
 from bulrushloom.proxy.failover.commits import CommitAcknowledgements
 from bulrushloom.proxy.failover.evacuation import DEFAULT_BOUND
-from bulrushloom.proxy.failover.groups import GroupTable
+from bulrushloom.proxy.failover.group_table import GroupTable
 from bulrushloom.proxy.failover.promotion_orders import PromotionOrders
 from bulrushloom.proxy.limits import AccountLimiter, RateWindow
 from bulrushloom.proxy.regions import Regions
--- a/bulrushloom/proxy/store_updates.py
+++ b/bulrushloom/proxy/store_updates.py
@@ -9,12 +9,8 @@
 from typing import Any
 
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.failover.groups import (
-    VANISHED_TARGET_LIFETIME,
-    GroupPhase,
-    GroupRecord,
-    KnownTarget,
-)
+from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord
+from bulrushloom.proxy.failover.target_list import VANISHED_TARGET_LIFETIME, KnownTarget
 from bulrushloom.proxy.instance_state import InstanceState
 from bulrushloom.proxy.primary_wait import PrimaryWait
 from bulrushloom.proxy.suspicions import Suspicions
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -13,12 +13,8 @@
     reason_to_replace,
 )
 from bulrushloom.proxy.failover.evacuation import Evacuations
-from bulrushloom.proxy.failover.groups import (
-    GroupPhase,
-    GroupTable,
-    StoppedReplica,
-    decode_group,
-)
+from bulrushloom.proxy.failover.group_table import GroupTable
+from bulrushloom.proxy.failover.groups import GroupPhase, StoppedReplica, decode_group
 from bulrushloom.proxy.messages import LogPosition, ServerRole, ServerStatus
 from bulrushloom.proxy.positions import PositionHistory, PositionSample
 from bulrushloom.proxy.routing import Candidate
--- a/tests/proxy/test_store_eras.py
+++ b/tests/proxy/test_store_eras.py
@@ -6,7 +6,8 @@
 import pytest
 
 from bulrushloom.proxy.era_recovery import LostRecordsFound, later_record
-from bulrushloom.proxy.failover.groups import GroupPhase, GroupTable, decode_group
+from bulrushloom.proxy.failover.group_table import GroupTable
+from bulrushloom.proxy.failover.groups import GroupPhase, decode_group
 from bulrushloom.proxy.failover.member_records import GroupMembers
 from bulrushloom.proxy.leadership import _era_puts
 from bulrushloom.proxy.messages import ServerRole
--- a/tests/proxy/test_store_outages.py
+++ b/tests/proxy/test_store_outages.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from bulrushloom.proxy.failover.groups import GROUP_PREFIX, GroupPhase, GroupTable
+from bulrushloom.proxy.failover.group_table import GroupTable
+from bulrushloom.proxy.failover.groups import GROUP_PREFIX, GroupPhase
 from bulrushloom.proxy.store import Put
 from tests.proxy.builders import SERVICE, build_group, build_target, ms
 from tests.proxy.fleet_builders import (
