Split the steps of a failover into modules

It held the course of a failover, the orders of promotions, the replicas that stop and resume, the terms, and the writing of group records.

PrimaryMonitor and Node use the public parts promotion and replicas of the runner. Two tests import constants from the new modules. Behaviour is unchanged.

--- a/bulrushloom/proxy/failover/primary_monitor.py
+++ b/bulrushloom/proxy/failover/primary_monitor.py
@@ -5,6 +5,7 @@
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.fleet import Fleet
+from bulrushloom.proxy.failover.abandonment import Abandoned
 from bulrushloom.proxy.failover.decisions import (
     STALLED_REASON,
     PrimaryProbe,
@@ -12,7 +13,7 @@
     reason_to_replace,
 )
 from bulrushloom.proxy.failover.groups import GroupPhase
-from bulrushloom.proxy.failover.replacement import Abandoned, FailoverRunner
+from bulrushloom.proxy.failover.replacement import FailoverRunner
 from bulrushloom.proxy.leadership import Leadership
 from bulrushloom.proxy.messages import ServerStatus
 from bulrushloom.proxy.positions import PositionSample
@@ -106,7 +107,9 @@
             return
         for service, group in table.group_by_service.items():
             if group.phase is GroupPhase.STEADY:
-                steps = self._replacement.resume_replicas(service, group.primary_id)
+                steps = self._replacement.replicas.resume_stopped(
+                    service, group.primary_id
+                )
                 self._loop.spawn(steps)
 
     def _check_suspected_primaries(self) -> None:
@@ -227,7 +230,7 @@
 
     def _stop_draining_replicas(self, service: str, primary: Target) -> Steps:
         try:
-            yield from self._replacement.stop_draining_replicas(service, primary)
+            yield from self._replacement.replicas.stop_draining(service, primary)
             yield self._loop.sleep(STOP_RETRY_INTERVAL)
         except Abandoned as error:
             self._log.write(
@@ -377,7 +380,9 @@
                 duration=self._loop.now() - started_at,
             )
             self._services.metrics.count("failovers", "promoted")
-            self._loop.spawn(self._replacement.resume_replicas(service, primary_id))
+            self._loop.spawn(
+                self._replacement.replicas.resume_stopped(service, primary_id)
+            )
         except Abandoned as error:
             self._log.write("failover_abandoned", service=service, reason=str(error))
             self._services.metrics.count("failovers", "abandoned")
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -406,7 +406,9 @@
         the next leader.
         """
         deadline = self._loop.now() + ORDER_TIMEOUT
-        while self._replacement.orders_in_flight and self._loop.now() < deadline:
+        while (
+            self._replacement.promotion.orders_in_flight and self._loop.now() < deadline
+        ):
             yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
         try:
             yield self._loop.wait_for(
--- a/tests/proxy/test_instances_that_ended.py
+++ b/tests/proxy/test_instances_that_ended.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from bulrushloom.proxy.failover.abandonment import FAILOVER_TIMEOUT
 from bulrushloom.proxy.failover.groups import GROUP_PREFIX, GroupPhase
-from bulrushloom.proxy.failover.replacement import FAILOVER_TIMEOUT
 from bulrushloom.proxy.store import Put
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
--- a/tests/proxy/test_promotion_orders.py
+++ b/tests/proxy/test_promotion_orders.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bulrushloom.proxy.failover.groups import GroupPhase, decode_group
-from bulrushloom.proxy.failover.replacement import RESUME_CHECK_INTERVAL
+from bulrushloom.proxy.failover.replica_stops import RESUME_CHECK_INTERVAL
 from bulrushloom.proxy.primary_wait import (
     EXPECTED_FAILOVER_TIME,
     OVERDUE_WAIT_FRACTION,
