Move shutdown, partitions and metrics out of node.py

It composed the instance and also had the steps of a planned stop, the watch for partitions and the HTTP endpoint of metrics.

Node keeps composition, settings and readiness, and start() is split into functions.

--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -1,9 +1,9 @@
-"""Process of one session proxy instance: composition, probes and shutdown."""
+"""Process of one session proxy instance: its composition, settings and readiness."""
 
 import os
 import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import ExitStack
 from datetime import timedelta
 
@@ -16,7 +16,6 @@
 from bulrushloom.proxy.clients.session_bounds import MAX_READER_SILENCE
 from bulrushloom.proxy.clients.watch import ClientWatch
 from bulrushloom.proxy.era_recovery import EraRecovery
-from bulrushloom.proxy.exchange.directory import encode_directory
 from bulrushloom.proxy.exchange.endpoint import UdpEndpoint
 from bulrushloom.proxy.exchange.fleet import Copier, Fleet
 from bulrushloom.proxy.exchange.messages import Member
@@ -26,36 +25,28 @@
 from bulrushloom.proxy.hot_accounts import HotAccountRecorder
 from bulrushloom.proxy.leadership import Candidacy, Leadership
 from bulrushloom.proxy.membership import Registration
+from bulrushloom.proxy.metrics_endpoint import MetricsEndpoint
+from bulrushloom.proxy.partition_watch import PartitionWatch
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.settings import ProxySettings, load_proxy_settings
 from bulrushloom.proxy.sharing.domain import DomainConnections
-from bulrushloom.proxy.stopping import (
-    BALANCER_REMOVAL_TIME,
-    SHUTDOWN_MARGIN,
-    STOP_REASON,
-    StopPlan,
-)
+from bulrushloom.proxy.shutdown import Shutdown
+from bulrushloom.proxy.stopping import StopPlan
 from bulrushloom.proxy.store_eras import Knowledge
-from bulrushloom.proxy.store_reader import DIRECTORY_PATH, DOCUMENT_PATH, StoreReader
+from bulrushloom.proxy.store_reader import StoreReader
 from bulrushloom.proxy.telemetry import EventLog, Metrics
 from bulrushloom.runtime.http import HttpServer
 from bulrushloom.runtime.loop import Loop, Steps
-from bulrushloom.runtime.streams import Listener, Stream, TcpNetwork
+from bulrushloom.runtime.streams import (
+    UNACKNOWLEDGED_TIMEOUT,
+    Listener,
+    Stream,
+    TcpNetwork,
+)
 
-PARTITION_CHECK_INTERVAL = timedelta(milliseconds=200)
 SETTINGS_CHECK_INTERVAL = timedelta(seconds=1)
-SHUTDOWN_CHECK_INTERVAL = timedelta(milliseconds=50)
-# A session that was idle for a shorter time may be in constant use: a request may be on
-# its way.
-MIN_IDLE_TIME = timedelta(milliseconds=100)
-# Timeout for revoking the leader lease, which expires by itself otherwise.
-RESIGN_TIMEOUT = timedelta(milliseconds=500)
-# Time for the answer to a promotion order before the lease is given up.
-ORDER_TIMEOUT = timedelta(seconds=1)
-METRICS_PATH = "/metrics"
-_ZERO = timedelta()
 
 
 class Node:
@@ -109,18 +100,58 @@
         )
         self._sessions: set[Session] = set()
         self.client_watch = ClientWatch(self.services, self._sessions)
+        self._partition_watch = PartitionWatch(
+            self.services, self._sessions, lambda: self.fleet.is_isolated()
+        )
         self._is_ready = False
-        self._cut_off_since: timedelta | None = None
 
     # Startup
 
     def start(self) -> None:
         """Listen on all addresses and start the background tasks."""
-        settings, loop, stack = self.settings, self._loop, self._stack
+        self._connect_instances()
+        status = StatusReader(self.services, self.settings.name)
+        replacement = FailoverRunner(
+            self.services,
+            self._store,
+            DutyPromotion(self._loop, self.settings.duties_address),
+            self.leadership,
+            self.fleet,
+            status,
+            self.settings.name,
+        )
+        self.primary_monitor = PrimaryMonitor(
+            self.services, self.leadership, self.fleet, status, replacement
+        )
+        self._serve_http()
+        listener = self._listen(
+            self.settings.session_address,
+            self._accept,
+            "session_not_accepted",
+            MAX_READER_SILENCE,
+        )
+        self._shutdown = Shutdown(
+            self.services,
+            self._sessions,
+            listener,
+            self._registration,
+            self.leadership,
+            replacement.promotion,
+            self.sharing,
+        )
+        self._install_signal_handlers()
+        self._start_tasks(status)
+        self.log.write(
+            "started", incarnation=self.incarnation, domain=self.settings.domain
+        )
+
+    def _connect_instances(self) -> None:
+        """Open the exchange with other instances and the connections they share."""
+        address = self.settings.peer_address
         self.fleet = Fleet(
             self.services,
             self.member,
-            lambda on_datagram: UdpEndpoint(loop, settings.peer_address, on_datagram),
+            lambda on_datagram: UdpEndpoint(self._loop, address, on_datagram),
             Copier(
                 self.reader.request_read,
                 self.reader.fetch_configuration,
@@ -128,74 +159,70 @@
             ),
         )
         self.reader.connect(self.fleet, self.leadership)
-        stack.callback(self.fleet.close)
+        self._stack.callback(self.fleet.close)
         self.sharing = DomainConnections(self.services, self.member, self.fleet)
         self.services.sharing = self.sharing
-        stack.callback(self.sharing.close)
-        peer_listener = Listener(
-            loop,
-            settings.peer_address,
-            self.sharing.accept,
-            lambda reason: self.log.write("peer_not_accepted", reason=reason),
-        )
-        stack.callback(peer_listener.close)
-        status = StatusReader(self.services, settings.name)
-        self._replacement = FailoverRunner(
+        self._stack.callback(self.sharing.close)
+        self._listen(address, self.sharing.accept, "peer_not_accepted")
+
+    def _serve_http(self) -> None:
+        """Open the endpoints of probes and metrics."""
+        endpoint = MetricsEndpoint(
             self.services,
             self._store,
-            DutyPromotion(loop, settings.duties_address),
-            self.leadership,
             self.fleet,
-            status,
-            settings.name,
-        )
-        self.primary_monitor = PrimaryMonitor(
-            self.services, self.leadership, self.fleet, status, self._replacement
+            self.sharing,
+            self.client_watch,
+            self._sessions,
         )
         limits = self.client_watch.http_limits()
-        probe = HttpServer(loop, settings.probe_address, self._answer_probe, limits)
-        stack.callback(probe.close)
-        metrics = HttpServer(
-            loop, settings.metrics_address, self._answer_metrics, limits
-        )
-        stack.callback(metrics.close)
-        self._listener = Listener(
-            loop,
-            settings.session_address,
-            self._accept,
-            lambda reason: self.log.write("session_not_accepted", reason=reason),
-            MAX_READER_SILENCE,
-        )
-        stack.callback(self._listener.close)
-        self._install_signal_handlers()
-        loop.supervise(self.reader.run)
-        loop.supervise(self._registration.run)
-        loop.supervise(self.fleet.run)
-        loop.supervise(self.sharing.run)
-        loop.supervise(self.primary_monitor.run)
-        hot_account_recorder = HotAccountRecorder(
-            self.services, self._store, self.leadership
-        )
-        loop.supervise(hot_account_recorder.run)
-        group_members_recorder = GroupMembersRecorder(
-            self.services, self._store, self.leadership
+        for address, answer in (
+            (self.settings.probe_address, self._answer_probe),
+            (self.settings.metrics_address, endpoint.answer),
+        ):
+            server = HttpServer(self._loop, address, answer, limits)
+            self._stack.callback(server.close)
+
+    def _listen(
+        self,
+        address: str,
+        accept: Callable[[Stream], None],
+        failure_event: str,
+        unacknowledged_timeout: timedelta = UNACKNOWLEDGED_TIMEOUT,
+    ) -> Listener:
+        """Accept streams until the instance ends; log those that fail."""
+        listener = Listener(
+            self._loop,
+            address,
+            accept,
+            lambda reason: self.log.write(failure_event, reason=reason),
+            unacknowledged_timeout,
         )
-        loop.supervise(group_members_recorder.run)
+        self._stack.callback(listener.close)
+        return listener
+
+    def _start_tasks(self, status: StatusReader) -> None:
+        """Start the background tasks, which run until the instance ends."""
+        services, store, leadership = self.services, self._store, self.leadership
         recovery = EraRecovery(
-            self.services,
-            self._store,
-            self.leadership,
-            self.fleet,
-            status,
-            self.reader.request_read,
+            services, store, leadership, self.fleet, status, self.reader.request_read
         )
-        loop.supervise(recovery.run)
-        loop.supervise(self._watch_settings)
-        loop.supervise(self._watch_partition)
-        loop.supervise(self._watch_connections)
-        loop.supervise(self.client_watch.watch_memory)
-        loop.supervise(self.client_watch.watch_times)
-        self.log.write("started", incarnation=self.incarnation, domain=settings.domain)
+        for task in (
+            self.reader.run,
+            self._registration.run,
+            self.fleet.run,
+            self.sharing.run,
+            self.primary_monitor.run,
+            HotAccountRecorder(services, store, leadership).run,
+            GroupMembersRecorder(services, store, leadership).run,
+            recovery.run,
+            self._watch_settings,
+            self._partition_watch.run,
+            self._watch_connections,
+            self.client_watch.watch_memory,
+            self.client_watch.watch_times,
+        ):
+            self._loop.supervise(task)
 
     def _install_signal_handlers(self) -> None:
         wake, wake_writer = socket.socketpair()
@@ -219,7 +246,7 @@
         elif not self.services.is_stopping:
             plan = StopPlan(self._loop.now(), self.settings.stop_grace)
             self.services.stop_plan = plan
-            self._loop.spawn(self._stop(plan))
+            self._loop.spawn(self._shutdown.run(plan))
 
     # Settings
 
@@ -255,44 +282,11 @@
 
     # Sessions and probes
 
-    def _watch_partition(self) -> Steps:
-        """Move clients to other instances while a partition cuts this one off.
-
-        The load balancer first removes the instance. Then idle sessions are closed, and
-        others with a refusal, so that their clients reconnect to instances that can
-        reach the store.
-        """
-        while True:
-            yield self._loop.sleep(PARTITION_CHECK_INTERVAL)
-            if self.services.is_stopping:
-                return
-            now = self._loop.now()
-            if not self.fleet.is_isolated():
-                if self._cut_off_since is not None:
-                    self.log.write("cut_healed", duration=now - self._cut_off_since)
-                self._cut_off_since = None
-                self.services.session_close_reason = ""
-            elif self._cut_off_since is None:
-                self._cut_off_since = now
-                self.log.write(
-                    "cut_off", evidence_age=self.services.store_freshness.age(now)
-                )
-            elif now - self._cut_off_since >= BALANCER_REMOVAL_TIME:
-                self._close_idle_sessions("the instance is cut off")
-
     def _watch_connections(self) -> Steps:
         while True:
             yield self._loop.sleep(connection_allowance.CHECK_INTERVAL)
             self.services.close_unused_connections()
 
-    def _close_idle_sessions(self, reason: str) -> None:
-        """Close idle sessions now, and others when a request is refused."""
-        self.services.session_close_reason = reason
-        idle_since = self._loop.now() - MIN_IDLE_TIME
-        for session in list(self._sessions):
-            if session.is_idle and session.awaiting_since <= idle_since:
-                session.close(reason)
-
     def _accept(self, stream: Stream) -> None:
         if not self.client_watch.make_room_for_session(stream):
             return
@@ -319,104 +313,10 @@
             return "the store has not answered lately"
         if services.eras.knowledge(self._loop.now()) is Knowledge.NONE:
             return "the newest configuration is not known yet"
-        if self._cut_off_since is not None:
+        if self._partition_watch.is_cut_off:
             return "neither the store nor another domain is heard"
         return ""
 
-    def _answer_metrics(
-        self, method: str, path: str, _body: bytes
-    ) -> tuple[int, Mapping[str, str], bytes]:
-        if method == "GET" and path.startswith(DOCUMENT_PATH):
-            return self._answer_document(path.removeprefix(DOCUMENT_PATH))
-        if method == "GET" and path.startswith(DIRECTORY_PATH):
-            return self._answer_directory(path.removeprefix(DIRECTORY_PATH))
-        if method != "GET" or path != METRICS_PATH:
-            return 404, {}, b""
-        gauges = self.metrics.gauges
-        gauges["sessions"] = len(self._sessions)
-        self.client_watch.set_gauges()
-        pool, owned = self.services.pool, self.sharing.owner.pool
-        gauges["server_connections"] = pool.size() + owned.size()
-        gauges["server_connections_opened"] = pool.opened + owned.opened
-        gauges.update(self.sharing.gauges())
-        gauges["store_calls"] = self._store.calls
-        gauges["store_era"] = self.services.eras.era
-        gauges["members"] = self.services.member_count
-        gauges["gossip_bytes"] = self.fleet.sent_bytes
-        gauges["gossip_datagrams"] = self.fleet.sent_count
-        gauges["unexpected_errors"] = self._loop.error_count
-        return 200, {"Content-Type": "text/plain"}, self.metrics.text()
-
-    def _answer_document(self, version: str) -> tuple[int, Mapping[str, str], bytes]:
-        document = self._store.document()
-        if document is None or str(document.version) != version:
-            return 404, {}, b""
-        return 200, {"Content-Type": "application/json"}, document.value
-
-    def _answer_directory(self, version: str) -> tuple[int, Mapping[str, str], bytes]:
-        directory = self.fleet.directory
-        if directory is None or directory.version != version:
-            return 404, {}, b""
-        content = encode_directory(directory)
-        return 200, {"Content-Type": "application/json"}, content
-
-    # Shutdown
-
-    def _stop(self, plan: StopPlan) -> Steps:
-        """Shut down without interrupting answers, then stop the loop.
-
-        Idle sessions are closed once the load balancer has removed the instance. After
-        half of the stop grace, the others are closed with a refusal, and transactions
-        between two statements are aborted.
-        """
-        self.log.write("stopping", sessions=len(self._sessions))
-        yield from self._resign_leadership()
-        yield self._loop.sleep(plan.closes_sessions_at - self._loop.now())
-        yield from self._close_sessions(plan, plan.leaves_at)
-        # A session that is accepted from now on might be cut.
-        self._listener.close()
-        try:
-            yield self._loop.wait_for(
-                self._loop.spawn(self._registration.deregister()), SHUTDOWN_MARGIN * 0.5
-            )
-        except TimeoutError:
-            self.log.write("registration_not_ended")
-        # The last ones were accepted just before the listener was closed.
-        yield from self._close_sessions(plan, plan.ends_at)
-        while self.sharing.peers.lease_count() and self._loop.now() < plan.ends_at:
-            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
-        self.log.write("stopped", sessions=len(self._sessions))
-        for session in list(self._sessions):
-            session.end()
-        self._loop.stop()
-
-    def _close_sessions(self, plan: StopPlan, deadline: timedelta) -> Steps:
-        """Close the sessions that have no outstanding request, until ``deadline``."""
-        while self._sessions and self._loop.now() < deadline:
-            self._close_idle_sessions(STOP_REASON)
-            if self._loop.now() >= plan.refuses_work_at:
-                for session in self._sessions:
-                    session.abort_idle_transaction(STOP_REASON)
-            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
-
-    def _resign_leadership(self) -> Steps:
-        """Give up the leader lease, so that another instance can acquire it at once.
-
-        An order to the platform is waited for: it could be executed after an order of
-        the next leader.
-        """
-        deadline = self._loop.now() + ORDER_TIMEOUT
-        while (
-            self._replacement.promotion.orders_in_flight and self._loop.now() < deadline
-        ):
-            yield self._loop.sleep(SHUTDOWN_CHECK_INTERVAL)
-        try:
-            yield self._loop.wait_for(
-                self._loop.spawn(self.leadership.resign()), RESIGN_TIMEOUT
-            )
-        except TimeoutError:
-            self.log.write("leader_not_resigned")
-
 
 def _digest(path: str) -> str:
     try:
--- a/tests/proxy/test_shutdown.py
+++ b/tests/proxy/test_shutdown.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from bulrushloom.proxy.node import SHUTDOWN_MARGIN
-from bulrushloom.proxy.stopping import STOP_REASON, StopPlan
+from bulrushloom.proxy.stopping import SHUTDOWN_MARGIN, STOP_REASON, StopPlan
 from tests.proxy.builders import ms
 from tests.proxy.node_builders import SECOND, STEP, RunningNode
 
