Split the codec of reports into form, conversion and codec

It held the form of a report on the wire, its conversion, and the codec with its time stamps.

Behaviour is unchanged.

--- a/bulrushloom/proxy/exchange/directory.py
+++ b/bulrushloom/proxy/exchange/directory.py
@@ -16,8 +16,9 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
-from bulrushloom.proxy.exchange.codec import Count, Name, WireMember
 from bulrushloom.proxy.exchange.messages import Directory, Member
+from bulrushloom.proxy.exchange.report_wire import WireMember
+from bulrushloom.proxy.exchange.usage_codec import Count, Name
 from bulrushloom.runtime.streams import split_address
 
 MAX_ENTRIES = Meta(max_length=20_000)
--- a/bulrushloom/proxy/membership.py
+++ b/bulrushloom/proxy/membership.py
@@ -9,8 +9,8 @@
 import msgspec
 import orjson
 
-from bulrushloom.proxy.exchange.codec import Name
 from bulrushloom.proxy.exchange.messages import Member
+from bulrushloom.proxy.exchange.usage_codec import Name
 from bulrushloom.proxy.store import (
     Lease,
     ProxyStore,
