Split the client of the platform's store

It held the calls, the decoding of answers, the content that is kept by revision, and the client that requests promotions.

Behaviour is unchanged.

--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -11,7 +11,8 @@
 
 from bulrushloom.conf.exceptions import SettingsError
 from bulrushloom.platform.process import READY_PATH
-from bulrushloom.platform.store import DutyPromotion, KeyValueStore
+from bulrushloom.platform.promotion import DutyPromotion
+from bulrushloom.platform.store import KeyValueStore
 from bulrushloom.proxy import connection_allowance
 from bulrushloom.proxy.clients.session_bounds import MAX_READER_SILENCE
 from bulrushloom.proxy.clients.watch import ClientWatch
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,8 @@
 import orjson
 import pytest
 
-from bulrushloom.platform.store import DutyPromotion, KeyValueStore
+from bulrushloom.platform.promotion import DutyPromotion
+from bulrushloom.platform.store import KeyValueStore
 from bulrushloom.proxy.store import (
     ConfigurationDocument,
     DocumentError,
