Do not give up answers of the store that are arriving, and pace reads at the start

Cause: when hundreds of instances start at the same moment, the answers to their first reads take longer than the 0.9 s after which a call is given up. They were asked for again after 0.15 to 0.6 s, or every 0.5 s by instances that know no other one, so the store stayed overloaded.

Change: a read goes on while parts of the answer arrive, at most 6 s. An instance that knows no other one doubles the delay of retries up to 2.4 s, with a random part, and waits three times the duration of its last read before the next one.

--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -43,6 +43,10 @@
 AFTER_MEMBERS = "members0"
 # The slowest answers of the store take 60 to 90 times the usual 4 ms.
 CALL_TIMEOUT = timedelta(milliseconds=900)
+# When hundreds of instances start at the same moment, the store's network carries the
+# answers to all of them for seconds. An answer that is given up would be asked for, and
+# sent, once more.
+MAX_READ_TIME = timedelta(seconds=6)
 # A promotion is answered within milliseconds; a slow platform must not block the
 # leader, which is the instance that requests promotions.
 PROMOTION_TIMEOUT = timedelta(seconds=1)
@@ -101,7 +105,9 @@
         after, revision, first_era = start_after, None, None
         while True:
             path = f"/v1/kv-range?Prefix=&after={quote(after, safe='')}"
-            answer = yield from self._call(self._read_client, "GET", path)
+            answer = yield from self._call(
+                self._read_client, "GET", path, max_duration=MAX_READ_TIME
+            )
             if isinstance(answer, StoreFailure):
                 return answer
             page, era = answer
@@ -295,12 +301,19 @@
             return _malformed(error)
 
     def _call(
-        self, client: HttpClient, method: str, path: str, body: bytes = b""
+        self,
+        client: HttpClient,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        max_duration: timedelta = CALL_TIMEOUT,
     ) -> Steps:
         """Return the content and the era of the answer, or a ``StoreFailure``."""
         self.calls += 1
         try:
-            response = yield client.request(method, path, body, CALL_TIMEOUT)
+            response = yield client.request(
+                method, path, body, CALL_TIMEOUT, max_duration=max_duration
+            )
         except HttpError as error:
             return StoreFailure(StoreFailureKind.UNKNOWN, str(error))
         content = _decode_response(method, path, response)
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -60,6 +60,8 @@
 READ_CHECK_INTERVAL = timedelta(milliseconds=50)
 READ_RETRY_INTERVAL = timedelta(milliseconds=150)
 MAX_RETRY_DOUBLINGS = 2
+# The same for instances that do not know any other one.
+MAX_STARTUP_DOUBLINGS = 4
 # Interval of the instances that are not domain relays.
 FOLLOWER_RETRY_INTERVAL = timedelta(seconds=2)
 # Instances that are not domain relays become candidates for the leader lease only after
@@ -90,6 +92,10 @@
 _CANDIDACY_STEPS = 1000
 # Interval of an instance that is listed alone, and not the leader.
 LONELY_READ_INTERVAL = timedelta(milliseconds=500)
+# Instances that start wait for this many times the duration of their last read before
+# the next one. If hundreds start at the same moment, the store sends so much that a
+# read takes seconds, and a fixed interval would keep it overloaded.
+STARTUP_READ_PACE = 3
 _ZERO = timedelta()
 
 
@@ -110,6 +116,7 @@
         self._fetching_directory: Future[Any] | None = None
         self._writing_keys: Future[Any] | None = None
         self._read_at = _ZERO
+        self._read_duration = _ZERO
         self._leaderless_since: timedelta | None = None
 
     def connect(self, fleet: Fleet, leadership: Leadership) -> None:
@@ -137,10 +144,10 @@
             # The leader of a new era waits for reports, which need the keys.
             is_settled = self._services.eras.is_settled
             interval = STARTUP_READ_INTERVAL if is_settled else LEADERLESS_READ_INTERVAL
-            return now - self._read_at >= interval
+            return now - self._read_at >= self._startup_interval(interval)
         if not self._fleet.peers_by_name:
             interval = READ_INTERVAL if self._read_at == _ZERO else LONELY_READ_INTERVAL
-            return now - self._read_at >= interval
+            return now - self._read_at >= self._startup_interval(interval)
         if self._fleet.is_domain_relay() and not self._fleet.has_live_leader():
             # The leader lease may expire at any time; relays are the first candidates.
             return now - self._read_at >= LEADERLESS_READ_INTERVAL
@@ -153,11 +160,20 @@
         max_age = MAX_RELAYED_READ_AGE if is_relay else MAX_FOLLOWER_READ_AGE
         return self._services.store_freshness.age(now) >= max_age or not is_listed
 
+    def _startup_interval(self, interval: timedelta) -> timedelta:
+        """Return ``interval``, longer if the store answers slowly."""
+        return max(interval, self._read_duration * STARTUP_READ_PACE)
+
     def _retry_delay(self, failures: int) -> timedelta:
         """Return the delay before another read of a store that did not answer.
 
         The relay of the domain retries early and tells the others about the recovery.
+        Instances that know no other one may be hundreds that overload the store.
         """
+        if not self._fleet.peers_by_name:
+            doublings = min(failures - 1, MAX_STARTUP_DOUBLINGS)
+            spread = self._services.random.uniform(0.75, 1.25)
+            return READ_RETRY_INTERVAL * 2**doublings * spread
         if not self._fleet.is_domain_relay():
             return FOLLOWER_RETRY_INTERVAL
         return READ_RETRY_INTERVAL * 2 ** min(failures - 1, MAX_RETRY_DOUBLINGS)
@@ -193,8 +209,9 @@
         return (yield from self._read_now())
 
     def _read_now(self) -> Steps:
-        self._read_at = self._loop.now()
+        started_at = self._read_at = self._loop.now()
         result = yield self._store.snapshot(True)
+        self._read_duration = self._loop.now() - started_at
         if isinstance(result, StoreFailure):
             self._record_read_result(result)
         else:
--- a/bulrushloom/runtime/http.py
+++ b/bulrushloom/runtime/http.py
@@ -58,6 +58,7 @@
         self._status = 0
         self._headers: Mapping[str, str] = {}
         self._body = bytearray()
+        self._received_at = timedelta()
 
     def request(
         self,
@@ -67,6 +68,7 @@
         timeout: timedelta,
         headers: Headers = (),
         is_allowed: Callable[[], bool] = lambda: True,
+        max_duration: timedelta | None = None,
     ) -> "Future[Response]":
         """Send a request and return a future of the response.
 
@@ -74,10 +76,20 @@
         sent.
 
         The future fails with ``HttpError`` if no response arrives within ``timeout``,
-        which includes the wait for earlier requests and for the connection.
+        which includes the wait for earlier requests and for the connection. With
+        ``max_duration``, a response that is arriving may take until then, as long as
+        each part of it arrives within ``timeout`` of the one before.
         """
         return self._loop.spawn_unreported(
-            self._request(method, path, body, timeout, headers, is_allowed)
+            self._request(
+                method,
+                path,
+                body,
+                timeout,
+                headers,
+                is_allowed,
+                max_duration or timeout,
+            )
         )
 
     def _request(
@@ -88,8 +100,10 @@
         timeout: timedelta,
         headers: Headers,
         is_allowed: Callable[[], bool],
+        max_duration: timedelta,
     ) -> Steps:
-        deadline = self._loop.now() + timeout
+        requested_at = self._loop.now()
+        deadline = requested_at + timeout
         while self._active_request is not None:
             waiting = self._loop.wait_for(
                 self._active_request, deadline - self._loop.now()
@@ -108,7 +122,10 @@
             if not is_allowed():
                 raise HttpError(f"{method} {self.address}: no longer allowed")
             answer = self._send(method, path, body, headers)
-            response = yield self._loop.wait_for(answer, deadline - self._loop.now())
+            self._received_at = requested_at
+            response = yield from self._wait_while_receiving(
+                answer, timeout, requested_at + max_duration
+            )
         except (OSError, h11.ProtocolError) as error:
             self.close()
             raise HttpError(f"{method} {self.address}: {error}") from error
@@ -117,6 +134,18 @@
             request_done.set_result(None)
         return response
 
+    def _wait_while_receiving(
+        self, answer: "Future[Response]", timeout: timedelta, latest: timedelta
+    ) -> Steps:
+        """Wait until ``latest``, or until nothing has arrived for ``timeout``."""
+        while True:
+            deadline = min(self._received_at + timeout, latest)
+            try:
+                return (yield self._loop.wait_for(answer, deadline - self._loop.now()))
+            except TimeoutError:
+                if deadline in (latest, self._received_at + timeout):
+                    raise
+
     def _open(self, timeout: timedelta) -> Steps:
         self._stream = yield TcpNetwork(self._loop).connect(self.address, timeout)
         self._http = h11.Connection(h11.CLIENT)
@@ -144,6 +173,7 @@
         stream, http = self._stream, self._http
         if stream is None or http is None:
             return
+        self._received_at = self._loop.now()
         try:
             data = stream.read_all()
             if data:
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -26,6 +26,7 @@
 ANSWER_DELAY = timedelta(milliseconds=4)
 NO_ANSWER_DELAY = timedelta(milliseconds=900)
 PROMOTE_DELAY = timedelta(milliseconds=300)
+_ZERO = timedelta()
 
 
 class _Lease(NamedTuple):
@@ -75,6 +76,8 @@
         self.refused: set[str] = set()
         self.answers_to_lose = 0
         self.write_delay = timedelta()
+        self.read_delay = timedelta()
+        self.reads = 0
         self.evacuated_domains: set[str] = set()
 
     def client(self, name: str) -> "SimulatedStoreClient":
@@ -168,7 +171,12 @@
         """Make no further calls."""
         self._is_closed = True
 
-    def _call(self, action: Callable[[], Any], writes: bool = False) -> "Future[Any]":
+    def _call(
+        self,
+        action: Callable[[], Any],
+        writes: bool = False,
+        read_delay: timedelta = _ZERO,
+    ) -> "Future[Any]":
         future: Future[Any] = Future()
         if self._is_closed:
             return future
@@ -187,7 +195,9 @@
             self._loop.call_later(
                 NO_ANSWER_DELAY, lambda: set_result_if_pending(future, failure)
             )
-        delay = ANSWER_DELAY / 2 + (store.write_delay if writes and loses else _ZERO)
+        delay = ANSWER_DELAY / 2 + read_delay
+        if writes and loses:
+            delay += store.write_delay
 
         def run_action() -> None:
             result = action()
@@ -202,7 +212,10 @@
     def snapshot(self, with_members: bool) -> "Future[StoreSnapshot | StoreFailure]":
         """Read the configuration and all records."""
         requested_at = self._loop.now()
-        return self._call(lambda: self._snapshot(requested_at))
+        self._store.reads += 1
+        return self._call(
+            lambda: self._snapshot(requested_at), read_delay=self._store.read_delay
+        )
 
     def _snapshot(self, requested_at: timedelta) -> StoreSnapshot:
         store = self._store
@@ -340,6 +353,3 @@
                 ANSWER_DELAY, lambda: set_result_if_pending(future, status)
             )
         return future
-
-
-_ZERO = timedelta()
--- a/tests/proxy/test_first_start.py
+++ b/tests/proxy/test_first_start.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from bulrushloom.proxy.failover.groups import LEADER_KEY
+from bulrushloom.proxy.store import Record
 from tests.proxy.builders import build_account, ms
 from tests.proxy.fleet_builders import SECOND, SimulatedFleet
 
@@ -41,6 +43,20 @@
         assert fleet.serves_from is not None and fleet.serves_from <= limit
 
 
+def test_instance_alone_reads_a_slow_store_at_its_pace():
+    # Guards against hundreds of instances that start at the same moment and keep the
+    # store overloaded with their reads, so that none of them ever starts.
+    def prepare(fleet):
+        fleet.store.read_delay = SECOND * 2
+        # The leader is still listed, and this instance has not been told of others.
+        fleet.store.record_by_key[LEADER_KEY] = Record(LEADER_KEY, b"{}", 1, 0)
+
+    with ExitStack() as stack:
+        fleet = SimulatedFleet(stack, 1, prepare=prepare)
+        fleet.run(SECOND * 14)
+        assert fleet.store.reads <= 20 / (2 * 3) + 1
+
+
 def test_first_start_does_not_assume_that_limits_are_used_up():
     # Guards against accounts that get a tenth of their limit for a whole window, as if
     # the store had lost the record of hot accounts.
--- a/tests/runtime/test_network.py
+++ b/tests/runtime/test_network.py
@@ -138,6 +138,29 @@
                 wait_for(loop, answer)
 
 
+@pytest.mark.parametrize("max_duration, is_complete", [(3, True), (0.6, False)])
+def test_response_that_is_arriving_may_take_longer(loop, max_duration, is_complete):
+    # Guards against a large answer that is given up and asked for again, because the
+    # network of its sender is slow.
+    parts = [b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", b"1", b"2", b"3", b"4"]
+
+    def send_parts(stream):
+        for number, part in enumerate(parts):
+            loop.call_later(SECOND * 0.2 * number, lambda part=part: stream.write(part))
+
+    listener = Listener(loop, f"127.0.0.1:{free_port()}", send_parts)
+    with closing(HttpClient(loop, f"127.0.0.1:{listener.port}")) as client:
+        answer = client.request(
+            "GET", "/", b"", SECOND / 2, max_duration=SECOND * max_duration
+        )
+        if is_complete:
+            assert wait_for(loop, answer).body == b"1234"
+        else:
+            with pytest.raises(HttpError):
+                wait_for(loop, answer)
+    listener.close()
+
+
 @pytest.mark.parametrize(
     "data", [b"\x00\x01\x02\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/1.1\r\nHost" * 9000]
 )
