--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -36,6 +36,10 @@
 AFTER_MEMBERS = "members0"
 # The slowest answers of the store take 60 to 90 times the usual 4 ms.
 CALL_TIMEOUT = timedelta(milliseconds=900)
+# When hundreds of instances start at the same moment, the store's network carries the
+# answers to all of them for seconds. An answer that is given up would be asked for, and
+# sent, once more.
+MAX_READ_TIME = timedelta(seconds=6)
 _ZERO = timedelta()
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -79,7 +83,9 @@
         after, revision, first_era = start_after, None, None
         while True:
             path = f"/v1/kv-range?Prefix=&after={quote(after, safe='')}"
-            answer = yield from self._call(self._read_client, "GET", path)
+            answer = yield from self._call(
+                self._read_client, "GET", path, max_duration=MAX_READ_TIME
+            )
             if isinstance(answer, StoreFailure):
                 return answer
             page, era = answer
@@ -193,12 +199,19 @@
             return malformed(error)
 
     def _call(
-        self, client: HttpClient, method: str, path: str, body: bytes = b""
+        self,
+        client: HttpClient,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        max_duration: timedelta = CALL_TIMEOUT,
     ) -> Steps:
         """Return the content and the era of the answer, or a ``StoreFailure``."""
         self.calls += 1
         try:
-            response = yield client.request(method, path, body, CALL_TIMEOUT)
+            response = yield client.request(
+                method, path, body, CALL_TIMEOUT, max_duration=max_duration
+            )
         except HttpError as error:
             return StoreFailure(StoreFailureKind.UNKNOWN, str(error))
         content = decode_response(method, path, response)
