Leave a large configuration that has not changed out of reads of the store

Cause: the leader reads the whole store twice a second. At 300 machines the reads take longer than their interval, so no instance has a recent read of the store.

A change, a lost history, another era or a failure lead to a full read.

--- a/bulrushloom/platform/store.py
+++ b/bulrushloom/platform/store.py
@@ -9,13 +9,19 @@
 
 import orjson
 
+from bulrushloom.platform.known_configuration import KnownConfiguration
 from bulrushloom.platform.store_answers import (
     MALFORMED_ERRORS,
     decode_era,
     decode_response,
     malformed,
 )
-from bulrushloom.platform.store_content import LogEvent, StoreContent
+from bulrushloom.platform.store_content import (
+    CONFIGURATION_KEY,
+    MEMBER_PREFIX,
+    LogEvent,
+    StoreContent,
+)
 from bulrushloom.proxy.configuration import Configuration
 from bulrushloom.proxy.store import (
     ConfigurationDocument,
@@ -67,6 +73,7 @@
         self._lease_client = HttpClient(loop, address)
         # The latest era that an answer named.
         self._seen_era = 0
+        self._known: KnownConfiguration | None = None
         self.calls = 0
 
     def snapshot(self, with_members: bool) -> "Future[StoreSnapshot | StoreFailure]":
@@ -79,10 +86,62 @@
 
     def _snapshot(self, start_after: str) -> Steps:
         sent_at = self._loop.now()
+        content = None
+        if self._known is not None:
+            content = yield from self._read_around_configuration(start_after)
+        if content is None:
+            content = yield from self._read_pages("", start_after)
+        if isinstance(content, StoreFailure):
+            self._known = None
+            return content
+        items, revision, era = content
+        self._content.enter_era(era)
+        try:
+            self._known = KnownConfiguration.from_read(items, revision, era)
+            return self._content.read_items(sent_at, revision, items, start_after == "")
+        except MALFORMED_ERRORS as error:
+            return malformed(error)
+
+    def _read_around_configuration(self, start_after: str) -> Steps:
+        """Read all but the configuration, if it has not changed since the last read.
+
+        Return ``None`` if everything has to be read.
+        """
+        known = self._known
+        assert known is not None
+        path = (
+            f"/v1/kv-watch?Prefix={quote(CONFIGURATION_KEY, safe='')}"
+            f"&after={known.revision}&WaitMs=1"
+        )
+        answer = yield from self._call(self._read_client, "GET", path)
+        if isinstance(answer, StoreFailure):
+            return None if answer.kind is StoreFailureKind.GONE else answer
+        changes, era = answer
+        if era != known.era or not _is_unchanged(changes):
+            return None
+        items = [known.item]
+        ranges = [("", CONFIGURATION_KEY)]
+        if start_after == "":
+            ranges.append((MEMBER_PREFIX, ""))
+        for prefix, after in ranges:
+            content = yield from self._read_pages(prefix, after)
+            if isinstance(content, StoreFailure):
+                return content
+            further, _, further_era = content
+            if further_era != era:
+                return _returned_during_read()
+            items += further
+        return items, changes["CurrentRev"], era
+
+    def _read_pages(self, prefix: str, after: str) -> Steps:
+        """Return the items of a range after a key, the revision and the era."""
         items: list[dict[str, Any]] = []
-        after, revision, first_era = start_after, None, None
+        revision, first_era = None, None
         while True:
-            path = f"/v1/kv-range?Prefix=&after={quote(after, safe='')}"
+            path = (
+                f"/v1/kv-range?Prefix={quote(prefix, safe='')}"
+                f"&after={quote(after, safe='')}"
+            )
             answer = yield from self._call(
                 self._read_client, "GET", path, max_duration=MAX_READ_TIME
             )
@@ -91,8 +150,7 @@
             page, era = answer
             first_era = era if first_era is None else first_era
             if first_era != era:
-                reason = "the store returned from a copy during the read"
-                return StoreFailure(StoreFailureKind.UNKNOWN, reason)
+                return _returned_during_read()
             try:
                 items += page["items"]
                 # Each page includes all changes up to the revision of the first one.
@@ -102,12 +160,7 @@
             except MALFORMED_ERRORS as error:
                 return malformed(error)
             if not has_more:
-                break
-        self._content.enter_era(era)
-        try:
-            return self._content.read_items(sent_at, revision, items, start_after == "")
-        except MALFORMED_ERRORS as error:
-            return malformed(error)
+                return items, revision, era
 
     def document(self) -> ConfigurationDocument | None:
         """Return the latest known configuration in its stored form."""
@@ -229,3 +282,17 @@
         """Close the connections."""
         for client in (self._read_client, self._write_client, self._lease_client):
             client.close()
+
+
+def _returned_during_read() -> StoreFailure:
+    reason = "the store returned from a copy during the read"
+    return StoreFailure(StoreFailureKind.UNKNOWN, reason)
+
+
+def _is_unchanged(changes: Any) -> bool:
+    """Return whether a watch has returned, with a revision and without changes."""
+    return (
+        isinstance(changes, dict)
+        and changes.get("events") == []
+        and isinstance(changes.get("CurrentRev"), int)
+    )
--- a/bulrushloom/platform/store_answers.py
+++ b/bulrushloom/platform/store_answers.py
@@ -17,6 +17,7 @@
 # failure the outcome is unknown.
 _KIND_BY_STATUS = {
     404: StoreFailureKind.NO_LEASE,
+    410: StoreFailureKind.GONE,
     412: StoreFailureKind.CONFLICT,
     429: StoreFailureKind.NOT_DONE,
     503: StoreFailureKind.NOT_DONE,
--- a/bulrushloom/proxy/store.py
+++ b/bulrushloom/proxy/store.py
@@ -15,13 +15,15 @@
 
     NOT_DONE: the store refused the call. UNKNOWN: there was no valid answer, and the
     call may have been executed, or may still be. CONFLICT: a precondition did not
-    hold. NO_LEASE: the lease has expired or was revoked.
+    hold. NO_LEASE: the lease has expired or was revoked. GONE: the history that was
+    asked for is no longer available.
     """
 
     NOT_DONE = "not done"
     UNKNOWN = "unknown"
     CONFLICT = "conflict"
     NO_LEASE = "no lease"
+    GONE = "gone"
 
 
 class StoreFailure(NamedTuple):
--- a/standins/platform/kv_server.py
+++ b/standins/platform/kv_server.py
@@ -46,6 +46,7 @@
         self.item_by_key: dict[str, dict[str, Any]] = {}
         self.lease_expiry_by_id: dict[int, tuple[timedelta, timedelta]] = {}
         self.revision = 1
+        self.oldest_revision = 1
         self.last_lease = 76
         self.era = 0
         self.calls: list[tuple[str, str]] = []
@@ -130,6 +131,8 @@
         content = orjson.loads(body) if body else {}
         if url.path == "/v1/kv-range":
             return self._range(query)
+        if url.path == "/v1/kv-watch":
+            return self._watch(query)
         if url.path == "/v1/kv-txn":
             return self._transaction(content)
         if url.path == "/v1/kv-lease":
@@ -156,6 +159,18 @@
             200, {"items": items, "HasMore": has_more, "CurrentRev": self.revision}
         )
 
+    def _watch(self, query: Mapping[str, str]) -> Reply:
+        """Return the changes since a revision; removed items are not told."""
+        after = int(query["after"])
+        if not self.oldest_revision <= after <= self.revision:
+            return _reply(410, {})
+        events = [
+            item
+            for key, item in sorted(self.item_by_key.items())
+            if key.startswith(query["Prefix"]) and item["Rev"] > after
+        ]
+        return _reply(200, {"events": events, "CurrentRev": self.revision})
+
     def _transaction(self, content: dict[str, Any]) -> Reply:
         for expected in content.get("ExpectRev", ()):
             item = self.item_by_key.get(expected["Key"])
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import orjson
 import pytest
 
+from bulrushloom.platform.known_configuration import LARGE_VALUE_LENGTH
 from bulrushloom.platform.promotion import DutyPromotion
 from bulrushloom.platform.store import KeyValueStore
 from bulrushloom.proxy.store import (
@@ -57,6 +58,77 @@
     assert wait_for(loop, client.snapshot(False)).member_by_key is None
 
 
+class TestLargeConfiguration:
+    """Reads of a store whose configuration is too large to be read each time."""
+
+    @pytest.fixture
+    def large(self, platform):
+        loop, server, client, _ = platform
+        server.put_json("op/config", self.build(7))
+        server.put_json("servers/i-1", build_entry())
+        server.put("members/north-1/run", b"{}")
+        server.put("proxy/leader", b"{}")
+        wait_for(loop, client.snapshot(True))
+        server.calls.clear()
+        return loop, server, client
+
+    def build(self, version):
+        padding = {"Name": "x" * LARGE_VALUE_LENGTH, "ApiKeys": []}
+        return {**build_document(version), "Padding": padding}
+
+    def full_reads(self, server):
+        return [p for _, p in server.calls if p.endswith("Prefix=&after=")]
+
+    @pytest.mark.parametrize("with_members", [True, False])
+    def test_it_is_not_read_again_while_it_is_the_same(self, large, with_members):
+        # Guards against a leader that reads megabytes twice a second, and has no recent
+        # read because each takes longer than that.
+        loop, server, client = large
+        server.put("proxy/fence", b"2")
+        server.put("op/evacuate/north", b"")
+        server.put("members/north-2/run", b"{}")
+        snapshot = wait_for(loop, client.snapshot(with_members))
+        assert not self.full_reads(server)
+        assert snapshot.configuration.version == 7
+        assert set(snapshot.target_by_id) == {"i-1"}
+        assert set(snapshot.record_by_key) == {"proxy/leader", "proxy/fence"}
+        assert snapshot.evacuated_domains == {"north"}
+        names = {"members/north-1/run", "members/north-2/run"}
+        members = snapshot.member_by_key
+        assert set(members) == names if with_members else members is None
+
+    def test_change_is_read(self, large):
+        loop, server, client = large
+        server.put_json("op/config", self.build(9))
+        assert wait_for(loop, client.snapshot(True)).configuration.version == 9
+
+    def test_lost_history_is_followed_by_a_full_read(self, large):
+        # Guards against a store that has compacted its history, or lost a part of it.
+        loop, server, client = large
+        server.put_json("op/config", self.build(9))
+        server.oldest_revision = server.revision + 1
+        assert wait_for(loop, client.snapshot(True)).configuration.version == 9
+
+    def test_return_of_the_store_is_followed_by_a_full_read(self, large):
+        # Guards against a revision that is given out again in the next era.
+        loop, server, client = large
+        copy = server.copy()
+        server.put("proxy/fence", b"2")
+        wait_for(loop, client.snapshot(True))
+        server.return_from(copy)
+        server.put_json("op/config", self.build(9))
+        snapshot = wait_for(loop, client.snapshot(True))
+        assert (snapshot.configuration.version, snapshot.era) == (9, 1)
+
+    def test_failure_is_followed_by_a_full_read(self, large):
+        loop, server, client = large
+        server.status = 503
+        assert isinstance(wait_for(loop, client.snapshot(True)), StoreFailure)
+        server.status = 200
+        assert wait_for(loop, client.snapshot(True)).configuration.version == 7
+        assert self.full_reads(server)
+
+
 def test_snapshot_contains_the_evacuated_domains(platform):
     # Guards against a request that is not seen because its value cannot be read.
     loop, server, client, _ = platform
