--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -5,6 +5,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.admission import Permit
+from bulrushloom.proxy.base import Patience
 from bulrushloom.proxy.configuration import Route, Target
 from bulrushloom.proxy.messages import (
     AnswerCode,
@@ -18,10 +19,9 @@
 # A statement that was not sent to a target within this fraction of its latency
 # objective is refused, so that the client can succeed in time at another instance.
 DISPATCH_DEADLINE_FRACTION = 0.25
-# A statement that waits for a shared connection may start until this fraction of its
-# objective; the owner refuses earlier what cannot start by then. The rest is left for
-# the statement itself.
-LEASE_DEADLINE_FRACTION = 0.6
+# A statement that starts at its target within this fraction of its objective counts as
+# in time. The rest is left for the statement itself.
+IN_TIME_FRACTION = 0.6
 # Time that a statement waits for a shared connection even if it is late.
 MIN_LEASE_WAIT = timedelta(milliseconds=50)
 # A statement whose targets are all busy is retried for this fraction of its timeout;
@@ -65,18 +65,23 @@
             self.started_at + self.route.latency_objective * DISPATCH_DEADLINE_FRACTION
         )
 
-    def lease_deadline(self, now: timedelta) -> timedelta:
-        """Return until when a statement may wait for a shared connection.
+    def lease_patience(self, now: timedelta, may_be_late: bool) -> Patience:
+        """Return how long a statement may wait for a shared connection.
 
-        One that is past its objective, because it has waited for a new primary, may
-        wait as long as one that busy targets refused.
+        With ``may_be_late``, it waits for as long as one that busy targets refused: an
+        answer past the objective serves the client better than a refusal, whose retry
+        is late as well. Without, it is refused once it cannot be in time; so is one
+        that may run at several targets, as long as another one may be faster.
         """
-        deadline = self.started_at + (
-            self.route.latency_objective * LEASE_DEADLINE_FRACTION
+        in_time_until = (
+            self.started_at + self.route.latency_objective * IN_TIME_FRACTION
         )
-        if now >= deadline:
-            deadline = self.busy_retry_deadline
-        return max(deadline, now + MIN_LEASE_WAIT)
+        in_time = max(in_time_until - now, _ZERO)
+        useful = max(self.busy_retry_deadline - now, MIN_LEASE_WAIT)
+        is_late = in_time == _ZERO
+        if may_be_late or is_late:
+            return Patience(in_time, max(useful, in_time))
+        return Patience(in_time, max(in_time, MIN_LEASE_WAIT))
 
     @property
     def busy_retry_deadline(self) -> timedelta:
--- a/bulrushloom/proxy/base.py
+++ b/bulrushloom/proxy/base.py
@@ -5,6 +5,7 @@
 from concurrent.futures import Future
 from datetime import timedelta
 from enum import IntEnum
+from typing import NamedTuple
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Target
@@ -102,6 +103,17 @@
     """No instance of the domain leases a connection to a target."""
 
 
+class Patience(NamedTuple):
+    """How long a statement may wait for a connection.
+
+    One that starts within ``in_time`` can be answered within its latency objective.
+    After ``useful``, too little is left of its timeout.
+    """
+
+    in_time: timedelta
+    useful: timedelta
+
+
 class SharedConnections(ABC):
     """Connections to targets that the instances of a domain share."""
 
@@ -116,7 +128,7 @@
         account: str,
         values: Mapping[bytes, bytes],
         priority: int,
-        timeout: timedelta,
+        patience: Patience,
     ) -> Steps:
         """Lease a connection; return a ``LeasedConnection``.
 
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -66,10 +66,12 @@
         self._admission = admission
         self._values = values
 
-    def acquire_connection(self, target: Target, attempt: Attempt) -> Steps:
+    def acquire_connection(
+        self, target: Target, attempt: Attempt, may_be_late: bool = True
+    ) -> Steps:
         """Return a connection for the account of an attempt.
 
-        Waits until the attempt's ``lease_deadline`` for a shared connection, and until
+        Waits for the attempt's ``lease_patience`` for a shared connection, and until
         its ``dispatch_deadline`` for another one. Prefers one that has the session
         values already. Raise ``NotOffered``.
         """
@@ -80,7 +82,7 @@
             # Only owners keep the limit of all instances together.
             needs_owner = services.limits_cold_requests(target)
             if is_small or needs_owner:
-                leased = yield from self._lease(sharing, target, attempt)
+                leased = yield from self._lease(sharing, target, attempt, may_be_late)
                 if leased is not None:
                     return leased
             if needs_owner:
@@ -126,14 +128,18 @@
             raise NotOffered(target, reason)
 
     def _lease(
-        self, sharing: SharedConnections, target: Target, attempt: Attempt
+        self,
+        sharing: SharedConnections,
+        target: Target,
+        attempt: Attempt,
+        may_be_late: bool,
     ) -> Steps:
         """Lease a connection; return ``None`` if no owner answers.
 
         Raise ``NotOffered``.
         """
         now = self._loop.now()
-        deadline = attempt.lease_deadline(now)
+        patience = attempt.lease_patience(now, may_be_late)
         try:
             return (
                 yield from sharing.acquire(
@@ -141,7 +147,7 @@
                     attempt.account,
                     self._values,
                     attempt.route.priority,
-                    deadline - now,
+                    patience,
                 )
             )
         except NoOwnerAnswers:
@@ -152,7 +158,7 @@
             self._record_refusal(target, error)
             is_full = error.kind is RefusalKind.TOO_MANY
             is_too_late = error.kind is RefusalKind.NOT_IN_TIME or (
-                is_full and self._loop.now() + error.retry_after > deadline
+                is_full and self._loop.now() + error.retry_after > now + patience.useful
             )
             raise NotOffered(
                 target, str(error), error.retry_after, is_too_late
--- a/bulrushloom/proxy/execution.py
+++ b/bulrushloom/proxy/execution.py
@@ -91,9 +91,15 @@
         sent_count = 0
         refusals = 0
         too_late: NotOffered | None = None
+        may_be_late = attempt.route.consistency is Consistency.PRIMARY
         while sent_count < MAX_READ_ATTEMPTS and self._loop.now() < attempt.deadline:
             choice = self.choose_read(attempt, tried)
             if isinstance(choice, Missing):
+                if not running and too_late is not None and not may_be_late:
+                    # All targets would be late, so the read waits at one of them.
+                    may_be_late, too_late = True, None
+                    tried.clear()
+                    continue
                 if not running and too_late is not None:
                     return _too_late(too_late)
                 if not running:
@@ -110,7 +116,7 @@
                 tried.clear()
             elif not running or self._may_hedge(attempt):
                 tried.append(choice.target.target_id)
-                steps = self._read_once(attempt, choice, hedged_read)
+                steps = self._read_once(attempt, choice, hedged_read, may_be_late)
                 running.append(self._loop.spawn_unreported(steps))
                 sent_count += 1
             time_left = max(attempt.deadline - self._loop.now(), _ZERO)
@@ -161,13 +167,19 @@
         return None, f"{answer.failure.code.value}: {answer.failure.reason}"
 
     def _read_once(
-        self, attempt: Attempt, choice: Candidate, hedged_read: HedgedRead
+        self,
+        attempt: Attempt,
+        choice: Candidate,
+        hedged_read: HedgedRead,
+        may_be_late: bool,
     ) -> Steps:
         """Send one copy of the read to the chosen target; return the answer.
 
         Raise ``NotOffered``, ``PermitEnded`` or ``AnswerLost``.
         """
-        connection = yield from self.acquire_connection(choice.target, attempt)
+        connection = yield from self.acquire_connection(
+            choice.target, attempt, may_be_late
+        )
         try:
             yield from self.apply_session_state(connection, attempt.prepared)
             if hedged_read.is_finished:
--- a/bulrushloom/proxy/scheduling/base.py
+++ b/bulrushloom/proxy/scheduling/base.py
@@ -15,14 +15,15 @@
     """Request to run a statement, or a transaction, at a target.
 
     ``request_id`` is unique within the scheduler. The lowest ``priority`` is the most
-    urgent one. A request that cannot start by ``start_deadline`` is useless to its
-    caller.
+    urgent one. A request that starts after ``in_time_until`` misses its latency
+    objective, and one that cannot start by ``start_deadline`` is useless to its caller.
     """
 
     request_id: int
     account: str
     priority: int
     requested_at: timedelta
+    in_time_until: timedelta
     start_deadline: timedelta
 
 
--- a/bulrushloom/proxy/scheduling/scheduler.py
+++ b/bulrushloom/proxy/scheduling/scheduler.py
@@ -92,7 +92,8 @@
     """Scheduler whose limit and estimates follow the answers of the target.
 
     Answers more requests than a target can serve in time: the urgent ones start first,
-    and what is hopeless is refused at once with a time to return.
+    those that miss their objective wait behind the others of their priority, and what
+    is hopeless is refused at once with a time to return.
 
     ``slots`` is the number of statements that the target runs at the same time, and
     ``domain_count`` the number of domains that have schedulers for it. ``random``
@@ -160,16 +161,19 @@
         If too many requests wait, the last one in the order is displaced, and the next
         ``expire`` returns its refusal.
         """
-        ahead = self._waiting.count_ahead(request)
         if now > request.start_deadline:
             return self._refuse(request, RefusalReason.LATE, now)
-        if self._is_hopeless(request, ahead, now):
-            return self._refuse(request, RefusalReason.HOPELESS, now)
+        ahead = self._waiting.count_ahead(request, is_late=False)
+        is_late = self._misses_objective(request, ahead, now)
+        if is_late:
+            ahead = self._waiting.count_ahead(request, is_late=True)
+            if self._is_hopeless(request, ahead, now):
+                return self._refuse(request, RefusalReason.HOPELESS, now)
         if len(self._waiting) >= self._max_waiting:
             if ahead == len(self._waiting):
                 return self._refuse(request, RefusalReason.DISPLACED, now)
             self._displace_last()
-        self._waiting.add(request)
+        self._waiting.add(request, is_late)
         if self._free_places() <= 0:
             self._drain.record_wait(now)
         return None
@@ -297,7 +301,8 @@
         self._displaced.append(last)
 
     def _overdue(self, now: timedelta) -> list[tuple[WorkRequest, RefusalReason]]:
-        """Return the waiting requests that are late or hopeless."""
+        """Return the waiting requests that can no longer start in time."""
+        self._put_late_ones_behind(now)
         overdue = []
         ahead = 0
         for request in self._waiting:
@@ -309,6 +314,27 @@
                 ahead += 1
         return overdue
 
+    def _put_late_ones_behind(self, now: timedelta) -> None:
+        """Put requests that will miss their objective behind those that may meet it."""
+        late = []
+        ahead = 0
+        for request in self._waiting:
+            is_known = self._waiting.is_late(request.request_id)
+            if not is_known and self._misses_objective(request, ahead, now):
+                late.append(request)
+            else:
+                ahead += 1
+        for request in late:
+            self._waiting.remove(request.request_id)
+            self._waiting.add(request, is_late=True)
+
+    def _misses_objective(
+        self, request: WorkRequest, ahead: int, now: timedelta
+    ) -> bool:
+        return now >= request.in_time_until or (
+            self._wait(ahead, now) * CERTAINTY > request.in_time_until - now
+        )
+
     def _is_hopeless(self, request: WorkRequest, ahead: int, now: timedelta) -> bool:
         remaining = request.start_deadline - now
         return self._wait(ahead, now) * CERTAINTY > remaining
@@ -327,8 +353,10 @@
     ) -> Refusal:
         """Return the refusal of a request that does not wait."""
         self._refused_by_reason[reason] += 1
-        wait = self._wait(self._waiting.count_ahead(request), now)
-        patience = max(request.start_deadline - request.requested_at, _ZERO)
+        ahead = self._waiting.count_ahead(request, is_late=False)
+        wait = self._wait(ahead, now)
+        # A caller that returns wants to be served within its objective.
+        patience = max(request.in_time_until - request.requested_at, _ZERO)
         drained_in = min(max(wait - patience, _ZERO), MAX_RETRY_AFTER)
         retry_after = self._returns.retry_after(
             request.priority, drained_in, self._drain.interval(now), now
--- a/bulrushloom/proxy/scheduling/waiting.py
+++ b/bulrushloom/proxy/scheduling/waiting.py
@@ -18,6 +18,7 @@
     """Place in the order; ``sequence`` is unique, so requests are not compared."""
 
     priority: int
+    is_late: bool
     fair_deadline: timedelta
     sequence: int
 
@@ -25,11 +26,13 @@
 class WaitingRequests:
     """Waiting requests, ordered by priority, start deadline and fairness.
 
-    Answers a burst of less urgent requests in front of urgent ones, and an account with
-    many waiting requests beside others of the same priority. Requests of a priority are
-    ordered by their start deadlines, where each request counts ``FAIRNESS_STEP`` later
-    for each request of its account and priority that waited when it came. An account
-    with one waiting request is therefore ordered by its deadline alone.
+    Answers a burst of less urgent requests in front of urgent ones, an account with
+    many waiting requests beside others of the same priority, and requests that miss
+    their objective in front of others that can meet it. Requests of a priority are
+    ordered by when they have to start, where each request counts ``FAIRNESS_STEP``
+    later for each request of its account and priority that waited when it came. An
+    account with one waiting request is therefore ordered by its deadline alone. Late
+    requests are behind all others of their priority.
     """
 
     def __init__(self) -> None:
@@ -53,13 +56,17 @@
         """Return the earliest start deadline of all requests."""
         return self._deadlines[0][0] if self._deadlines else None
 
-    def count_ahead(self, request: WorkRequest) -> int:
+    def count_ahead(self, request: WorkRequest, is_late: bool) -> int:
         """Return how many requests would be ahead of a new ``request``."""
-        return bisect_left(self._places, self._place(request))
+        return bisect_left(self._places, self._place(request, is_late))
 
-    def add(self, request: WorkRequest) -> None:
-        """Add a request that does not wait yet."""
-        place = self._place(request)
+    def is_late(self, request_id: int) -> bool:
+        """Return whether a waiting request was added as a late one."""
+        return self._place_by_id[request_id].is_late
+
+    def add(self, request: WorkRequest, is_late: bool) -> None:
+        """Add a request that does not wait yet; a late one misses its objective."""
+        place = self._place(request, is_late)
         self._sequence += 1
         insort(self._places, place)
         self._place_by_id[request.request_id] = place
@@ -86,10 +93,12 @@
         """Return the request that would be displaced first."""
         return self._request_by_sequence[self._places[-1].sequence]
 
-    def _place(self, request: WorkRequest) -> _Place:
+    def _place(self, request: WorkRequest, is_late: bool) -> _Place:
         count = self._count_by_account[request.account, request.priority]
+        deadline = request.start_deadline if is_late else request.in_time_until
         return _Place(
             request.priority,
-            request.start_deadline + count * FAIRNESS_STEP,
+            is_late,
+            deadline + count * FAIRNESS_STEP,
             self._sequence,
         )
--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -8,6 +8,7 @@
     LeasedConnection,
     LeaseRefused,
     NoOwnerAnswers,
+    Patience,
     RefusalKind,
 )
 from bulrushloom.proxy.clients.memory_budget import MemoryBudget
@@ -155,13 +156,14 @@
         account: str,
         values: Mapping[bytes, bytes],
         priority: int,
-        timeout: timedelta,
+        patience: Patience,
     ) -> Steps:
         """Lease a connection; see ``SharedConnections.acquire``."""
         if not is_state_small(values) or len(account) > MAX_NAME_LENGTH:
             raise NoOwnerAnswers("the request does not fit in a message")
         started_at = self._loop.now()
-        deadline = started_at + timeout
+        in_time_until = started_at + patience.in_time
+        deadline = started_at + patience.useful
         tried: list[str] = []
         while len(tried) < MAX_OWNERS_ASKED:
             if self._loop.now() - started_at >= MAX_SILENT_WAIT:
@@ -172,7 +174,12 @@
             now = self._loop.now()
             start_deadline = max(deadline, now + MIN_WAIT) if tried else deadline
             order = LeaseOrder(
-                target.target_id, account, values, priority, start_deadline
+                target.target_id,
+                account,
+                values,
+                priority,
+                in_time_until,
+                start_deadline,
             )
             try:
                 if name == self._own.name:
--- a/bulrushloom/proxy/sharing/leases.py
+++ b/bulrushloom/proxy/sharing/leases.py
@@ -48,12 +48,17 @@
 
 
 class LeaseOrder(NamedTuple):
-    """What a lease is needed for; it is useless after ``start_deadline``."""
+    """What a lease is needed for.
+
+    A statement that starts after ``in_time_until`` misses its latency objective. The
+    lease is useless after ``start_deadline``.
+    """
 
     target_id: str
     account: str
     values: Mapping[bytes, bytes]
     priority: int
+    in_time_until: timedelta
     start_deadline: timedelta
 
 
--- a/bulrushloom/proxy/sharing/links.py
+++ b/bulrushloom/proxy/sharing/links.py
@@ -279,6 +279,7 @@
                 dict(order.values),
                 order.priority,
                 delay_ms(order.start_deadline - now),
+                delay_ms(order.in_time_until - now),
             )
         )
         try:
--- a/bulrushloom/proxy/sharing/owner.py
+++ b/bulrushloom/proxy/sharing/owner.py
@@ -110,20 +110,28 @@
         self.requested_at = self._loop.now()
         lease = Lease(self, order, holder, number)
         self.leases.add(lease)
-        self._submit(lease, order.priority, order.start_deadline)
+        self._submit(lease, order.priority, order.in_time_until, order.start_deadline)
         return lease
 
     def submit_statement(self, lease: Lease) -> None:
         """Request a place for a further statement of an open transaction."""
         deadline = self._loop.now() + TRANSACTION_WAIT
-        self._submit(lease, TRANSACTION_PRIORITY, deadline)
+        self._submit(lease, TRANSACTION_PRIORITY, deadline, deadline)
 
-    def _submit(self, lease: Lease, priority: int, deadline: timedelta) -> None:
+    def _submit(
+        self,
+        lease: Lease,
+        priority: int,
+        in_time_until: timedelta,
+        deadline: timedelta,
+    ) -> None:
         now = self._loop.now()
         lease.waiting = request_id = next(self._ids)
         self._waiting_by_id[request_id] = lease
+        account = lease.order.account
         refusal = self.scheduler.submit(
-            WorkRequest(request_id, lease.order.account, priority, now, deadline), now
+            WorkRequest(request_id, account, priority, now, in_time_until, deadline),
+            now,
         )
         if refusal is not None:
             self._refuse(request_id, refusal.reason, refusal.retry_after)
@@ -275,10 +283,11 @@
             return
         lease = min(
             self._without_connection,
-            key=lambda waiting: (waiting.order.priority, waiting.order.start_deadline),
+            key=lambda waiting: (waiting.order.priority, waiting.order.in_time_until),
         )
         self._without_connection.remove(lease)
-        self._submit(lease, lease.order.priority, lease.order.start_deadline)
+        order = lease.order
+        self._submit(lease, order.priority, order.in_time_until, order.start_deadline)
 
 
 class Owner:
--- a/bulrushloom/proxy/sharing/peers.py
+++ b/bulrushloom/proxy/sharing/peers.py
@@ -180,6 +180,7 @@
         if message.lease in self._lease_by_number:
             raise PeerProtocolError("the number of the lease is in use")
         server = self._server
+        now = server.loop.now()
         result: Lease | LeaseRefusal
         if server.is_stopping():
             result = _STOPPING
@@ -191,7 +192,8 @@
                 message.account,
                 message.values,
                 message.priority,
-                server.loop.now() + _MILLISECOND * message.time_left_ms,
+                now + _MILLISECOND * message.in_time_for_ms,
+                now + _MILLISECOND * message.time_left_ms,
             )
             result = server.owner.request(order, self, message.lease)
         if isinstance(result, LeaseRefusal):
--- a/bulrushloom/proxy/sharing/protocol.py
+++ b/bulrushloom/proxy/sharing/protocol.py
@@ -95,6 +95,7 @@
     values: Values
     priority: Annotated[int, Meta(ge=-(2**31), le=2**31)]
     time_left_ms: Delay
+    in_time_for_ms: Delay
 
 
 class ConnectionState(msgspec.Struct, array_like=True, frozen=True):
--- a/bulrushloom/proxy/transaction.py
+++ b/bulrushloom/proxy/transaction.py
@@ -157,9 +157,15 @@
         refusals = 0
         last_reason = "no target is in reach"
         retry_after: timedelta | None = None
+        may_be_late = not self._may_use_replica
         while self._loop.now() < attempt.deadline:
             choice = self._choose(attempt, tried)
             if isinstance(choice, Missing):
+                if retry_after is not None and not may_be_late:
+                    # All targets would be late, so it waits at one of them.
+                    may_be_late, retry_after = True, None
+                    tried.clear()
+                    continue
                 if retry_after is not None:
                     break
                 refusals += 1
@@ -173,7 +179,9 @@
             target, is_primary = choice
             tried.append(target.target_id)
             try:
-                answer = yield from self._begin_on_target(attempt, target, is_primary)
+                answer = yield from self._begin_on_target(
+                    attempt, target, is_primary, may_be_late
+                )
             except NotOffered as error:
                 last_reason = str(error)
                 self._runner.log_attempt(attempt, target, last_reason)
@@ -190,13 +198,14 @@
         )
         return False
 
+    @property
+    def _may_use_replica(self) -> bool:
+        return self._is_read_only and self._route.consistency is not Consistency.PRIMARY
+
     def _choose(
         self, attempt: Attempt, tried: list[str]
     ) -> tuple[Target, bool] | Missing:
-        may_use_replica = (
-            self._is_read_only and self._route.consistency is not Consistency.PRIMARY
-        )
-        if may_use_replica:
+        if self._may_use_replica:
             choice = self._runner.choose_read(attempt, tried)
             if isinstance(choice, Missing):
                 return choice
@@ -209,9 +218,11 @@
         return primary, True
 
     def _begin_on_target(
-        self, attempt: Attempt, target: Target, is_primary: bool
+        self, attempt: Attempt, target: Target, is_primary: bool, may_be_late: bool
     ) -> Steps:
-        connection = yield from self._runner.acquire_connection(target, attempt)
+        connection = yield from self._runner.acquire_connection(
+            target, attempt, may_be_late
+        )
         answer = None
         try:
             yield from self._runner.apply_session_state(connection, attempt.prepared)
--- a/tests/proxy/scheduling/builders.py
+++ b/tests/proxy/scheduling/builders.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import NamedTuple
 
+from bulrushloom.proxy.scheduling.base import WorkRequest
 from bulrushloom.proxy.scheduling.scheduler import DomainTargetScheduler
 from tests.proxy.builders import ms
 from tests.proxy.scheduling.simulation import Operation
@@ -46,3 +47,17 @@
         domain = random.choice(domains)
         operations.append(simulation.arrive(ms(at), domain, operation))
     return operations
+
+
+def build_request(
+    request_id, account, priority, requested_at, start_deadline, in_time_until=None
+):
+    """Return a request that is useless once it would be late, unless that differs."""
+    return WorkRequest(
+        request_id,
+        account,
+        priority,
+        requested_at,
+        start_deadline if in_time_until is None else in_time_until,
+        start_deadline,
+    )
--- a/tests/proxy/scheduling/test_load.py
+++ b/tests/proxy/scheduling/test_load.py
@@ -50,6 +50,38 @@
         assert share_served(bookings, BOOKING.objective) > 0.98
 
 
+class TestCallersThatMissTheirObjective:
+    def play(self, late_patience):
+        """Replay the callers that waited for a new primary, and later ones."""
+        simulation = Simulation(build_schedulers(1))
+        for scheduler in simulation.schedulers:
+            scheduler.record_restart(ms(0))
+        waited = [
+            build_operation(BOOKING, f"account-{index % 30}") for index in range(200)
+        ]
+        for operation in waited:
+            operation.late_patience = late_patience
+            simulation.arrive(ms(1), 0, operation)
+        later = offer(simulation, BOOKING, 200, (50, 400))
+        for operation in later:
+            operation.late_patience = late_patience
+        simulation.run(ms(2000))
+        return waited, later
+
+    def test_they_are_answered_late_instead_of_refused(self):
+        # Guards against refusals of callers whom the target could answer a little
+        # later, and whose retry would be later still.
+        waited, later = self.play(late_patience=ms(370))
+        assert share_served(waited, ms(800)) == 1
+        refused, _ = self.play(late_patience=ms(0))
+        assert share_served(refused, ms(800)) < 0.9
+
+    def test_they_do_not_delay_those_that_can_meet_their_objective(self):
+        # Guards against a queue of late requests that makes all later ones late too.
+        _, later = self.play(late_patience=ms(370))
+        assert share_served(later, BOOKING.objective) == 1
+
+
 class TestDomainThatIsCutOff:
     def play(self):
         """Play an overload of 3 domains, of which only one has load from 2 s to 4 s."""
