Move copies from other instances out of the reader of the store

Reading and applying the store stays, and copying the configuration and the directory is a module of its own. No change of behaviour; 7 test files that concern it pass (178 tests).

--- a/bulrushloom/proxy/metrics_endpoint.py
+++ b/bulrushloom/proxy/metrics_endpoint.py
@@ -10,10 +10,10 @@
 from bulrushloom.proxy.clients.watch import ClientWatch
 from bulrushloom.proxy.exchange.directory import encode_directory
 from bulrushloom.proxy.exchange.fleet import Fleet
+from bulrushloom.proxy.peer_copies import DIRECTORY_PATH, DOCUMENT_PATH
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.session import Session
 from bulrushloom.proxy.sharing.domain import DomainConnections
-from bulrushloom.proxy.store_reader import DIRECTORY_PATH, DOCUMENT_PATH
 
 METRICS_PATH = "/metrics"
 
--- a/bulrushloom/proxy/node.py
+++ b/bulrushloom/proxy/node.py
@@ -155,8 +155,8 @@
             lambda on_datagram: UdpEndpoint(self._loop, address, on_datagram),
             Copier(
                 self.reader.request_read,
-                self.reader.fetch_configuration,
-                self.reader.fetch_directory,
+                self.reader.copies.fetch_configuration,
+                self.reader.copies.fetch_directory,
             ),
         )
         self.reader.connect(self.fleet, self.leadership)
--- a/bulrushloom/proxy/store_reader.py
+++ b/bulrushloom/proxy/store_reader.py
@@ -14,7 +14,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.configuration import Configuration, Target, changes_between
-from bulrushloom.proxy.exchange.directory import decode_directory, make_directory
+from bulrushloom.proxy.exchange.directory import make_directory
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.keys import (
     EXCHANGE_KEYS_KEY,
@@ -37,10 +37,9 @@
     decode_holder,
 )
 from bulrushloom.proxy.membership import decode_members
+from bulrushloom.proxy.peer_copies import PeerCopies
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
-    ConfigurationDocument,
-    DocumentError,
     ExpectedRevision,
     ProxyStore,
     Put,
@@ -49,7 +48,6 @@
     StoreSnapshot,
 )
 from bulrushloom.proxy.store_eras import is_settled, was_written_in_era
-from bulrushloom.runtime.http import HttpClient, HttpError
 from bulrushloom.runtime.loop import Steps
 
 # Interval of the leader's reads, with which a new configuration is applied well within
@@ -78,11 +76,6 @@
 EVACUATION_READ_FRACTION = 0.7
 # Clients with unknown keys must not cause more frequent reads than this.
 MIN_READ_INTERVAL = timedelta(milliseconds=250)
-# Copying the configuration within a domain takes milliseconds; if that fails, the store
-# is read instead.
-FETCH_TIMEOUT = timedelta(milliseconds=500)
-DOCUMENT_PATH = "/configuration/"
-DIRECTORY_PATH = "/directory/"
 # Interval of an instance that knows no other one yet. Meanwhile, a leader is elected,
 # and the instances that start at the same time register.
 STARTUP_READ_INTERVAL = timedelta(milliseconds=1500)
@@ -112,12 +105,18 @@
         self._leadership: Leadership
         self._is_store_lost = False
         self._reading: Future[Any] | None = None
-        self._fetching: Future[Any] | None = None
-        self._fetching_directory: Future[Any] | None = None
         self._writing_keys: Future[Any] | None = None
         self._read_at = _ZERO
         self._read_duration = _ZERO
         self._leaderless_since: timedelta | None = None
+        self.copies = PeerCopies(
+            services,
+            store,
+            member,
+            self.request_read,
+            self.apply_configuration,
+            lambda directory: self._fleet.update_directory(directory),
+        )
 
     def connect(self, fleet: Fleet, leadership: Leadership) -> None:
         """Set the components that receive the results of reads and request reads."""
@@ -246,70 +245,6 @@
         relays_ahead = 0 if self._fleet.is_domain_relay() else len(ordered)
         return RANK_DELAY * (ordered.index(self._member.domain) + relays_ahead)
 
-    def fetch_configuration(self, member: Member, version: int) -> None:
-        """Copy a newer configuration from an instance.
-
-        The store is read first if the instance is in another domain, because copies
-        within a domain are free. The store may have an older one since its return.
-        """
-        if self._fetching is None or self._fetching.done():
-            self._fetching = self._loop.spawn(self._fetch(member, version))
-
-    def _fetch(self, member: Member, version: int) -> Steps:
-        if member.domain != self._member.domain:
-            yield self.request_read()
-            if self._services.configuration.version >= version:
-                return
-        yield from self.copy_configuration(member, version)
-
-    def copy_configuration(self, member: Member, version: int) -> Steps:
-        """Copy a configuration over HTTP; read the store if that fails."""
-        client = HttpClient(self._loop, member.document_address)
-        path = f"{DOCUMENT_PATH}{version}"
-        try:
-            response = yield client.request("GET", path, b"", FETCH_TIMEOUT)
-            if response.status != 200:
-                raise HttpError(f"status {response.status}")
-            document = ConfigurationDocument(version, response.body)
-            self.apply_configuration(self._store.apply_document(document), member.name)
-        except (HttpError, DocumentError) as error:
-            self._log.write(
-                "configuration_not_fetched", source=member.name, reason=str(error)
-            )
-            yield self.request_read()
-        finally:
-            client.close()
-
-    def fetch_directory(
-        self, member: Member, version: str, listed_at: timedelta
-    ) -> None:
-        """Copy a newer directory from another instance."""
-        if self._fetching_directory is None or self._fetching_directory.done():
-            steps = self._fetch_directory(member, version, listed_at)
-            self._fetching_directory = self._loop.spawn(steps)
-
-    def _fetch_directory(
-        self, member: Member, version: str, listed_at: timedelta
-    ) -> Steps:
-        client = HttpClient(self._loop, member.document_address)
-        path = f"{DIRECTORY_PATH}{version}"
-        try:
-            response = yield client.request("GET", path, b"", FETCH_TIMEOUT)
-            if response.status != 200:
-                raise HttpError(f"status {response.status}")
-            directory = decode_directory(response.body, listed_at)
-            if isinstance(directory, Missing):
-                raise HttpError(directory.reason)
-            self._fleet.update_directory(directory)
-        except HttpError as error:
-            # The sender may have a newer one by now. If it does not answer at all, the
-            # store is read once the directory is too old.
-            self._log.write(
-                "directory_not_fetched", source=member.name, reason=str(error)
-            )
-        finally:
-            client.close()
-
     def apply_configuration(self, configuration: Configuration, source: str) -> None:
         """Let a configuration from ``source`` be in force unless it is older."""
         services = self._services
