--- a/tests/proxy/sharing/test_leases.py
+++ b/tests/proxy/sharing/test_leases.py
@@ -110,6 +110,27 @@
     fleet.run(ms(500))
 
 
+def test_reads_that_are_late_at_all_targets_wait_for_one_of_them(fleet):
+    # Guards against reads that are refused although a target could answer them before
+    # their callers give up.
+    clients = [
+        fleet.client_of(member, "bounded", number)
+        for number, member in enumerate(fleet.in_domain() * 2)
+    ]
+    for server in fleet.group.server_by_id.values():
+        server.work = ms(150)
+    for client in clients:
+        client.sent += 1
+        client.send(f"QUERY {client.request_id(client.sent)} READ 1")
+    fleet.run(ms(1000))
+    answers = [client.received()[-2] for client in clients]
+    for server in fleet.group.server_by_id.values():
+        server.work = ms(5)
+    fleet.run(ms(1000))
+    # Three targets run two statements of the domain at a time.
+    assert sum(answer.startswith("DONE") for answer in answers) >= 6
+
+
 @pytest.mark.parametrize("tokens, copies", [(0.0, 1), (4.0, 2)])
 def test_copies_of_a_read_are_bounded_by_the_retry_budget(fleet, tokens, copies):
     # Guards against hedged reads that add to the load of slow targets.
