--- a/bulrushloom/proxy/attempts.py
+++ b/bulrushloom/proxy/attempts.py
@@ -5,7 +5,7 @@
 
 from bulrushloom.core.sentinels import Missing
 from bulrushloom.proxy.admission import Permit
-from bulrushloom.proxy.base import Patience
+from bulrushloom.proxy.base import WaitLimits
 from bulrushloom.proxy.configuration import Route, Target
 from bulrushloom.proxy.messages import (
     AnswerCode,
@@ -65,7 +65,7 @@
             self.started_at + self.route.latency_objective * DISPATCH_DEADLINE_FRACTION
         )
 
-    def lease_patience(self, now: timedelta, may_be_late: bool) -> Patience:
+    def lease_wait_limits(self, now: timedelta, may_be_late: bool) -> WaitLimits:
         """Return how long a statement may wait for a shared connection.
 
         With ``may_be_late``, it waits for as long as one that busy targets refused: an
@@ -80,8 +80,8 @@
         useful = max(self.busy_retry_deadline - now, MIN_LEASE_WAIT)
         is_late = in_time == _ZERO
         if may_be_late or is_late:
-            return Patience(in_time, max(useful, in_time))
-        return Patience(in_time, max(in_time, MIN_LEASE_WAIT))
+            return WaitLimits(in_time, max(useful, in_time))
+        return WaitLimits(in_time, max(in_time, MIN_LEASE_WAIT))
 
     @property
     def busy_retry_deadline(self) -> timedelta:
--- a/bulrushloom/proxy/base.py
+++ b/bulrushloom/proxy/base.py
@@ -103,7 +103,7 @@
     """No instance of the domain leases a connection to a target."""
 
 
-class Patience(NamedTuple):
+class WaitLimits(NamedTuple):
     """How long a statement may wait for a connection.
 
     One that starts within ``in_time`` can be answered within its latency objective.
@@ -128,7 +128,7 @@
         account: str,
         values: Mapping[bytes, bytes],
         priority: int,
-        patience: Patience,
+        wait_limits: WaitLimits,
     ) -> Steps:
         """Lease a connection; return a ``LeasedConnection``.
 
--- a/bulrushloom/proxy/dispatch.py
+++ b/bulrushloom/proxy/dispatch.py
@@ -71,7 +71,7 @@
     ) -> Steps:
         """Return a connection for the account of an attempt.
 
-        Waits for the attempt's ``lease_patience`` for a shared connection, and until
+        Waits for the attempt's ``lease_wait_limits`` for a shared connection, and until
         its ``dispatch_deadline`` for another one. Prefers one that has the session
         values already. Raise ``NotOffered``.
         """
@@ -139,7 +139,7 @@
         Raise ``NotOffered``.
         """
         now = self._loop.now()
-        patience = attempt.lease_patience(now, may_be_late)
+        wait_limits = attempt.lease_wait_limits(now, may_be_late)
         try:
             return (
                 yield from sharing.acquire(
@@ -147,7 +147,7 @@
                     attempt.account,
                     self._values,
                     attempt.route.priority,
-                    patience,
+                    wait_limits,
                 )
             )
         except NoOwnerAnswers:
@@ -158,7 +158,8 @@
             self._record_refusal(target, error)
             is_full = error.kind is RefusalKind.TOO_MANY
             is_too_late = error.kind is RefusalKind.NOT_IN_TIME or (
-                is_full and self._loop.now() + error.retry_after > now + patience.useful
+                is_full
+                and self._loop.now() + error.retry_after > now + wait_limits.useful
             )
             raise NotOffered(
                 target, str(error), error.retry_after, is_too_late
--- a/bulrushloom/proxy/sharing/client.py
+++ b/bulrushloom/proxy/sharing/client.py
@@ -8,8 +8,8 @@
     LeasedConnection,
     LeaseRefused,
     NoOwnerAnswers,
-    Patience,
     RefusalKind,
+    WaitLimits,
 )
 from bulrushloom.proxy.clients.memory_budget import MemoryBudget
 from bulrushloom.proxy.configuration import Target
@@ -156,14 +156,14 @@
         account: str,
         values: Mapping[bytes, bytes],
         priority: int,
-        patience: Patience,
+        wait_limits: WaitLimits,
     ) -> Steps:
         """Lease a connection; see ``SharedConnections.acquire``."""
         if not is_state_small(values) or len(account) > MAX_NAME_LENGTH:
             raise NoOwnerAnswers("the request does not fit in a message")
         started_at = self._loop.now()
-        in_time_until = started_at + patience.in_time
-        deadline = started_at + patience.useful
+        in_time_until = started_at + wait_limits.in_time
+        deadline = started_at + wait_limits.useful
         tried: list[str] = []
         while len(tried) < MAX_OWNERS_ASKED:
             if self._loop.now() - started_at >= MAX_SILENT_WAIT:
--- a/bulrushloom/proxy/sharing/domain.py
+++ b/bulrushloom/proxy/sharing/domain.py
@@ -4,7 +4,7 @@
 from contextlib import ExitStack
 from datetime import timedelta
 
-from bulrushloom.proxy.base import Patience, RefusalKind, SharedConnections
+from bulrushloom.proxy.base import RefusalKind, SharedConnections, WaitLimits
 from bulrushloom.proxy.configuration import Target
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.exchange.messages import Member
@@ -166,10 +166,10 @@
         account: str,
         values: Mapping[bytes, bytes],
         priority: int,
-        patience: Patience,
+        wait_limits: WaitLimits,
     ) -> Steps:
         """Lease a connection; see ``SharedConnections.acquire``."""
-        return self.client.acquire(target, account, values, priority, patience)
+        return self.client.acquire(target, account, values, priority, wait_limits)
 
     def in_flight(self, target_id: str) -> int:
         """Return the number of requests of the domain that run or wait at a target."""
--- a/tests/proxy/scheduling/simulation.py
+++ b/tests/proxy/scheduling/simulation.py
@@ -19,7 +19,7 @@
 class Operation:
     """Operation of a caller; the last four fields tell how it ended.
 
-    It is in time if it starts within ``patience``, and useless ``late_patience`` later.
+    It is in time if it starts within ``patience``, and useless ``late_wait`` later.
     """
 
     priority: int
@@ -27,7 +27,7 @@
     patience: timedelta
     account: str = "hotel"
     retries: int = 0
-    late_patience: timedelta = timedelta()
+    late_wait: timedelta = timedelta()
     arrived_at: timedelta = timedelta()
     sent_at: timedelta | None = None
     answered_at: timedelta | None = None
@@ -110,7 +110,7 @@
             operation.priority,
             self.now,
             in_time_until,
-            in_time_until + operation.late_patience,
+            in_time_until + operation.late_wait,
         )
         refusal = self.schedulers[domain].submit(request, self.now)
         if refusal:
--- a/tests/proxy/scheduling/test_load.py
+++ b/tests/proxy/scheduling/test_load.py
@@ -68,7 +68,7 @@
 
 
 class TestCallersThatMissTheirObjective:
-    def play(self, late_patience):
+    def play(self, late_wait):
         """Replay the callers that waited for a new primary, and later ones."""
         simulation = Simulation(build_schedulers(1))
         for scheduler in simulation.schedulers:
@@ -77,25 +77,25 @@
             build_operation(BOOKING, f"account-{index % 30}") for index in range(200)
         ]
         for operation in waited:
-            operation.late_patience = late_patience
+            operation.late_wait = late_wait
             simulation.arrive(ms(1), 0, operation)
         later = offer(simulation, BOOKING, 200, (50, 400))
         for operation in later:
-            operation.late_patience = late_patience
+            operation.late_wait = late_wait
         simulation.run(ms(2000))
         return waited, later
 
     def test_they_are_answered_late_instead_of_refused(self):
         # Guards against refusals of callers whom the target could answer a little
         # later, and whose retry would be later still.
-        waited, later = self.play(late_patience=ms(370))
+        waited, later = self.play(late_wait=ms(370))
         assert share_served(waited, ms(800)) == 1
-        refused, _ = self.play(late_patience=ms(0))
+        refused, _ = self.play(late_wait=ms(0))
         assert share_served(refused, ms(800)) < 0.9
 
     def test_they_do_not_delay_those_that_can_meet_their_objective(self):
         # Guards against a queue of late requests that makes all later ones late too.
-        _, later = self.play(late_patience=ms(370))
+        _, later = self.play(late_wait=ms(370))
         assert share_served(later, BOOKING.objective) == 1
 
 
--- a/tests/proxy/sharing/test_failover.py
+++ b/tests/proxy/sharing/test_failover.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bulrushloom.proxy.base import LeaseRefused, Patience
+from bulrushloom.proxy.base import LeaseRefused, WaitLimits
 from bulrushloom.proxy.dispatch import Dispatcher
 from bulrushloom.proxy.messages import (
     NO_POSITION,
@@ -242,7 +242,9 @@
     caller = fleet.others(owner)[0]
     fleet.crash("a", is_unresponsive=True)
     target = caller.services.table.listed_target_by_id["a"].target
-    steps = caller.sharing.acquire(target, "account-1", {}, 0, Patience(ms(20), ms(20)))
+    steps = caller.sharing.acquire(
+        target, "account-1", {}, 0, WaitLimits(ms(20), ms(20))
+    )
     leasing = fleet.loop.spawn_unreported(steps)
     fleet.run(ms(200))
     assert isinstance(leasing.exception(), TimeoutError)
@@ -259,7 +261,9 @@
     caller = fleet.others(owner)[0]
     target = caller.services.table.listed_target_by_id["b"].target
     owner.services.table.evacuations.update({"south"}, fleet.loop.now())
-    steps = caller.sharing.acquire(target, "account-1", {}, 0, Patience(ms(50), ms(50)))
+    steps = caller.sharing.acquire(
+        target, "account-1", {}, 0, WaitLimits(ms(50), ms(50))
+    )
     leasing = fleet.loop.spawn_unreported(steps)
     fleet.run(ms(40))
     assert isinstance(leasing.exception(), LeaseRefused)
--- a/tests/proxy/sharing/test_lost_answers.py
+++ b/tests/proxy/sharing/test_lost_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bulrushloom.proxy.base import Patience
+from bulrushloom.proxy.base import WaitLimits
 from tests.proxy.builders import ms
 from tests.proxy.fleet_builders import SECOND, check_commits_told_to_clients
 from tests.proxy.sharing.builders import (
@@ -13,7 +13,7 @@
     streams_to,
 )
 
-PATIENCE = Patience(in_time=ms(100), useful=ms(100))
+WAIT_LIMITS = WaitLimits(in_time=ms(100), useful=ms(100))
 
 
 @pytest.fixture(scope="module")
@@ -117,7 +117,7 @@
     # Guards against session values that the next account's session does not expect.
     owner, instance = fleet.owner_of("a"), client.instance
     target = instance.services.table.listed_target_by_id["a"].target
-    steps = instance.sharing.acquire(target, "account-1", {}, 1, PATIENCE)
+    steps = instance.sharing.acquire(target, "account-1", {}, 1, WAIT_LIMITS)
     leasing = fleet.loop.spawn(steps)
     fleet.run(ms(30))
     connection = leasing.result()
@@ -138,7 +138,7 @@
     # Guards against connections that a frozen instance keeps.
     owner, instance = fleet.owner_of("a"), client.instance
     target = instance.services.table.listed_target_by_id["a"].target
-    fleet.loop.spawn(instance.sharing.acquire(target, "account-1", {}, 1, PATIENCE))
+    fleet.loop.spawn(instance.sharing.acquire(target, "account-1", {}, 1, WAIT_LIMITS))
     fleet.run(ms(100))
     assert owner.sharing.owner.lease_count() == 1
     assert owner.sharing.owner.load("a").running == 0
