--- /dev/null
+++ b/review/harness_2/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the scripts of the second review share."""
