--- a/review/6/run.py
+++ b/review/6/run.py
@@ -49,9 +49,8 @@
         self.loop = loop
         self.record: list[str] = []
         self.began_at = time.monotonic()
-        self.platform = Platform(
-            stack, loop, Path(tempfile.mkdtemp(prefix="review-6-"))
-        )
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        self.platform = Platform(stack, loop, folder)
         # The store names its era in all answers.
         self.platform.store.era = 1
         self.group: SimulatedGroup = self.platform.group
@@ -60,7 +59,6 @@
         self.lost: list[str] = []
         self._seen_promotions = 0
         store = f"127.0.0.1:{self.platform.store.port}"
-        folder = Path(tempfile.mkdtemp(prefix="review-6-"))
         self.machines = [
             Instance(
                 folder,
@@ -187,10 +185,10 @@
         self.add_server("d")
         self.wait(1.5)
         self.drain("a")
-        self.wait_until(is_ordered, 5, "a successor of a is ordered")
+        self.wait_until(is_ordered, 8, "a successor of a is ordered")
         first = self.group_record()["primary_id"]
         self.note(f"copy of the store; the record of the group: {self.group_record()}")
-        self.wait_until(lambda: self.leads(first), 5, "the first change of the primary")
+        self.wait_until(lambda: self.leads(first), 8, "the first change of the primary")
         self.note(f"{first} is the recorded primary")
         self.add_server("e")
         self.wait(1.0)
@@ -200,14 +198,14 @@
                 self.group_record().get("primary_id") not in ("", first)
                 and self.leads(self.group_record()["primary_id"])
             ),
-            5,
+            8,
             "the second change of the primary",
         )
         second = self.group_record()["primary_id"]
         self.note(f"{second} is the recorded primary")
         old = self.group.server_by_id[first]
         self.wait_until(
-            lambda: old.paused_term > 0, 2, "the leaving replica is told to pause"
+            lambda: old.paused_term > 0, 5, "the leaving replica is told to pause"
         )
         self.note(f"the system has told {first} to pause: {old.status_row()}")
         known = self.acknowledged_by(second)
