--- a/review/6/run.py
+++ b/review/6/run.py
@@ -281,6 +281,10 @@
                 f"{a.request_id} {a.text}: sent {a.sent_at}, {a.code} {a.answered_at}"
                 for a in run.answers
             ]
+            details += [
+                f"{ran.request_id} {ran.text}: run by {ran.server} at {ran.at}"
+                for ran in run.group.runs
+            ]
             (FOLDER / "record.txt").write_text("\n".join(run.record + details) + "\n")
         verdict = f"BROKEN, LOST: {len(run.lost)} writes" if run.lost else "held"
         print(verdict)
