Log the terms of the servers and the earlier order with the chosen successor

`successor_chosen` showed the positions, so a server behind the others was chosen, but not why: whether by an order and a sealed position of the record, by a gap in the list of servers, or by the log of a demoted primary. The event now has the terms of the servers, the server that an earlier attempt has ordered, and the position sealed then.

--- a/bulrushloom/proxy/failover/successor.py
+++ b/bulrushloom/proxy/failover/successor.py
@@ -331,7 +331,10 @@
             has_unlisted_instance=confirmations.has_unlisted_instance(),
             is_list_complete=state.is_list_complete,
             positions=self._positions(),
+            terms=self._terms(),
             paused_terms=self._paused_terms(),
+            ordered=self._group.primary_id,
+            sealed=str(self._group.sealed),
             acknowledged=str(state.acknowledged),
             acknowledged_bound=str(state.acknowledged_bound),
         )
@@ -342,6 +345,11 @@
             for target_id, status in self._status_by_id.items()
         }
 
+    def _terms(self) -> dict[str, int]:
+        return {
+            target_id: status.term for target_id, status in self._status_by_id.items()
+        }
+
     def _paused_terms(self) -> dict[str, int]:
         return {
             target_id: status.paused_term
@@ -357,7 +365,10 @@
             service=service,
             successor=target_id,
             positions=self._positions(),
+            terms=self._terms(),
             paused_terms=self._paused_terms(),
+            ordered=self._group.primary_id,
+            sealed=str(self._group.sealed),
             missing=sorted(state.missing),
             unlisted=sorted(
                 self._members().keys() - self._services.table.listed_target_by_id.keys()
