Compare a failover in the copy with the servers when the store returns

Cause: the copy held a failover in progress, with server b ordered and position 1.192 sealed. It had ended since: b led term 2, then c led term 4 and acknowledged commits up to 4.374. `EraRecovery` compared only records of phase STEADY with the servers, so the next leader went on with that failover. It kept its term 2, so its PAUSE and DEMOTE changed nothing, left out the old primary, and `choose_successor` took b at 4.333, since "commits above the sealed position were not acknowledged". That sentence holds only in the era of the record. Once the era was settled, all instances also took 1.192 for a sample of the present position, which bounded reads and the next failover rely on.

Change: `confirmed_record` says what of a record holds in a later era, and the leader applies it to the records of all phases before the era is settled. A record has the era in which its position was sealed (`sealed_era`). In a later one, the ordered server is kept only if all others answer and none has commits of a later term that it lacks, and the position is no sample. Why this works: a promotion begins a term, and an acknowledged commit is on the primary of that term and on a replica, so it shows in the term or in the position of a server that answers; servers that do not answer are waited for as in any failover.

--- a/bulrushloom/proxy/commit_positions.py
+++ b/bulrushloom/proxy/commit_positions.py
@@ -92,10 +92,13 @@
         A sealed position covers every commit acknowledged before the store read that
         was sent at ``sent_at``, because no later commit was acknowledged so far.
         """
-        if not self._state.eras.is_settled:
+        eras = self._state.eras
+        if not eras.is_settled:
             # The copy may lack the end of the failover, and commits acknowledged since.
             return
         for group in self._state.table.group_by_service.values():
-            if group.phase is GroupPhase.REPLACING and group.sealed is not None:
+            if group.phase is not GroupPhase.REPLACING or group.sealed is None:
+                continue
+            if group.is_sealed_in(eras.era):
                 sample = PositionSample(sent_at, group.sealed)
                 self.history(group.service).record(sample)
--- a/bulrushloom/proxy/era_recovery.py
+++ b/bulrushloom/proxy/era_recovery.py
@@ -3,7 +3,7 @@
 Until that is done, the leader starts no failover and writes no group record.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from concurrent.futures import Future
 from datetime import timedelta
 from typing import Any
@@ -11,7 +11,6 @@
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.failover.groups import (
     GROUP_PREFIX,
-    GroupPhase,
     GroupRecord,
     decode_group_records,
 )
@@ -21,8 +20,8 @@
     decode_all_group_members,
     encode_group_members,
 )
+from bulrushloom.proxy.failover.record_evidence import confirmed_record
 from bulrushloom.proxy.leadership import LEASE_TTL, Leadership
-from bulrushloom.proxy.messages import ServerRole, ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
@@ -88,50 +87,6 @@
         return dict(self._fleet.report_by_name[name].followed_version_by_service)
 
 
-def later_record(
-    group: GroupRecord, status_by_id: Mapping[str, ServerStatus]
-) -> GroupRecord:
-    """Return what the servers know of the primary, if the record is outdated.
-
-    Answers the loss of a promotion together with all instances that knew of it. If the
-    latest primary does not answer, the record says that it is being replaced; who it
-    was is not known, so every server is a candidate.
-    """
-    recorded = status_by_id.get(group.primary_id)
-    terms = [status.term for status in status_by_id.values()]
-    latest_term = max(terms, default=group.term)
-    if recorded is None and latest_term <= group.term:
-        return group
-    if leads(recorded, latest_term):
-        return group
-    paused_terms = [status.paused_term for status in status_by_id.values()]
-    found = group._replace(
-        phase=GroupPhase.REPLACING,
-        primary_id="",
-        old_id="",
-        term=max(latest_term, group.term, *paused_terms) + 1,
-        sealed=None,
-        stopped_by_id={},
-        unanswered_by_id={},
-    )
-    for target_id, status in sorted(status_by_id.items()):
-        if status.term > group.term and leads(status, latest_term):
-            found = found._replace(
-                phase=GroupPhase.STEADY,
-                primary_id=target_id,
-                old_id=group.primary_id,
-                term=latest_term,
-            )
-    return found
-
-
-def leads(status: ServerStatus | None, term: int) -> bool:
-    """Return whether a server is a primary of at least a term."""
-    return (
-        status is not None and status.role is ServerRole.PRIMARY and status.term >= term
-    )
-
-
 class EraRecovery:
     """Writer of the lost records, active while this instance leads an unsettled era."""
 
@@ -263,23 +218,39 @@
         All instances that knew of a promotion may have been lost together with its
         record. Returns whether no write failed.
         """
-        for service, group in list(self._services.table.group_by_service.items()):
-            if group.phase is not GroupPhase.STEADY:
-                # The failover goes on and asks all servers.
-                continue
-            targets = self._services.table.targets_of(service)
-            statuses = yield from self._status.read_all(
-                [known.target for known in targets], None
+        table = self._services.table
+        for service, group in list(table.group_by_service.items()):
+            targets = [known.target for known in table.targets_of(service)]
+            statuses = yield from self._status.read_all(targets, None)
+            found = confirmed_record(group, statuses)
+            self._log.write(
+                "group_record_checked",
+                service=service,
+                phase=group.phase.value,
+                recorded=group.primary_id,
+                term=group.term,
+                sealed=str(group.sealed),
+                sealed_era=group.sealed_era,
+                is_confirmed=(found.phase, found.primary_id, found.term)
+                == (group.phase, group.primary_id, group.term),
+                roles={name: status.role.value for name, status in statuses.items()},
+                terms={name: status.term for name, status in statuses.items()},
+                positions={
+                    name: str(status.received) for name, status in statuses.items()
+                },
             )
-            found = later_record(group, statuses)
-            if found != group:
-                self._log.write(
-                    "lost_promotion_found",
-                    service=service,
-                    recorded=group.primary_id,
-                    primary=found.primary_id,
-                    term=found.term,
-                )
-                if not (yield from self._write_group(found, group)):
-                    return False
+            if found != group and not (yield from self._follow(group, found)):
+                return False
         return True
+
+    def _follow(self, group: GroupRecord, found: GroupRecord) -> Steps:
+        """Write what the servers show; return whether that succeeded."""
+        if (found.phase, found.primary_id) != (group.phase, group.primary_id):
+            self._log.write(
+                "lost_promotion_found",
+                service=group.service,
+                recorded=group.primary_id,
+                primary=found.primary_id,
+                term=found.term,
+            )
+        return (yield from self._write_group(found, group))
--- a/bulrushloom/proxy/failover/decisions.py
+++ b/bulrushloom/proxy/failover/decisions.py
@@ -124,7 +124,8 @@
     replicating before the failover. ``is_list_complete`` means that no further server
     can be running in reach of the store. ``ordered_id`` is the server whose promotion
     an earlier attempt of the failover may have ordered, and ``sealed`` the position
-    that covered every acknowledged commit then. ``awaits_ordered_server`` means that it
+    that covered every acknowledged commit then; ``is_sealed_in_era`` is false if the
+    store has returned from a copy since. ``awaits_ordered_server`` means that it
     does not answer, but may run and execute the order. ``has_given_up_servers`` means
     that servers which are not listed no longer count as missing,
     ``awaits_unlisted_servers`` that a server which is not listed yet may be running,
@@ -143,6 +144,7 @@
     is_list_complete: bool = True
     ordered_id: str = ""
     sealed: LogPosition | None = None
+    is_sealed_in_era: bool = True
     awaits_ordered_server: bool = False
     has_given_up_servers: bool = False
     awaits_unlisted_servers: bool = False
@@ -169,9 +171,8 @@
     if not candidates:
         return Missing("no server of the group answers")
     ordered = candidates.get(state.ordered_id)
-    if ordered is not None and state.sealed and ordered.received >= state.sealed:
+    if ordered is not None and _covers_since_seal(ordered.received, state):
         # The order may still be executed, and must not follow that of another server.
-        # Commits above the sealed position were not acknowledged.
         return state.ordered_id
     if state.awaits_ordered_server:
         return Missing("a server whose promotion may be under way does not answer")
@@ -183,6 +184,8 @@
         for target_id, status in candidates.items()
         if status.received == highest
     ]
+    if state.ordered_id in most_advanced:
+        return state.ordered_id
     remaining = [
         target_id
         for target_id in most_advanced
@@ -206,6 +209,27 @@
     return state.ordered_id if ordered.term >= max(terms) else None
 
 
+def _covers_since_seal(received: LogPosition, state: FailoverState) -> bool:
+    """Return whether the ordered server has what was acknowledged since its order.
+
+    Commits above the sealed position were not acknowledged in the era of the store in
+    which it was recorded. In a later era, the failover may have ended and its record
+    may be lost, so no server may have commits of a later term that this one lacks.
+    Commits of the sealed term above the position were never acknowledged.
+    """
+    sealed = state.sealed
+    if sealed is None or received < sealed:
+        return False
+    if state.is_sealed_in_era:
+        return True
+    if state.missing or not state.is_list_complete:
+        return False
+    return all(
+        status.received <= received or status.received.term <= sealed.term
+        for status in state.status_by_id.values()
+    )
+
+
 def _covers_all_commits(highest: LogPosition, state: FailoverState) -> bool:
     """Return whether a server at ``highest`` has every acknowledged commit."""
     log_end = _end_of_demoted_log(state)
--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -57,6 +57,8 @@
     ``old_id`` is the primary that is being replaced. ``fence`` is the fencing token of
     the leader that wrote the record. ``sealed`` is set once a failover has chosen the
     successor; it is the log position that covers every commit acknowledged so far.
+    ``sealed_era`` is the era of the store in which that was so: in a later one, the
+    failover may have ended, and further commits may have been acknowledged.
     ``stopped_by_id`` holds the draining replicas that stopped replicating since the
     last promotion. ``unanswered_by_id`` holds the number of orders to promote a server
     that got no answer, and may still be executed.
@@ -79,6 +81,7 @@
     era: int = 0
     generation: int = 0
     revision_era: int = 0
+    sealed_era: int = 0
 
     @property
     def version(self) -> int:
@@ -95,6 +98,13 @@
             fence=fence, era=era, generation=generation, revision_era=era
         )
 
+    def is_sealed_in(self, era: int) -> bool:
+        """Return whether ``sealed`` covers every commit acknowledged until now.
+
+        ``era`` is the one that the store is in. Applies to a failover in progress.
+        """
+        return self.sealed is not None and self.sealed_era >= era
+
     def encode(self) -> bytes:
         """Return the value to store."""
         return orjson.dumps(
@@ -117,6 +127,7 @@
                 "unanswered": dict(self.unanswered_by_id),
                 "era": self.era,
                 "generation": self.generation,
+                "sealed_era": self.sealed_era,
             }
         )
 
@@ -162,6 +173,8 @@
             era=order.era,
             generation=order.generation,
             revision_era=order.revision_era,
+            # Records of earlier releases lack it; they were sealed in their own era.
+            sealed_era=_decode_count(fields.get("sealed_era", order.era)),
         )
     except MALFORMED_RECORD_ERRORS as error:
         return Missing(f"malformed group record: {error!r}")
--- /dev/null
+++ b/bulrushloom/proxy/failover/record_evidence.py
@@ -0,0 +1,101 @@
+"""What of a group record holds in a later era of the store; no I/O.
+
+The store may return from a copy that lacks promotions, and all instances that knew of
+them may be lost as well. What neither an instance nor a server confirms is a hint then:
+a leader must not conclude from it that a server has every acknowledged commit.
+"""
+
+from collections.abc import Mapping
+
+from bulrushloom.proxy.failover.groups import GroupPhase, GroupRecord
+from bulrushloom.proxy.failover.terms import leads
+from bulrushloom.proxy.messages import ServerRole, ServerStatus
+
+
+def confirmed_record(
+    group: GroupRecord, status_by_id: Mapping[str, ServerStatus]
+) -> GroupRecord:
+    """Return the record that the leader of a new era follows.
+
+    ``group`` is the latest record that the store or an instance has, and
+    ``status_by_id`` what the listed servers answered in the new era. The result is:
+
+    * ``group``, if no server shows that its primary was replaced since. The sealed
+      position of a failover that goes on keeps its ``sealed_era``.
+    * a record of the latest primary, if that one answers.
+    * otherwise a failover among all servers. Who the latest primary was is not known,
+      so every server is a candidate.
+    """
+    if group.phase is GroupPhase.STEADY:
+        if _is_primary_confirmed(group, status_by_id):
+            return group
+    elif not _shows_later_promotion(group, status_by_id):
+        return group
+    return _latest_promotion(group, status_by_id)
+
+
+def _latest_term(status_by_id: Mapping[str, ServerStatus]) -> int:
+    return max((status.term for status in status_by_id.values()), default=0)
+
+
+def _is_primary_confirmed(
+    group: GroupRecord, status_by_id: Mapping[str, ServerStatus]
+) -> bool:
+    """Return whether no server contradicts that the recorded primary is the latest."""
+    recorded = status_by_id.get(group.primary_id)
+    latest_term = _latest_term(status_by_id)
+    if recorded is None:
+        return latest_term <= group.term
+    return leads(recorded, latest_term)
+
+
+def _shows_later_promotion(
+    group: GroupRecord, status_by_id: Mapping[str, ServerStatus]
+) -> bool:
+    """Return whether a server shows a promotion after the one of this failover.
+
+    Until the failover has ended, no server but the ordered one gets a higher term. A
+    log may be longer than the sealed position, but only by commits of that term.
+    """
+    latest_term = _latest_term(status_by_id)
+    ordered = status_by_id.get(group.primary_id)
+    if ordered is not None and leads(ordered, latest_term):
+        return False
+    if latest_term >= group.term:
+        return True
+    for target_id, status in status_by_id.items():
+        if status.role is ServerRole.PRIMARY and target_id != group.old_id:
+            return True
+        if group.sealed is not None and status.received.term > group.sealed.term:
+            return True
+    return False
+
+
+def _latest_promotion(
+    group: GroupRecord, status_by_id: Mapping[str, ServerStatus]
+) -> GroupRecord:
+    """Return a record of the primary of the latest term, or of a failover without it.
+
+    A primary whose term was not above the record's may be an earlier one.
+    """
+    latest_term = _latest_term(status_by_id)
+    paused_terms = [status.paused_term for status in status_by_id.values()]
+    found = group._replace(
+        phase=GroupPhase.REPLACING,
+        primary_id="",
+        old_id="",
+        term=max(latest_term, group.term, *paused_terms) + 1,
+        sealed=None,
+        stopped_by_id={},
+        unanswered_by_id={},
+    )
+    first_later_term = group.term + (group.phase is GroupPhase.STEADY)
+    for target_id, status in sorted(status_by_id.items()):
+        if status.term >= first_later_term and leads(status, latest_term):
+            return found._replace(
+                phase=GroupPhase.STEADY,
+                primary_id=target_id,
+                old_id=group.primary_id or group.old_id,
+                term=latest_term,
+            )
+    return found
--- a/bulrushloom/proxy/failover/replacement.py
+++ b/bulrushloom/proxy/failover/replacement.py
@@ -75,6 +75,7 @@
         group = yield from self._writer.write(
             group._replace(
                 sealed=successor.sealed,
+                sealed_era=self._leadership.era,
                 primary_id=successor.target_id,
                 stopped_by_id={},
                 unanswered_by_id=self._orders.including(service, successor.target_id),
@@ -107,7 +108,11 @@
         )
         if known is not None and known.phase is GroupPhase.REPLACING:
             # An order of an earlier attempt may still be executed.
-            group = group._replace(primary_id=known.primary_id, sealed=known.sealed)
+            group = group._replace(
+                primary_id=known.primary_id,
+                sealed=known.sealed,
+                sealed_era=known.sealed_era,
+            )
         return (yield from self._writer.write(group))
 
     def _confirmations(self, group: GroupRecord) -> InstanceConfirmations:
--- a/bulrushloom/proxy/failover/successor.py
+++ b/bulrushloom/proxy/failover/successor.py
@@ -297,6 +297,7 @@
             and services.table.is_read_since(closed_at + LISTING_DELAY),
             ordered_id=group.primary_id,
             sealed=group.sealed,
+            is_sealed_in_era=group.is_sealed_in(services.eras.era),
             has_given_up_servers=bool(self._given_up_ids - self._status_by_id.keys()),
             awaits_ordered_server=self._awaits_ordered_server(),
             awaits_unlisted_servers=closed_at is not None
@@ -335,6 +336,7 @@
             paused_terms=self._paused_terms(),
             ordered=self._group.primary_id,
             sealed=str(self._group.sealed),
+            sealed_era=self._group.sealed_era,
             acknowledged=str(state.acknowledged),
             acknowledged_bound=str(state.acknowledged_bound),
         )
@@ -369,6 +371,7 @@
             paused_terms=self._paused_terms(),
             ordered=self._group.primary_id,
             sealed=str(self._group.sealed),
+            sealed_era=self._group.sealed_era,
             missing=sorted(state.missing),
             unlisted=sorted(
                 self._members().keys() - self._services.table.listed_target_by_id.keys()
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -445,6 +445,34 @@
         without_log = state._replace(status_by_id=statuses | {"c": build_status(0)})
         assert choose_successor(self.targets, without_log) == "b"
 
+    def test_order_of_an_earlier_era_does_not_outweigh_later_commits(self):
+        # Guards against the promotion of a server that a copy of the store names as
+        # ordered, while another one has commits of a later primary (review/6).
+        statuses = {"b": build_status(4), "c": build_status(4)}
+        state = self.state(
+            status_by_id=statuses,
+            ordered_id="c",
+            sealed=LogPosition(1, 4),
+            is_sealed_in_era=False,
+        )
+        assert choose_successor(self.targets, state) == "c"
+        # Commits of the sealed term were not acknowledged above the position.
+        same_term = state._replace(status_by_id=statuses | {"b": build_status(5)})
+        assert choose_successor(self.targets, same_term) == "c"
+        later_term = state._replace(
+            status_by_id=statuses | {"b": build_status(5, term=2)}
+        )
+        assert choose_successor(self.targets, later_term) == "b"
+        # A server that does not answer may have them.
+        assert not choose_successor(
+            self.targets,
+            state._replace(missing=frozenset({"a"}), acknowledged_bound=None),
+        )
+        assert not choose_successor(
+            self.targets,
+            state._replace(is_list_complete=False, acknowledged_bound=None),
+        )
+
     def test_incomplete_list_does_not_show_that_all_servers_answered(self):
         state = self.state(status_by_id={"b": build_status(4)}, is_list_complete=False)
         assert not choose_successor(self.targets, state)
--- /dev/null
+++ b/tests/proxy/test_returns_during_releases.py
@@ -0,0 +1,116 @@
+"""Acknowledged commits when the store returns from a copy of the middle of a release.
+
+All instances are lost at that moment, so that only the copy and the servers are left.
+"""
+
+from contextlib import ExitStack
+
+import pytest
+
+from tests.proxy.fleet_builders import (
+    SECOND,
+    SimulatedFleet,
+)
+from tests.proxy.release_builders import (
+    CAUSES,
+    CONDITION_BY_STEP,
+    DOMAINS,
+    LateOrder,
+    Loss,
+    Release,
+    recorded_group,
+)
+
+
+def place_servers(fleet):
+    fleet.domain_by_server_id.update(zip("abc", DOMAINS, strict=True))
+
+
+@pytest.fixture
+def release():
+    with ExitStack() as stack:
+        yield Release(SimulatedFleet(stack, prepare=place_servers))
+
+
+@pytest.mark.parametrize("cause", CAUSES)
+@pytest.mark.parametrize("step", CONDITION_BY_STEP)
+def test_copy_of_a_failover_whose_successor_was_replaced(release, step, cause):
+    # Guards against the promotion of the server that the copy names as ordered, or of
+    # one with the sealed position of the copy, if a later primary has acknowledged
+    # commits since (40 lost writes in review/6).
+    release.join()
+    copy, old_id = release.copy_at("drain", step)
+    release.finish_change(old_id)
+    release.join()
+    release.write_for(SECOND)
+    release.change_primary(cause)
+    # The stopped replicas no longer receive what is committed from here on.
+    release.write_for(SECOND)
+    release.lose(copy, Loss())
+    release.serve_again()
+    release.check()
+
+
+@pytest.mark.parametrize("cause", CAUSES)
+@pytest.mark.parametrize("delay", [SECOND * 2, SECOND * 5, SECOND * 8])
+def test_order_of_the_copy_is_the_latest_one(release, delay, cause):
+    # The opposite case: the order may still be executed, so no other server may be
+    # promoted beside it, although a later one could have replaced it by now.
+    order = LateOrder(release.fleet, delay)
+    release.join()
+    copy, _ = release.copy_at(cause, "ordered")
+    release.lose(copy, Loss())
+    release.serve_again()
+    release.check()
+    promoted_ids = {promotion.server for promotion in release.group.promotions}
+    assert {order.ordered_ids[0]} == promoted_ids == set(order.ordered_ids)
+
+
+@pytest.mark.parametrize("cause", CAUSES)
+def test_order_of_the_copy_was_executed_and_nothing_followed(release, cause):
+    # The opposite case: the ordered server is kept, and nothing else is promoted.
+    release.join()
+    copy, old_id = release.copy_at(cause, "ordered")
+    release.finish_change(old_id)
+    release.write_for(SECOND)
+    first_id = release.group.promoted_id
+    release.lose(copy, Loss())
+    assert release.serve_again() < SECOND * 8
+    release.check()
+    assert release.group.promoted_id == first_id
+
+
+def test_ordered_server_of_the_copy_is_gone_for_good(release):
+    # Guards against a group that waits for the server that the copy names.
+    release.join()
+    copy, old_id = release.copy_at("drain", "ordered")
+    ordered_id = recorded_group(release.fleet).primary_id
+    release.finish_change(old_id)
+    release.write_for(SECOND)
+    release.fleet.deregistered.add(ordered_id)
+    release.lose(copy, Loss(away_by_id={ordered_id: SECOND * 90}))
+    release.serve_again()
+    release.check()
+
+
+@pytest.mark.parametrize("step", CONDITION_BY_STEP)
+def test_last_commits_are_on_servers_that_come_back(release, step):
+    # Guards against a promotion that does not wait for the only servers with the last
+    # commits: the latest primary, and one that the copy does not know.
+    servers = release.group.server_by_id
+    release.join()
+    copy, old_id = release.copy_at("drain", step)
+    release.finish_change(old_id)
+    joined_id = release.join()
+    release.write_for(SECOND)
+    release.change_primary("drain")
+    latest_id = release.group.promoted_id
+    for server_id in servers.keys() - {latest_id, joined_id}:
+        servers[server_id].drops_replication = True
+    release.write_for(SECOND)
+    away_by_id = {latest_id: SECOND * 4, joined_id: SECOND}
+    release.lose(copy, Loss(away_by_id=away_by_id))
+    for server_id in servers.keys() - {latest_id, joined_id}:
+        servers[server_id].drops_replication = False
+    release.serve_again()
+    release.check()
--- a/tests/proxy/test_store_eras.py
+++ b/tests/proxy/test_store_eras.py
@@ -3,14 +3,16 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+import orjson
 import pytest
 
-from bulrushloom.proxy.era_recovery import LostRecordsFound, later_record
+from bulrushloom.proxy.era_recovery import LostRecordsFound
 from bulrushloom.proxy.failover.group_table import GroupTable
 from bulrushloom.proxy.failover.groups import GroupPhase, decode_group
 from bulrushloom.proxy.failover.member_records import GroupMembers
+from bulrushloom.proxy.failover.record_evidence import confirmed_record
 from bulrushloom.proxy.leadership import _era_puts
-from bulrushloom.proxy.messages import ServerRole
+from bulrushloom.proxy.messages import LogPosition, ServerRole
 from bulrushloom.proxy.store_eras import (
     ERA_STRIDE,
     EraKnowledge,
@@ -206,6 +208,73 @@
     # Guards against a service whose recorded primary is a replica, for good: the one
     # that replaced it was away when the servers were asked.
     steady = build_group(phase=GroupPhase.STEADY, primary_id="a", old_id="", term=2)
-    found = later_record(steady, status_by_id)
+    found = confirmed_record(steady, status_by_id)
     assert (found.phase, found.primary_id, found.term) == (phase, primary_id, term)
     assert (found == steady) is (term == 2)
+
+
+SEALED = LogPosition(2, 5)
+
+
+def replica(term, offset, entry_term=None):
+    status = build_status(offset, term)
+    return status._replace(received=LogPosition(entry_term or term, offset))
+
+
+@pytest.mark.parametrize(
+    "status_by_id, phase, primary_id, old_id",
+    [
+        # The order may still be executed, or its server does not answer.
+        ({}, GroupPhase.REPLACING, "b", "a"),
+        ({"a": primary(2), "b": replica(2, 5)}, GroupPhase.REPLACING, "b", "a"),
+        ({"b": replica(2, 5), "c": replica(2, 9)}, GroupPhase.REPLACING, "b", "a"),
+        # It has been executed, and nothing shows a later one.
+        ({"b": primary(3), "c": replica(3, 9)}, GroupPhase.REPLACING, "b", "a"),
+        # Another server was promoted since, be it the one that was replaced.
+        ({"b": replica(4, 6), "c": primary(4)}, GroupPhase.STEADY, "c", "b"),
+        ({"b": primary(3), "c": primary(4)}, GroupPhase.STEADY, "c", "b"),
+        ({"a": primary(4), "b": replica(4, 5)}, GroupPhase.STEADY, "a", "b"),
+        # The latest primary does not answer.
+        ({"b": replica(4, 6), "c": replica(4, 7)}, GroupPhase.REPLACING, "", ""),
+        ({"b": replica(2, 9), "c": replica(2, 7, 3)}, GroupPhase.REPLACING, "", ""),
+        # It is not clear whether this primary was promoted before or since.
+        ({"b": replica(2, 5), "c": primary(2)}, GroupPhase.REPLACING, "", ""),
+    ],
+)
+def test_servers_show_that_a_failover_has_ended(
+    status_by_id, phase, primary_id, old_id
+):
+    # Guards against a failover of the copy that goes on although a later primary has
+    # acknowledged commits (review/6).
+    failover = build_group(primary_id="b", old_id="a", term=3, sealed=SEALED)
+    found = confirmed_record(failover, status_by_id)
+    assert (found.phase, found.primary_id, found.old_id) == (phase, primary_id, old_id)
+    assert found.sealed == (SEALED if found == failover else None)
+    if found != failover and phase is GroupPhase.REPLACING:
+        assert found.term > max(status.term for status in status_by_id.values())
+
+
+def test_era_of_a_sealed_position_outlives_the_record():
+    # Guards against a leader that writes the record of the copy again, and then takes
+    # its sealed position for one of the present era.
+    sealed = build_group(era=1, generation=3, sealed=SEALED, sealed_era=1)
+    restored = sealed.next_record(2, 9)
+    assert decode_group(restored.encode(), restored.revision) == restored
+    assert not restored.is_sealed_in(2) and restored.is_sealed_in(1)
+    # A record of an earlier release was sealed in the era in which it was written.
+    fields = orjson.loads(sealed.encode())
+    del fields["sealed_era"]
+    assert decode_group(orjson.dumps(fields), 5).sealed_era == 1
+
+
+@pytest.mark.parametrize("sealed_era, is_known", [(2, True), (1, False)])
+def test_position_sealed_in_an_earlier_era_is_no_sample(instance, sealed_era, is_known):
+    # Guards against bounded reads without commits that were acknowledged after the
+    # failover of the copy had ended.
+    services, now = instance.services, instance.loop.now()
+    services.enter_era(2, True)
+    group = build_group(sealed=SEALED, sealed_era=sealed_era, era=2)
+    services.apply_group_records({SERVICE: group})
+    services.record_sealed_positions(now)
+    latest = services.history(SERVICE).latest()
+    assert (latest is not None and latest.position == SEALED) is is_known
