Keep unanswered orders when a lost promotion is found after a return

What callers see: acknowledged writes are missing if the store returns from a copy while a successor waits for an earlier order to end, all instances are lost, and that order is executed seconds later.

Cause: the record that follows the servers was written without the orders of the copy that got no answer, so the server that leads was used at once. Only a leader that knows of an order waits until it can no longer be executed.

Change: the orders are kept. A server that leads is recorded as the primary at once if no other server may have been ordered, or if it has commits of its own term: instances use a primary only after all earlier orders have ended. Otherwise the record is that of a failover with this server, which ends as usual.

test_order_of_the_copy_that_is_executed_late lost writes at the late promotion before, and passes now.

--- a/bulrushloom/proxy/failover/record_evidence.py
+++ b/bulrushloom/proxy/failover/record_evidence.py
@@ -25,6 +25,8 @@
     * a record of the latest primary, if that one answers.
     * otherwise a failover among all servers. Who the latest primary was is not known,
       so every server is a candidate.
+
+    Orders without an answer may still be executed, so they are kept.
     """
     if group.phase is GroupPhase.STEADY:
         if _is_primary_confirmed(group, status_by_id):
@@ -87,15 +89,42 @@
         term=max(latest_term, group.term, *paused_terms) + 1,
         sealed=None,
         stopped_by_id={},
-        unanswered_by_id={},
     )
     first_later_term = group.term + (group.phase is GroupPhase.STEADY)
     for target_id, status in sorted(status_by_id.items()):
         if status.term >= first_later_term and leads(status, latest_term):
-            return found._replace(
-                phase=GroupPhase.STEADY,
-                primary_id=target_id,
-                old_id=group.primary_id or group.old_id,
-                term=latest_term,
-            )
+            return _record_of_primary(group, found, target_id, status)
     return found
+
+
+def _record_of_primary(
+    group: GroupRecord, failover: GroupRecord, target_id: str, status: ServerStatus
+) -> GroupRecord:
+    """Return a record of a server that leads; until then, ``failover`` is followed.
+
+    The failover ends once no order for another server can be executed any more.
+    """
+    own_orders = {
+        ordered_id: number
+        for ordered_id, number in group.unanswered_by_id.items()
+        if ordered_id == target_id
+    }
+    if own_orders != group.unanswered_by_id and not _has_committed(group, status):
+        return failover._replace(primary_id=target_id)
+    return failover._replace(
+        phase=GroupPhase.STEADY,
+        primary_id=target_id,
+        old_id=group.primary_id or group.old_id,
+        term=status.term,
+        unanswered_by_id=own_orders,
+    )
+
+
+def _has_committed(group: GroupRecord, status: ServerStatus) -> bool:
+    """Return whether a primary has commits of its own term.
+
+    Instances use a primary only after every earlier order has ended.
+    """
+    is_own_term = status.received.term == status.term
+    is_longer = group.sealed is None or status.received.offset > group.sealed.offset
+    return is_own_term and is_longer
--- a/tests/proxy/test_returns_during_releases.py
+++ b/tests/proxy/test_returns_during_releases.py
@@ -114,3 +114,21 @@
         servers[server_id].drops_replication = False
     release.serve_again()
     release.check()
+
+
+def test_order_of_the_copy_that_is_executed_late(release):
+    # Guards against a primary that is used while the copy names an order for another
+    # server that may still be executed: what it commits meanwhile is lost.
+    LateOrder(release.fleet, SECOND * 8)
+    release.join()
+    release.change_primary("drain")
+    assert recorded_group(release.fleet).unanswered_by_id
+    copy = release.fleet.store.copy()
+    old_id = release.begin_change("drain")
+    # The successor leads, but is not recorded before the order has ended.
+    release.write_until(lambda: release.group.promoted_id != old_id, SECOND * 5)
+    # A leaving server is told to stop once it is no longer the primary.
+    release.group.server_by_id[old_id].drops_replication = True
+    release.lose(copy, Loss())
+    release.serve_again()
+    release.check()
