Do not take replicas of the copy for stopped after a return of the store

What callers see: acknowledged writes are missing after a return of the store from a copy, if a leaving replica has restarted since the copy, confirmed commits, and is away when the primary is replaced.

Cause: a group record names the leaving replicas that were told to stop replicating, with the time of their start. A failover does not wait for one that has not restarted. After the return, the record and the entry of the server are both of the copy, so they agree although the server has restarted since.

Change: the leader of a new era takes the stopped replicas out of each record.

--- a/bulrushloom/proxy/failover/record_evidence.py
+++ b/bulrushloom/proxy/failover/record_evidence.py
@@ -26,8 +26,10 @@
     * otherwise a failover among all servers. Who the latest primary was is not known,
       so every server is a candidate.
 
-    Orders without an answer may still be executed, so they are kept.
+    Orders without an answer may still be executed, so they are kept. A replica that
+    had stopped may have been resumed since, so it counts as one that replicates.
     """
+    group = group._replace(stopped_by_id={})
     if group.phase is GroupPhase.STEADY:
         if _is_primary_confirmed(group, status_by_id):
             return group
@@ -88,7 +90,6 @@
         old_id="",
         term=max(latest_term, group.term, *paused_terms) + 1,
         sealed=None,
-        stopped_by_id={},
     )
     first_later_term = group.term + (group.phase is GroupPhase.STEADY)
     for target_id, status in sorted(status_by_id.items()):
--- a/tests/proxy/test_returns_during_releases.py
+++ b/tests/proxy/test_returns_during_releases.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.proxy.builders import ms
 from tests.proxy.fleet_builders import (
     SECOND,
     SimulatedFleet,
@@ -132,3 +133,27 @@
     release.lose(copy, Loss())
     release.serve_again()
     release.check()
+
+
+def test_stopped_replica_of_the_copy_that_has_restarted(release):
+    # Guards against a failover that does not wait for a leaving replica, because the
+    # copy says that it had stopped. It has restarted since and confirmed commits.
+    fleet, servers = release.fleet, release.group.server_by_id
+    release.join()
+    fleet.draining.add("c")
+    release.write_for(SECOND * 2)
+    copy = fleet.store.copy()
+    assert recorded_group(fleet).stopped_by_id.keys() == {"c"}
+    for server_id in "bd":
+        servers[server_id].drops_replication = True
+    born_ms = servers["c"].born_ms
+    servers["c"].restart()
+    release.write_for(ms(300))
+    assert servers["c"].received() > servers["b"].received()
+    # The entry of the copy is from before the restart.
+    servers["c"].born_ms = born_ms
+    release.lose(copy, Loss(away_by_id={"a": SECOND * 60, "c": SECOND * 6}))
+    for server_id in "bd":
+        servers[server_id].drops_replication = False
+    release.serve_again()
+    release.check()
