Ask the servers of services without a group record after a return

What callers see: reads and writes at the first primary of a service after it was replaced, if the store returns from a copy of before the first failover and all instances are lost, while its successor is away.

Cause: the leader of a new era compared group records with the servers, but a service gets its first record with its first failover. Without one, the only listed server that claims to be the primary is used, also if others follow a higher term.

Change: for such a service, the last known primary is compared as if it were recorded. Nothing is written if it leads, or if it does not answer: a failover asks all servers then, as before.

Ruled out: losing commits on that path; a first primary that answers as a replica says where its log ends, so a failover without it waits for that position.

--- a/bulrushloom/proxy/era_recovery.py
+++ b/bulrushloom/proxy/era_recovery.py
@@ -3,7 +3,7 @@
 Until that is done, the leader starts no failover and writes no group record.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from datetime import timedelta
 from typing import Any
@@ -11,6 +11,7 @@
 from bulrushloom.proxy.exchange.fleet import Fleet
 from bulrushloom.proxy.failover.groups import (
     GROUP_PREFIX,
+    GroupPhase,
     GroupRecord,
     decode_group_records,
 )
@@ -22,6 +23,7 @@
 )
 from bulrushloom.proxy.failover.record_evidence import confirmed_record
 from bulrushloom.proxy.leadership import LEASE_TTL, Leadership
+from bulrushloom.proxy.messages import ServerStatus
 from bulrushloom.proxy.server_status import StatusReader
 from bulrushloom.proxy.services import Services
 from bulrushloom.proxy.store import (
@@ -219,9 +221,14 @@
         record. Returns whether no write failed.
         """
         table = self._services.table
-        for service, group in list(table.group_by_service.items()):
+        services = self._services.configuration.service_by_name.keys()
+        for service in sorted(services | table.group_by_service.keys()):
             targets = [known.target for known in table.targets_of(service)]
             statuses = yield from self._status.read_all(targets, None)
+            stored = table.group_by_service.get(service)
+            group = stored or self._claimed_record(service, statuses)
+            if group is None:
+                continue
             found = confirmed_record(group, statuses)
             self._log.write(
                 "group_record_checked",
@@ -243,6 +250,28 @@
                 return False
         return True
 
+    def _claimed_record(
+        self, service: str, status_by_id: Mapping[str, ServerStatus]
+    ) -> GroupRecord | None:
+        """Return what a record of the last known primary would say, if it answers.
+
+        The store may have returned to a time before the first failover of a service.
+        """
+        primary_id = self._services.table.last_primary_id(service)
+        status = status_by_id.get(primary_id)
+        if status is None:
+            return None
+        return GroupRecord(
+            service=service,
+            phase=GroupPhase.STEADY,
+            term=status.term,
+            primary_id=primary_id,
+            old_id="",
+            fence=self._leadership.fence,
+            revision=0,
+            revision_era=self._leadership.era,
+        )
+
     def _follow(self, group: GroupRecord, found: GroupRecord) -> Steps:
         """Write what the servers show; return whether that succeeded."""
         if (found.phase, found.primary_id) != (group.phase, group.primary_id):
@@ -253,4 +282,5 @@
                 primary=found.primary_id,
                 term=found.term,
             )
-        return (yield from self._write_group(found, group))
+        stored = group if group.revision else None
+        return (yield from self._write_group(found, stored))
--- a/tests/proxy/test_returns_during_releases.py
+++ b/tests/proxy/test_returns_during_releases.py
@@ -8,9 +8,12 @@
 import pytest
 
 from tests.proxy.builders import ms
+from tests.proxy.era_builders import primaries
 from tests.proxy.fleet_builders import (
     SECOND,
     SimulatedFleet,
+    open_clients,
+    send_reads,
 )
 from tests.proxy.release_builders import (
     CAUSES,
@@ -19,6 +22,7 @@
     LateOrder,
     Loss,
     Release,
+    is_recorded,
     recorded_group,
 )
 
@@ -157,3 +161,27 @@
         servers[server_id].drops_replication = False
     release.serve_again()
     release.check()
+
+
+def test_first_primary_that_does_not_know_of_its_successor(release):
+    # Guards against reads and writes at the first primary of a service: it was replaced
+    # while it was cut off, and the copy is from before there was a record of the group.
+    fleet, servers = release.fleet, release.group.server_by_id
+    copy = fleet.store.copy()
+    assert recorded_group(fleet) is None
+    reconnect = fleet.isolate("a")
+    servers["a"].drops_replication = True
+    send_reads(open_clients(fleet))
+    release.write_until(lambda: is_recorded(fleet, "a"), SECOND * 12)
+    release.write_for(ms(300))
+    successor_id = release.group.promoted_id
+    assert servers["a"].is_primary and successor_id != "a"
+    fleet.deregistered.add(successor_id)
+    reconnect()
+    release.lose(copy, Loss(away_by_id={successor_id: SECOND * 60}))
+    servers["a"].drops_replication = False
+    for _ in range(500):
+        fleet.run(ms(20))
+        assert "a" not in primaries(fleet)
+    release.serve_again()
+    release.check()
