--- a/soak/operators.py
+++ b/soak/operators.py
@@ -155,8 +155,9 @@
         self.configurations.record(self._platform.loop.now(), routes, accounts)
 
     def repeat(self) -> None:
-        """Write the latest configuration again, which the store may have lost."""
+        """Write again what the store may have lost."""
         self._platform.configure(self._version, **self._changes)
+        self._platform.repeat_evacuations()
 
     def _account(self, name: str, rate_per_s: int, burst: int) -> dict[str, Any]:
         keys = [key for key, account in self._account_by_key.items() if account == name]
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -41,9 +41,13 @@
     Terminate,
     WithdrawKey,
 )
-from soak.store_faults import ReturnFromCopy, ReturnWithoutInstances
+from soak.store_faults import (
+    ReturnDuringRelease,
+    ReturnFromCopy,
+    ReturnWithoutInstances,
+)
 
-CURRENT_VERSION = 6
+CURRENT_VERSION = 7
 FIRST_VERSION_WITH_MOVING_KEYS = 3
 FIRST_VERSION_WITH_SERVER_DOMAINS = 4
 MIN_DURATION_S, MAX_DURATION_S = 0.3, 5.0
@@ -89,6 +93,11 @@
     MoveKeysDuringOutage,
 )
 RETURN_KINDS: tuple[type[Fault], ...] = (ReturnFromCopy, ReturnWithoutInstances)
+ALL_RETURN_KINDS: tuple[type[Fault], ...] = (
+    *RETURN_KINDS,
+    ReturnDuringRelease,
+    ReturnDuringRelease,
+)
 KINDS = tuple(
     dict.fromkeys(
         FIRST_KINDS
@@ -96,12 +105,13 @@
         + COMPANIONS
         + CHANGE_KINDS
         + (Evacuate,)
-        + RETURN_KINDS
+        + ALL_RETURN_KINDS
     )
 )
 # Probabilities of a fault from ``GROUP_KINDS`` or, from version 3 on, ``CHANGE_KINDS``,
-# of an evacuation in versions 4 and 6, and of each companion of a cause. From version 5
-# on, the same of a return of the store from a copy, and of one beside a cause.
+# of an evacuation in versions 4, 6 and 7, and of each companion of a cause. From
+# version 5 on, the same of a return of the store from a copy, and of one beside a
+# cause.
 GROUP_SHARE = 0.5
 CHANGE_SHARE = 0.3
 EVACUATION_SHARE = 0.15
@@ -179,6 +189,12 @@
     return _choose_kind_or_evacuation(rng)
 
 
+def _choose_kind_or_return_during_release(rng: random.Random) -> type[Fault]:
+    if rng.random() < RETURN_SHARE:
+        return rng.choice(ALL_RETURN_KINDS)
+    return _choose_kind_or_evacuation(rng)
+
+
 _CHOICE_BY_VERSION = {
     1: _choose_first_kind,
     2: _choose_kind,
@@ -186,4 +202,5 @@
     4: _choose_kind_or_evacuation,
     5: _choose_kind_or_return,
     6: _choose_kind_of_all,
+    7: _choose_kind_or_return_during_release,
 }
--- a/standins/platform/host.py
+++ b/standins/platform/host.py
@@ -55,7 +55,8 @@
     ``crashed_ids`` has the servers that write no store entry, ``leaving_ids`` those
     whose entry says that they are draining. ``listed_address_by_id`` has the addresses
     in the store entries, which a test can point at a proxy in front of the server.
-    ``domain_by_id`` has the domains of servers that are not in "north".
+    ``domain_by_id`` has the domains of servers that are not in "north", and
+    ``evacuated_domains`` those that the operators have asked to evacuate.
     """
 
     def __init__(self, stack: ExitStack, loop: Loop, folder: Path):
@@ -70,6 +71,7 @@
         self.crashed_ids: set[str] = set()
         self.leaving_ids: set[str] = set()
         self.domain_by_id: dict[str, str] = {}
+        self.evacuated_domains: set[str] = set()
         self._unlisted_until_by_id: dict[str, timedelta] = {}
         for server_id in "abc":
             self.add_server(server_id)
@@ -150,12 +152,23 @@
 
     def evacuate(self, domain: str) -> None:
         """Request that the servers of a domain get no more statements."""
+        self.evacuated_domains.add(domain)
         self.store.put(f"op/evacuate/{domain}", b"")
 
     def end_evacuation(self, domain: str) -> None:
         """Withdraw the request."""
+        self.evacuated_domains.discard(domain)
         self.store.delete(f"op/evacuate/{domain}")
 
+    def repeat_evacuations(self) -> None:
+        """Write again which domains are evacuated, as operators do after a return."""
+        prefix = "op/evacuate/"
+        for key in [key for key in self.store.item_by_key if key.startswith(prefix)]:
+            if key.removeprefix(prefix) not in self.evacuated_domains:
+                self.store.delete(key)
+        for domain in self.evacuated_domains:
+            self.store.put(prefix + domain, b"")
+
     def return_store(self, copy: StoreCopy) -> None:
         """Let the store return from a copy; servers that run write their entries again.
 
--- a/tests/proxy/release_builders.py
+++ b/tests/proxy/release_builders.py
@@ -63,6 +63,11 @@
 CAUSES = ("drain", "crash", "evacuation")
 
 
+def place_servers(fleet):
+    """Place the first servers in one domain each."""
+    fleet.domain_by_server_id.update(zip("abc", DOMAINS, strict=True))
+
+
 class Loss(NamedTuple):
     """What is lost at the return; ``away_by_id`` has servers that come back later."""
 
--- a/tests/proxy/test_returns_during_releases.py
+++ b/tests/proxy/test_returns_during_releases.py
@@ -18,19 +18,15 @@
 from tests.proxy.release_builders import (
     CAUSES,
     CONDITION_BY_STEP,
-    DOMAINS,
     LateOrder,
     Loss,
     Release,
     is_recorded,
+    place_servers,
     recorded_group,
 )
 
 
-def place_servers(fleet):
-    fleet.domain_by_server_id.update(zip("abc", DOMAINS, strict=True))
-
-
 @pytest.fixture
 def release():
     with ExitStack() as stack:
