Specify the return of the store from a copy of a release

The rule that was in force before, to go on with a failover of the copy, breaks `acknowledged_write_lost`, and so does following the servers without the orders of the copy.

--- a/specs/check.py
+++ b/specs/check.py
@@ -94,6 +94,13 @@
     )
 
 
+def return_run(fault: str = "") -> Run:
+    """Return a run of the specification of the return of the store from a copy."""
+    defines = (f"-DFAULT_{fault}",) if fault else ()
+    expected_violation = "acknowledged_write_lost" if fault else ""
+    return Run(f"returns {fault}".rstrip(), "returns.pml", defines, expected_violation)
+
+
 RUNS = (
     failover_run("failover, two watchers with two rounds", 2, 2, 1),
     failover_run("failover, two watchers and two writes", 2, 1, 2),
@@ -127,6 +134,9 @@
     promotion_run("PROMOTE_ANY", "acknowledged_write_lost"),
     promotion_run("NO_WAIT", "stale_primary_read", "-DCOMMITS=0"),
     promotion_run("EVIDENCE_FROM_ANSWER", "stale_primary_read", "-DCOMMITS=0"),
+    return_run(),
+    return_run("COPY_TRUSTED"),
+    return_run("ORDERS_DROPPED"),
     coordination_run("RULES"),
     coordination_run("RULES", "BLIND_WRITE", "accepted_configuration_reverted"),
     coordination_run("RULES", "TAKE_ANY_VERSION", "accepted_configuration_reverted"),
