Record the term in which a primary leads

What callers could see: a server with the last commits is left out of a failover after a return of the store, if its successor, which the copy does not know, is away as well.

Cause: the term of a group record is the one of the orders to stop and to step down. It is above the term of the primary once a leaving replica had been stopped, so a term that servers report may belong to a later promotion although it is not above the record's.

Change: a steady record has `primary_term`, what the primary reported when it was recorded; 0 if an earlier release wrote the record, which counts as before. In a failover without a known old primary, a server that leads the latest term is kept if no other one is further.

Found by reading; no play has shown a loss. test_term_of_the_record_may_be_above_that_of_its_primary fails without the field.

--- a/bulrushloom/proxy/era_recovery.py
+++ b/bulrushloom/proxy/era_recovery.py
@@ -270,6 +270,7 @@
             fence=self._leadership.fence,
             revision=0,
             revision_era=self._leadership.era,
+            primary_term=status.term,
         )
 
     def _follow(self, group: GroupRecord, found: GroupRecord) -> Steps:
--- a/bulrushloom/proxy/failover/decisions.py
+++ b/bulrushloom/proxy/failover/decisions.py
@@ -156,7 +156,8 @@
 ) -> str | Missing:
     """Return the server to promote, or the reason why none is safe yet.
 
-    A server that has already been promoted is kept, and draining servers come last.
+    A server that has already been promoted is kept, also if it is not known by which
+    order, and draining servers come last.
     """
     promoted = _promoted_server(state)
     if promoted is not None:
@@ -191,7 +192,14 @@
         for target_id in most_advanced
         if not target_by_id[target_id].is_draining
     ]
-    return min(remaining or most_advanced)
+    latest_term = max(status.term for status in state.status_by_id.values())
+    leading = [
+        target_id
+        for target_id in remaining
+        if state.status_by_id[target_id].role is ServerRole.PRIMARY
+        and state.status_by_id[target_id].term == latest_term
+    ]
+    return min(leading or remaining or most_advanced)
 
 
 def _promoted_server(state: FailoverState) -> str | None:
--- a/bulrushloom/proxy/failover/groups.py
+++ b/bulrushloom/proxy/failover/groups.py
@@ -61,7 +61,9 @@
     failover may have ended, and further commits may have been acknowledged.
     ``stopped_by_id`` holds the draining replicas that stopped replicating since the
     last promotion. ``unanswered_by_id`` holds the number of orders to promote a server
-    that got no answer, and may still be executed.
+    that got no answer, and may still be executed. ``term`` is the one of the orders to
+    stop and to step down; it may be above ``primary_term``, the term in which the
+    recorded primary led, or 0 if that is not known.
 
     ``era`` is the one of the store in which the record was written, and ``generation``
     is one more than that of the record that it replaced; 0 if an earlier release wrote
@@ -82,6 +84,7 @@
     generation: int = 0
     revision_era: int = 0
     sealed_era: int = 0
+    primary_term: int = 0
 
     @property
     def version(self) -> int:
@@ -128,6 +131,7 @@
                 "era": self.era,
                 "generation": self.generation,
                 "sealed_era": self.sealed_era,
+                "primary_term": self.primary_term,
             }
         )
 
@@ -175,6 +179,7 @@
             revision_era=order.revision_era,
             # Records of earlier releases lack it; they were sealed in their own era.
             sealed_era=_decode_count(fields.get("sealed_era", order.era)),
+            primary_term=_decode_count(fields.get("primary_term", 0)),
         )
     except MALFORMED_RECORD_ERRORS as error:
         return Missing(f"malformed group record: {error!r}")
--- a/bulrushloom/proxy/failover/promotion.py
+++ b/bulrushloom/proxy/failover/promotion.py
@@ -62,8 +62,9 @@
     def promote(self, group: GroupRecord, successor: Successor) -> Steps:
         """Order the promotion and wait until the successor is the primary.
 
-        Returns the last record written. The successor is asked again before the order
-        is repeated: it may have restarted without its log.
+        Returns the last record written, with the term in which the successor leads. The
+        successor is asked again before the order is repeated: it may have restarted
+        without its log.
         """
         service, target_id = group.service, successor.target_id
         deadline = self._loop.now() + FAILOVER_TIMEOUT
@@ -87,19 +88,19 @@
             if self._services.table.evacuations.covers(known.target):
                 if not isinstance(status, Missing) and leads(status, successor.term):
                     # It is replaced again at once.
-                    return group
+                    return group._replace(primary_term=status.term)
                 yield from self._withdraw_choice(group, target_id, is_ordered)
             if is_ordered:
                 unanswered_by_id = self._orders.including(service, target_id)
                 group = yield from self._writer.write(
                     group._replace(unanswered_by_id=unanswered_by_id)
                 )
-            is_primary = yield from self._order_and_wait(
+            leading = yield from self._order_and_wait(
                 group, successor, known.target, status
             )
             is_ordered = True
-            if is_primary:
-                return group
+            if leading is not None:
+                return group._replace(primary_term=leading.term)
         raise Abandoned("the successor did not become the primary")
 
     def _order_and_wait(
@@ -109,9 +110,10 @@
         target: Target,
         status: ServerStatus | Missing,
     ) -> Steps:
-        """Order the promotion; return whether the successor became the primary.
+        """Order the promotion; return the status of the successor once it leads.
 
-        ``status`` is the last one before the order.
+        ``status`` is the last one before the order. Returns ``None`` if it did not
+        become the primary.
         """
         service, target_id = group.service, successor.target_id
         code = yield from self._order_promotion(service, target_id)
@@ -119,13 +121,13 @@
             self._orders.record_end(service, target_id)
         if code == 409:
             yield from self._withdraw_choice(group, target_id, True)
-        is_primary = yield from self._wait_until_primary(
+        leading = yield from self._wait_until_primary(
             target, successor.term, code in ACCEPTED_STATUSES
         )
         was_primary = isinstance(status, Missing) or leads(status, successor.term)
-        if is_primary and not code and not was_primary:
+        if leading is not None and not code and not was_primary:
             self._orders.record_end(service, target_id)
-        return is_primary
+        return leading
 
     def _withdraw_choice(
         self, group: GroupRecord, target_id: str, is_ordered: bool
@@ -170,9 +172,9 @@
         while self._loop.now() < deadline:
             status = yield from self._status.read(target)
             if not isinstance(status, Missing) and leads(status, term):
-                return True
+                return status
             yield self._loop.sleep(PROMOTION_POLL_INTERVAL)
-        return False
+        return None
 
     def outlast_earlier_orders(self, group: GroupRecord, successor: Successor) -> Steps:
         """Wait until no earlier order can make another server the primary.
--- a/bulrushloom/proxy/failover/record_evidence.py
+++ b/bulrushloom/proxy/failover/record_evidence.py
@@ -49,7 +49,7 @@
     recorded = status_by_id.get(group.primary_id)
     latest_term = _latest_term(status_by_id)
     if recorded is None:
-        return latest_term <= group.term
+        return latest_term <= (group.primary_term or group.term)
     return leads(recorded, latest_term)
 
 
@@ -58,8 +58,9 @@
 ) -> bool:
     """Return whether a server shows a promotion after the one of this failover.
 
-    Until the failover has ended, no server but the ordered one gets a higher term. A
-    log may be longer than the sealed position, but only by commits of that term.
+    Until the failover has ended, no server but the ordered one gets a higher term. An
+    entry of a term after the sealed one may also be a commit of the replaced primary
+    that was never acknowledged; a failover among all servers is safe then as well.
     """
     latest_term = _latest_term(status_by_id)
     ordered = status_by_id.get(group.primary_id)
@@ -80,7 +81,7 @@
 ) -> GroupRecord:
     """Return a record of the primary of the latest term, or of a failover without it.
 
-    A primary whose term was not above the record's may be an earlier one.
+    A primary of a lower term than that of the record may be an earlier one.
     """
     latest_term = _latest_term(status_by_id)
     paused_terms = [status.paused_term for status in status_by_id.values()]
@@ -90,8 +91,11 @@
         old_id="",
         term=max(latest_term, group.term, *paused_terms) + 1,
         sealed=None,
+        primary_term=0,
     )
-    first_later_term = group.term + (group.phase is GroupPhase.STEADY)
+    first_later_term = group.term
+    if group.phase is GroupPhase.STEADY:
+        first_later_term = (group.primary_term or group.term) + 1
     for target_id, status in sorted(status_by_id.items()):
         if status.term >= first_later_term and leads(status, latest_term):
             return _record_of_primary(group, found, target_id, status)
@@ -117,6 +121,7 @@
         primary_id=target_id,
         old_id=group.primary_id or group.old_id,
         term=status.term,
+        primary_term=status.term,
         unanswered_by_id=own_orders,
     )
 
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -445,6 +445,18 @@
         without_log = state._replace(status_by_id=statuses | {"c": build_status(0)})
         assert choose_successor(self.targets, without_log) == "b"
 
+    def test_primary_of_unknown_origin_is_kept_if_it_has_every_commit(self):
+        # Guards against a change of the primary without a reason after a return of the
+        # store, when the record does not tell who led last.
+        statuses = {
+            "b": build_status(4, term=2),
+            "c": build_status(4, term=2, role=ServerRole.PRIMARY),
+        }
+        state = self.state(status_by_id=statuses)
+        assert choose_successor(self.targets, state) == "c"
+        earlier = statuses | {"c": statuses["c"]._replace(term=1)}
+        assert choose_successor(self.targets, self.state(status_by_id=earlier)) == "b"
+
     def test_order_of_an_earlier_era_does_not_outweigh_later_commits(self):
         # Guards against the promotion of a server that a copy of the store names as
         # ordered, while another one has commits of a later primary (review/6).
--- a/tests/proxy/test_store_eras.py
+++ b/tests/proxy/test_store_eras.py
@@ -213,6 +213,18 @@
     assert (found == steady) is (term == 2)
 
 
+@pytest.mark.parametrize("primary_term, expected_id", [(3, "b"), (4, "a"), (0, "a")])
+def test_term_of_the_record_may_be_above_that_of_its_primary(primary_term, expected_id):
+    # Guards against a later promotion that is not seen, because the term of the record
+    # is above the one in which its primary led: a leaving replica had been stopped for
+    # that term.
+    steady = build_group(
+        phase=GroupPhase.STEADY, primary_id="a", term=4, primary_term=primary_term
+    )
+    found = confirmed_record(steady, {"b": primary(4), "c": build_status(5, 4)})
+    assert found.primary_id == expected_id
+
+
 SEALED = LogPosition(2, 5)
 
 
