--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -2,6 +2,7 @@
 
 import os
 from collections.abc import Callable
+from concurrent.futures import Future
 from contextlib import ExitStack
 from datetime import timedelta
 from itertools import count, cycle
@@ -23,7 +24,11 @@
 from standins.platform.fleet import MemoryDatagrams, MemoryEndpoint
 from standins.platform.group import SimulatedGroup
 from standins.platform.network import MemoryNetwork, run_for
-from standins.platform.store import SimulatedPromotion, SimulatedStore
+from standins.platform.store import (
+    NO_ANSWER_DELAY,
+    SimulatedPromotion,
+    SimulatedStore,
+)
 from tests.proxy.builders import (
     SERVICE,
     SETTINGS,
@@ -501,6 +506,44 @@
         assert not missing, f"{len(missing)} of {done} acknowledged commits are missing"
 
 
+class LateOrder:
+    """The first order is executed after ``delay`` and not answered.
+
+    Orders for a server that is not running are answered 409.
+    """
+
+    def __init__(self, fleet, delay):
+        self.fleet, self.delay = fleet, delay
+        self.promote = fleet.promotion.promote
+        self.ordered = []
+        fleet.promotion.promote = self.order
+
+    def order(self, *arguments):
+        loop, target_id = self.fleet.loop, arguments[1]
+        self.ordered.append((target_id, loop.now()))
+        if len(self.ordered) == 1:
+            loop.call_later(self.delay, lambda: self.execute(arguments))
+            return self.answer(0, NO_ANSWER_DELAY)
+        if not self.is_running(target_id):
+            return self.answer(409, ms(4))
+        return self.promote(*arguments)
+
+    def is_running(self, target_id):
+        return f"{target_id}:1" in self.fleet.network.accept_by_address
+
+    def execute(self, arguments):
+        if (
+            self.is_running(arguments[1])
+            and self.fleet.group.primary().server_id != (arguments[1])
+        ):
+            self.promote(*arguments)
+
+    def answer(self, status, delay):
+        future = Future()
+        self.fleet.loop.call_later(delay, lambda: future.set_result(status))
+        return future
+
+
 class CutNetwork:
     """Network in which some addresses refuse connections."""
 
--- a/tests/proxy/test_failover_evidence.py
+++ b/tests/proxy/test_failover_evidence.py
@@ -1,6 +1,5 @@
 """What a failover takes as evidence that a server has every acknowledged commit."""
 
-from concurrent.futures import Future
 from contextlib import ExitStack
 
 import orjson
@@ -18,11 +17,11 @@
 )
 from bulrushloom.proxy.store import Record
 from bulrushloom.proxy.store_freshness import MAX_PRIMARY_AGE
-from standins.platform.store import NO_ANSWER_DELAY
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
     SECOND,
     ContinuousWriter,
+    LateOrder,
     SimulatedFleet,
     check_commits_told_to_clients,
     cut_off_instance,
@@ -205,44 +204,6 @@
     assert gap < SECOND * 20
 
 
-class LateOrder:
-    """The first order is executed after ``delay`` and not answered.
-
-    Orders for a server that is not running are answered 409.
-    """
-
-    def __init__(self, fleet, delay):
-        self.fleet, self.delay = fleet, delay
-        self.promote = fleet.promotion.promote
-        self.ordered = []
-        fleet.promotion.promote = self.order
-
-    def order(self, *arguments):
-        loop, target_id = self.fleet.loop, arguments[1]
-        self.ordered.append((target_id, loop.now()))
-        if len(self.ordered) == 1:
-            loop.call_later(self.delay, lambda: self.execute(arguments))
-            return self.answer(0, NO_ANSWER_DELAY)
-        if not self.is_running(target_id):
-            return self.answer(409, ms(4))
-        return self.promote(*arguments)
-
-    def is_running(self, target_id):
-        return f"{target_id}:1" in self.fleet.network.accept_by_address
-
-    def execute(self, arguments):
-        if (
-            self.is_running(arguments[1])
-            and self.fleet.group.primary().server_id != (arguments[1])
-        ):
-            self.promote(*arguments)
-
-    def answer(self, status, delay):
-        future = Future()
-        self.fleet.loop.call_later(delay, lambda: future.set_result(status))
-        return future
-
-
 @pytest.mark.parametrize("delay", [4, 6, 8])
 @pytest.mark.parametrize("end", ["409", "unlisted", "wiped"])
 def test_order_under_way_of_a_server_that_ended(fleet, end, delay):
--- a/tests/proxy/test_promotion_orders.py
+++ b/tests/proxy/test_promotion_orders.py
@@ -14,6 +14,7 @@
 from tests.proxy.builders import SERVICE, build_group, ms
 from tests.proxy.fleet_builders import (
     SECOND,
+    LateOrder,
     PartitionedNetwork,
     Writers,
     check_commits_told_to_clients,
@@ -21,7 +22,6 @@
     send_reads,
     write_until_served,
 )
-from tests.proxy.test_failover_evidence import LateOrder
 
 
 def reach_only(fleet, members, server_ids):
--- a/tests/proxy/test_random_returns.py
+++ b/tests/proxy/test_random_returns.py
@@ -11,11 +11,10 @@
 import pytest
 
 from tests.proxy.builders import ms
-from tests.proxy.fleet_builders import SimulatedFleet
+from tests.proxy.fleet_builders import LateOrder, SimulatedFleet
 from tests.proxy.release_builders import (
     CAUSES,
     CONDITION_BY_STEP,
-    LateOrder,
     Loss,
     Release,
     place_servers,
