--- a/bulrushloom/proxy/era_recovery.py
+++ b/bulrushloom/proxy/era_recovery.py
@@ -230,22 +230,7 @@
             if group is None:
                 continue
             found = confirmed_record(group, statuses)
-            self._log.write(
-                "group_record_checked",
-                service=service,
-                phase=group.phase.value,
-                recorded=group.primary_id,
-                term=group.term,
-                sealed=str(group.sealed),
-                sealed_era=group.sealed_era,
-                is_confirmed=(found.phase, found.primary_id, found.term)
-                == (group.phase, group.primary_id, group.term),
-                roles={name: status.role.value for name, status in statuses.items()},
-                terms={name: status.term for name, status in statuses.items()},
-                positions={
-                    name: str(status.received) for name, status in statuses.items()
-                },
-            )
+            self._log_comparison(group, statuses, found)
             if found != group and not (yield from self._follow(group, found)):
                 return False
         return True
@@ -273,6 +258,29 @@
             primary_term=status.term,
         )
 
+    def _log_comparison(
+        self,
+        group: GroupRecord,
+        status_by_id: Mapping[str, ServerStatus],
+        found: GroupRecord,
+    ) -> None:
+        self._log.write(
+            "group_record_checked",
+            service=group.service,
+            phase=group.phase.value,
+            recorded=group.primary_id,
+            term=group.term,
+            sealed=str(group.sealed),
+            sealed_era=group.sealed_era,
+            is_confirmed=(found.phase, found.primary_id, found.term)
+            == (group.phase, group.primary_id, group.term),
+            roles={name: status.role.value for name, status in status_by_id.items()},
+            terms={name: status.term for name, status in status_by_id.items()},
+            positions={
+                name: str(status.received) for name, status in status_by_id.items()
+            },
+        )
+
     def _follow(self, group: GroupRecord, found: GroupRecord) -> Steps:
         """Write what the servers show; return whether that succeeded."""
         if (found.phase, found.primary_id) != (group.phase, group.primary_id):
