Do not deny unknown callers without recent evidence

What callers saw: clients with valid keys were refused for good as unknown (NODB, NOAUTH), right after all instances had returned, or by an instance whose last read of the store was old.

Cause: the admission asks the store before it denies a caller, but answered the same denial if that read was not started, failed or took over 600 ms, at any age of the last successful one, also if there was none. A denial says that no newer configuration has the key or route, which only a read within the configuration bound shows. The age was checked for valid keys only, since those are the ones that may have been withdrawn.

Change: StoreFreshness.allows_denial bounds the age; otherwise the caller is told that nothing has run and when to come back. The check covers each place that denies: the start of a session, the admission, the permit of a statement and of a transaction, and the renewal. Reads of a copy of the store count no more than they do for keys.

--- a/bulrushloom/proxy/admission.py
+++ b/bulrushloom/proxy/admission.py
@@ -16,8 +16,11 @@
 LOOKUP_TIMEOUT = timedelta(milliseconds=600)
 # Name that servers are told if a caller on a public route has no account.
 ANONYMOUS = ""
+# Interval in which an instance that has lost the store asks it again.
+EVIDENCE_RETRY_DELAY = timedelta(seconds=1)
 # What a change of the configuration ended may be repeated after this time.
 CHANGE_RETRY_DELAY = timedelta(milliseconds=15)
+DATABASE_NOT_KNOWN = Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
 KEY_NOT_KNOWN = Failure(AnswerCode.UNAUTHENTICATED, "the key is not known")
 KEY_MOVED = Failure(
     AnswerCode.ABORTED, "the key belongs to another account now", CHANGE_RETRY_DELAY
@@ -79,8 +82,16 @@
         except TimeoutError:
             return
 
-    def refusal(self) -> Failure | None:
-        """Return why the session may not run operations now, or ``None``."""
+    def check(self) -> Steps:
+        """Return why the session may not run operations now, or ``None``.
+
+        Before a caller is refused as unknown, the configuration is refreshed.
+        """
+        if isinstance(self._decide(), Failure):
+            yield from self.refresh_configuration()
+        return self._refusal()
+
+    def _refusal(self) -> Failure | None:
         decided = self._decide()
         if isinstance(decided, Failure):
             return decided
@@ -91,17 +102,27 @@
         if self._services.store_freshness.allows_keys(self._loop.now()):
             return None
         reason = "keys cannot be checked: the store has not answered lately"
-        return Failure(AnswerCode.NOT_RUN, reason, timedelta(seconds=1))
+        return Failure(AnswerCode.NOT_RUN, reason, EVIDENCE_RETRY_DELAY)
+
+    def _deny(self, denial: Failure) -> Failure:
+        """Return ``denial``, or a refusal that may be repeated without evidence for it.
+
+        A denial says that no newer configuration allows the operation either.
+        """
+        if self._services.store_freshness.allows_denial(self._loop.now()):
+            return denial
+        reason = f"the store has not answered lately; by the last read, {denial.reason}"
+        return Failure(AnswerCode.NOT_RUN, reason, EVIDENCE_RETRY_DELAY)
 
     def _decide(self) -> Permit | Failure:
         """Return the permit of an operation by the current configuration."""
         configuration = self._services.configuration
         route = configuration.route_by_database.get(self._database)
         if route is None:
-            return Failure(AnswerCode.UNKNOWN_DATABASE, "no route has this database")
+            return self._deny(DATABASE_NOT_KNOWN)
         account = configuration.account_by_key.get(self._key)
         if account is None and not route.is_public:
-            return KEY_NOT_KNOWN
+            return self._deny(KEY_NOT_KNOWN)
         return Permit(route, account, configuration.version, configuration.version)
 
     def refusal_to_send(self, permit: Permit) -> Failure | None:
@@ -137,7 +158,7 @@
             return None
         account = self._services.configuration.account_by_key.get(self._key)
         if account is None:
-            return KEY_NOT_KNOWN
+            return self._deny(KEY_NOT_KNOWN)
         return None if account.name == permit.account_name else KEY_MOVED
 
     def refusal_in_transaction(self, permit: Permit) -> Failure | None:
@@ -153,10 +174,7 @@
         if plan is not None and plan.refuses(self._loop.now(), begins_transaction):
             return REFUSED_BY_STOP
         arrival_version = self._services.configuration.version
-        failure = self.refusal()
-        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
-            yield from self.refresh_configuration()
-            failure = self.refusal()
+        failure = yield from self.check()
         if failure is not None:
             return failure
         admitted = yield from self._take_token(arrival_version)
--- a/bulrushloom/proxy/clients/session_statements.py
+++ b/bulrushloom/proxy/clients/session_statements.py
@@ -51,11 +51,7 @@
     def start(self, database: str, key: str) -> Steps:
         """Admit the client; return the ``Failure`` if it may not start a session."""
         self._use_account(database, key)
-        failure = self._admission.refusal()
-        if failure is not None and failure.code is not AnswerCode.NOT_RUN:
-            yield from self._admission.refresh_configuration()
-            failure = self._admission.refusal()
-        return failure
+        return (yield from self._admission.check())
 
     def writes(self, statement: Statement) -> bool:
         """Return whether a statement changes data."""
--- a/bulrushloom/proxy/store_freshness.py
+++ b/bulrushloom/proxy/store_freshness.py
@@ -91,13 +91,21 @@
 
         Otherwise a key may have been withdrawn longer ago than the bound permits.
         """
-        if not self.is_recent(now):
-            return False
-        if not self.holds_keys(now):
-            return True
-        assert self._keys_held_at is not None
         bound = self.settings.withdrawn_key_bound - KEY_CHECK_MARGIN
-        return now - self._keys_held_at <= bound
+        return self._configuration_age(now) <= bound
+
+    def allows_denial(self, now: timedelta) -> bool:
+        """Return whether what the configuration lacks may be refused for good.
+
+        Otherwise a newer one that has it may have to be in force already.
+        """
+        return self._configuration_age(now) <= self.settings.configuration_bound
+
+    def _configuration_age(self, now: timedelta) -> timedelta:
+        """Return the time since the last read that counts for the configuration."""
+        if self._keys_held_at is None or not self.holds_keys(now):
+            return self.age(now)
+        return now - self._keys_held_at
 
     def allows_primary(self, now: timedelta) -> bool:
         """Return whether a known primary cannot have been replaced yet."""
