--- a/tests/proxy/limit_builders.py
+++ b/tests/proxy/limit_builders.py
@@ -108,6 +108,34 @@
     def on_demand_rise(self):
         self.is_rise_pending = self.urgent_delay_ticks is not None
 
+    def play(self, account, seconds, demand_per_s, rng):
+        """Request a steady demand of an account for some seconds."""
+        expected = demand_per_s * (TICK / timedelta(seconds=1))
+        for _ in range(int(timedelta(seconds=seconds) / TICK)):
+            count = int(expected) + (rng.random() < expected % 1)
+            self.step(account, count, rng)
+
+    def restart_all(self, down, recorded_usage):
+        """Lose all instances; new ones that know what was recorded start later."""
+        fleet = self.fleet
+        fleet.now += down
+        fleet.ticks += int(down / TICK)
+        self.pending.clear()
+        fleet.limiters = SimulatedFleet(len(fleet.limiters), fleet.now).limiters
+        for limiter in fleet.limiters:
+            limiter.on_demand_rise = self.on_demand_rise
+            limiter.load_recorded_usage(recorded_usage)
+
+    def request_without_reports(self, account, duration, demand_per_s, rng):
+        """Request operations before the instances have heard of each other."""
+        for _ in range(int(duration / TICK)):
+            self.fleet.now += TICK
+            self.fleet.ticks += 1
+            expected = demand_per_s * (TICK / timedelta(seconds=1))
+            count = int(expected) + (rng.random() < expected % 1)
+            for number in rng.choices(range(len(self.fleet.limiters)), k=count):
+                self.fleet.request(number, account)
+
     def step(self, account, request_count, rng):
         fleet = self.fleet
         fleet.now += TICK
--- a/tests/proxy/test_limits_between_reports.py
+++ b/tests/proxy/test_limits_between_reports.py
@@ -36,6 +36,47 @@
     assert totals.fleet.max_admitted_in_window() <= upper_bound(account)
 
 
+# Usual demand, as a fraction of the rate, of the accounts of bmdc-shared-large.
+USUAL_FRACTION = 0.625
+
+
+@pytest.mark.parametrize("rate_per_s", [3.0, 10.0, 30.0, 150.0])
+@pytest.mark.parametrize("usual_fraction", [USUAL_FRACTION, 0.8])
+def test_account_that_floods_195_instances_stays_within_the_bound(
+    rate_per_s, usual_fraction
+):
+    # Guards against QUOTA on bmdc-shared-large (issue 47): until the reports show the
+    # rise, 195 instances admit each operation of the flood, and the admitted ones were
+    # allowed 0.94 to 0.98 of the bound already.
+    account = build_account(rate_per_s=rate_per_s, burst=rate_per_s)
+    totals = DelayedTotals(195, delay_ticks=38, urgent_delay_ticks=5)
+    rng, usual = random.Random(7), rate_per_s * usual_fraction
+    totals.play(account, 8, usual, rng)
+    totals.play(account, 7.4, usual * 7.5, rng)
+    assert totals.fleet.max_admitted_in_window() <= upper_bound(account)
+
+
+@pytest.mark.parametrize("rate_per_s", [8.0, 20.0, 50.0, 100.0])
+@pytest.mark.parametrize("down", [ms(600), ms(1500)])
+def test_flood_before_and_after_the_loss_of_195_instances_stays_within_the_bound(
+    rate_per_s, down
+):
+    # Guards against QUOTA on bmdc-shared-large (issue 47): after the loss of all, each
+    # instance admitted the first operation of an account that was recorded as hot.
+    account = build_account(rate_per_s=rate_per_s, burst=rate_per_s)
+    totals = DelayedTotals(195, delay_ticks=30, urgent_delay_ticks=5)
+    fleet, rng, usual = totals.fleet, random.Random(3), rate_per_s * USUAL_FRACTION
+    totals.play(account, 6, usual, rng)
+    totals.play(account, 3.5, usual * 7.5, rng)
+    recorded = fleet.limiters[0].hot_usage([account], ms(1000), fleet.now)
+    totals.play(account, 0.5, usual * 7.5, rng)
+    totals.restart_all(down, recorded)
+    # Clients repeat what failed meanwhile.
+    totals.request_without_reports(account, ms(600), usual * 15, rng)
+    totals.play(account, 5, usual * 7.5, rng)
+    assert fleet.max_admitted_in_window() <= upper_bound(account)
+
+
 def test_usual_demand_is_not_reported_between_the_rounds():
     # Guards against reports at once for every small change of an account's demand.
     account = build_account(rate_per_s=75.0, burst=75.0)
