Make reads return to an evacuated domain for a reason in its test

Cause: it expects reads at the replica of the domain once its evacuation has ended. Candidates, evacuations, suspicions and the position of the replica were as they should be, and the limit did not refuse anything.

Change: the other two servers become slow at that moment, so reads have to return. The check is the same.

--- a/tests/proxy/test_evacuation.py
+++ b/tests/proxy/test_evacuation.py
@@ -127,6 +127,9 @@
     fleet.store.is_down = False
     fleet.store.evacuated_domains.clear()
     ended_at = fleet.loop.now()
+    # Unused targets cost as much as a slow one, so reads return if the others are slow.
+    for server_id in ("a", "c"):
+        fleet.group.server_by_id[server_id].work = ms(120)
     fleet.run(SECOND * 5)
     load.stop()
     assert statements_at(fleet, {"south"}, ended_at)
