Admit the first operation of a hot account only within a part after a start

What happened: the servers ran more operations of an account than its limit allows (QUOTA at 195 instances), shown by simulation.

Cause: each account has one token at each instance from the start. After the loss of all instances, each of them admitted an operation of an account that the store had recorded as hot before it heard of the others: up to 188 in 0.6 s where the limit left a tenth of 600.

Change: until all members are heard, the first token of a recorded account is drawn, so that the instances together admit their parts, each below one. Accounts without a record keep the token: refusing these after the loss of all instances refuses usual callers.

Ruled out: the same for all accounts.

--- a/bulrushloom/proxy/limits/counters.py
+++ b/bulrushloom/proxy/limits/counters.py
@@ -24,6 +24,7 @@
     ``admitted_by_slot`` holds pairs of a slot's start and its admitted operations,
     ``left_by_slot`` the same of slots that left the window in ``REPLACEMENT_PERIOD``.
     ``reported_demand_per_s`` is the demand in the latest report to the others.
+    ``is_used`` is whether a token was asked for.
     """
 
     def __init__(self, now: timedelta) -> None:
@@ -36,6 +37,7 @@
         self.reported_demand_per_s = 0.0
         self.tokens = MIN_BUCKET_TOKENS
         self.refilled_at = now
+        self.is_used = False
         self.is_refilled_by_demand = False
 
     @property
--- a/bulrushloom/proxy/limits/limiter.py
+++ b/bulrushloom/proxy/limits/limiter.py
@@ -12,10 +12,10 @@
 from datetime import timedelta
 from math import exp
 from random import Random
-from typing import NamedTuple
 
 from bulrushloom.proxy.configuration import Account
 from bulrushloom.proxy.limits.counters import MIN_BUCKET_TOKENS, AccountCounter
+from bulrushloom.proxy.limits.headroom import Headroom
 from bulrushloom.proxy.limits.reports import MemberCount, PeerReports, report_weight
 from bulrushloom.proxy.limits.starting import HOT_ACCOUNT_SHARE, StartingLimits
 from bulrushloom.proxy.limits.tolerance import tolerated_limit
@@ -51,21 +51,6 @@
 _ZERO = timedelta()
 
 
-class _Headroom(NamedTuple):
-    """What an instance may admit of an account's operations, given the headroom.
-
-    ``admit_rate_per_s`` is the refill rate of the token bucket, ``admit_fraction`` the
-    part of the fleet's demand that the headroom can serve, ``operations`` the headroom
-    itself, ``starting_share`` the part of it that no other instance uses while this one
-    starts.
-    """
-
-    admit_rate_per_s: float
-    admit_fraction: float
-    operations: float
-    starting_share: float = 0.0
-
-
 class AccountLimiter:
     """Rate limiter of the client accounts on one instance.
 
@@ -240,11 +225,19 @@
 
     def _refill(
         self, account: Account, counter: AccountCounter, now: timedelta
-    ) -> _Headroom:
+    ) -> Headroom:
         """Refill the token bucket and return the headroom of the account."""
         counter.expire(now, self.window.length)
         counter.decay_demand(now)
         headroom = self._headroom(account, counter, now)
+        if not counter.is_used:
+            counter.is_used = True
+            if not headroom.is_known and self._start.limits_first_use(
+                account.name, now, self.window.length
+            ):
+                # All instances together admit their parts, be these below one.
+                part = headroom.own_part + self._random.random()
+                counter.tokens = min(part, MIN_BUCKET_TOKENS)
         admit_rate_per_s = headroom.admit_rate_per_s
         elapsed = max(now - counter.refilled_at, _ZERO) / _SECOND
         counter.refilled_at = now
@@ -284,7 +277,7 @@
 
     def _headroom(
         self, account: Account, counter: AccountCounter, now: timedelta
-    ) -> _Headroom:
+    ) -> Headroom:
         """Calculate what this instance may admit from its own and its peers' usage.
 
         ``effective_count`` is the number of reachable instances, weighted by the age of
@@ -323,18 +316,20 @@
             )
             headroom = min(headroom, quota - used)
         if headroom <= 0.0:
-            return _Headroom(0.0, 0.0, 0.0)
+            return Headroom(0.0, 0.0, 0.0)
         fleet_rate_per_s = headroom / (HEADROOM_SPREAD_TIME / _SECOND)
         fleet_rate_per_s += leaving_per_s * REPLACED_FRACTION
         demand = counter.demand_per_s
         min_demand = IDLE_DEMAND_FRACTION * (demand + others_demand) / reachable_count
         demand = max(demand, min_demand, 0.01)
         demand_fraction = demand / (demand + others_demand)
-        return _Headroom(
+        return Headroom(
             demand_fraction * fleet_rate_per_s,
             fleet_rate_per_s / (demand + others_demand),
             headroom,
             self._starting_share(account, headroom, reachable_count, now),
+            headroom / reachable_count,
+            reachable_count >= self.member_count,
         )
 
     def _starting_share(
--- a/bulrushloom/proxy/limits/starting.py
+++ b/bulrushloom/proxy/limits/starting.py
@@ -48,6 +48,15 @@
         """Return whether the account was near its limit before the start."""
         return self._is_record_outdated or account in self._recorded_by_account
 
+    def limits_first_use(self, account: str, now: timedelta, window: timedelta) -> bool:
+        """Return whether the first operation must fit in this instance's part.
+
+        Answers the loss of all instances while an account floods: hundreds of instances
+        that admit one operation each, before they hear of the others, exceed the limit.
+        Accounts that were below their limit before the start get the operation.
+        """
+        return self.is_recorded(account) and not self.is_over(now, window)
+
     def recorded(
         self, account: str, limit: float, now: timedelta, window: timedelta
     ) -> float:
