Copy a new configuration from another domain if the store turns this one away

What callers saw: instances of a domain whose instances the store turned away stayed at an old version, refused keys that had been added, and after 4.7 s refused all of them.

Cause: an instance that hears of a newer version from its own domain copies it, but from another domain it only read the store. If the store turns away all instances of the domain, or those that hear of others, that read fails as long as the store does, and nobody in the domain has a copy. After a return of the store from a copy the document was fetched already; the same path in the usual case was not.

Ruled out: bytes between domains do not grow in the usual case, because the store is read first and the document is copied only if that read lacks it.

Change: both cases use PeerCopies.fetch_configuration. The simulated fleet copies as the daemon does.

Result: test_domain_that_the_store_turns_away_gets_a_new_configuration fails before for a turned-away leader and another instance, and passes.

--- a/bulrushloom/proxy/exchange/fleet.py
+++ b/bulrushloom/proxy/exchange/fleet.py
@@ -174,11 +174,8 @@
             return
         elif not _contains(services.known_versions(), announced):
             self._copier.read_store()
-        elif not has_configuration and report.member.domain == self._member.domain:
-            # Copies within a domain are free, and the relay has read the store.
-            self._copier.fetch_configuration(report.member, view.configuration_version)
         elif not has_configuration:
-            self._copier.read_store()
+            self._copier.fetch_configuration(report.member, view.configuration_version)
         # Otherwise a commit at an old primary is pending; reading would not help.
 
     def _enter_era(self, era: int) -> bool:
--- a/bulrushloom/proxy/peer_copies.py
+++ b/bulrushloom/proxy/peer_copies.py
@@ -55,7 +55,8 @@
         """Copy a newer configuration from an instance.
 
         The store is read first if the instance is in another domain, because copies
-        within a domain are free. The store may have an older one since its return.
+        within a domain are free. The store may turn this instance away, or have an
+        older one since its return.
         """
         if self._fetching is None or self._fetching.done():
             self._fetching = self._loop.spawn(self._fetch(member, version))
--- a/tests/proxy/fleet_builders.py
+++ b/tests/proxy/fleet_builders.py
@@ -117,19 +117,19 @@
         fleet.loop.supervise(recovery.run)
 
     def copy_configuration(self, source, version):
-        """Copy the configuration of another instance after a read of the store."""
-        simulation = self.simulation
+        """Copy the configuration of another instance, as ``PeerCopies`` does."""
+        self.loop.spawn(self._copy_configuration(source, version))
 
-        def copy():
-            configuration = simulation.member_by_name[
-                source.name
-            ].services.configuration
-            if frozenset((self.name, source.name)) not in simulation.datagrams.cut:
-                self.reader.apply_configuration(configuration, source.name)
-
-        self.reader.request_read()
-        if self.services.eras.era > 0:
-            self.loop.call_later(ms(12), copy)
+    def _copy_configuration(self, source, version):
+        simulation = self.simulation
+        if source.domain != self.services.settings.domain:
+            yield self.reader.request_read()
+            if self.services.configuration.version >= version:
+                return
+        yield self.loop.sleep(ms(12))
+        configuration = simulation.member_by_name[source.name].services.configuration
+        if frozenset((self.name, source.name)) not in simulation.datagrams.cut:
+            self.reader.apply_configuration(configuration, source.name)
 
     def copy_directory(self, source, version, listed_at):
         """Copy the directory of another instance, as the daemons do over HTTP."""
--- a/tests/proxy/test_partitions.py
+++ b/tests/proxy/test_partitions.py
@@ -394,3 +394,20 @@
         fleet.run(ms(800) - PENDING_COMMIT_TIMEOUT)
         assert not reads
         assert writer.services.known_versions()[SERVICE] == 50
+
+
+@pytest.mark.parametrize("is_leader_refused", [False, True])
+def test_domain_that_the_store_turns_away_gets_a_new_configuration(
+    fleet, is_leader_refused
+):
+    # Guards against CONFIG (issue 47): instances of a domain that the store turned away
+    # stayed at an old version, although they heard of the new one.
+    refused = next(
+        member
+        for member in fleet.members
+        if (member is fleet.leader()) is is_leader_refused
+    )
+    fleet.store.refused.add(refused.name)
+    fleet.store.configuration = fleet.store.configuration._replace(version=7)
+    fleet.run(SETTINGS.configuration_bound)
+    assert refused.services.configuration.version == 7
