Log announced configurations and the limit that a refusal used

The log of an instance said which version it has, not which one it has heard of, from whom, and how old its evidence was then. The reason of a refusal by rate named a limit without the reduction for floods.

--- a/bulrushloom/proxy/limits/limiter.py
+++ b/bulrushloom/proxy/limits/limiter.py
@@ -139,10 +139,13 @@
 
     def describe_refusal(self, account: Account, now: timedelta) -> str:
         """Return the reason for a refusal, with the figures, for the client."""
+        counter = self._counter(account, now)
+        demand_per_s = self._reported_demand(account.name, counter)
         return (
             f"account {account.name} is above its rate: "
             f"{self.admitted(account.name, now):.0f} of "
-            f"{self._window_limit(account, now):.0f} operations in the window, "
+            f"{self._window_limit(account, now, demand_per_s):.0f} "
+            f"operations in the window, "
             f"{self._reports.reachable_count(now)} of {self.member_count} "
             f"instances heard"
         )
--- a/bulrushloom/proxy/peer_copies.py
+++ b/bulrushloom/proxy/peer_copies.py
@@ -48,6 +48,7 @@
         self._request_read = request_read
         self._apply_configuration = apply_configuration
         self._update_directory = update_directory
+        self._announced_version = 0
         self._fetching: Future[Any] | None = None
         self._fetching_directory: Future[Any] | None = None
 
@@ -58,6 +59,15 @@
         within a domain are free. The store may turn this instance away, or have an
         older one since its return.
         """
+        if version > self._announced_version:
+            self._announced_version = version
+            self._log.write(
+                "configuration_announced",
+                version=version,
+                source=member.name,
+                configuration=self._services.configuration.version,
+                evidence_age=self._services.store_freshness.age(self._loop.now()),
+            )
         if self._fetching is None or self._fetching.done():
             self._fetching = self._loop.spawn(self._fetch(member, version))
 
