Check in the soak that callers are not denied without evidence

Change: an answer that denies a caller is a violation if all configurations of the last 3 s had its key and route, whatever faults are active.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,13 +1,14 @@
 """Simulated callers, which open sessions and send random statements."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from bulrushloom.runtime.loop import Steps
 from bulrushloom.runtime.streams import Stream, TcpNetwork
+from soak.denials import check_denial
 from soak.operators import CallerAccount
 from standins.platform.host import Daemon
 from standins.platform.promises import CallerRecord
@@ -31,7 +32,14 @@
 
 
 class NoAnswer(Exception):
-    """The session was closed or timed out before an answer was complete."""
+    """The session was closed or timed out before an answer was complete.
+
+    ``lines`` are those that arrived.
+    """
+
+    def __init__(self, message: str, lines: Sequence[str] = ()):
+        super().__init__(message)
+        self.lines = lines
 
 
 class SessionClient:
@@ -57,7 +65,7 @@
         except TimeoutError as error:
             raise NoAnswer(f"no answer to {line!r}") from error
         if not lines or not lines[-1].startswith("READY"):
-            raise NoAnswer(f"{line!r} was answered with {lines}")
+            raise NoAnswer(f"{line!r} was answered with {lines}", lines)
         return lines
 
     def _on_data(self) -> None:
@@ -128,7 +136,7 @@
         )
         try:
             client = SessionClient(self._world, stream)
-            yield from client.request(f"START {database} {key}")
+            yield from self._start(client, record)
             for _ in range(self._random.randint(1, MAX_OPERATIONS)):
                 if self._is_done():
                     return
@@ -140,6 +148,23 @@
         finally:
             stream.close("caller disconnected")
 
+    def _start(self, client: SessionClient, record: CallerRecord) -> Steps:
+        sent_at = self._loop.now()
+        try:
+            yield from client.request(f"START {record.database} {record.key}")
+        except NoAnswer as error:
+            self._check_denial(record, error.lines, sent_at)
+            raise
+
+    def _check_denial(
+        self, record: CallerRecord, lines: Sequence[str], sent_at: timedelta
+    ) -> None:
+        configurations = self._world.operator.configurations
+        now = self._loop.now()
+        self._world.report_violations(
+            check_denial(configurations, record, lines, sent_at, now)
+        )
+
     def _operation(
         self, daemon: Daemon, client: SessionClient, record: CallerRecord
     ) -> Steps:
@@ -188,13 +213,15 @@
 
         def send_statement(text: str, shape: str = "") -> Steps:
             history = world.history
-            request_id = history.send(record, text, self._loop.now(), shape)
+            sent_at = self._loop.now()
+            request_id = history.send(record, text, sent_at, shape)
             try:
                 lines = yield from client.request(f"QUERY {request_id} {text}")
             except NoAnswer:
                 world.record_unanswered(daemon, request_id)
                 raise
             world.report_violations(history.answer(request_id, lines, self._loop.now()))
+            self._check_denial(record, lines, sent_at)
             if lines[-2].startswith("ERR"):
                 self.failed += 1
             else:
--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -76,6 +76,15 @@
             for configuration in self.newest_during(since, until)
         )
 
+    def has_allowed(
+        self, key: str, database: str, since: timedelta, until: timedelta
+    ) -> bool:
+        """Return whether a key was held and a database had a route all the time."""
+        return all(
+            key in configuration.account_by_key and database in configuration.databases
+            for configuration in self.newest_during(since, until)
+        )
+
     def has_had_account(self, name: str, until: timedelta) -> bool:
         """Return whether a configuration up to a time had an account of this name."""
         return any(
--- a/tests/soak/test_configurations.py
+++ b/tests/soak/test_configurations.py
@@ -5,6 +5,8 @@
 import pytest
 
 from soak.configurations import ConfigurationHistory
+from soak.denials import check_denial
+from standins.platform.promises import CallerRecord
 
 SECOND = timedelta(seconds=1)
 
@@ -72,3 +74,22 @@
     assert not history.has_had_account("new", SECOND * 7)
     assert history.has_had_account("new", SECOND * 8)
     assert not history.has_had_account("", SECOND * 9)
+
+
+@pytest.mark.parametrize(
+    "lines, sent, answered, is_violation",
+    [
+        (["ERR NOAUTH unknown"], 6.5, 7, False),
+        (["ERR NOAUTH unknown"], 11.1, 12, True),
+        (["ERR NODB unknown", "READY I -"], 11.1, 12, True),
+        (["ERR BUSY later"], 11.1, 12, False),
+        (["ERR NOAUTH unknown"], 10.9, 12, False),
+        ([], 11.1, 12, False),
+    ],
+)
+def test_caller_that_was_allowed_for_the_whole_bound_must_not_be_denied(
+    history, lines, sent, answered, is_violation
+):
+    record = CallerRecord("m0", "hotel", "k", "own")
+    found = check_denial(history, record, lines, SECOND * sent, SECOND * answered)
+    assert bool(found) is is_violation
