--- a/bulrushloom/proxy/limits/limiter.py
+++ b/bulrushloom/proxy/limits/limiter.py
@@ -203,10 +203,8 @@
         rise = counter.demand_per_s - counter.reported_demand_per_s
         if rise < max(MIN_RISE_PER_S, counter.reported_demand_per_s):
             return False
-        limit, window_s = (
-            tolerated_limit(account, self.window),
-            self.window.length / _SECOND,
-        )
+        limit = tolerated_limit(account, self.window)
+        window_s = self.window.length / _SECOND
         known_demand = self._reported_demand(account.name, counter)
         if known_demand * window_s >= limit * KNOWN_OVERLOAD_FACTOR:
             return False
@@ -235,12 +233,7 @@
         headroom = self._headroom(account, counter, now)
         if not counter.is_used:
             counter.is_used = True
-            if not headroom.is_known and self._start.limits_first_use(
-                account.name, now, self.window.length
-            ):
-                # All instances together admit their parts, be these below one.
-                part = headroom.own_part + self._random.random()
-                counter.tokens = min(part, MIN_BUCKET_TOKENS)
+            self._limit_first_use(account, counter, headroom, now)
         admit_rate_per_s = headroom.admit_rate_per_s
         elapsed = max(now - counter.refilled_at, _ZERO) / _SECOND
         counter.refilled_at = now
@@ -264,6 +257,20 @@
         counter.tokens = max(counter.tokens, headroom.starting_share)
         return headroom
 
+    def _limit_first_use(
+        self,
+        account: Account,
+        counter: AccountCounter,
+        headroom: Headroom,
+        now: timedelta,
+    ) -> None:
+        """Draw the first token if all instances together must not have one each."""
+        limits = self._start.limits_first_use(account.name, now, self.window.length)
+        if limits and not headroom.is_complete:
+            # The expected sum over all instances is the sum of their parts.
+            drawn = headroom.own_part + self._random.random()
+            counter.tokens = min(drawn, MIN_BUCKET_TOKENS)
+
     def _refill_by_demand(self, counter: AccountCounter, admit_fraction: float) -> None:
         """Add the part of a token that each request of the fleet gets.
 
